Set the shape of the code: core types, ports, rpc protocol and design

Cause: the project starts empty, and everything else builds on the layout.

Change: docs/design.md settles who admits a request, where at-most-once records live, how a configuration reaches every process, what a partitioned domain may do, and how chunks spread. The core packages shard, verdict, fleet, declare and manifest, the ports, the drpc protocol with its heartbeats and silence timeout, checked INI settings, bounded metrics, the daemon life cycle, the platform's client and its stand-in follow it. A test over the import graph keeps decisions free of network and encoding.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+GO ?= go
+BIN := bin
+
+.PHONY: all build test generate lint demo up bench-spread bench-serve bench-control
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# Runs every test with the race detector.
+test:
+	$(GO) test -race -timeout 20m ./...
+
+# Regenerates the protocol code; the result is committed.
+generate:
+	$(GO) build -C tools -o ../$(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	cd internal/adapter/rpc/pb && PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=paths=source_relative \
+		--go-drpc_out=. --go-drpc_opt=paths=source_relative masticwing.proto
+
+lint:
+	@test -z "$$(gofmt -l cmd internal test)" || { gofmt -l cmd internal test; echo "run gofmt -w on these files"; exit 1; }
+	$(GO) vet ./...
+	$(GO) build -C tools -o ../$(BIN)/ honnef.co/go/tools/cmd/staticcheck
+	$(BIN)/staticcheck ./...
--- /dev/null
+++ b/internal/adapter/kvhttp/kvhttp_test.go
@@ -0,0 +1,95 @@
+package kvhttp
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/internal/standin/platform"
+)
+
+func start(t *testing.T) (*Client, *httptest.Server) {
+	t.Helper()
+	srv := httptest.NewServer(platform.New().Handler())
+	t.Cleanup(srv.Close)
+	return New(fleet.Address(strings.TrimPrefix(srv.URL, "http://"))), srv
+}
+
+func setFaults(t *testing.T, srv *httptest.Server, body string) {
+	t.Helper()
+	resp, err := http.Post(srv.URL+"/faults", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// TestCompareAndSwap guards against a write that replaces a value its writer
+// has not seen.
+func TestCompareAndSwap(t *testing.T) {
+	c, _ := start(t)
+	ctx := context.Background()
+	rev, err := c.CompareAndSwap(ctx, "config/current", 0, []byte("one"), port.NoLease)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.CompareAndSwap(ctx, "config/current", 0, []byte("two"), port.NoLease); !errors.Is(err, port.ErrConflict) {
+		t.Fatalf("second creation: %v, want conflict", err)
+	}
+	e, err := c.Get(ctx, "config/current")
+	if err != nil || string(e.Value) != "one" || e.Rev != rev {
+		t.Fatalf("Get = %q %d %v", e.Value, e.Rev, err)
+	}
+}
+
+// TestLostAnswerIsUnknown guards against reporting a write as failed when it
+// took effect.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	c, srv := start(t)
+	ctx := context.Background()
+	setFaults(t, srv, `{"lose_write_answers": 1}`)
+	if _, err := c.CompareAndSwap(ctx, "k", 0, []byte("v"), port.NoLease); !errors.Is(err, port.ErrUnknownOutcome) {
+		t.Fatalf("err = %v, want unknown outcome", err)
+	}
+	if e, err := c.Get(ctx, "k"); err != nil || string(e.Value) != "v" {
+		t.Fatalf("the write did not take effect: %v", err)
+	}
+	setFaults(t, srv, `{"down": true}`)
+	if _, err := c.CompareAndSwap(ctx, "k2", 0, nil, port.NoLease); !errors.Is(err, port.ErrUnavailable) {
+		t.Fatalf("err = %v, want unavailable", err)
+	}
+}
+
+// TestWatchAndLease guards against a watch that misses a write and a key that
+// outlives its lease.
+func TestWatchAndLease(t *testing.T) {
+	c, _ := start(t)
+	ctx := context.Background()
+	if _, err := c.Watch(ctx, "k", 0, 10*time.Millisecond); !errors.Is(err, port.ErrNotFound) {
+		t.Fatalf("watch without a change: %v", err)
+	}
+	id, err := c.Grant(ctx, 200*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.CompareAndSwap(ctx, "k", 0, []byte("v"), id); err != nil {
+		t.Fatal(err)
+	}
+	if e, err := c.Watch(ctx, "k", 0, time.Second); err != nil || string(e.Value) != "v" {
+		t.Fatalf("watch = %q, %v", e.Value, err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	if _, err := c.Get(ctx, "k"); !errors.Is(err, port.ErrNotFound) {
+		t.Fatalf("key outlived its lease: %v", err)
+	}
+	if err := c.KeepAlive(ctx, id); !errors.Is(err, port.ErrNotFound) {
+		t.Fatalf("KeepAlive of a lapsed lease: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/adapter/rpc/peer_client.go
@@ -0,0 +1,207 @@
+package rpc
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+var (
+	_ port.PeerClient   = (*Client)(nil)
+	_ port.MemberClient = (*Client)(nil)
+)
+
+// callTimeout bounds a unary call between processes.
+const callTimeout = 2 * time.Second
+
+// Manifest implements port.PeerClient.
+func (c *Client) Manifest(ctx context.Context, addr fleet.Address, v fleet.Version) (manifest.Manifest, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m, err := pb.NewDRPCPeerClient(c.conn(ctx, addr)).GetManifest(ctx, &pb.GetManifestRequest{Version: string(v)})
+	if err != nil {
+		return manifest.Manifest{}, errors.Wrap(err, "asking peer for manifest")
+	}
+	return manifestFromPB(m), nil
+}
+
+// WatchChunks implements port.PeerClient.
+func (c *Client) WatchChunks(
+	ctx context.Context, addr fleet.Address, v fleet.Version, from fleet.VM,
+) (port.ChunkStream, error) {
+	ctx, sil := newSilence(ctx)
+	s := &chunkStream{sil: sil}
+	req := &pb.WatchChunksRequest{Version: string(v), From: string(from)}
+	err := sil.watch(func() (err error) {
+		s.stream, err = pb.NewDRPCPeerClient(c.conn(ctx, addr)).WatchChunks(ctx, req)
+		return err
+	})
+	if err != nil {
+		sil.close()
+		return nil, errors.Wrap(err, "watching chunks of peer")
+	}
+	return s, nil
+}
+
+type chunkStream struct {
+	sil    *silence
+	stream pb.DRPCPeer_WatchChunksClient
+}
+
+// Next implements port.ChunkStream.
+func (s *chunkStream) Next() (port.ChunkUpdate, error) {
+	var m *pb.ChunkUpdate
+	err := s.sil.watch(func() (err error) {
+		m, err = s.stream.Recv()
+		return err
+	})
+	if err != nil {
+		return port.ChunkUpdate{}, errors.Wrap(err, "chunk stream ended")
+	}
+	u := port.ChunkUpdate{Bitmap: m.GetBitmap(), Heartbeat: m.GetHeartbeat()}
+	for _, i := range m.GetAdded() {
+		u.Added = append(u.Added, int(i))
+	}
+	return u, nil
+}
+
+// Close implements port.ChunkStream.
+func (s *chunkStream) Close() error {
+	s.sil.close()
+	return s.stream.Close()
+}
+
+// FetchChunk implements port.PeerClient.
+func (c *Client) FetchChunk(ctx context.Context, addr fleet.Address, r port.ChunkRequest) (io.ReadCloser, error) {
+	ctx, sil := newSilence(ctx)
+	p := &pieces{sil: sil}
+	req := &pb.FetchChunkRequest{
+		Version:    string(r.Version),
+		Index:      uint32(r.Index),
+		From:       string(r.From),
+		FromRegion: string(r.FromRegion),
+	}
+	err := sil.watch(func() (err error) {
+		p.stream, err = pb.NewDRPCPeerClient(c.conn(ctx, addr)).FetchChunk(ctx, req)
+		return err
+	})
+	if err != nil {
+		sil.close()
+		return nil, errors.Wrap(err, "asking peer for chunk")
+	}
+	if err := p.fill(); err != nil && !errors.Is(err, io.EOF) {
+		_ = p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+// pieces reads a chunk that arrives in pieces.
+type pieces struct {
+	sil    *silence
+	stream pb.DRPCPeer_FetchChunkClient
+	rest   []byte
+	err    error
+}
+
+func (p *pieces) fill() error {
+	if p.err != nil {
+		return p.err
+	}
+	var m *pb.ChunkPiece
+	err := p.sil.watch(func() (err error) {
+		m, err = p.stream.Recv()
+		return err
+	})
+	switch {
+	case err != nil:
+		p.err = err
+	case m.GetBusy():
+		p.err = port.ErrPeerBusy
+	case m.GetMissing():
+		p.err = port.ErrChunkMissing
+	default:
+		p.rest = m.GetBytes()
+	}
+	return p.err
+}
+
+// Read implements io.Reader.
+func (p *pieces) Read(b []byte) (int, error) {
+	for len(p.rest) == 0 {
+		if err := p.fill(); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(b, p.rest)
+	p.rest = p.rest[n:]
+	return n, nil
+}
+
+// Close implements io.Closer.
+func (p *pieces) Close() error {
+	if errors.Is(p.err, io.EOF) {
+		err := p.stream.Close()
+		p.sil.close()
+		return err
+	}
+	p.sil.close()
+	return p.stream.Close()
+}
+
+// Exchange implements port.MemberClient.
+func (c *Client) Exchange(
+	ctx context.Context, addr fleet.Address, m port.ExchangeMessage,
+) (port.ExchangeMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := pb.NewDRPCMemberClient(c.conn(ctx, addr)).Exchange(ctx, exchangeToPB(m))
+	if err != nil {
+		c.dropOnTimeout(ctx, addr)
+		return port.ExchangeMessage{}, errors.Wrap(err, "exchange")
+	}
+	return exchangeFromPB(out), nil
+}
+
+// Declaration implements port.MemberClient.
+func (c *Client) Declaration(ctx context.Context, addr fleet.Address) (port.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := pb.NewDRPCMemberClient(c.conn(ctx, addr)).GetDeclaration(ctx, &pb.GetDeclarationRequest{})
+	if err != nil {
+		c.dropOnTimeout(ctx, addr)
+		return port.Document{}, errors.Wrap(err, "asking for declaration")
+	}
+	return port.Document{Revision: out.GetRevision(), Stored: out.GetStored(), Age: ageFromMillis(out.GetAgeMs())}, nil
+}
+
+// Members implements port.MemberClient.
+func (c *Client) Members(ctx context.Context, addr fleet.Address) (port.ExchangeMessage, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := pb.NewDRPCMemberClient(c.conn(ctx, addr)).ListMembers(ctx, &pb.ListMembersRequest{})
+	if err != nil {
+		c.dropOnTimeout(ctx, addr)
+		return port.ExchangeMessage{}, errors.Wrap(err, "listing members")
+	}
+	m := port.ExchangeMessage{From: out.GetFrom(), Revision: out.GetRevision(), Age: ageFromMillis(out.GetAgeMs())}
+	for _, r := range out.GetRecords() {
+		m.Records = append(m.Records, memberFromPB(r))
+	}
+	return m, nil
+}
+
+// dropOnTimeout closes the pooled connections of an address that did not
+// answer in time, since they may be silent for good.
+func (c *Client) dropOnTimeout(ctx context.Context, addr fleet.Address) {
+	if ctx.Err() != nil {
+		c.Drop(addr)
+	}
+}
--- /dev/null
+++ b/internal/adapter/rpc/pool.go
@@ -0,0 +1,156 @@
+// Package rpc carries the protocol between masticwing's processes over drpc.
+// It converts between messages and the types of package port, adds heartbeats
+// and silence timeouts to every stream, and gives each failure its verdict.
+package rpc
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/shard"
+)
+
+const (
+	// HeartbeatEvery is the longest time that a sender leaves a stream silent.
+	HeartbeatEvery = 500 * time.Millisecond
+	// SilenceTimeout is the time after which a silent stream counts as lost.
+	// It allows three heartbeats to be late.
+	SilenceTimeout = 2 * time.Second
+	// dialTimeout bounds the time to open a connection.
+	dialTimeout = time.Second
+	// idleExpiry closes connections that no request has used.
+	idleExpiry = time.Minute
+	// idlePerAddress bounds the idle connections kept for one address.
+	idlePerAddress = 64
+)
+
+// Traffic counts the bytes of all connections of a client or server.
+type Traffic struct {
+	In, Out atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	t *Traffic
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.t.In.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.t.Out.Add(int64(n))
+	return n, err
+}
+
+type addressPool = drpcpool.Pool[fleet.Address, drpcpool.Conn]
+
+// Client calls other processes. Connections are pooled by address; a drpc
+// connection carries one stream at a time, so TCP's flow control holds back
+// each stream by itself.
+type Client struct {
+	pools *shard.Map[fleet.Address, *addressPool]
+	// Traffic counts the bytes sent and received.
+	Traffic Traffic
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	return &Client{pools: shard.New[fleet.Address, *addressPool](0)}
+}
+
+// dialError marks a failure before any byte was sent.
+type dialError struct{ error }
+
+func (e dialError) Unwrap() error { return e.error }
+
+func (c *Client) dial(ctx context.Context, addr fleet.Address) (drpcpool.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return nil, dialError{err}
+	}
+	return drpcconn.New(countedConn{conn, &c.Traffic}), nil
+}
+
+func (c *Client) conn(ctx context.Context, addr fleet.Address) drpc.Conn {
+	var p *addressPool
+	c.pools.Update(addr, func(old *addressPool, ok bool) (*addressPool, bool) {
+		if !ok {
+			old = drpcpool.New[fleet.Address, drpcpool.Conn](drpcpool.Options{
+				Expiration:  idleExpiry,
+				KeyCapacity: idlePerAddress,
+			})
+		}
+		p = old
+		return old, true
+	})
+	return p.Get(ctx, addr, c.dial)
+}
+
+// Drop closes the idle connections to an address. It is called when one of
+// them went silent, since the others are likely lost as well.
+func (c *Client) Drop(addr fleet.Address) {
+	var p *addressPool
+	c.pools.Update(addr, func(old *addressPool, _ bool) (*addressPool, bool) {
+		p = old
+		return nil, false
+	})
+	if p != nil {
+		_ = p.Close()
+	}
+}
+
+// Close closes all idle connections.
+func (c *Client) Close() {
+	var addrs []fleet.Address
+	c.pools.Range(func(a fleet.Address, _ *addressPool) bool {
+		addrs = append(addrs, a)
+		return true
+	})
+	for _, a := range addrs {
+		c.Drop(a)
+	}
+}
+
+// errSilent means that a stream carried nothing for SilenceTimeout.
+var errSilent = errors.New("stream is silent")
+
+// silence cancels a stream that receives nothing. It runs only while a receive
+// is in progress, so that a receiver that applies back pressure does not count
+// as a silent sender.
+type silence struct {
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+}
+
+func newSilence(ctx context.Context) (context.Context, *silence) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &silence{cancel: cancel}
+	s.timer = time.AfterFunc(SilenceTimeout, func() { cancel(errSilent) })
+	s.timer.Stop()
+	return ctx, s
+}
+
+func (s *silence) watch(recv func() error) error {
+	s.timer.Reset(SilenceTimeout)
+	err := recv()
+	s.timer.Stop()
+	return err
+}
+
+func (s *silence) close() {
+	s.timer.Stop()
+	s.cancel(context.Canceled)
+}
--- /dev/null
+++ b/internal/archtest/arch_test.go
@@ -0,0 +1,125 @@
+// Package archtest checks the direction of imports between the layers.
+package archtest
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+)
+
+const module = "github.com/masticwing/masticwing/"
+
+// Standard packages that decisions must not import: network, encodings, I/O,
+// logs, processes.
+var forbiddenInCore = []string{"net", "encoding", "log", "os", "io", "bufio", "syscall", "database", "html", "text/template"}
+
+// Libraries that core may import.
+var allowedInCore = map[string]bool{"github.com/pkg/errors": true, "golang.org/x/sys/cpu": true}
+
+type pkg struct {
+	path    string
+	imports []string
+}
+
+func list(t *testing.T) []pkg {
+	t.Helper()
+	out, err := exec.Command("go", "list", "-f", `{{.ImportPath}} {{join .Imports " "}}`, module+"...").Output()
+	if err != nil {
+		t.Fatalf("go list: %v", err)
+	}
+	var ps []pkg
+	for line := range strings.Lines(string(out)) {
+		f := strings.Fields(line)
+		ps = append(ps, pkg{f[0], f[1:]})
+	}
+	return ps
+}
+
+func under(path, dir string) bool {
+	return path == module+dir || strings.HasPrefix(path, module+dir+"/")
+}
+
+// TestImportDirection guards against decisions that depend on an adapter and
+// against product code that depends on a stand-in.
+func TestImportDirection(t *testing.T) {
+	for _, p := range list(t) {
+		for _, imp := range p.imports {
+			if reason := refuse(p.path, imp); reason != "" {
+				t.Errorf("%s imports %s: %s", p.path, imp, reason)
+			}
+		}
+	}
+}
+
+func refuse(p, imp string) string {
+	own := strings.HasPrefix(imp, module)
+	switch {
+	case under(p, "internal/core"):
+		return refuseCore(imp, own)
+	case under(p, "internal/port"):
+		if own && !under(imp, "internal/core") && !under(imp, "internal/port") {
+			return "ports import core only"
+		}
+	case under(p, "internal/adapter"):
+		if own && !under(imp, "internal/core") && !under(imp, "internal/port") && !under(imp, "internal/adapter") {
+			return "adapters import core, ports and adapters only"
+		}
+	case under(p, "internal/standin"):
+		if own && !under(imp, "internal/standin") && !under(imp, "internal/core/manifest") && !under(imp, "internal/core/fleet") {
+			return "stand-ins share only names and manifests with the product"
+		}
+	case under(p, "internal/app"):
+		if under(imp, "internal/standin") || under(imp, "test") {
+			return "product code does not import stand-ins or tests"
+		}
+	case under(p, "cmd"):
+		return refuseCommand(p, imp)
+	}
+	return ""
+}
+
+func refuseCore(imp string, own bool) string {
+	if own {
+		if under(imp, "internal/core") {
+			return ""
+		}
+		return "core imports core only"
+	}
+	for _, f := range forbiddenInCore {
+		if imp == f || strings.HasPrefix(imp, f+"/") {
+			return "core holds decisions only"
+		}
+	}
+	if strings.Contains(imp, ".") && !allowedInCore[imp] {
+		return "core does not import this library"
+	}
+	return ""
+}
+
+func refuseCommand(p, imp string) string {
+	standin := strings.HasPrefix(p, module+"cmd/standin-")
+	if !standin && under(imp, "internal/standin") {
+		return "product binaries do not import stand-ins"
+	}
+	return ""
+}
+
+// TestRefusesWrongDirections guards against a rule that lets everything pass.
+func TestRefusesWrongDirections(t *testing.T) {
+	wrong := [][2]string{
+		{"internal/core/routing", "net/http"},
+		{"internal/core/routing", "encoding/json"},
+		{"internal/core/routing", module + "internal/port"},
+		{"internal/core/routing", "storj.io/drpc"},
+		{"internal/port", module + "internal/adapter/rpc"},
+		{"internal/adapter/rpc", module + "internal/app/entry"},
+		{"internal/app/agent", module + "internal/standin/engine"},
+		{"cmd/masticwing-agent", module + "internal/standin/engine"},
+		{"internal/standin/engine", module + "internal/app/agent"},
+	}
+	for _, w := range wrong {
+		if refuse(module+w[0], w[1]) == "" {
+			t.Errorf("%s may import %s", w[0], w[1])
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/declare/selector.go
@@ -0,0 +1,56 @@
+package declare
+
+// Op is the operator of a Requirement.
+type Op uint8
+
+// The operators of requirements.
+const (
+	In Op = iota
+	NotIn
+	Exists
+	NotExists
+)
+
+// Requirement constrains one label.
+type Requirement struct {
+	Key    string
+	Op     Op
+	Values []string
+}
+
+// Selector matches labels that meet all of its requirements. An empty selector
+// matches everything, so parsers refuse it where that would be a mistake.
+type Selector []Requirement
+
+// Matches reports whether l meets every requirement.
+func (s Selector) Matches(l Labels) bool {
+	for _, r := range s {
+		if !r.matches(l) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r Requirement) matches(l Labels) bool {
+	v, ok := l[r.Key]
+	switch r.Op {
+	case Exists:
+		return ok
+	case NotExists:
+		return !ok
+	case NotIn:
+		return !ok || !contains(r.Values, v)
+	default:
+		return ok && contains(r.Values, v)
+	}
+}
+
+func contains(vs []string, v string) bool {
+	for _, x := range vs {
+		if x == v {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/manifest/manifest.go
@@ -0,0 +1,99 @@
+// Package manifest defines a model version as a list of chunk digests. The
+// version's name is the digest of that list, so a complete set of verified
+// chunks is exactly that version and nothing else.
+package manifest
+
+import (
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
+
+// Digest is the SHA-256 of a chunk.
+type Digest [sha256.Size]byte
+
+// MaxChunkBytes bounds the size of one chunk. An agent verifies a chunk before
+// it passes it on, so a chunk is also the unit of pipelining.
+const MaxChunkBytes = 8 << 20
+
+// MaxChunks bounds the number of chunks of one version.
+const MaxChunks = 1 << 16
+
+// Errors of verification.
+var (
+	ErrCorrupted = errors.New("chunk does not match its digest")
+	ErrManifest  = errors.New("manifest does not match its version")
+	ErrShape     = errors.New("manifest has an impossible size")
+)
+
+// Chunk is one part of the weights.
+type Chunk struct {
+	Digest Digest
+	Bytes  int64
+}
+
+// Manifest lists the chunks of a version in order.
+type Manifest struct {
+	Model  fleet.Model
+	Chunks []Chunk
+}
+
+// Version returns the digest over the model name and all chunks.
+func (m Manifest) Version() fleet.Version {
+	h := sha256.New()
+	fmt.Fprintf(h, "masticwing-manifest-1\n%s\n%d\n", m.Model, len(m.Chunks))
+	for _, c := range m.Chunks {
+		fmt.Fprintf(h, "%x %d\n", c.Digest, c.Bytes)
+	}
+	return fleet.Version(fmt.Sprintf("%x", h.Sum(nil)))
+}
+
+// Bytes returns the size of the version.
+func (m Manifest) Bytes() int64 {
+	var n int64
+	for _, c := range m.Chunks {
+		n += c.Bytes
+	}
+	return n
+}
+
+// Check returns an error unless m is well formed and is the version v.
+func (m Manifest) Check(v fleet.Version) error {
+	if len(m.Chunks) == 0 || len(m.Chunks) > MaxChunks {
+		return errors.Wrapf(ErrShape, "%d chunks", len(m.Chunks))
+	}
+	for i, c := range m.Chunks {
+		if c.Bytes <= 0 || c.Bytes > MaxChunkBytes {
+			return errors.Wrapf(ErrShape, "chunk %d has %d bytes", i, c.Bytes)
+		}
+	}
+	if m.Version() != v {
+		return ErrManifest
+	}
+	return nil
+}
+
+// Verify returns ErrCorrupted unless data is chunk i.
+func (m Manifest) Verify(i int, data []byte) error {
+	if i < 0 || i >= len(m.Chunks) {
+		return errors.Wrapf(ErrShape, "no chunk %d", i)
+	}
+	if int64(len(data)) != m.Chunks[i].Bytes || sha256.Sum256(data) != m.Chunks[i].Digest {
+		return errors.Wrapf(ErrCorrupted, "chunk %d", i)
+	}
+	return nil
+}
+
+// Split cuts weights into chunks of the given size and returns their manifest.
+func Split(model fleet.Model, weights []byte, chunkBytes int) Manifest {
+	m := Manifest{Model: model}
+	for len(weights) > 0 {
+		n := min(chunkBytes, len(weights))
+		m.Chunks = append(m.Chunks, Chunk{Digest: sha256.Sum256(weights[:n]), Bytes: int64(n)})
+		weights = weights[n:]
+	}
+	return m
+}
--- /dev/null
+++ b/internal/core/verdict/verdict_test.go
@@ -0,0 +1,33 @@
+package verdict
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// TestUnknownErrorsMayHaveRun guards against reporting a request as not run
+// when nothing is known about it.
+func TestUnknownErrorsMayHaveRun(t *testing.T) {
+	if v := Of(errors.New("connection reset")).Verdict; v != MayHaveRun {
+		t.Fatalf("verdict = %v, want %v", v, MayHaveRun)
+	}
+	if v := Parse("garbage"); v != MayHaveRun {
+		t.Fatalf("Parse(garbage) = %v, want %v", v, MayHaveRun)
+	}
+}
+
+// TestWrappedErrorKeepsVerdict guards against a verdict that is lost when a
+// caller adds context.
+func TestWrappedErrorKeepsVerdict(t *testing.T) {
+	err := errors.Wrap(New(NotRun, CodeTargetFull, "10 of 10 requests"), "opening stream")
+	e := Of(err)
+	if e.Verdict != NotRun || e.Code != CodeTargetFull {
+		t.Fatalf("Of = %v %v, want not-run target_full", e.Verdict, e.Code)
+	}
+	for _, v := range []Verdict{NotRun, MayHaveRun, Ran} {
+		if Parse(v.String()) != v {
+			t.Fatalf("Parse(%q) = %v", v.String(), Parse(v.String()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/port/target.go
@@ -0,0 +1,103 @@
+package port
+
+import (
+	"context"
+	"io"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
+)
+
+// Origin is the origin of weights.
+type Origin interface {
+	// Manifest returns the manifest of a version.
+	Manifest(ctx context.Context, v fleet.Version) (manifest.Manifest, error)
+	// Chunk streams chunk i of a version. The bytes are not verified.
+	Chunk(ctx context.Context, v fleet.Version, i int) (io.ReadCloser, error)
+}
+
+// LoadOrder tells an engine to load a version.
+type LoadOrder struct {
+	Model   fleet.Model
+	Version fleet.Version
+	// Fence is the fencing number of the order.
+	Fence int64
+	Bytes int64
+	// Weights streams the whole, verified version.
+	Weights io.Reader
+}
+
+// EngineStatus is what an engine says of itself.
+type EngineStatus struct {
+	// BootID changes when the engine restarts.
+	BootID string
+	// Loaded lists the versions that the engine can serve.
+	Loaded []fleet.Version
+	// Fence is the highest fencing number that the engine has seen.
+	Fence int64
+	// LoadCount rises with each load of weights.
+	LoadCount int64
+}
+
+// EngineRequest asks an engine for an answer from one version.
+type EngineRequest struct {
+	ID       fleet.RequestID
+	Model    fleet.Model
+	Version  fleet.Version
+	Class    fleet.Class
+	Body     []byte
+	Resume   uint64 // frames already received
+	Priority int
+}
+
+// AnswerHead precedes the data of an answer.
+type AnswerHead struct {
+	// ID is the request that the answer belongs to, as its producer states it.
+	ID fleet.RequestID
+	// Version is the version that produces the answer; empty for services.
+	Version     fleet.Version
+	ContentType string
+	Status      int
+	// Replayed marks a remembered answer to a repeated idempotency key.
+	Replayed bool
+}
+
+// Answer is a stream of an answer's data.
+type Answer interface {
+	Head() AnswerHead
+	// Next returns the next piece. It returns io.EOF only after the whole
+	// answer was received; any other end is an error with a verdict. The
+	// slice is valid until the next call.
+	Next() ([]byte, error)
+	// Close ends the stream. It cancels an answer that is not finished.
+	Close() error
+}
+
+// Engine is a model engine.
+type Engine interface {
+	Status(ctx context.Context) (EngineStatus, error)
+	Load(ctx context.Context, o LoadOrder) error
+	Unload(ctx context.Context, v fleet.Version, fence int64) error
+	// Generate opens an answer. An error carries a verdict.
+	Generate(ctx context.Context, r EngineRequest) (Answer, error)
+}
+
+// ServiceRequest is one call of a plain service.
+type ServiceRequest struct {
+	ID          fleet.RequestID
+	Service     fleet.Service
+	Call        string
+	Customer    fleet.Customer
+	Body        []byte
+	ContentType string
+	// IdempotencyKey is passed on for the service's own log.
+	IdempotencyKey string
+}
+
+// Service is a plain service beside the model engines.
+type Service interface {
+	// Call opens an answer. An error carries a verdict.
+	Call(ctx context.Context, r ServiceRequest) (Answer, error)
+	// Healthy returns nil if the service takes calls.
+	Healthy(ctx context.Context) error
+}
--- /dev/null
+++ b/internal/standin/command/command.go
@@ -0,0 +1,62 @@
+// Package command is the command line shared by the stand-ins: an address to
+// listen on and a stop on SIGTERM.
+package command
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/urfave/cli/v3"
+)
+
+// Listen is the flag for the address.
+var Listen = &cli.StringFlag{Name: "listen", Required: true, Usage: "`IP:PORT` to serve on"}
+
+// Run runs the command line of a stand-in and exits the process on failure.
+func Run(name, usage string, flags []cli.Flag, handler func(*cli.Command) (http.Handler, error)) {
+	cmd := &cli.Command{
+		Name:  name,
+		Usage: "stand-in for tests and demos only: " + usage,
+		Flags: append([]cli.Flag{Listen}, flags...),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			h, err := handler(c)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, c.String("listen"), h)
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, name+":", err)
+		os.Exit(1)
+	}
+}
+
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		<-ctx.Done()
+		_ = srv.Close()
+	})
+	err = srv.Serve(lis)
+	stop()
+	wg.Wait()
+	if err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/platform/server.go
@@ -0,0 +1,243 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxValueBytes is the service's limit of a value.
+const maxValueBytes = 1 << 20
+
+// Faults are the failures that a test can switch on with POST /faults.
+type Faults struct {
+	// Down answers every call with 503.
+	Down bool `json:"down"`
+	// Hang leaves every call without an answer until its caller gives up.
+	Hang bool `json:"hang"`
+	// DelayMillis delays every answer.
+	DelayMillis int `json:"delay_ms"`
+	// LoseWriteAnswers is the probability that a write takes effect and its
+	// answer is lost.
+	LoseWriteAnswers float64 `json:"lose_write_answers"`
+	// StaleReads answers reads from the state before the newest write of a key.
+	StaleReads bool `json:"stale_reads"`
+}
+
+// VM is one line of the list of VMs.
+type VM struct {
+	Name   string `json:"name"`
+	Domain string `json:"domain"`
+	State  string `json:"state"`
+}
+
+// Server is the stand-in's HTTP handler.
+type Server struct {
+	store *store
+
+	mu     sync.Mutex
+	faults Faults
+	counts map[string]int64
+	stale  map[string]entry
+	vms    []VM
+}
+
+// New returns an empty service.
+func New() *Server {
+	return &Server{store: newStore(), counts: map[string]int64{}, stale: map[string]entry{}}
+}
+
+// Handler returns the routes of the stand-in.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/kv/{key...}", s.counted("read", s.read))
+	mux.HandleFunc("PUT /v1/kv/{key...}", s.counted("write", s.write))
+	mux.HandleFunc("DELETE /v1/kv/{key...}", s.counted("delete", s.remove))
+	mux.HandleFunc("POST /v1/leases", s.counted("grant", s.grant))
+	mux.HandleFunc("PUT /v1/leases/{id}", s.counted("keepalive", s.keepAlive))
+	mux.HandleFunc("DELETE /v1/leases/{id}", s.counted("revoke", s.revoke))
+	mux.HandleFunc("GET /v1/vms", s.counted("vms", s.listVMs))
+	mux.HandleFunc("PUT /vms", s.putVMs)
+	mux.HandleFunc("POST /faults", s.setFaults)
+	mux.HandleFunc("GET /counts", s.getCounts)
+	return mux
+}
+
+func (s *Server) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if kind == "read" && r.URL.Query().Has("after") {
+			s.count("watch")
+		} else {
+			s.count(kind)
+		}
+		f := s.currentFaults()
+		if f.DelayMillis > 0 {
+			time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
+		}
+		if f.Hang {
+			<-r.Context().Done()
+			return
+		}
+		if f.Down {
+			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (s *Server) count(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[kind]++
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.counts)
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	q := r.URL.Query()
+	if !q.Has("after") {
+		e, ok, _ := s.store.get(key)
+		if s.currentFaults().StaleReads {
+			e, ok = s.staleEntry(key)
+		}
+		writeEntry(w, e, ok)
+		return
+	}
+	after, _ := strconv.ParseInt(q.Get("after"), 10, 64)
+	wait, _ := time.ParseDuration(q.Get("wait"))
+	s.watch(w, r, key, after, wait)
+}
+
+func (s *Server) staleEntry(key string) (entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.stale[key]
+	return e, ok
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, key string, after int64, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		e, ok, change := s.store.get(key)
+		if ok && e.rev > after {
+			writeEntry(w, e, ok)
+			return
+		}
+		select {
+		case <-change:
+		case <-t.C:
+			w.WriteHeader(http.StatusNoContent)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func writeEntry(w http.ResponseWriter, e entry, ok bool) {
+	if !ok {
+		http.Error(w, "not found", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("X-Rev", strconv.FormatInt(e.rev, 10))
+	_, _ = w.Write(e.value)
+}
+
+func (s *Server) write(w http.ResponseWriter, r *http.Request) {
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	if err != nil {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	key := r.PathValue("key")
+	q := r.URL.Query()
+	rev, _ := strconv.ParseInt(q.Get("rev"), 10, 64)
+	old, _, _ := s.store.get(key)
+	got, ok := s.store.swap(key, rev, value, q.Get("lease"))
+	if !ok {
+		http.Error(w, "conflict", http.StatusConflict)
+		return
+	}
+	s.mu.Lock()
+	s.stale[key] = old
+	s.mu.Unlock()
+	if s.loses() {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Rev", strconv.FormatInt(got, 10))
+}
+
+func (s *Server) loses() bool {
+	p := s.currentFaults().LoseWriteAnswers
+	return p > 0 && rand.Float64() < p
+}
+
+func (s *Server) remove(w http.ResponseWriter, r *http.Request) {
+	rev, _ := strconv.ParseInt(r.URL.Query().Get("rev"), 10, 64)
+	if !s.store.remove(r.PathValue("key"), rev) {
+		http.Error(w, "conflict", http.StatusConflict)
+	}
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	ttl, err := time.ParseDuration(r.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		http.Error(w, "bad ttl", http.StatusBadRequest)
+		return
+	}
+	_, _ = io.WriteString(w, s.store.grant(ttl))
+}
+
+func (s *Server) keepAlive(w http.ResponseWriter, r *http.Request) {
+	if !s.store.keepAlive(r.PathValue("id")) {
+		http.Error(w, "not found", http.StatusNotFound)
+	}
+}
+
+func (s *Server) revoke(_ http.ResponseWriter, r *http.Request) { s.store.revoke(r.PathValue("id")) }
+
+func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.vms)
+}
+
+func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, strings.TrimSpace(err.Error()), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = vms
+}
