--- /dev/null
+++ b/internal/core/membership/table.go
@@ -0,0 +1,222 @@
+// Package membership holds the table of the processes of a deployment: how
+// records of the same member merge, when a silent member is suspected and
+// counts as dead, and which members a process talks to.
+//
+// Records form a lattice. The incarnation decides first; within one
+// incarnation the later state and the higher version each win by themselves.
+// Merging is therefore commutative, associative and idempotent, and a record
+// never goes back.
+package membership
+
+import (
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/shard"
+)
+
+const (
+	// SuspectAfter is the time without contact after which a member that does
+	// not answer is suspected.
+	SuspectAfter = 3 * time.Second
+	// DeadAfter is the time without contact after which it counts as dead. In
+	// between it can refute the suspicion.
+	DeadAfter = 6 * time.Second
+	// KeepDead is the time for which dead members are remembered and tried
+	// again. Partitions of an hour are expected now and then.
+	KeepDead = time.Hour
+)
+
+// State is the state of a member; a later one wins at the same incarnation.
+type State uint8
+
+// The states of a member.
+const (
+	Alive State = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// Record is what is known of one member. P is what the member says of itself
+// beside that; it belongs to Version and is not looked at.
+type Record[P any] struct {
+	ID      string
+	Kind    fleet.Kind
+	Domain  fleet.Domain
+	Address fleet.Address
+	// Incarnation is set by the member and rises when it restarts or refutes.
+	Incarnation uint64
+	// Version rises with each change that the member makes to its record.
+	Version uint64
+	State   State
+	Payload P
+}
+
+// Merge returns the join of two records of the same member and whether it
+// differs from a.
+func Merge[P any](a, b Record[P]) (Record[P], bool) {
+	if b.Incarnation != a.Incarnation {
+		if b.Incarnation > a.Incarnation {
+			return b, true
+		}
+		return a, false
+	}
+	out, state := a, max(a.State, b.State)
+	if b.Version > a.Version {
+		out = b
+	}
+	out.State = state
+	return out, out.Version != a.Version || out.State != a.State
+}
+
+// entry is a record with what this process observed of the member.
+type entry[P any] struct {
+	rec Record[P]
+	// heard is when the record was last known to be true, here or elsewhere.
+	heard time.Time
+	// failing is when the first of a row of failed contacts happened; zero
+	// after a successful one.
+	failing time.Time
+	// since is when the state was entered, as seen here.
+	since time.Time
+	// sends counts how often a change is still to be passed on.
+	sends int
+}
+
+// Seen is a record with the time since it was last known to be true.
+type Seen[P any] struct {
+	Record[P]
+	Age time.Duration
+}
+
+// Table holds the members, sharded by id. The record of the process itself is
+// in the table as well; only the process changes it.
+type Table[P any] struct {
+	self string
+	m    *shard.Map[string, entry[P]]
+}
+
+// NewTable returns a table that holds the record of its own process.
+func NewTable[P any](self Record[P], now time.Time) *Table[P] {
+	t := &Table[P]{self: self.ID, m: shard.New[string, entry[P]](0)}
+	t.m.Put(self.ID, entry[P]{rec: self, heard: now, since: now, sends: initialSends})
+	return t
+}
+
+// Self returns the record of the process itself.
+func (t *Table[P]) Self() Record[P] {
+	e, _ := t.m.Get(t.self)
+	return e.rec
+}
+
+// Get returns the record of a member.
+func (t *Table[P]) Get(id string, now time.Time) (Seen[P], bool) {
+	e, ok := t.m.Get(id)
+	return Seen[P]{e.rec, t.age(e, now)}, ok
+}
+
+func (t *Table[P]) age(e entry[P], now time.Time) time.Duration {
+	if e.rec.ID == t.self {
+		return 0
+	}
+	return max(0, now.Sub(e.heard))
+}
+
+// SetSelf changes the record of the process itself and raises its version.
+func (t *Table[P]) SetSelf(now time.Time, change func(*Record[P])) Record[P] {
+	var out Record[P]
+	t.m.Update(t.self, func(e entry[P], _ bool) (entry[P], bool) {
+		change(&e.rec)
+		e.rec.Version++
+		e.heard, e.sends = now, initialSends
+		out = e.rec
+		return e, true
+	})
+	return out
+}
+
+// Outcome says what a merge changed.
+type Outcome uint8
+
+// The outcomes of Table.Merge.
+const (
+	// Unchanged means that nothing new was learnt.
+	Unchanged Outcome = iota
+	// Updated means that the record changed and is passed on.
+	Updated
+	// Refuted means that another process held this one for suspect or dead, or
+	// knew a former life of it, and its incarnation was raised.
+	Refuted
+)
+
+// Merge takes a record from another process; age is the time since it was
+// last known to be true.
+func (t *Table[P]) Merge(r Record[P], age time.Duration, now time.Time) Outcome {
+	if r.ID == t.self {
+		return t.refute(r, now)
+	}
+	out := Unchanged
+	t.m.Update(r.ID, func(e entry[P], ok bool) (entry[P], bool) {
+		if !ok {
+			if r.State == Dead && age > KeepDead {
+				return e, false
+			}
+			out = Updated
+			return entry[P]{rec: r, heard: now.Add(-age), since: now, sends: initialSends}, true
+		}
+		merged, changed := Merge(e.rec, r)
+		same := merged.Incarnation == r.Incarnation && merged.Version == r.Version && merged.State == r.State
+		if at := now.Add(-age); same && at.After(e.heard) {
+			e.heard = at
+		}
+		if !changed {
+			return e, true
+		}
+		out = Updated
+		e.sends = initialSends
+		if merged.State != e.rec.State {
+			e.since = now
+		}
+		if merged.Incarnation > e.rec.Incarnation {
+			e.failing = time.Time{}
+		}
+		e.rec = merged
+		return e, true
+	})
+	return out
+}
+
+// refute raises the incarnation of the process itself if another process
+// holds a record that would win over its own.
+func (t *Table[P]) refute(r Record[P], now time.Time) Outcome {
+	out := Unchanged
+	t.m.Update(t.self, func(e entry[P], _ bool) (entry[P], bool) {
+		if _, changed := Merge(e.rec, r); !changed {
+			return e, true
+		}
+		out = Refuted
+		e.rec.Incarnation = max(e.rec.Incarnation, r.Incarnation) + 1
+		e.heard, e.sends = now, initialSends
+		return e, true
+	})
+	return out
+}
+
+// Range calls f for each member while the lock of its shard is held.
+func (t *Table[P]) Range(now time.Time, f func(Seen[P]) bool) {
+	t.m.Range(func(_ string, e entry[P]) bool { return f(Seen[P]{e.rec, t.age(e, now)}) })
+}
+
+// All returns every member, the process itself included.
+func (t *Table[P]) All(now time.Time) []Seen[P] {
+	var out []Seen[P]
+	t.Range(now, func(s Seen[P]) bool {
+		out = append(out, s)
+		return true
+	})
+	return out
+}
+
+// Len returns the number of members.
+func (t *Table[P]) Len() int { return t.m.Len() }
