--- a/internal/adapter/inifile/inifile_test.go
+++ b/internal/adapter/inifile/inifile_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -126,14 +127,18 @@
 	}
 }
 
-// FuzzParse guards against a text that makes the parser panic, and against a
+// FuzzParse guards against a text that makes the parser panic or hang, and against a
 // joined text that reads differently from its file.
 func FuzzParse(f *testing.F) {
 	f.Add(example)
 	f.Add("[group x]\nvms = \"\"\"a\n")
 	f.Add("[vm a]\nlabels = a=b, a=c\n")
 	f.Fuzz(func(t *testing.T, text string) {
+		t0 := time.Now()
 		d, faults := Parse([]File{{"f", text}})
+		if dt := time.Since(t0); dt > time.Second {
+			t.Fatalf("parsing %d bytes took %v", len(text), dt)
+		}
 		if (d == nil) != (len(faults) > 0) {
 			t.Fatalf("declaration %v with faults %v", d, faults)
 		}
--- a/internal/adapter/inifile/parse.go
+++ b/internal/adapter/inifile/parse.go
@@ -4,6 +4,7 @@
 
 import (
 	"strings"
+	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
 
@@ -87,6 +88,10 @@
 
 func (p *parser) parse(f File) {
 	p.file = f.Name
+	if !plainText(f.Text) {
+		p.fault("", "", "not plain UTF-8 text without a byte order mark or control characters")
+		return
+	}
 	x, err := ini.LoadSources(ini.LoadOptions{
 		AllowNonUniqueSections:     true,
 		AllowShadows:               true,
@@ -104,6 +109,17 @@
 	}
 }
 
+// plainText refuses byte order marks, which the INI library drops at the start
+// of a file only, so that a joined text would read differently.
+func plainText(s string) bool {
+	if !utf8.ValidString(s) {
+		return false
+	}
+	return !strings.ContainsFunc(s, func(r rune) bool {
+		return r == '\ufeff' || r < ' ' && r != '\t' && r != '\r' && r != '\n'
+	})
+}
+
 func (p *parser) section(s *ini.Section) {
 	name := s.Name()
 	if name == ini.DefaultSection {
--- a/internal/core/membership/choose.go
+++ b/internal/core/membership/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
@@ -58,12 +59,12 @@
 // by rendezvous hash among those that are not dead, OwnNeighbours in its own
 // failure domain and OtherNeighbours in others. A member that leaves changes
 // the choice only of those that had chosen it.
-func (t *Table[P]) Neighbours() []string {
+func (t *Table[P]) Neighbours(now time.Time) []string {
 	self := t.Self()
 	var own, other []ranked
 	t.m.Range(func(id string, e entry[P]) bool {
 		switch r := (ranked{id, hash(self.ID, id)}); {
-		case id == self.ID || e.rec.State == Dead:
+		case id == self.ID || e.gone(now):
 		case e.rec.Domain == self.Domain:
 			own = append(own, r)
 		default:
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -80,10 +80,20 @@
 	failing time.Time
 	// since is when the state was entered, as seen here.
 	since time.Time
+	// listed is the time until which a member that others report as dead is
+	// still used, so that it can refute.
+	listed time.Time
 	// sends counts how often a change is still to be passed on.
 	sends int
 }
 
+// gone reports whether the member is dead and had the time to refute. When a
+// partition heals, each side learns that the other held it for dead; without
+// that time every member would vanish for a moment.
+func (e entry[P]) gone(now time.Time) bool {
+	return e.rec.State == Dead && !now.Before(e.listed)
+}
+
 // Seen is a record with the time since it was last known to be true.
 type Seen[P any] struct {
 	Record[P]
@@ -176,6 +186,9 @@
 		out = Updated
 		e.sends = initialSends
 		if merged.State != e.rec.State {
+			if e.rec.State < Suspect {
+				e.listed = now.Add(DeadAfter - SuspectAfter)
+			}
 			e.since = now
 		}
 		if merged.Incarnation > e.rec.Incarnation {
@@ -208,6 +221,19 @@
 	t.m.Range(func(_ string, e entry[P]) bool { return f(Seen[P]{e.rec, t.age(e, now)}) })
 }
 
+// Live returns the members that are not known to be dead, the process itself
+// included.
+func (t *Table[P]) Live(now time.Time) []Seen[P] {
+	var out []Seen[P]
+	t.m.Range(func(_ string, e entry[P]) bool {
+		if !e.gone(now) {
+			out = append(out, Seen[P]{e.rec, t.age(e, now)})
+		}
+		return true
+	})
+	return out
+}
+
 // All returns every member, the process itself included.
 func (t *Table[P]) All(now time.Time) []Seen[P] {
 	var out []Seen[P]
