Add the directory: dissemination, membership and start-up of every process

Processes had no way to learn the declaration and each other. Two entries of each failure domain watch the platform; a process that accepts a revision announces it to its neighbours, and the others pull the document. An exchange each second repairs what was missed.

--- /dev/null
+++ b/internal/app/directory/converge_test.go
@@ -0,0 +1,177 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/internal/standin/platform"
+)
+
+const (
+	fleetSize = 30
+	// inForce is the bound of the design for a change.
+	inForce = 7 * time.Second
+)
+
+// TestChangeReachesAll guards against a change that does not reach every
+// process in time: in an ordinary fleet, before and after an outage of the
+// platform, with lost answers, and against members that do not find each other.
+func TestChangeReachesAll(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, fleetSize)
+	rev := w.change()
+	w.await("first declaration", inForce, all, at(rev))
+	w.await("all members known", inForce, all, sees(fleetSize))
+	for range 3 {
+		w.await("change", inForce, all, at(w.change()))
+	}
+
+	w.faults(platform.Faults{Hang: true})
+	time.Sleep(3 * time.Second)
+	w.await("kept while the platform hangs", time.Second, all, at(w.doc.Revision))
+	w.faults(platform.Faults{Down: true})
+	time.Sleep(time.Second)
+	w.faults(platform.Faults{})
+	w.await("change after the outage", inForce, all, at(w.change()))
+
+	w.faults(platform.Faults{LoseWriteAnswers: 1})
+	w.await("change with a lost answer", inForce, all, at(w.change()))
+	w.faults(platform.Faults{StaleReads: true, DelayMillis: 300})
+	w.await("change with a slow platform that answers from the past", inForce, all, at(w.change()))
+	w.faults(platform.Faults{})
+	w.restoreOlder()
+	time.Sleep(time.Second)
+	w.await("kept although the platform lost a change", time.Second, all, at(w.doc.Revision))
+	w.await("change after that", inForce, all, at(w.change()))
+	w.await("age confirmed", inForce, all, func(n *node) bool {
+		_, age := n.Directory.Declaration()
+		return age >= 0 && age < inForce
+	})
+}
+
+// TestPartitionHeals guards against a cut-off domain that goes back or stops,
+// that is not noticed, and that does not join again; and against members of
+// the own side that vanish when it heals.
+func TestPartitionHeals(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, fleetSize)
+	w.await("first declaration", inForce, all, at(w.change()))
+	w.await("all members known", inForce, all, sees(fleetSize))
+	before := w.doc.Revision
+
+	w.cut.Store(fleet.Domain("b"))
+	rev := w.change()
+	w.await("change outside of the cut", inForce, outside("b"), at(rev))
+	w.await("cut-off members taken out", 30*time.Second, outside("b"), sees(20))
+	w.await("cut-off domain takes the others out", 30*time.Second, in("b"), sees(10))
+	w.await("cut-off domain keeps its revision", time.Second, in("b"), at(before))
+
+	least := fleetSize
+	w.cut.Store(fleet.Domain(""))
+	w.await("change after healing", inForce, in("b"), at(rev))
+	w.await("members join again", 15*time.Second, all, func(n *node) bool {
+		if n.cfg.Self.Domain != "b" {
+			least = min(least, len(n.Directory.Members(fleet.KindEntry))+len(n.Directory.Members(fleet.KindAgent)))
+		}
+		return sees(fleetSize)(n)
+	})
+	if least < 20 {
+		t.Errorf("a process saw only %d members while the partition healed, want its own side of 20", least)
+	}
+	time.Sleep(4 * time.Second)
+	w.await("members stay", inForce, all, sees(fleetSize))
+}
+
+// TestStartWithoutPlatform guards against a process that serves nothing
+// although a seed holds the declaration, or that serves without one.
+func TestStartWithoutPlatform(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3)
+	w.await("first declaration", inForce, all, at(w.change()))
+	w.faults(platform.Faults{Hang: true})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+
+	late, lis := w.node(3, []fleet.Address{w.nodes[0].cfg.Self.Address})
+	alone, _ := w.node(4, nil)
+	w.start(func() { _ = late.server.Serve(ctx, lis) })
+	w.start(func() { late.Run(ctx) })
+	w.start(func() { alone.Run(ctx) })
+	select {
+	case <-late.Ready():
+	case <-time.After(4 * time.Second):
+		t.Fatalf("not ready with a seed: %s", late.NotReady())
+	}
+	if !at(w.doc.Revision)(late) {
+		t.Errorf("ready with revision %d", late.rev.Revision())
+	}
+	select {
+	case <-alone.Ready():
+		t.Error("ready without a declaration")
+	case <-time.After(500 * time.Millisecond):
+	}
+	if alone.NotReady() == "" {
+		t.Error("no reason is given")
+	}
+	w.faults(platform.Faults{})
+	select {
+	case <-alone.Ready():
+	case <-time.After(5 * time.Second):
+		t.Error("not ready after the platform returned")
+	}
+}
+
+// TestStateSpreads guards against a leaving or cordoned member that others
+// hear of late, and against load changes that flood the exchanges.
+func TestStateSpreads(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 12)
+	w.await("first declaration", inForce, all, at(w.change()))
+	w.await("all members known", inForce, all, sees(12))
+	n := w.nodes[5]
+	v0 := n.table.Self().Version
+	for i := range 200 {
+		n.SetSelf(func(r *port.MemberRecord) {
+			r.Status = &port.AgentStatus{VM: "x", Load: port.Load{InFlight: i}}
+		})
+	}
+	if v := n.table.Self().Version; v > v0+2 {
+		t.Errorf("200 changes of load made %d versions", v-v0)
+	}
+	n.SetSelf(func(r *port.MemberRecord) { r.State = port.MemberLeaving })
+	w.await("leaving known", 3*time.Second, all, func(o *node) bool {
+		for _, r := range o.Directory.Members(n.cfg.Self.Kind) {
+			if r.ID == n.cfg.Self.ID {
+				return r.State == port.MemberLeaving && r.Status != nil && r.Status.VM == "x"
+			}
+		}
+		return false
+	})
+}
+
+// TestSteadyTraffic guards against exchanges that cost more than the design
+// allows when nothing changes.
+func TestSteadyTraffic(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, fleetSize)
+	w.await("first declaration", inForce, all, at(w.change()))
+	w.await("all members known", inForce, all, sees(fleetSize))
+	time.Sleep(20 * time.Second)
+	bytes := func() (sum int64) {
+		for _, n := range w.nodes {
+			sum += n.client.Traffic.In.Load() + n.client.Traffic.Out.Load() +
+				n.server.Traffic.In.Load() + n.server.Traffic.Out.Load()
+		}
+		return sum
+	}
+	before, window := bytes(), 5*time.Second
+	time.Sleep(window)
+	rate := float64(bytes()-before) / window.Seconds() / fleetSize
+	t.Logf("%.0f B/s per process, both ways, as client and as server", rate)
+	if rate > 3000 {
+		t.Errorf("%.0f B/s per process, want at most 3000", rate)
+	}
+}
--- /dev/null
+++ b/internal/app/directory/directory.go
@@ -0,0 +1,259 @@
+// Package directory keeps a process informed of the deployment: the newest
+// declaration and the members. It reads the platform where this process is a
+// reader of its failure domain, exchanges with neighbours, and answers their
+// exchanges.
+//
+// What holds across failures: the revision never falls; the newest declaration
+// known stays in force while the platform is down, slow or answers from the
+// past; members on the other side of a partition are tried until it heals.
+package directory
+
+import (
+	"context"
+	"maps"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/core/declare"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/membership"
+	"github.com/masticwing/masticwing/internal/core/revision"
+	"github.com/masticwing/masticwing/internal/core/shard"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// Config is the configuration of a Directory. Zero durations take defaults.
+type Config struct {
+	// Self is the record of this process. Incarnation is taken from the clock
+	// if it is zero.
+	Self port.MemberRecord
+	// Seeds are the addresses to join through.
+	Seeds []fleet.Address
+	// Key is the platform's key of the declaration.
+	Key string
+	// ExchangeEvery is the time between exchanges with neighbours.
+	ExchangeEvery time.Duration
+	// WatchWait is the longest time that one watch waits. A watch whose
+	// connection went silent is noticed after it.
+	WatchWait time.Duration
+	// VMListEvery is the time between reads of the list of VMs.
+	VMListEvery time.Duration
+	// StartWait is the time after which a process starts without the platform.
+	StartWait time.Duration
+	// StatusEvery is the least time between two versions of the own record
+	// that differ in load and progress only.
+	StatusEvery time.Duration
+	// ProbeEvery is the time between attempts to reach a dead member or a seed
+	// that is not a member.
+	ProbeEvery time.Duration
+}
+
+func (c Config) withDefaults(now time.Time) Config {
+	def := func(p *time.Duration, d time.Duration) {
+		if *p <= 0 {
+			*p = d
+		}
+	}
+	def(&c.ExchangeEvery, time.Second)
+	def(&c.WatchWait, 2*time.Second)
+	def(&c.VMListEvery, 10*time.Second)
+	def(&c.StartWait, 2*time.Second)
+	def(&c.StatusEvery, 5*time.Second)
+	def(&c.ProbeEvery, 3*time.Second)
+	if c.Key == "" {
+		c.Key = "config/current"
+	}
+	if c.Self.Incarnation == 0 {
+		c.Self.Incarnation = uint64(now.UnixMilli())
+	}
+	return c
+}
+
+// Deps are the ports that a Directory uses.
+type Deps struct {
+	KV      port.KV
+	VMs     port.VMList
+	Members port.MemberClient
+	Clock   port.Clock
+	Rand    port.Rand
+	// Decode reads the stored form of a declaration.
+	Decode func([]byte) (*declare.Declaration, error)
+	// Metrics may be nil.
+	Metrics port.Metrics
+	// Log may be nil.
+	Log *logging.Logger
+	// Traffic returns the bytes that the exchanges of this process sent and
+	// received so far. It may be nil.
+	Traffic func() int64
+}
+
+// Directory implements port.Directory. Its Handler serves other processes.
+type Directory struct {
+	cfg  Config
+	deps Deps
+
+	rev   revision.Store
+	table *membership.Table[port.MemberRecord]
+	own   ownRecord
+	subs  *shard.Map[uint64, chan struct{}]
+	subID atomic.Uint64
+	// busy holds the addresses with an exchange in progress, so that a silent
+	// member holds at most one goroutine.
+	busy *shard.Map[fleet.Address, struct{}]
+	// waiting holds the addresses with an announcement that waits for busy.
+	waiting *shard.Map[fleet.Address, struct{}]
+	pulls   chan pull
+	// pulling holds the revisions that are being fetched.
+	pulling  *shard.Map[uint64, struct{}]
+	announce chan struct{}
+	relay    chan struct{}
+	accepted chan struct{}
+	budget   budget
+	start    startup
+	// differ counts exchanges in a row whose digests differ; whole is when the
+	// whole table was asked for last, in Unix milliseconds.
+	differ atomic.Int32
+	whole  atomic.Int64
+	turn   atomic.Uint64
+}
+
+var _ port.Directory = (*Directory)(nil)
+
+// New returns a Directory that knows only its own process. Run starts it.
+func New(cfg Config, deps Deps) *Directory {
+	now := deps.Clock.Now()
+	cfg = cfg.withDefaults(now)
+	if deps.Metrics == nil {
+		deps.Metrics = noMetrics{}
+	}
+	d := &Directory{
+		cfg: cfg, deps: deps,
+		table:    membership.NewTable(toCore(cfg.Self), now),
+		subs:     shard.New[uint64, chan struct{}](0),
+		busy:     shard.New[fleet.Address, struct{}](0),
+		waiting:  shard.New[fleet.Address, struct{}](0),
+		pulls:    make(chan pull, pullQueue),
+		pulling:  shard.New[uint64, struct{}](0),
+		announce: make(chan struct{}, 1),
+		relay:    make(chan struct{}, 1),
+		accepted: make(chan struct{}, 1),
+		start:    startup{ready: make(chan struct{})},
+	}
+	d.own.rec = cloneRecord(cfg.Self)
+	d.start.reason.Store(&reasonStarting)
+	// A seed that started at the same time knows little at first.
+	d.differ.Store(differLimit - 1)
+	return d
+}
+
+// Run works until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	for _, loop := range []func(context.Context){
+		d.startLoop, d.exchangeLoop, d.announceLoop, d.readLoop, d.vmListLoop, d.meterLoop,
+	} {
+		wg.Go(func() { loop(ctx) })
+	}
+	for range pullWorkers {
+		wg.Go(func() { d.pullLoop(ctx) })
+	}
+	wg.Wait()
+}
+
+// Declaration implements port.Directory.
+func (d *Directory) Declaration() (*declare.Declaration, time.Duration) {
+	h, age := d.rev.Held(d.deps.Clock.Now())
+	return h.Declaration, age
+}
+
+// Members implements port.Directory. The records are shared and must not be
+// modified. The process itself is among them.
+func (d *Directory) Members(k fleet.Kind) []port.MemberRecord {
+	var out []port.MemberRecord
+	for _, s := range d.table.Live(d.deps.Clock.Now()) {
+		if s.Kind == k {
+			out = append(out, fromCore(s))
+		}
+	}
+	return out
+}
+
+// Subscribe implements port.Directory.
+func (d *Directory) Subscribe() (<-chan struct{}, func()) {
+	id, ch := d.subID.Add(1), make(chan struct{}, 1)
+	d.subs.Put(id, ch)
+	return ch, func() { d.subs.Delete(id) }
+}
+
+// notify wakes the subscribers. It never blocks: a channel that is full has
+// a wake-up that was not taken yet.
+func (d *Directory) notify() {
+	d.subs.Range(func(_ uint64, ch chan struct{}) bool {
+		signal(ch)
+		return true
+	})
+}
+
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits for t and reports whether ctx is still alive.
+func (d *Directory) sleep(ctx context.Context, t time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-d.deps.Clock.After(t):
+		return true
+	}
+}
+
+// accept takes a stored document if its revision is higher than the one held.
+// age is the time since the platform confirmed it, or negative. It returns the
+// revision in the document.
+func (d *Directory) accept(stored []byte, age time.Duration) (uint64, error) {
+	decl, err := d.deps.Decode(stored)
+	if err != nil {
+		d.deps.Metrics.Count("directory_documents_refused_total", 1)
+		return 0, errors.Wrap(err, "reading declaration")
+	}
+	now := d.deps.Clock.Now()
+	if !d.rev.Accept(revision.Held{Declaration: decl, Stored: stored}, age, now) {
+		return decl.Revision, nil
+	}
+	d.deps.Metrics.Gauge("directory_revision", float64(decl.Revision))
+	d.logState("declaration in force", logging.F("revision", decl.Revision))
+	d.publishRevision()
+	signal(d.accepted)
+	signal(d.announce)
+	d.notify()
+	return decl.Revision, nil
+}
+
+func (d *Directory) logState(msg string, fields ...logging.Field) {
+	if d.deps.Log != nil {
+		d.deps.Log.State(msg, fields...)
+	}
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Count(string, int64, ...port.Attr)           {}
+func (noMetrics) Seconds(string, time.Duration, ...port.Attr) {}
+func (noMetrics) Gauge(string, float64, ...port.Attr)         {}
+
+func cloneRecord(r port.MemberRecord) port.MemberRecord {
+	r.Labels = maps.Clone(r.Labels)
+	if r.Status != nil {
+		s := *r.Status
+		r.Status = &s
+	}
+	return r
+}
--- /dev/null
+++ b/internal/app/directory/handler.go
@@ -0,0 +1,60 @@
+package directory
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// ErrNoDeclaration means that the process knows no declaration yet.
+var ErrNoDeclaration = errors.New("no declaration is known")
+
+// handler answers other processes. It is a type of its own since
+// port.Directory has methods of the same names.
+type handler struct{ *Directory }
+
+// Handler returns what serves the member protocol.
+func (d *Directory) Handler() port.MemberHandler { return handler{d} }
+
+// Exchange implements port.MemberHandler. The answer is made before the
+// records of the partner are merged, so that they are not sent back.
+func (d handler) Exchange(_ context.Context, m port.ExchangeMessage) (port.ExchangeMessage, error) {
+	out := d.message(m.From, maxRecords)
+	if m.WantAll {
+		out.Records = d.allRecords()
+	}
+	d.absorb(m, "")
+	return out, nil
+}
+
+// Declaration implements port.MemberHandler.
+func (d handler) Declaration(context.Context) (port.Document, error) {
+	h, age := d.rev.Held(d.deps.Clock.Now())
+	if h.Declaration == nil {
+		return port.Document{}, ErrNoDeclaration
+	}
+	return port.Document{Revision: h.Declaration.Revision, Stored: h.Stored, Age: age}, nil
+}
+
+// Members implements port.MemberHandler. Dead members are included, so that
+// operators see which processes were not heard of and since when.
+func (d handler) Members(context.Context) (port.ExchangeMessage, error) { return d.wholeTable(), nil }
+
+func (d *Directory) wholeTable() port.ExchangeMessage {
+	h, age := d.rev.Held(d.deps.Clock.Now())
+	m := port.ExchangeMessage{From: d.cfg.Self.ID, Age: age, Digest: d.table.Digest(), Records: d.allRecords()}
+	if h.Declaration != nil {
+		m.Revision = h.Declaration.Revision
+	}
+	return m
+}
+
+func (d *Directory) allRecords() []port.MemberRecord {
+	var out []port.MemberRecord
+	for _, s := range d.table.All(d.deps.Clock.Now()) {
+		out = append(out, fromCore(s))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/app/directory/reader.go
@@ -0,0 +1,162 @@
+package directory
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/membership"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+const (
+	// readerPoll is how often a process checks whether it is a reader.
+	readerPoll = 500 * time.Millisecond
+	// platformRetry is the pause after a failed call of the platform.
+	platformRetry = 500 * time.Millisecond
+	// rereadEvery is the number of watches without a change after which the
+	// key is read. It finds a platform whose own revisions went back, where a
+	// watch for a higher one would wait for long.
+	rereadEvery = 5
+	// vmMisses is the number of lists in a row in which a VM is missing or
+	// leaving before its agent is contacted, since the list lags.
+	vmMisses = 2
+	// vmProbes bounds the agents contacted after one list.
+	vmProbes = 8
+)
+
+// readLoop watches the platform while this process is a reader.
+func (d *Directory) readLoop(ctx context.Context) {
+	for d.sleep(ctx, readerPoll) {
+		if !d.table.IsReader() {
+			continue
+		}
+		d.deps.Metrics.Gauge("directory_reader", 1)
+		d.watch(ctx)
+		d.deps.Metrics.Gauge("directory_reader", 0)
+	}
+}
+
+// watch follows the key with one call at a time.
+func (d *Directory) watch(ctx context.Context) {
+	w := watcher{d: d}
+	for ctx.Err() == nil && d.table.IsReader() {
+		if err := w.step(ctx); err != nil {
+			d.deps.Metrics.Count("directory_platform_errors_total", 1)
+			if !d.sleep(ctx, d.jitter(platformRetry)) {
+				return
+			}
+		}
+	}
+}
+
+// watcher is the position of a reader in the changes of the key.
+type watcher struct {
+	d *Directory
+	// rev is the platform's revision that was seen last, doc the revision in
+	// that document.
+	rev  int64
+	doc  uint64
+	idle int
+}
+
+func (w *watcher) step(ctx context.Context) error {
+	if w.idle >= rereadEvery {
+		w.idle = 0
+		e, err := w.d.deps.KV.Get(ctx, w.d.cfg.Key)
+		if err == nil {
+			w.take(e)
+		}
+		return ignoreNotFound(err)
+	}
+	e, err := w.d.deps.KV.Watch(ctx, w.d.cfg.Key, w.rev, w.d.cfg.WatchWait)
+	switch {
+	case err == nil:
+		w.take(e)
+	case errors.Is(err, port.ErrNotFound):
+		// A watch may end at once if the key is absent.
+		w.idle++
+		if w.rev == 0 && !w.d.sleep(ctx, platformRetry) {
+			return nil
+		}
+		w.d.rev.Confirm(w.doc, 0, w.d.deps.Clock.Now())
+	default:
+		return err
+	}
+	return nil
+}
+
+func ignoreNotFound(err error) error {
+	if errors.Is(err, port.ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+// take accepts a document of the platform. One that is older than the newest
+// known is counted; it does not move the age of the newest.
+func (w *watcher) take(e port.KVEntry) {
+	w.rev = e.Rev
+	doc, err := w.d.accept(e.Value, 0)
+	if err != nil {
+		return
+	}
+	w.doc = doc
+	if doc < w.d.rev.Revision() {
+		w.d.deps.Metrics.Count("directory_platform_stale_total", 1)
+	}
+}
+
+// vmListLoop reads the list of VMs while this process is a reader. The list is
+// only a hint: an agent of the own failure domain whose VM is missing or
+// leaving is contacted, and suspected if it does not answer. The suspicion
+// spreads and the agent can refute it.
+func (d *Directory) vmListLoop(ctx context.Context) {
+	misses := map[string]int{}
+	for d.sleep(ctx, d.jitter(d.cfg.VMListEvery)) {
+		if d.deps.VMs == nil || !d.table.IsReader() {
+			continue
+		}
+		list, err := d.deps.VMs.VMs(ctx)
+		if err != nil || len(list) == 0 {
+			continue
+		}
+		d.probeMissing(ctx, list, misses)
+	}
+}
+
+func (d *Directory) probeMissing(ctx context.Context, list []port.VMRecord, misses map[string]int) {
+	live := map[string]bool{}
+	for _, v := range list {
+		live[string(v.VM)] = v.State == port.VMLive
+	}
+	now := d.deps.Clock.Now()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	probes := 0
+	known := map[string]bool{}
+	for _, s := range d.table.Live(now) {
+		if s.Kind != fleet.KindAgent || s.Domain != d.cfg.Self.Domain || s.State == membership.Dead {
+			continue
+		}
+		known[s.ID] = true
+		if live[s.ID] {
+			delete(misses, s.ID)
+			continue
+		}
+		misses[s.ID]++
+		if misses[s.ID] < vmMisses || probes >= vmProbes {
+			continue
+		}
+		probes++
+		wg.Go(func() { d.exchange(ctx, target{s.ID, s.Address}, announceRecords, false) })
+	}
+	for id := range misses {
+		if !known[id] {
+			delete(misses, id)
+		}
+	}
+}
--- a/internal/core/membership/spread.go
+++ b/internal/core/membership/spread.go
@@ -11,10 +11,10 @@
 // bounds it by the size of the table.
 const initialSends = 1 << 20
 
-// sendFactor times the logarithm of the number of members is how often a
+// sendFactor times one more than the logarithm of the number of members is how often a
 // change is passed on. Each process does so, so that nearly all members hear
 // of it; the digest finds the rest.
-const sendFactor = 2
+const sendFactor = 1
 
 // Changed returns at most limit records that changed lately, those passed on
 // least first, and counts them as passed on once more. The record of the
@@ -36,8 +36,8 @@
 	})
 	self, _ := t.Get(t.self, now)
 	out := []Seen[P]{self}
-	times := sendFactor * bits.Len(uint(t.Len()))
-	for _, it := range items[:min(len(items), limit-1)] {
+	times := sendFactor * (1 + bits.Len(uint(t.Len())))
+	for _, it := range items[:min(len(items), max(0, limit-1))] {
 		t.m.Update(it.id, func(e entry[P], ok bool) (entry[P], bool) {
 			if ok {
 				e.sends = min(e.sends, times) - 1
--- a/internal/core/membership/suspicion.go
+++ b/internal/core/membership/suspicion.go
@@ -1,6 +1,10 @@
 package membership
 
-import "time"
+import (
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
 
 // Contact notes a successful exchange with a member. A suspicion ends only
 // when the member itself raises its incarnation, so that all processes agree.
@@ -87,3 +91,45 @@
 	})
 	return out
 }
+
+// Doubted returns the ids of members that others hold for suspect or dead and
+// that this process did not fail to reach. Contacting them lets them refute.
+func (t *Table[P]) Doubted(now time.Time) []string {
+	var out []string
+	t.m.Range(func(id string, e entry[P]) bool {
+		silent := e.rec.State == Suspect || e.rec.State == Dead
+		if silent && e.failing.IsZero() && !e.gone(now) {
+			out = append(out, id)
+		}
+		return true
+	})
+	return out
+}
+
+// troubledFor is the time for which a death makes the other members of the
+// failure domain worth a check.
+const troubledFor = 15 * time.Second
+
+// Troubled returns the live members of failure domains in which a member is
+// suspect or died lately. A whole domain that is cut off is then found in a
+// few rounds, instead of only as its members become neighbours.
+func (t *Table[P]) Troubled(now time.Time) []string {
+	domains := map[fleet.Domain]bool{}
+	t.m.Range(func(_ string, e entry[P]) bool {
+		if e.rec.State == Suspect || e.rec.State == Dead && now.Sub(e.since) < troubledFor {
+			domains[e.rec.Domain] = true
+		}
+		return true
+	})
+	if len(domains) == 0 {
+		return nil
+	}
+	var out []string
+	t.m.Range(func(id string, e entry[P]) bool {
+		if id != t.self && e.rec.State == Alive && e.failing.IsZero() && domains[e.rec.Domain] {
+			out = append(out, id)
+		}
+		return true
+	})
+	return out
+}
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -22,6 +22,10 @@
 	// DeadAfter is the time without contact after which it counts as dead. In
 	// between it can refute the suspicion.
 	DeadAfter = 6 * time.Second
+	// ReportedGrace is the time for which a member is still used that another
+	// process reports as dead without a suspicion before. This happens when a
+	// partition heals; the refutations then have to cross the whole fleet.
+	ReportedGrace = 10 * time.Second
 	// KeepDead is the time for which dead members are remembered and tried
 	// again. Partitions of an hour are expected now and then.
 	KeepDead = time.Hour
@@ -89,9 +93,11 @@
 
 // gone reports whether the member is dead and had the time to refute. When a
 // partition heals, each side learns that the other held it for dead; without
-// that time every member would vanish for a moment.
+// that time every member would vanish for a moment. It ends early if this
+// process cannot reach the member either.
 func (e entry[P]) gone(now time.Time) bool {
-	return e.rec.State == Dead && !now.Before(e.listed)
+	silent := !e.failing.IsZero() && now.Sub(e.failing) >= SuspectAfter
+	return e.rec.State == Dead && (silent || !now.Before(e.listed))
 }
 
 // Seen is a record with the time since it was last known to be true.
@@ -155,6 +161,9 @@
 	Unchanged Outcome = iota
 	// Updated means that the record changed and is passed on.
 	Updated
+	// Moved means that the member is new or its state changed, which is passed
+	// on at once.
+	Moved
 	// Refuted means that another process held this one for suspect or dead, or
 	// knew a former life of it, and its incarnation was raised.
 	Refuted
@@ -172,7 +181,7 @@
 			if r.State == Dead && age > KeepDead {
 				return e, false
 			}
-			out = Updated
+			out = Moved
 			return entry[P]{rec: r, heard: now.Add(-age), since: now, sends: initialSends}, true
 		}
 		merged, changed := Merge(e.rec, r)
@@ -183,13 +192,12 @@
 		if !changed {
 			return e, true
 		}
-		out = Updated
-		e.sends = initialSends
+		out, e.sends = Updated, initialSends
 		if merged.State != e.rec.State {
-			if e.rec.State < Suspect {
-				e.listed = now.Add(DeadAfter - SuspectAfter)
+			if e.rec.State == Alive && merged.State == Dead {
+				e.listed = now.Add(ReportedGrace)
 			}
-			e.since = now
+			e.since, out = now, Moved
 		}
 		if merged.Incarnation > e.rec.Incarnation {
 			e.failing = time.Time{}
@@ -221,6 +229,12 @@
 	t.m.Range(func(_ string, e entry[P]) bool { return f(Seen[P]{e.rec, t.age(e, now)}) })
 }
 
+// Gone reports whether the member is known to be dead.
+func (t *Table[P]) Gone(id string, now time.Time) bool {
+	e, ok := t.m.Get(id)
+	return ok && e.gone(now)
+}
+
 // Live returns the members that are not known to be dead, the process itself
 // included.
 func (t *Table[P]) Live(now time.Time) []Seen[P] {
