Add masticwingctl

Operators need to check, compare and apply declarations, cordon a failure domain or VM, and see how far a change has come. A change is a compare-and-swap against the revision that the operator saw. A write whose answer was lost is repeated until the history shows its write id or another change; the operator who loses a race gets the other's change and exit code 4.

--- /dev/null
+++ b/internal/app/ctl/session.go
@@ -0,0 +1,175 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/masticwing/masticwing/internal/adapter/inifile"
+	"github.com/masticwing/masticwing/internal/core/declare"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
+
+// session is one run of the command.
+type session struct {
+	Deps
+	c     *cli.Command
+	json  bool
+	peers []fleet.Address
+}
+
+// run adapts a method of session to the command-line library.
+func run(d Deps, f func(*session, context.Context) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		s := &session{Deps: d, c: c}
+		switch c.String("output") {
+		case "text":
+		case "json":
+			s.json = true
+		default:
+			return exitf(ExitUsage, "--output must be text or json, is %q", c.String("output"))
+		}
+		for _, p := range strings.Split(c.String("peer"), ",") {
+			if p = strings.TrimSpace(p); p == "" {
+				continue
+			}
+			if _, err := netip.ParseAddrPort(p); err != nil {
+				return exitf(ExitUsage, "--peer must be IP:PORT,..., is %q", p)
+			}
+			s.peers = append(s.peers, fleet.Address(p))
+		}
+		return exitAny(f(s, ctx))
+	}
+}
+
+// exitAny gives errors without a code the one for a failure.
+func exitAny(err error) error {
+	var e exitError
+	if err == nil || errors.As(err, &e) {
+		return err
+	}
+	return exit(ExitFailed, err)
+}
+
+// print writes v as JSON, or as the text that f writes.
+func (s *session) print(v any, f func(io.Writer)) error {
+	if !s.json {
+		f(s.Out)
+		return nil
+	}
+	enc := json.NewEncoder(s.Out)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(v), "writing output")
+}
+
+func (s *session) warn(format string, args ...any) {
+	fmt.Fprintf(s.Err, "warning: "+format+"\n", args...)
+}
+
+// files reads the files named on the command line.
+func (s *session) files() ([]inifile.File, error) {
+	args := s.c.Args().Slice()
+	if len(args) == 0 {
+		return nil, exitf(ExitUsage, "a directory or file is required")
+	}
+	var out []inifile.File
+	for _, a := range args {
+		names := []string{a}
+		if info, err := os.Stat(a); err == nil && info.IsDir() {
+			names, _ = filepath.Glob(filepath.Join(a, "*.ini"))
+			if len(names) == 0 {
+				return nil, exitf(ExitUsage, "no .ini file in %s", a)
+			}
+			slices.Sort(names)
+		}
+		for _, n := range names {
+			b, err := os.ReadFile(n)
+			if err != nil {
+				return nil, exit(ExitUsage, errors.Wrap(err, "reading file"))
+			}
+			out = append(out, inifile.File{Name: n, Text: string(b)})
+		}
+	}
+	return out, nil
+}
+
+// parsed reads and checks the files named on the command line.
+func (s *session) parsed() (string, *declare.Declaration, error) {
+	files, err := s.files()
+	if err != nil {
+		return "", nil, err
+	}
+	decl, faults := inifile.Parse(files)
+	if len(faults) == 0 {
+		return inifile.Join(files), decl, nil
+	}
+	err = s.print(map[string]any{"faults": faults}, func(w io.Writer) {
+		for _, f := range faults {
+			fmt.Fprintln(w, f)
+		}
+	})
+	if err != nil {
+		return "", nil, err
+	}
+	return "", nil, exitf(ExitUsage, "%d faults", len(faults))
+}
+
+func (s *session) validate(context.Context) error {
+	_, d, err := s.parsed()
+	if err != nil {
+		return err
+	}
+	v := map[string]any{
+		"faults": []declare.Fault{}, "groups": len(d.Groups), "models": len(d.Models), "rules": len(d.Rules),
+		"services": len(d.Services), "customers": len(d.Customers),
+	}
+	return s.print(v, func(w io.Writer) {
+		fmt.Fprintf(w, "valid: %d groups, %d models, %d rules, %d services, %d customers\n",
+			len(d.Groups), len(d.Models), len(d.Rules), len(d.Services), len(d.Customers))
+	})
+}
+
+func (s *session) get(ctx context.Context) error {
+	cur, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	if cur.doc.Revision == 0 {
+		return exitf(ExitFailed, "no declaration has been applied")
+	}
+	return s.print(cur.doc, func(w io.Writer) {
+		fmt.Fprintf(w, "; revision %d\n", cur.doc.Revision)
+		for _, x := range cur.doc.CordonedDomains {
+			fmt.Fprintf(w, "; cordoned: domain %s\n", x)
+		}
+		for _, x := range cur.doc.CordonedVMs {
+			fmt.Fprintf(w, "; cordoned: vm %s\n", x)
+		}
+		_, _ = io.WriteString(w, cur.doc.Config)
+	})
+}
+
+func (s *session) history(ctx context.Context) error {
+	cur, err := s.read(ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(map[string]any{"history": cur.doc.History}, func(w io.Writer) { writeHistory(w, cur.doc.History) })
+}
+
+func writeHistory(w io.Writer, cs []inifile.ChangeRecord) {
+	rows := [][]string{{"REVISION", "TIME", "OPERATOR", "CHANGE", "WRITE"}}
+	for _, c := range slices.Backward(cs) {
+		rows = append(rows, []string{fmt.Sprint(c.Revision), c.Time.UTC().Format("2006-01-02T15:04:05Z"), c.Operator, c.Summary, c.WriteID})
+	}
+	table(w, rows)
+}
--- /dev/null
+++ b/internal/app/ctl/store.go
@@ -0,0 +1,177 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/adapter/inifile"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// retryPause is the pause between two calls of a platform that does not
+// answer.
+const retryPause = 200 * time.Millisecond
+
+// current is the stored document with the platform's revision of the key.
+type current struct {
+	doc inifile.Document
+	rev int64
+}
+
+// errOutcome means that a write may have taken effect and that the platform
+// did not tell in time.
+var errOutcome = errors.New("outcome of the change is unknown")
+
+func (s *session) kv() (port.KV, error) {
+	a := s.c.String("platform")
+	if _, err := netip.ParseAddrPort(a); err != nil {
+		return nil, exitf(ExitUsage, "--platform must be IP:PORT, is %q", a)
+	}
+	return s.KV(fleet.Address(a)), nil
+}
+
+// read returns the document, tried until the timeout. Revision 0 means that
+// there is none.
+func (s *session) read(ctx context.Context) (current, error) {
+	kv, err := s.kv()
+	if err != nil {
+		return current{}, err
+	}
+	until := s.deadline()
+	for {
+		c, err := readOnce(ctx, kv)
+		if err == nil || !errors.Is(err, port.ErrUnavailable) {
+			return c, err
+		}
+		if !s.pause(ctx, until) {
+			return current{}, exit(ExitUnreachable, errors.Wrap(err, "platform does not answer"))
+		}
+	}
+}
+
+func readOnce(ctx context.Context, kv port.KV) (current, error) {
+	e, err := kv.Get(ctx, inifile.Key)
+	if errors.Is(err, port.ErrNotFound) {
+		return current{}, nil
+	}
+	if err != nil {
+		return current{}, err
+	}
+	doc, err := inifile.DecodeDocument(e.Value)
+	return current{doc, e.Rev}, err
+}
+
+// deadline is the time at which this command gives up on the platform.
+func (s *session) deadline() time.Time { return s.Clock.Now().Add(s.c.Duration("timeout")) }
+
+// pause waits before the next call and returns false at the deadline.
+func (s *session) pause(ctx context.Context, until time.Time) bool {
+	if !s.Clock.Now().Before(until) {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.Clock.After(retryPause):
+		return true
+	}
+}
+
+// newRecord describes a change by this operator.
+func (s *session) newRecord(summary string) inifile.ChangeRecord {
+	return inifile.ChangeRecord{
+		WriteID:  fmt.Sprintf("%016x%016x", s.Rand.Uint64(), s.Rand.Uint64()),
+		Operator: s.c.String("operator"), Time: s.Clock.Now().UTC().Truncate(time.Second), Summary: summary,
+	}
+}
+
+// conflict means that another change took effect first.
+type conflict struct{ now current }
+
+// Error implements error.
+func (conflict) Error() string { return "another operator changed the declaration first" }
+
+// write replaces the document that base was read from. If an answer is lost,
+// it repeats the same write, which can take effect at most once, until the
+// document shows what happened. It returns a conflict if another change won.
+func (s *session) write(ctx context.Context, base current, next inifile.Document) error {
+	kv, err := s.kv()
+	if err != nil {
+		return err
+	}
+	b, err := next.Encode()
+	if err != nil {
+		return exit(ExitUsage, err)
+	}
+	until := s.deadline()
+	sent := false
+	for {
+		_, err := kv.CompareAndSwap(ctx, inifile.Key, base.rev, b, port.NoLease)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, port.ErrConflict):
+			return s.settle(ctx, kv, base, next, sent, until)
+		case errors.Is(err, port.ErrUnknownOutcome):
+			sent = true
+		case !errors.Is(err, port.ErrUnavailable):
+			return err
+		}
+		if !s.pause(ctx, until) {
+			return unsettled(sent, next, err)
+		}
+	}
+}
+
+// settle finds out why a write met another revision. The document names every
+// write among the last changes, so a write whose answer was lost is found even
+// if others followed. A read that is not newer than base is from the past.
+func (s *session) settle(
+	ctx context.Context, kv port.KV, base current, next inifile.Document, sent bool, until time.Time,
+) error {
+	for {
+		now, err := readOnce(ctx, kv)
+		if err == nil {
+			if _, own := now.doc.Wrote(next.WriteID); own {
+				return nil
+			}
+			if now.rev != base.rev && now.doc.Revision > base.doc.Revision {
+				return conflict{now}
+			}
+		}
+		if !s.pause(ctx, until) {
+			if !sent && err == nil {
+				return conflict{now}
+			}
+			return unsettled(sent, next, err)
+		}
+	}
+}
+
+func unsettled(sent bool, next inifile.Document, err error) error {
+	if !sent {
+		return exit(ExitUnreachable, errors.Wrap(err, "platform does not answer; nothing was changed"))
+	}
+	return exit(ExitUnreachable, errors.Wrapf(errOutcome, "platform does not answer; look for write %s in the history", next.WriteID))
+}
+
+// table writes rows in aligned columns.
+func table(w io.Writer, rows [][]string) {
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		fmt.Fprintln(t, strings.Join(r, "\t"))
+	}
+	_ = t.Flush()
+	for line := range strings.Lines(b.String()) {
+		fmt.Fprintln(w, strings.TrimRight(line, " \n"))
+	}
+}
