Add the entry process: routing, queue, HTTP interface and retries

Cause: nothing accepted callers' requests.

Change: core/routing picks targets, subsets and retries; core/schedule queues by class and by the customers' shares; adapter/httpapi decodes requests and copies answers one frame at a time; app/entry joins them, watches agents' status streams and drains on SIGTERM. porttest has a fake directory. The binary builds without the directory, which cmd/masticwing-entry connects in newDirectory.

Conclusion: a request passes from HTTP over the real rpc client and server to a fake agent and back (TestServesOverHTTP); retries, verdicts, cordons and the return of permits are tested on loopback.

--- /dev/null
+++ b/internal/app/entry/run.go
@@ -0,0 +1,150 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/adapter/httpapi"
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// closeTimeout bounds the time to send the last bytes of finished answers.
+const closeTimeout = 2 * time.Second
+
+// Directory is the part of the process that knows the deployment and answers
+// other processes about it.
+type Directory interface {
+	port.Directory
+	// Handler answers other processes.
+	Handler() port.MemberHandler
+	// Run keeps the directory up to date until ctx ends.
+	Run(ctx context.Context) error
+}
+
+// NewDirectory builds the directory of a process.
+type NewDirectory func(c *Config, env daemon.Env, client *rpc.Client) (Directory, error)
+
+// Role returns the role of the entry binary.
+func Role(build NewDirectory) daemon.Role {
+	c := &Config{}
+	return daemon.Role{
+		Name:     "masticwing-entry",
+		Usage:    "accept callers' requests and route them to targets",
+		Settings: c.Register,
+		Run:      func(ctx context.Context, env daemon.Env) error { return run(ctx, c, env, build) },
+	}
+}
+
+// process is a running entry.
+type process struct {
+	cfg    *Config
+	env    daemon.Env
+	dir    Directory
+	entry  *Entry
+	api    *httpapi.API
+	server *rpc.Server
+}
+
+// run serves until ctx ends and then drains. Everything that requests in
+// progress need runs until they have finished.
+func run(ctx context.Context, c *Config, env daemon.Env, build NewDirectory) error {
+	client := rpc.NewClient()
+	defer client.Close()
+	dir, err := build(c, env, client)
+	if err != nil {
+		return err
+	}
+	server, err := rpc.NewServer(rpc.Handlers{Member: dir.Handler()})
+	if err != nil {
+		return err
+	}
+	e := New(Deps{
+		ID: c.ID, Domain: c.Domain, MaxQueued: c.MaxQueued, Directory: dir, Agents: client,
+		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics,
+	})
+	api := httpapi.New(httpapi.Config{Memory: c.Memory, MaxBody: c.MaxBody}, e, env.Metrics)
+	p := &process{cfg: c, env: env, dir: dir, entry: e, api: api, server: server}
+	env.Admin.SetStatus(func() any { return e.State(api.BytesHeld()) })
+	return p.run(ctx)
+}
+
+func (p *process) run(ctx context.Context) error {
+	rpcLis, err := net.Listen("tcp", string(p.cfg.RPC))
+	if err != nil {
+		return errors.Wrap(err, "listening on the rpc address")
+	}
+	httpLis, err := net.Listen("tcp", string(p.cfg.Listen))
+	if err != nil {
+		_ = rpcLis.Close()
+		return errors.Wrap(err, "listening on the callers' address")
+	}
+	live, stop := context.WithCancel(context.WithoutCancel(ctx))
+	failed := make(chan error, 4)
+	var wg conc.WaitGroup
+	background := func(f func() error) {
+		wg.Go(func() {
+			if err := f(); err != nil && live.Err() == nil {
+				failed <- err
+			}
+		})
+	}
+	background(func() error { return p.dir.Run(live) })
+	background(func() error { return p.server.Serve(live, rpcLis) })
+	background(func() error { return p.api.Serve(httpLis) })
+	background(func() error { p.entry.Run(live); return nil })
+	background(func() error { p.followReadiness(ctx); return nil })
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-failed:
+	}
+	p.shutDown()
+	stop()
+	wg.Wait()
+	return err
+}
+
+// followReadiness marks the process ready once it knows a configuration, and
+// never again after the stop has begun.
+func (p *process) followReadiness(ctx context.Context) {
+	changed, unsubscribe := p.dir.Subscribe()
+	defer unsubscribe()
+	p.env.Admin.NotReady("no configuration is known yet")
+	for {
+		if d, _ := p.dir.Declaration(); d != nil && ctx.Err() == nil {
+			p.env.Admin.Ready()
+			p.env.Log.State("ready", logging.F("revision", d.Revision))
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+	<-ctx.Done()
+	p.env.Admin.NotReady("shutting down")
+}
+
+// shutDown refuses new requests and finishes those in progress.
+func (p *process) shutDown() {
+	p.env.Admin.NotReady("shutting down")
+	p.dir.SetSelf(func(m *port.MemberRecord) { m.State = port.MemberLeaving })
+	p.env.Log.State("draining", logging.F("timeout", p.cfg.Drain.String()))
+	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Drain)
+	defer cancel()
+	if err := p.api.Drain(ctx); err != nil {
+		p.env.Log.Fault("drain time passed", err)
+	}
+	last, cancelLast := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelLast()
+	p.api.Close(last)
+}
--- /dev/null
+++ b/internal/core/routing/choose.go
@@ -0,0 +1,170 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
+
+// affinitySlack is the load, relative to the limit, by which the target that
+// holds a prompt's prefix may exceed another candidate before it loses the
+// request. A cached prefix saves less than a quarter of a full target's queue.
+const affinitySlack = 0.25
+
+// Query describes the target that a request needs.
+type Query struct {
+	Pool Pool
+	// Version is the declared version; empty for services.
+	Version fleet.Version
+	// Older lists versions that may serve until the declared one is loaded.
+	Older map[fleet.Version]bool
+	// Own is the failure domain of the entry.
+	Own fleet.Domain
+	// Prefix is the hash of the prompt's prefix; zero means no affinity.
+	Prefix uint64
+	// Cordoned says what the declaration takes out of service.
+	Cordoned func(fleet.Domain, fleet.VM) bool
+	// Tried holds the targets that the request already went to.
+	Tried map[fleet.VM]bool
+}
+
+// Choice is the result of Choose.
+type Choice struct {
+	VM      fleet.VM
+	Address fleet.Address
+}
+
+// Outcome says why Choose returned no target.
+type Outcome uint8
+
+// The outcomes of Choose.
+const (
+	// Chosen means that a target was found.
+	Chosen Outcome = iota
+	// NoTarget means that no candidate takes work.
+	NoTarget
+	// AllFull means that this entry alone fills every candidate, so each would
+	// refuse the request.
+	AllFull
+)
+
+type candidate struct {
+	Choice
+	tier  int
+	load  float64
+	spare bool
+}
+
+// The tiers of candidates, best first: the declared version before an older
+// one, and the entry's own failure domain before others.
+const (
+	tierOtherDomain  = 1
+	tierOlderVersion = 2
+	numTiers         = 4
+)
+
+// Choose picks a target: in the first tier with spare capacity, the one with
+// prefix affinity, or the better of two random candidates.
+func (t *Table) Choose(q Query, now time.Time, intN func(int) int) (Choice, Outcome) {
+	all, full := t.candidates(q, now)
+	if len(all) == 0 {
+		if full {
+			return Choice{}, AllFull
+		}
+		return Choice{}, NoTarget
+	}
+	tier := bestTier(all)
+	if q.Prefix != 0 {
+		if c, ok := affine(tier, q.Prefix); ok {
+			return c.Choice, Chosen
+		}
+	}
+	return betterOfTwo(tier, intN).Choice, Chosen
+}
+
+// candidates returns the targets that may take the request, and whether some
+// were left out only because this entry fills them.
+func (t *Table) candidates(q Query, now time.Time) (out []candidate, full bool) {
+	t.targets.Range(func(_ fleet.VM, v target) bool {
+		if !v.matches(q, now) {
+			return true
+		}
+		if v.own >= v.Limit {
+			full = true
+			return true
+		}
+		n := v.estimate()
+		c := candidate{load: float64(n) / float64(v.Limit), spare: n < v.Limit}
+		c.VM, c.Address = v.VM, v.Address
+		if v.Domain != q.Own {
+			c.tier += tierOtherDomain
+		}
+		if v.Version != q.Version {
+			c.tier += tierOlderVersion
+		}
+		out = append(out, c)
+		return true
+	})
+	// The order of a map's range must not decide between equal candidates.
+	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.VM, b.VM) })
+	return out, full
+}
+
+func (t *target) matches(q Query, now time.Time) bool {
+	switch {
+	case t.Pool != q.Pool, !t.Usable, !t.fresh(now), q.Tried[t.VM]:
+		return false
+	case t.Version != q.Version && !q.Older[t.Version]:
+		return false
+	case q.Pool.Group != "" && t.Version == "":
+		return false
+	}
+	return q.Cordoned == nil || !q.Cordoned(t.Domain, t.VM)
+}
+
+func bestTier(all []candidate) []candidate {
+	for _, needSpare := range []bool{true, false} {
+		for tier := range numTiers {
+			var in []candidate
+			for _, c := range all {
+				if c.tier == tier && (c.spare || !needSpare) {
+					in = append(in, c)
+				}
+			}
+			if len(in) > 0 {
+				return in
+			}
+		}
+	}
+	return all
+}
+
+// affine returns the target that ranks first for the prefix, unless it is
+// clearly more loaded than the least loaded candidate.
+func affine(cs []candidate, prefix uint64) (candidate, bool) {
+	best, least := cs[0], cs[0].load
+	for _, c := range cs[1:] {
+		if score(prefix, string(c.VM)) > score(prefix, string(best.VM)) {
+			best = c
+		}
+		least = min(least, c.load)
+	}
+	return best, best.load <= least+affinitySlack
+}
+
+func betterOfTwo(cs []candidate, intN func(int) int) candidate {
+	i := intN(len(cs))
+	if len(cs) == 1 {
+		return cs[i]
+	}
+	j := intN(len(cs) - 1)
+	if j >= i {
+		j++
+	}
+	if cs[j].load < cs[i].load {
+		return cs[j]
+	}
+	return cs[i]
+}
--- /dev/null
+++ b/internal/core/routing/hash.go
@@ -0,0 +1,72 @@
+// Package routing decides where an entry sends a request: which agents it
+// watches, which target it tries next, and whether it may retry.
+package routing
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
+
+// Partitions is the number of ledger partitions of a service.
+const Partitions = 16
+
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// Hash returns a hash of the parts that is the same in every process. Parts
+// are delimited, so that ("a", "bc") and ("ab", "c") differ.
+func Hash(parts ...string) uint64 {
+	h := uint64(fnvOffset)
+	for _, p := range parts {
+		for i := range len(p) {
+			h = (h ^ uint64(p[i])) * fnvPrime
+		}
+		h = (h ^ 0xff) * fnvPrime
+	}
+	return mix(h)
+}
+
+// mix spreads the bits of an FNV hash, whose high bits depend little on the
+// last bytes of short inputs.
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// Partition returns the ledger partition of a customer's idempotency key.
+func Partition(c fleet.Customer, key string) int {
+	return int(Hash(string(c), key) % Partitions)
+}
+
+// Rank returns the ids in rendezvous order for a key: each process computes
+// the same order, and an id that joins or leaves moves only its own share.
+func Rank(key uint64, ids []string) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	s := make([]scored, len(ids))
+	for i, id := range ids {
+		s[i] = scored{id, score(key, id)}
+	}
+	slices.SortFunc(s, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
+	})
+	out := make([]string, len(s))
+	for i := range s {
+		out[i] = s[i].id
+	}
+	return out
+}
+
+func score(key uint64, id string) uint64 { return mix(key ^ Hash(id)) }
+
+// OnceKey is the rendezvous key of a service's ledger partition.
+func OnceKey(s fleet.Service, partition int) uint64 {
+	return mix(Hash("once", string(s)) + uint64(partition))
+}
--- /dev/null
+++ b/internal/core/routing/table.go
@@ -0,0 +1,133 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/shard"
+)
+
+// StatusMaxAge is the age after which a reported status is not used. Agents
+// report each second, so it allows one report to be lost.
+const StatusMaxAge = 2500 * time.Millisecond
+
+// Pool names the targets that can serve a request: those of a group or those
+// of a service. Exactly one field is set.
+type Pool struct {
+	Group   fleet.Group
+	Service fleet.Service
+}
+
+// String returns the name of the pool for metrics.
+func (p Pool) String() string {
+	if p.Service != "" {
+		return "service/" + string(p.Service)
+	}
+	return "group/" + string(p.Group)
+}
+
+// Report is the state of a target as its agent reports it.
+type Report struct {
+	VM       fleet.VM
+	Domain   fleet.Domain
+	Address  fleet.Address
+	Pool     Pool
+	Version  fleet.Version
+	InFlight int
+	Limit    int
+	Usable   bool
+}
+
+// target is what the table holds of one VM. own counts the requests of this
+// entry in the target; ownSeen is own at the time of the last load report.
+type target struct {
+	Report
+	at      time.Time
+	known   bool
+	own     int
+	ownSeen int
+}
+
+// estimate is the number of requests in the target: the reported number plus
+// those that this entry started since.
+func (t *target) estimate() int { return max(t.InFlight+t.own-t.ownSeen, t.own) }
+
+func (t *target) fresh(now time.Time) bool { return t.known && now.Sub(t.at) <= StatusMaxAge }
+
+// Table holds the reported state of the watched targets, sharded by VM.
+type Table struct{ targets *shard.Map[fleet.VM, target] }
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{shard.New[fleet.VM, target](0)} }
+
+// Report records a status of a target.
+func (t *Table) Report(r Report, now time.Time) {
+	t.targets.Update(r.VM, func(v target, _ bool) (target, bool) {
+		v.Report, v.at, v.known, v.ownSeen = r, now, true, v.own
+		return v, true
+	})
+}
+
+// Load records a load that came with an answer or a refusal.
+func (t *Table) Load(vm fleet.VM, inFlight, limit int) {
+	t.targets.Update(vm, func(v target, ok bool) (target, bool) {
+		v.InFlight, v.Limit, v.ownSeen = inFlight, limit, v.own
+		return v, ok
+	})
+}
+
+// Forget stops using a target whose status stream ended. Its count of own
+// requests is kept until they end.
+func (t *Table) Forget(vm fleet.VM) {
+	t.targets.Update(vm, func(v target, _ bool) (target, bool) {
+		v.known = false
+		return v, v.own > 0
+	})
+}
+
+// Start counts a request of this entry in a target. Done ends it.
+func (t *Table) Start(vm fleet.VM) { t.add(vm, 1) }
+
+// Done ends the count of one Start.
+func (t *Table) Done(vm fleet.VM) { t.add(vm, -1) }
+
+func (t *Table) add(vm fleet.VM, n int) {
+	t.targets.Update(vm, func(v target, _ bool) (target, bool) {
+		v.own += n
+		return v, v.known || v.own > 0
+	})
+}
+
+// Known reports whether a fresh status of the VM is held, and whether it says
+// that the target takes work.
+func (t *Table) Known(vm fleet.VM, now time.Time) (usable, fresh bool) {
+	v, _ := t.targets.Get(vm)
+	fresh = v.fresh(now)
+	return fresh && v.Usable, fresh
+}
+
+// Capacity sums the limits of a pool's usable targets and counts them.
+func (t *Table) Capacity(p Pool, now time.Time) (limit, targets int) {
+	t.targets.Range(func(_ fleet.VM, v target) bool {
+		if v.Pool == p && v.fresh(now) && v.Usable {
+			limit += v.Limit
+			targets++
+		}
+		return true
+	})
+	return limit, targets
+}
+
+// Snapshot returns the fresh reports, for operators.
+func (t *Table) Snapshot(now time.Time) []Report {
+	var out []Report
+	t.targets.Range(func(_ fleet.VM, v target) bool {
+		if v.fresh(now) {
+			r := v.Report
+			r.InFlight = v.estimate()
+			out = append(out, r)
+		}
+		return true
+	})
+	return out
+}
