Reduce the buffers of the entry's connections to agents

Cause: a caller that reads nothing cost an entry about 130 KiB: the frame of 16 KiB was held in the reader's buffer, in the packet and in the message.

Change: agents split data into frames of at most 2 KiB; clients write with buffers of 1 KiB, split sent messages at 8 KiB and keep at most 4 KiB of a sent message.

--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -12,7 +12,9 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcstream"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
@@ -81,7 +83,23 @@
 	if err != nil {
 		return nil, dialError{err}
 	}
-	return drpcconn.New(countedConn{conn, &c.Traffic}), nil
+	return drpcconn.NewWithOptions(countedConn{conn, &c.Traffic}, connOptions()), nil
+}
+
+const (
+	// sendBuffer, splitBytes and keptBytes bound the buffers that a connection
+	// keeps after it has sent a large message. An entry has a connection for
+	// each request in progress, so their sum counts.
+	sendBuffer = 1 << 10
+	splitBytes = 8 << 10
+	keptBytes  = 4 << 10
+)
+
+func connOptions() drpcconn.Options {
+	return drpcconn.Options{Manager: drpcmanager.Options{
+		WriterBufferSize: sendBuffer,
+		Stream:           drpcstream.Options{SplitSize: splitBytes, MaximumBufferSize: keptBytes},
+	}}
 }
 
 func (c *Client) conn(ctx context.Context, addr fleet.Address) drpc.Conn {
--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -119,8 +119,24 @@
 	return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_Head{Head: headToPB(h)}, Load: loadToPB(l)})
 }
 
+// maxDataBytes is the size of one frame of an answer. The entry holds each
+// frame several times, in the connection's buffers and in the message, for as
+// long as a caller does not read.
+const maxDataBytes = 2 << 10
+
 // Data implements port.AnswerSink.
 func (s *answerSink) Data(b []byte) error {
+	for first := true; first || len(b) > 0; first = false {
+		n := min(len(b), maxDataBytes)
+		if err := s.frame(b[:n]); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+func (s *answerSink) frame(b []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := &pb.Data{Seq: s.frames, Bytes: b}
