--- a/internal/adapter/httpapi/callers.go
+++ b/internal/adapter/httpapi/callers.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// callOverhead is counted beside the bytes of a frame for the buffers and
-	// stacks of a request whose caller does not read.
-	callOverhead = 8 << 10
+	// callOverhead is counted beside the bytes of a frame for what a request
+	// whose caller does not read costs: five goroutines and the buffers of two
+	// connections. 528 such callers took 71 KiB each in heap and stacks.
+	callOverhead = 72 << 10
 	// slowAfter is the time a write must be blocked before its caller counts
 	// as slow. Healthy callers take a frame within milliseconds.
 	slowAfter = 100 * time.Millisecond
--- a/internal/adapter/httpapi/decode.go
+++ b/internal/adapter/httpapi/decode.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -143,7 +144,7 @@
 	var in struct {
 		Prompt json.RawMessage `json:"prompt"`
 	}
-	if err := json.Unmarshal(r.Body, &in); err != nil {
+	if err := json.Unmarshal(r.Body, &in); err != nil || bytes.TrimLeft(r.Body, " \t\r\n")[0] != '{' {
 		return badRequest("body is not a JSON object")
 	}
 	if len(in.Prompt) >= prefixBytes {
--- /dev/null
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -0,0 +1,330 @@
+package httpapi
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// fakeBackend answers with what next returns.
+type fakeBackend struct {
+	admit  error
+	bounds Bounds
+	serve  func(ctx context.Context, r port.ServeRequest) (port.Answer, error)
+}
+
+func (b *fakeBackend) Admit(port.ServeRequest) (Bounds, error) { return b.bounds, b.admit }
+
+func (b *fakeBackend) Serve(ctx context.Context, r port.ServeRequest) (port.Answer, error) {
+	return b.serve(ctx, r)
+}
+
+// fakeAnswer sends frames and then the error.
+type fakeAnswer struct {
+	head   port.AnswerHead
+	next   func(i int) ([]byte, error)
+	i      int
+	closed *atomic.Int32
+}
+
+func (a *fakeAnswer) Head() port.AnswerHead { return a.head }
+
+func (a *fakeAnswer) Next() ([]byte, error) {
+	a.i++
+	return a.next(a.i - 1)
+}
+
+func (a *fakeAnswer) Close() error {
+	a.closed.Add(1)
+	return nil
+}
+
+// backend returns a backend that answers with the pieces and then err.
+func backend(closed *atomic.Int32, err error, pieces ...string) *fakeBackend {
+	return &fakeBackend{serve: func(context.Context, port.ServeRequest) (port.Answer, error) {
+		return &fakeAnswer{head: port.AnswerHead{Version: "v1", ContentType: "text/plain", Status: 201}, closed: closed,
+			next: func(i int) ([]byte, error) {
+				if i < len(pieces) {
+					return []byte(pieces[i]), nil
+				}
+				return nil, err
+			}}, nil
+	}}
+}
+
+// endless returns a backend whose answers never end.
+func endless(closed *atomic.Int32) *fakeBackend {
+	frame := []byte(strings.Repeat("x", 2047) + "\n")
+	return &fakeBackend{serve: func(context.Context, port.ServeRequest) (port.Answer, error) {
+		return &fakeAnswer{closed: closed, next: func(int) ([]byte, error) { return frame, nil }}, nil
+	}}
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Count(string, int64, ...port.Attr)           {}
+func (noMetrics) Seconds(string, time.Duration, ...port.Attr) {}
+func (noMetrics) Gauge(string, float64, ...port.Attr)         {}
+
+// listen serves an API on loopback and returns its address.
+func listen(t *testing.T, cfg Config, b Backend) (*API, string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := New(cfg, b, noMetrics{})
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = a.Serve(lis) })
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		a.Close(ctx)
+		wg.Wait()
+	})
+	return a, lis.Addr().String()
+}
+
+var plain = Config{Memory: 32 << 20, MaxBody: 1 << 10}
+
+const (
+	groupPath   = "/v1/groups/g/generate"
+	servicePath = "/v1/services/s/call/read"
+)
+
+func post(t *testing.T, addr, path, body string, headers ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequest("POST", "http://"+addr+path, io.MultiReader(strings.NewReader(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(headerCustomer, "resort")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	res, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	return res, string(b), err
+}
+
+// TestAnswers guards against an answer whose end, verdict or version a caller
+// cannot see.
+func TestAnswers(t *testing.T) {
+	lost := verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "gone")
+	for _, c := range []struct {
+		path    string
+		err     error
+		pieces  []string
+		status  int
+		body    string
+		trailer string
+		cut     bool
+	}{
+		{groupPath, io.EOF, []string{"a\n", "b"}, 200, "a\nb\n{\"end\":{\"verdict\":\"ran\",\"version\":\"v1\",\"frames\":2,", "ran", false},
+		{groupPath, lost, []string{"a"}, 200, "a\n{\"error\":{\"code\":\"target_lost\",", "may-have-run", false},
+		{groupPath, lost, nil, 502, "{\"error\":{\"code\":\"target_lost\",", "", false},
+		{servicePath, io.EOF, []string{"a", "b"}, 201, "ab", "ran", false},
+		{servicePath, lost, []string{"a"}, 201, "a", "", true},
+	} {
+		var closed atomic.Int32
+		_, addr := listen(t, plain, backend(&closed, c.err, c.pieces...))
+		res, body, err := post(t, addr, c.path, "{}")
+		if res.StatusCode != c.status || !strings.HasPrefix(body, c.body) || res.Trailer.Get(headerVerdict) != c.trailer || (err != nil) != c.cut {
+			t.Errorf("%s, %v: status %d, body %q, trailer %v, %v", c.path, c.err, res.StatusCode, body, res.Trailer, err)
+		}
+		if closed.Load() != 1 {
+			t.Errorf("answer was closed %d times", closed.Load())
+		}
+	}
+}
+
+// TestRefusals guards against input that passes its limit, and against an
+// error that a caller's program cannot read.
+func TestRefusals(t *testing.T) {
+	var closed atomic.Int32
+	api, addr := listen(t, plain, backend(&closed, io.EOF))
+	for _, c := range []struct {
+		path, body string
+		headers    []string
+		status     int
+		code       string
+	}{
+		{"/v1/nothing", "", nil, 404, "bad_request"},
+		{"/v1/groups/" + strings.Repeat("g", 200) + "/generate", "{}", nil, 400, "bad_request"},
+		{groupPath, "{}", []string{headerCustomer, ""}, 400, "bad_request"},
+		{groupPath, "{}", []string{headerClass, "urgent"}, 400, "bad_request"},
+		{groupPath, "{}", []string{headerTimeout, "0"}, 400, "bad_request"},
+		{groupPath, "{}", []string{headerKey, "6ba7b810-9dad-11d1-80b4-00c04fd430c8"}, 400, "bad_request"},
+		{groupPath, "not json", nil, 400, "bad_request"},
+		{servicePath, strings.Repeat("x", 1025), nil, 413, "too_large"},
+	} {
+		res, body, _ := post(t, addr, c.path, c.body, c.headers...)
+		var e errorBody
+		if err := json.Unmarshal([]byte(body), &e); err != nil {
+			t.Errorf("%s: body %q: %v", c.path, body, err)
+		}
+		if res.StatusCode != c.status || string(e.Error.Code) != c.code || e.Error.Verdict != "not-run" || res.Header.Get(headerVerdict) != "not-run" {
+			t.Errorf("%s %v: status %d, body %q, headers %v", c.path, c.headers, res.StatusCode, body, res.Header)
+		}
+	}
+	if res, _, _ := post(t, addr, servicePath, strings.Repeat("x", 1024)); res.StatusCode != 201 {
+		t.Errorf("body of the largest size: status %d", res.StatusCode)
+	}
+	if api.BytesHeld() != 0 {
+		t.Errorf("%d bytes held at the end", api.BytesHeld())
+	}
+}
+
+// open sends a request and reads nothing.
+func open(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c := dial(t, addr)
+	if err := c.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// dial sends a request.
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\n%s: resort\r\nContent-Length: 2\r\n\r\n{}", groupPath, headerCustomer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+// TestSlowCallersAreBounded guards against callers that read nothing and fill
+// the entry's memory, and against healthy callers that suffer from them.
+func TestSlowCallersAreBounded(t *testing.T) {
+	const bound, slow = 1 << 20, 60
+	var closed atomic.Int32
+	api, addr := listen(t, Config{Memory: bound, MaxBody: 1 << 10}, endless(&closed))
+	for range slow {
+		open(t, addr)
+	}
+	fits := bound / (callOverhead + 2048)
+	until(t, "the slowest callers are ended", func() bool { return closed.Load() >= int32(slow-fits) })
+	if n := api.BytesHeld(); n > bound || n == 0 {
+		t.Errorf("%d bytes held, bound %d", n, bound)
+	}
+	c := dial(t, addr)
+	start := time.Now()
+	if _, err := io.CopyN(io.Discard, bufio.NewReader(c), 4<<20); err != nil {
+		t.Errorf("a caller that reads: %v", err)
+	}
+	t.Logf("a caller that reads gets 4 MiB in %v", time.Since(start))
+}
+
+// TestCallerLeaves guards against work that goes on after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	var closed atomic.Int32
+	api, addr := listen(t, plain, endless(&closed))
+	stopped := make(chan struct{})
+	waiting := &fakeBackend{serve: func(ctx context.Context, _ port.ServeRequest) (port.Answer, error) {
+		<-ctx.Done()
+		close(stopped)
+		return nil, verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeCanceled, "caller left")
+	}}
+	_, addr2 := listen(t, plain, waiting)
+	blocked, queued := open(t, addr), open(t, addr2)
+	until(t, "the caller's frame is held", func() bool { return api.BytesHeld() > 0 })
+	time.Sleep(50 * time.Millisecond)
+	_, _ = blocked.Close(), queued.Close()
+	until(t, "the answer is closed", func() bool { return closed.Load() == 1 && api.BytesHeld() == 0 })
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the queued request goes on")
+	}
+}
+
+// TestDrain guards against a planned stop that interrupts a request in
+// progress, or that starts a new one.
+func TestDrain(t *testing.T) {
+	release := make(chan struct{})
+	var closed atomic.Int32
+	slow := backend(&closed, io.EOF, "a\n")
+	inner := slow.serve
+	started := make(chan struct{})
+	slow.serve = func(ctx context.Context, r port.ServeRequest) (port.Answer, error) {
+		close(started)
+		<-release
+		return inner(ctx, r)
+	}
+	api, addr := listen(t, plain, slow)
+	var wg conc.WaitGroup
+	var body string
+	wg.Go(func() { _, body, _ = post(t, addr, groupPath, "{}") })
+	<-started
+	short, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if api.Drain(short) == nil {
+		t.Error("drained while a request is in progress")
+	}
+	res, refused, _ := post(t, addr, groupPath, "{}")
+	if res.StatusCode != 503 || !strings.Contains(refused, `"code":"shutting_down"`) || res.Header.Get(headerVerdict) != "not-run" {
+		t.Errorf("new request: status %d, %q", res.StatusCode, refused)
+	}
+	close(release)
+	if err := api.Drain(context.Background()); err != nil {
+		t.Error(err)
+	}
+	wg.Wait()
+	if !strings.Contains(body, `"verdict":"ran"`) {
+		t.Errorf("request in progress got %q", body)
+	}
+}
+
+// FuzzDecode guards against input of callers that stops the process or passes
+// its limits.
+func FuzzDecode(f *testing.F) {
+	f.Add("g", "c", "status", "1000", "0193a0b0-0000-7000-8000-000000000001", []byte(`{"prompt":"x"}`))
+	f.Add("../g", "", "x", "-1", "{0193a0b0-0000-7000-8000-000000000001}", []byte(`{"prompt":{"a":[`))
+	f.Fuzz(func(t *testing.T, name, customer, class, timeout, key string, body []byte) {
+		h := http.Header{headerCustomer: {customer}, headerClass: {class}, headerTimeout: {timeout}, headerKey: {key}}
+		r := port.ServeRequest{Body: body}
+		r.Group = "g"
+		r.Call = name
+		if decodeHead(h, &r) != nil || decodeBody(&r) != nil {
+			return
+		}
+		if len(r.Customer) == 0 || len(r.Customer) > maxName || len(r.Call) > maxName || r.Timeout <= 0 || r.Timeout > MaxTimeout ||
+			r.Class > 3 || r.IdempotencyKey != "" && len(r.IdempotencyKey) != uuidLength || !json.Valid(body) {
+			t.Fatalf("accepted %+v", r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/core/schedule/schedule_test.go
@@ -0,0 +1,211 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/routing"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	pool1 = routing.Pool{Group: "g"}
+)
+
+func request(c string, class fleet.Class, share int) Request {
+	return Request{Pool: pool1, Customer: fleet.Customer(c), Class: class, Share: share, Deadline: start.Add(time.Hour)}
+}
+
+func granted(t *Ticket) bool {
+	select {
+	case err := <-t.Granted():
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func enter(t *testing.T, q *Queue, r Request) *Ticket {
+	t.Helper()
+	x, err := q.Enter(r, start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return x
+}
+
+// serveBacklog fills the queue with n requests of each kind behind one permit
+// and returns how many of the first half of the grants each kind got.
+func serveBacklog(t *testing.T, n int, kinds ...Request) []int {
+	q := NewQueue(n * len(kinds))
+	holder := enter(t, q, request("holder", fleet.ClassStatus, 1))
+	waiting := map[*Ticket]int{}
+	for range n {
+		for i, r := range kinds {
+			waiting[enter(t, q, r)] = i
+		}
+	}
+	got := make([]int, len(kinds))
+	for range n * len(kinds) / 2 {
+		q.Leave(holder, start)
+		holder = nil
+		for x, i := range waiting {
+			if granted(x) {
+				holder = x
+				got[i]++
+				delete(waiting, x)
+				break
+			}
+		}
+		if holder == nil {
+			t.Fatal("a free permit was not granted")
+		}
+	}
+	return got
+}
+
+// TestSharesInsideClass guards against a customer that gets more or less than
+// its share because of how much it asks.
+func TestSharesInsideClass(t *testing.T) {
+	got := serveBacklog(t, 200, request("a", fleet.ClassStatus, 3), request("b", fleet.ClassStatus, 1))
+	if got[0] < 148 || got[0] > 152 {
+		t.Errorf("grants %v, want 3 to 1", got)
+	}
+}
+
+// TestFloodDoesNotDelay guards against a customer that floods the queue and
+// delays the first request of another.
+func TestFloodDoesNotDelay(t *testing.T) {
+	q := NewQueue(1000)
+	holder := enter(t, q, request("flood", fleet.ClassStatus, 1))
+	for range 500 {
+		enter(t, q, request("flood", fleet.ClassStatus, 1))
+	}
+	small := enter(t, q, request("small", fleet.ClassStatus, 1))
+	q.SetCapacity(pool1, 3, start)
+	if !granted(small) {
+		t.Error("the small customer waits behind the flood")
+	}
+	q.Leave(holder, start)
+}
+
+// TestClassPriority guards against drafts that delay a station check, and
+// against status traffic that starves the lower classes.
+func TestClassPriority(t *testing.T) {
+	got := serveBacklog(t, 400, request("a", fleet.ClassStatus, 1), request("a", fleet.ClassSummary, 1))
+	if low := float64(got[1]) / float64(got[0]+got[1]); low < 0.045 || low > 0.055 {
+		t.Errorf("grants %v, want 5%% for the lower class", got)
+	}
+}
+
+// TestPermits guards against a permit that leaks or is granted twice, and
+// against counters that drift, under any order of events.
+func TestPermits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue(20)
+		now, capacity := start, 1
+		var open []*Ticket
+		running := map[*Ticket]bool{}
+		refresh := func() {
+			for _, x := range open {
+				if granted(x) {
+					running[x] = true
+				}
+			}
+		}
+		leave := func(i int) {
+			x := open[i]
+			open = append(open[:i], open[i+1:]...)
+			q.Leave(x, now)
+			delete(running, x)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"enter": func(t *rapid.T) {
+				r := request(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "customer"), fleet.Class(rapid.IntRange(0, 3).Draw(t, "class")), rapid.IntRange(0, 9).Draw(t, "share"))
+				r.MaxQueued = rapid.IntRange(0, 8).Draw(t, "max")
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+				if x, err := q.Enter(r, now); err == nil {
+					open = append(open, x)
+				} else if verdict.Of(err).Verdict != verdict.NotRun {
+					t.Fatalf("refusal %v", err)
+				}
+			},
+			"leave": func(t *rapid.T) {
+				if len(open) == 0 {
+					t.Skip()
+				}
+				leave(rapid.IntRange(0, len(open)-1).Draw(t, "i"))
+			},
+			"time":     func(t *rapid.T) { now = now.Add(time.Duration(rapid.IntRange(1, 30).Draw(t, "ms")) * time.Millisecond) },
+			"capacity": func(t *rapid.T) { capacity = rapid.IntRange(1, 4).Draw(t, "n"); q.SetCapacity(pool1, capacity, now) },
+			"": func(t *rapid.T) {
+				refresh()
+				queued, inUse := q.Depth(pool1)
+				if inUse != len(running) || queued > 20 || queued > 0 && inUse < capacity {
+					t.Fatalf("%d permits of %d in use, %d granted, %d queued", inUse, capacity, len(running), queued)
+				}
+			},
+		})
+		for len(open) > 0 {
+			leave(0)
+			refresh()
+		}
+		if queued, inUse := q.Depth(pool1); queued != 0 || inUse != 0 || q.customers.Len() != 0 {
+			t.Fatalf("%d queued, %d in use, %d customers at the end", queued, inUse, q.customers.Len())
+		}
+	})
+}
+
+// TestShedsLateRequests guards against requests that wait although their
+// deadline cannot be met, and against shedding when there is room.
+func TestShedsLateRequests(t *testing.T) {
+	q := NewQueue(100)
+	x := enter(t, q, request("a", fleet.ClassStatus, 1))
+	q.Leave(x, start.Add(100*time.Millisecond))
+	short := request("a", fleet.ClassStatus, 1)
+	short.Deadline = start.Add(50 * time.Millisecond)
+	if x, err := q.Enter(short, start); err != nil || !granted(x) {
+		t.Fatalf("shed although a permit is free: %v", err)
+	}
+	_, err := q.Enter(short, start)
+	if e := verdict.Of(err); err == nil || e.Code != verdict.CodeOverloaded || e.RetryAfter <= 0 {
+		t.Errorf("error %v, want overloaded with a retry time", err)
+	}
+}
+
+// TestCustomerBounds guards against one customer that fills the queue or the
+// memory, and against bounds that are not returned.
+func TestCustomerBounds(t *testing.T) {
+	q := NewQueue(100)
+	r := request("a", fleet.ClassStatus, 1)
+	r.MaxQueued = 2
+	first := enter(t, q, r)
+	enter(t, q, r)
+	if _, err := q.Enter(r, start); verdict.Of(err).Code != verdict.CodeCustomerLimit {
+		t.Errorf("third request: %v", err)
+	}
+	q.Started(first)
+	enter(t, q, r)
+
+	b := NewBytes(100)
+	for i, c := range []struct {
+		customer fleet.Customer
+		n, max   int64
+		code     verdict.Code
+	}{{"a", 60, 70, ""}, {"a", 20, 70, verdict.CodeCustomerLimit}, {"b", 50, 0, verdict.CodeOverloaded}, {"b", 40, 0, ""}} {
+		err := b.Take(c.customer, c.n, c.max)
+		if (err == nil) != (c.code == "") || err != nil && verdict.Of(err).Code != c.code {
+			t.Error(fmt.Errorf("take %d: %w", i, err))
+		}
+	}
+	b.Give("a", 60)
+	b.Give("b", 40)
+	if b.Total() != 0 || b.customers.Len() != 0 {
+		t.Errorf("%d bytes, %d customers left", b.Total(), b.customers.Len())
+	}
+}
