Write log lines one at a time

Cause: a logger is used by many goroutines, but its writer was called without a lock; the race detector reported TestPlannedStop, whose output is a buffer.

Conclusion: any io.Writer can take the log.

--- a/internal/adapter/logging/logging.go
+++ b/internal/adapter/logging/logging.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/phuslu/log"
 )
@@ -17,10 +18,24 @@
 		Level:      log.InfoLevel,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		Context:    log.NewContext(nil).Str("role", role).Str("id", id).Value(),
-		Writer:     &log.IOWriter{Writer: w},
+		Writer:     &log.IOWriter{Writer: &lines{w: w}},
 	}}
 }
 
+// lines writes one line at a time, since any goroutine may log and not every
+// writer allows that.
+type lines struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(b)
+}
+
 // Field is one key and value of a line.
 type Field struct {
 	Key   string
