rpc: keep connections after refusals, give open errors their own cause, add Drain

Cause: the client canceled a stream's context before the agent's close had arrived. drpc ends the connection of a canceled stream, which by then may be back in the pool, so the next request on it failed as may have run. An error while opening was also reported as canceled, because the context was canceled before the error was read from it. A server that stops had no way to wait for the last message of an answer, which is sent after the handler returns.

Change: after the last message the client waits for the agent's close. The error is built before the close. Server.Drain waits until all answers are written to their end.

--- a/internal/adapter/rpc/agent_client.go
+++ b/internal/adapter/rpc/agent_client.go
@@ -25,8 +25,10 @@
 		return err
 	})
 	if err != nil {
+		// The error is read from the context, so it comes before the close.
+		err = a.openError(err)
 		sil.close()
-		return nil, a.openError(err)
+		return nil, err
 	}
 	if err := a.open(onLoad); err != nil {
 		sil.close()
@@ -94,6 +96,16 @@
 	}
 }
 
+// finish waits for the agent's close after its last message. To cancel a stream
+// that both sides have not closed ends the connection, which may already be
+// back in the pool and carry the next request.
+func (a *answer) finish() {
+	_ = a.sil.watch(func() error {
+		_, err := a.stream.Recv()
+		return err
+	})
+}
+
 func (a *answer) open(onLoad func(port.Load)) error {
 	m, err := a.recv()
 	if err != nil {
@@ -104,8 +116,10 @@
 	}
 	switch {
 	case m.GetRefused() != nil:
+		a.finish()
 		return errorFromPB(m.GetRefused())
 	case m.GetEnd().GetError() != nil:
+		a.finish()
 		return errorFromPB(m.GetEnd().GetError())
 	case m.GetHead() == nil:
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer does not start with a head")
@@ -143,6 +157,9 @@
 		return d.GetBytes(), nil
 	}
 	end := m.GetEnd()
+	if end != nil {
+		a.finish()
+	}
 	switch {
 	case end == nil:
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "unexpected message in the answer")
--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,13 +31,16 @@
 	mux *drpcmux.Mux
 	// Traffic counts the bytes sent and received.
 	Traffic Traffic
+	// answers counts the answers that are not written to their end.
+	answers atomic.Int64
 }
 
 // NewServer registers the handlers.
 func NewServer(h Handlers) (*Server, error) {
 	mux := drpcmux.New()
+	s := &Server{mux: mux}
 	if h.Agent != nil {
-		if err := pb.DRPCRegisterAgent(mux, &agentServer{h.Agent}); err != nil {
+		if err := pb.DRPCRegisterAgent(mux, &agentServer{h.Agent, &s.answers}); err != nil {
 			return nil, errors.Wrap(err, "registering agent service")
 		}
 	}
@@ -50,7 +54,26 @@
 			return nil, errors.Wrap(err, "registering member service")
 		}
 	}
-	return &Server{mux: mux}, nil
+	return s, nil
+}
+
+// drainPause is the time between two looks at the answers in progress.
+const drainPause = 5 * time.Millisecond
+
+// Drain returns once all answers of Agent.Serve are written to their end, or
+// when ctx ends. A handler returns before the end of its answer is sent, so
+// a server that stops must not rely on its handlers alone.
+func (s *Server) Drain(ctx context.Context) error {
+	t := time.NewTicker(drainPause)
+	defer t.Stop()
+	for s.answers.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "waiting for answers in progress")
+		case <-t.C:
+		}
+	}
+	return nil
 }
 
 // Serve accepts connections until ctx ends.
@@ -75,10 +98,15 @@
 	return countedConn{c, l.t}, nil
 }
 
-type agentServer struct{ h port.AgentHandler }
+type agentServer struct {
+	h       port.AgentHandler
+	answers *atomic.Int64
+}
 
 // Serve implements the generated interface.
 func (s *agentServer) Serve(in *pb.ServeRequest, stream pb.DRPCAgent_ServeStream) error {
+	s.answers.Add(1)
+	defer s.answers.Add(-1)
 	r := requestFromPB(in)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
