agent: serve requests at a model engine or plain service

Cause: nothing decided at the target whether a request may start, gave its engine orders, or reported its state.

Change: core/admission counts requests and bytes exactly and ramps a cold target. core/rollout plans what to hold, what to serve and the next order, and gates orders by the order lease. enginehttp and servicehttp call the target; standin-engine and standin-service take its place in tests. app/agent implements Serve, Load and WatchStatus with version pinning, at-most-once calls, drain and metrics. Weights, ledger and directory come in through connectStores, which is not connected yet. porttest gets fakes of Weights, Ledger, KV, Engine and Service.

Conclusion: a request is served end to end over the real rpc client and server on loopback.

--- /dev/null
+++ b/cmd/masticwing-agent/main.go
@@ -0,0 +1,11 @@
+// Command masticwing-agent runs beside a model engine or plain service.
+package main
+
+import (
+	"os"
+
+	"github.com/masticwing/masticwing/internal/app/agent"
+	"github.com/masticwing/masticwing/internal/app/daemon"
+)
+
+func main() { os.Exit(daemon.Main(agent.Role(), os.Args, os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/app/agent/orders.go
@@ -0,0 +1,187 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/rollout"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// errIncomplete means that the weights of an order were released meanwhile.
+var errIncomplete = errors.New("version is not complete in memory")
+
+// orderer gives orders to the engine, one at a time, under the order lease.
+type orderer struct {
+	a     *Agent
+	gate  rollout.Gate
+	key   string
+	owner string
+	lease port.LeaseID
+}
+
+func newOrderer(a *Agent) *orderer {
+	return &orderer{
+		a:     a,
+		gate:  rollout.NewGate(a.d.Clock.Now()),
+		key:   "order/" + string(a.id.VM),
+		owner: fmt.Sprintf("%s/%016x", a.id.VM, a.id.BootID),
+	}
+}
+
+func (o *orderer) run(ctx context.Context, in <-chan rollout.Action, out chan<- orderResult) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case x := <-in:
+			held, err := o.give(ctx, x)
+			out <- orderResult{action: x, held: held, err: err}
+		}
+	}
+}
+
+// give gives one order, or reports that it has to be planned again because the
+// time for it has not come.
+func (o *orderer) give(ctx context.Context, x rollout.Action) (held bool, err error) {
+	st, err := o.a.d.Engine.Status(ctx)
+	if err != nil {
+		return false, err
+	}
+	o.gate.EngineFence(st.Fence)
+	d := o.gate.Next(o.a.d.Clock.Now())
+	if d.Step == rollout.Acquire {
+		o.acquire(ctx)
+		d = o.gate.Next(o.a.d.Clock.Now())
+	}
+	switch d.Step {
+	case rollout.Give:
+		return false, o.order(ctx, x, d.Fence)
+	case rollout.Hold:
+		select {
+		case <-o.a.d.Clock.After(d.Wait):
+		case <-ctx.Done():
+		}
+	}
+	return true, nil
+}
+
+// acquire takes the order lease. The revision of the key under the lease is
+// the fencing number.
+func (o *orderer) acquire(ctx context.Context) {
+	sent := o.a.d.Clock.Now()
+	rev, err := o.take(ctx)
+	now := o.a.d.Clock.Now()
+	switch {
+	case err == nil:
+		o.gate.Acquired(rev, sent)
+	case errors.Is(err, port.ErrConflict) || errors.Is(err, port.ErrNotFound):
+		o.gate.Refused(now)
+	default:
+		o.gate.Unreachable(now)
+	}
+}
+
+func (o *orderer) take(ctx context.Context) (int64, error) {
+	id, err := o.a.d.KV.Grant(ctx, rollout.LeaseTime)
+	if err != nil {
+		return 0, err
+	}
+	o.lease = id
+	// The lease's id makes the value of each attempt unique.
+	value := o.owner + "/" + string(id)
+	rev, err := o.a.d.KV.CompareAndSwap(ctx, o.key, 0, []byte(value), id)
+	if errors.Is(err, port.ErrConflict) {
+		rev, err = o.retake(ctx, value, id)
+	}
+	if errors.Is(err, port.ErrUnknownOutcome) {
+		return o.confirm(ctx, value)
+	}
+	return rev, err
+}
+
+// retake replaces an earlier lease of this same agent.
+func (o *orderer) retake(ctx context.Context, value string, id port.LeaseID) (int64, error) {
+	e, err := o.a.d.KV.Get(ctx, o.key)
+	if err != nil {
+		return 0, err
+	}
+	if len(e.Value) <= len(o.owner) || string(e.Value[:len(o.owner)]) != o.owner {
+		return 0, port.ErrConflict
+	}
+	return o.a.d.KV.CompareAndSwap(ctx, o.key, e.Rev, []byte(value), id)
+}
+
+// confirm finds out whether a write whose answer was lost took effect.
+func (o *orderer) confirm(ctx context.Context, value string) (int64, error) {
+	e, err := o.a.d.KV.Get(ctx, o.key)
+	switch {
+	case errors.Is(err, port.ErrNotFound):
+		return 0, port.ErrConflict
+	case err != nil:
+		return 0, err
+	case string(e.Value) != value:
+		return 0, port.ErrConflict
+	}
+	return e.Rev, nil
+}
+
+// order carries out x and keeps the lease alive meanwhile. It ends the order
+// if the platform says that the lease is gone.
+func (o *orderer) order(ctx context.Context, x rollout.Action, fence int64) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg conc.WaitGroup
+	if held := o.gate.Held(o.a.d.Clock.Now()); held {
+		wg.Go(func() { o.keep(ctx, cancel) })
+	}
+	err := o.call(ctx, x, fence)
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	cancel(nil)
+	wg.Wait()
+	return err
+}
+
+func (o *orderer) call(ctx context.Context, x rollout.Action, fence int64) error {
+	if x.Kind == rollout.Unload {
+		return o.a.d.Engine.Unload(ctx, x.Ref.Version, fence)
+	}
+	r, n, ok := o.a.d.Weights.Open(x.Ref.Version)
+	if !ok {
+		return errIncomplete
+	}
+	return o.a.d.Engine.Load(ctx, port.LoadOrder{
+		Model: x.Ref.Model, Version: x.Ref.Version, Fence: fence, Bytes: n, Weights: r,
+	})
+}
+
+const keepEvery = rollout.LeaseTime / 3
+
+// keep extends the lease until ctx ends. The gate is not used by anything else
+// during an order.
+func (o *orderer) keep(ctx context.Context, cancel context.CancelCauseFunc) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.a.d.Clock.After(keepEvery):
+		}
+		sent := o.a.d.Clock.Now()
+		err := o.a.d.KV.KeepAlive(ctx, o.lease)
+		switch {
+		case err == nil:
+			o.gate.Extended(sent)
+		case errors.Is(err, port.ErrNotFound):
+			cancel(errLeaseLost)
+			return
+		}
+	}
+}
+
+// errLeaseLost means that the order lease expired during an order.
+var errLeaseLost = errors.New("order lease expired during the order")
--- /dev/null
+++ b/internal/app/agent/serve.go
@@ -0,0 +1,207 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/core/admission"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+const (
+	// frameBytes is the largest piece of an answer sent to an entry, which
+	// holds one piece per request.
+	frameBytes = 16 << 10
+	// longestRequest bounds a request without a deadline of its own.
+	longestRequest = 10 * time.Minute
+)
+
+// Serve implements port.AgentHandler.
+func (a *Agent) Serve(ctx context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+	a.serving.Add(1)
+	defer a.serving.Add(-1)
+	if r.Timeout <= 0 || r.Timeout > longestRequest {
+		r.Timeout = longestRequest
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	s := &serving{a: a, r: r, sink: sink, start: a.d.Clock.Now()}
+	err := s.run(ctx)
+	s.record(err)
+	return err
+}
+
+// serving is one request inside Serve.
+type serving struct {
+	a      *Agent
+	r      port.ServeRequest
+	sink   port.AnswerSink
+	start  time.Time
+	permit *admission.Permit
+	// sent is the time at which the request went to the target.
+	sent     time.Time
+	headed   bool
+	first    bool
+	replayed bool
+}
+
+func (s *serving) run(ctx context.Context) error {
+	v := s.a.view()
+	if v.declaration == nil {
+		return verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "agent knows no declaration yet")
+	}
+	if s.r.Service != "" {
+		return s.callService(ctx, v)
+	}
+	if s.a.d.Engine == nil || s.r.Group != v.assign.Group {
+		return verdict.New(verdict.NotRun, verdict.CodeVersionNotServing, "target does not serve group %q", s.r.Group)
+	}
+	return s.generate(ctx, v)
+}
+
+// admit takes a permit or returns the refusal.
+func (s *serving) admit() error {
+	p, refusal := s.a.adm.Admit(s.a.target, int64(len(s.r.Body)), s.a.d.Clock.Now())
+	if refusal != nil {
+		return refusal
+	}
+	s.permit = p
+	return nil
+}
+
+func (s *serving) release(err error) {
+	o := admission.Failed
+	switch {
+	case err == nil && !s.replayed:
+		o = admission.Succeeded
+	case s.replayed || verdict.Of(err).Verdict == verdict.NotRun:
+		o = admission.Unused
+	}
+	s.permit.Release(o, s.a.d.Clock.Now())
+	if s.permit.Version() != s.a.view().serving.Version {
+		// The version may have been waiting for its last request to retire.
+		signal(s.a.kicks)
+	}
+}
+
+func (s *serving) generate(ctx context.Context, v view) (err error) {
+	if err := s.admit(); err != nil {
+		return err
+	}
+	defer func() { s.release(err) }()
+	s.sent = s.a.d.Clock.Now()
+	ans, err := s.a.d.Engine.Generate(ctx, port.EngineRequest{
+		ID:       s.r.ID,
+		Model:    v.serving.Model,
+		Version:  s.permit.Version(),
+		Class:    s.r.Class,
+		Body:     s.r.Body,
+		Priority: int(s.r.Class),
+	})
+	if err != nil {
+		signal(s.a.probes)
+		return err
+	}
+	defer func() { _ = ans.Close() }()
+	if err := s.checkHead(ans.Head()); err != nil {
+		return err
+	}
+	return s.copyAnswer(ctx, ans)
+}
+
+// checkHead refuses an answer that belongs to another request or comes from
+// another version than the one pinned. Nothing of it reaches the entry.
+func (s *serving) checkHead(h port.AnswerHead) error {
+	if h.ID != s.r.ID {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "engine answered request %q", h.ID)
+	}
+	if h.Version != s.permit.Version() {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch,
+			"engine answered from version %q, pinned is %q", h.Version, s.permit.Version())
+	}
+	return nil
+}
+
+// copyAnswer passes the answer on piece by piece. It reads the next piece only
+// after the entry took the last one.
+func (s *serving) copyAnswer(ctx context.Context, ans port.Answer) error {
+	if err := s.head(ctx, ans.Head()); err != nil {
+		return err
+	}
+	for {
+		b, err := ans.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.data(ctx, b); err != nil {
+			return err
+		}
+	}
+}
+
+func (s *serving) head(ctx context.Context, h port.AnswerHead) error {
+	s.headed = true
+	return gone(ctx, s.sink.Head(h, s.a.Load()))
+}
+
+func (s *serving) data(ctx context.Context, b []byte) error {
+	s.firstByte()
+	s.a.d.Weights.ChargeLive(len(b))
+	for len(b) > 0 {
+		n := min(frameBytes, len(b))
+		if err := gone(ctx, s.sink.Data(b[:n])); err != nil {
+			return err
+		}
+		b = b[n:]
+	}
+	return nil
+}
+
+// gone gives an error of the entry's side its verdict.
+func gone(ctx context.Context, err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "deadline passed")
+	default:
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "entry has gone")
+	}
+}
+
+func (s *serving) firstByte() {
+	if s.first {
+		return
+	}
+	s.first = true
+	now := s.a.d.Clock.Now()
+	s.a.d.Metrics.Seconds("agent_first_byte_seconds", now.Sub(s.start), s.attrs()...)
+	if !s.sent.IsZero() && s.permit.FirstToken(now.Sub(s.sent), now) {
+		s.a.d.Metrics.Count("agent_cold_restarts", 1)
+	}
+}
+
+func (s *serving) attrs() []port.Attr {
+	return []port.Attr{{Key: "class", Value: s.r.Class.String()}, {Key: "customer", Value: string(s.r.Customer)}}
+}
+
+func (s *serving) record(err error) {
+	m := s.a.d.Metrics
+	if err == nil {
+		m.Seconds("agent_serve_seconds", s.a.d.Clock.Now().Sub(s.start), s.attrs()...)
+		m.Count("agent_verdicts", 1, port.Attr{Key: "verdict", Value: verdict.Ran.String()})
+		return
+	}
+	e := verdict.Of(err)
+	m.Count("agent_verdicts", 1, port.Attr{Key: "verdict", Value: e.Verdict.String()})
+	if !s.headed && e.Verdict == verdict.NotRun {
+		m.Count("agent_refusals", 1, port.Attr{Key: "code", Value: string(e.Code)})
+	}
+}
--- /dev/null
+++ b/internal/app/agent/serve_test.go
@@ -0,0 +1,273 @@
+package agent
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/declare"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/internal/port/porttest"
+	"github.com/masticwing/masticwing/internal/standin/engine"
+)
+
+var httptestClient = &http.Client{Timeout: 5 * time.Second}
+
+func wantError(t *testing.T, err error, v verdict.Verdict, c verdict.Code) {
+	t.Helper()
+	if e := verdict.Of(err); err == nil || e.Verdict != v || e.Code != c {
+		t.Fatalf("got %v, want %s with %s", err, c, v)
+	}
+}
+
+// serving waits until the agent serves version v.
+func (b *bed) serving(v string) {
+	b.Helper()
+	b.eventually("serving "+v, func() bool { st := b.agent.Status(); return st.Ready && string(st.Version) == v })
+}
+
+// TestServeWholeAnswer guards against an answer that is not whole or not from
+// the pinned version, and against orders before a version is complete.
+func TestServeWholeAnswer(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{CheckFence: true})
+	_, _, err := b.serve(b.request("r0", "x"))
+	wantError(t, err, verdict.NotRun, verdict.CodeNoConfiguration)
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.eventually("fetching", func() bool { return b.agent.Status().Progress.State == "fetching" })
+	_, _, err = b.serve(b.request("r1", "x"))
+	wantError(t, err, verdict.NotRun, verdict.CodeVersionNotServing)
+	b.weights.Put("v1", []byte("weights one"))
+	b.serving("v1")
+	h, got, err := b.serve(b.request("r2", "hello"))
+	if err != nil || h.Version != "v1" || h.ID != "r2" {
+		t.Fatalf("head %+v, error %v", h, err)
+	}
+	if w := want("r2", "v1", "weights one", "hello"); got != w {
+		t.Fatalf("answer %q, want %q", got, w)
+	}
+	if n := b.weights.Live.Load(); n != int64(len(got)) {
+		t.Errorf("%d bytes charged to the link, want %d", n, len(got))
+	}
+	r := b.request("r3", "x")
+	r.Group = "other"
+	_, _, err = b.serve(r)
+	wantError(t, err, verdict.NotRun, verdict.CodeVersionNotServing)
+}
+
+// TestVersionChangeUnderLoad guards against an answer mixed from two versions,
+// and against requests refused by a change with overlap keep-old.
+func TestVersionChangeUnderLoad(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{CheckFence: true, TokenDelay: 2 * time.Millisecond})
+	weights := map[string]string{"v1": "weights one", "v2": "weights two"}
+	b.weights.Put("v1", []byte(weights["v1"]))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	var stop, sawNew atomic.Bool
+	var wg conc.WaitGroup
+	for w := range 2 {
+		wg.Go(func() {
+			for i := 0; !stop.Load(); i++ {
+				id, body := fmt.Sprint("w", w, "-", i), fmt.Sprint("body", i)
+				h, got, err := b.serve(b.request(id, body))
+				if err != nil {
+					t.Errorf("request refused during the change: %v", err)
+					return
+				}
+				v := string(h.Version)
+				if got != want(id, v, weights[v], body) {
+					t.Errorf("answer of %s is not wholly from %s", id, v)
+				}
+				if v == "v2" {
+					sawNew.Store(true)
+				}
+			}
+		})
+	}
+	b.dir.set(declaration(2, "v2", declare.KeepOld))
+	time.Sleep(50 * time.Millisecond)
+	b.weights.Put("v2", []byte(weights["v2"]))
+	b.serving("v2")
+	b.eventually("an answer from v2", sawNew.Load)
+	b.eventually("v1 unloaded", func() bool {
+		st, err := b.agent.d.Engine.Status(context.Background())
+		return err == nil && len(st.Loaded) == 1 && st.Loaded[0] == "v2"
+	})
+	stop.Store(true)
+	wg.Wait()
+}
+
+// TestWrongAnswers guards against answers of another version or of another
+// request that reach the entry, and against a cut answer that looks whole.
+func TestWrongAnswers(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	for _, c := range []struct {
+		fault string
+		code  verdict.Code
+	}{
+		{`{"wrong_version":"v9"}`, verdict.CodeVersionMismatch},
+		{`{"wrong_id":"r9"}`, verdict.CodeBrokenAnswer},
+		{`{"cut_after":3}`, verdict.CodeTargetError},
+	} {
+		b.admin("/faults", c.fault)
+		_, _, err := b.serve(b.request("r1", "x"))
+		wantError(t, err, verdict.MayHaveRun, c.code)
+	}
+	if l := b.agent.Load(); l.InFlight != 0 || l.BytesHeld != 0 {
+		t.Fatalf("permits leaked: %+v", l)
+	}
+}
+
+// TestCancelReachesEngine guards against an engine that goes on producing
+// tokens for a caller that has gone, and against a deadline that is ignored.
+func TestCancelReachesEngine(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{TokenDelay: 20 * time.Millisecond})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	ctx, cancel := context.WithCancel(context.Background())
+	ans, err := b.client.Serve(ctx, b.addr, b.request("r1", `{"max_tokens":100000}`), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ans.Next(); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	b.eventually("permit released", func() bool { return b.agent.Load().InFlight == 0 })
+	r := b.request("r2", `{"max_tokens":100000}`)
+	r.Timeout = 200 * time.Millisecond
+	_, _, err = b.serve(r)
+	wantError(t, err, verdict.MayHaveRun, verdict.CodeDeadline)
+}
+
+// TestEngineRestart guards against more load than a cold engine bears, and
+// against an engine without weights that stays so.
+func TestEngineRestart(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{CheckFence: true, MaxRequests: 8, ColdRequests: 2, TokenDelay: time.Millisecond})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	flood := func() {
+		var wg conc.WaitGroup
+		var done atomic.Int64
+		for w := range 16 {
+			wg.Go(func() {
+				for i := range 40 {
+					_, _, err := b.serve(b.request(fmt.Sprint(w, "-", i), "x"))
+					if err == nil {
+						done.Add(1)
+					} else if verdict.Of(err).Verdict != verdict.NotRun {
+						t.Errorf("request failed: %v", err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		if done.Load() == 0 {
+			t.Error("no request was served")
+		}
+	}
+	flood()
+	b.eventually("warm", func() bool { return b.agent.Load().Limit == 8 })
+	b.admin("/restart", "")
+	b.eventually("cold", func() bool { st := b.agent.Status(); return st.Ready && st.Load.Limit == 2 })
+	flood()
+	st, err := b.agent.d.Engine.Status(context.Background())
+	if err != nil || st.BootID != "boot-2" {
+		t.Fatalf("engine fell over: status %+v, %v", st, err)
+	}
+}
+
+// TestCordonAndDrain guards against new work in a cordoned or leaving agent
+// and against a planned stop that interrupts a request.
+func TestCordonAndDrain(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{TokenDelay: 10 * time.Millisecond})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	d := declaration(2, "v1", declare.KeepOld)
+	d.Cordons.Domains = map[fleet.Domain]bool{"a": true}
+	b.dir.set(d)
+	b.eventually("cordon announced", func() bool { s := b.dir.get().self.Status; return s != nil && s.Cordoned })
+	_, _, err := b.serve(b.request("r1", "x"))
+	wantError(t, err, verdict.NotRun, verdict.CodeTargetCordoned)
+	b.dir.set(declaration(3, "v1", declare.KeepOld))
+	b.eventually("cordon lifted", func() bool { return !b.agent.Status().Cordoned })
+
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		_, got, err := b.serve(b.request("r2", `{"max_tokens":60}`))
+		if err != nil || got != want("r2", "v1", "w", `{"max_tokens":60}`) {
+			t.Errorf("a request in progress was interrupted: %v", err)
+		}
+	})
+	b.eventually("request in progress", func() bool { return b.agent.Load().InFlight == 1 })
+	wg.Go(func() {
+		if !b.agent.Drain(10 * time.Second) {
+			t.Error("drain did not wait for the request")
+		}
+	})
+	b.eventually("leaving announced", func() bool { return b.dir.get().self.State == port.MemberLeaving })
+	_, _, err = b.serve(b.request("r3", "x"))
+	wantError(t, err, verdict.NotRun, verdict.CodeTargetLeaving)
+	wg.Wait()
+}
+
+// TestCallsRunAtMostOnce guards against a second effect for one key, against a
+// lost answer reported as not run, and against a call without a key.
+func TestCallsRunAtMostOnce(t *testing.T) {
+	b := newBed(t, "service", engine.Options{})
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.eventually("ready", func() bool { return b.agent.Status().Ready })
+	call := func(name, key string) port.ServeRequest {
+		return port.ServeRequest{
+			ID: "r-" + "1", Service: "s", Call: name, Customer: "c", Body: []byte("station 4"),
+			IdempotencyKey: key, Timeout: 5 * time.Second,
+		}
+	}
+	_, _, err := b.serve(call("log", ""))
+	wantError(t, err, verdict.NotRun, verdict.CodeKeyRequired)
+	_, _, err = b.serve(call("nope", ""))
+	wantError(t, err, verdict.NotRun, verdict.CodeBadRequest)
+	if _, got, err := b.serve(call("read", "")); err != nil || got != "read ok: station 4\n" {
+		t.Fatalf("answer %q, error %v", got, err)
+	}
+	h, first, err := b.serve(call("log", "k1"))
+	if err != nil || h.Replayed {
+		t.Fatalf("head %+v, error %v", h, err)
+	}
+	h, second, err := b.serve(call("log", "k1"))
+	if err != nil || !h.Replayed || second != first {
+		t.Fatalf("replay: head %+v, answer %q, error %v", h, second, err)
+	}
+	b.admin("/faults", `{"lose_answers":true}`)
+	_, _, err = b.serve(call("log", "k2"))
+	wantError(t, err, verdict.MayHaveRun, verdict.CodeTargetLost)
+	b.admin("/faults", `{"refuse":true}`)
+	_, _, err = b.serve(call("log", "k3"))
+	wantError(t, err, verdict.NotRun, verdict.CodeTargetError)
+	b.admin("/faults", `{}`)
+	_, _, err = b.serve(call("log", "k2"))
+	wantError(t, err, verdict.MayHaveRun, verdict.CodeInProgress)
+	if _, _, err = b.serve(call("log", "k3")); err != nil {
+		t.Fatalf("a refused call must be able to run again: %v", err)
+	}
+	b.ledger.Down.Store(true)
+	_, _, err = b.serve(call("log", "k4"))
+	wantError(t, err, verdict.NotRun, verdict.CodeLedgerUnavailable)
+	b.ledger.Down.Store(false)
+	b.checkEffects(map[string]int64{"k1": 1, "k2": 1, "k3": 1, "k4": 0})
+	if got := b.ledger.State(port.LedgerKey{Service: "s", Customer: "c", Key: "k2"}); got != porttest.LedgerUnknown {
+		t.Fatalf("record of a lost answer is %q", got)
+	}
+}
--- /dev/null
+++ b/internal/app/agent/service.go
@@ -0,0 +1,168 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// keptAnswerBytes is the largest answer kept for repeats of a call.
+const keptAnswerBytes = 64 << 10
+
+func (s *serving) callService(ctx context.Context, v view) error {
+	if s.a.d.Service == nil || s.r.Service != v.assign.Service {
+		return verdict.New(verdict.NotRun, verdict.CodeVersionNotServing, "target does not run service %q", s.r.Service)
+	}
+	call, ok := v.declaration.Services[s.r.Service].Calls[s.r.Call]
+	switch {
+	case !ok:
+		return verdict.New(verdict.NotRun, verdict.CodeBadRequest, "service %q has no call %q", s.r.Service, s.r.Call)
+	case call.Once && s.r.IdempotencyKey == "":
+		return verdict.New(verdict.NotRun, verdict.CodeKeyRequired, "call %q needs an idempotency key", s.r.Call)
+	}
+	if err := s.admit(); err != nil {
+		return err
+	}
+	var err error
+	if call.Once {
+		err = s.callOnce(ctx)
+	} else {
+		err = s.callRepeatable(ctx)
+	}
+	s.release(err)
+	return err
+}
+
+func (s *serving) open(ctx context.Context) (port.Answer, error) {
+	s.sent = s.a.d.Clock.Now()
+	ans, err := s.a.d.Service.Call(ctx, port.ServiceRequest{
+		ID:             s.r.ID,
+		Service:        s.r.Service,
+		Call:           s.r.Call,
+		Customer:       s.r.Customer,
+		Body:           s.r.Body,
+		ContentType:    s.r.ContentType,
+		IdempotencyKey: s.r.IdempotencyKey,
+	})
+	if err != nil {
+		signal(s.a.probes)
+		return nil, err
+	}
+	return ans, nil
+}
+
+func (s *serving) callRepeatable(ctx context.Context) error {
+	ans, err := s.open(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = ans.Close() }()
+	return s.copyAnswer(ctx, ans)
+}
+
+// callOnce runs a call that may run at most once for its key.
+func (s *serving) callOnce(ctx context.Context) error {
+	t, stored, err := s.a.d.Ledger.Begin(ctx, port.LedgerKey{
+		Service: s.r.Service, Customer: s.r.Customer, Key: s.r.IdempotencyKey,
+	})
+	if err != nil {
+		return err
+	}
+	if stored != nil {
+		return s.replay(ctx, stored)
+	}
+	if ctx.Err() != nil {
+		t.NotRun()
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeDeadline, "request ended before the call started")
+	}
+	return s.runOnce(ctx, t)
+}
+
+func (s *serving) replay(ctx context.Context, a *port.StoredAnswer) error {
+	s.replayed = true
+	h := a.Head
+	h.ID, h.Replayed = s.r.ID, true
+	if err := s.head(ctx, h); err != nil {
+		return err
+	}
+	return s.data(ctx, a.Body)
+}
+
+// runOnce runs the call and settles the ticket exactly once. A caller that
+// goes away does not end the call, only its deadline does: a call that was cut
+// could no longer be told from one that ran.
+func (s *serving) runOnce(ctx context.Context, t port.LedgerTicket) error {
+	settled := false
+	defer func() {
+		if !settled {
+			t.Unknown()
+		}
+	}()
+	run := context.WithoutCancel(ctx)
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		run, cancel = context.WithDeadline(run, deadline)
+		defer cancel()
+	}
+	ans, err := s.open(run)
+	if err != nil {
+		settled = true
+		return settle(t, err)
+	}
+	defer func() { _ = ans.Close() }()
+	kept, sendErr, err := s.copyKept(ctx, ans)
+	settled = true
+	if err != nil {
+		return settle(t, err)
+	}
+	t.Done(kept)
+	if sendErr != nil {
+		return verdict.Of(sendErr).WithVerdict(verdict.Ran)
+	}
+	return nil
+}
+
+// settle records a call that failed.
+func settle(t port.LedgerTicket, err error) error {
+	switch verdict.Of(err).Verdict {
+	case verdict.NotRun:
+		t.NotRun()
+	case verdict.Ran:
+		t.Done(nil)
+	default:
+		t.Unknown()
+	}
+	return err
+}
+
+// copyKept passes the answer on and keeps it if it is small enough. The answer
+// is read to its end even if the entry has gone.
+func (s *serving) copyKept(ctx context.Context, ans port.Answer) (kept *port.StoredAnswer, sendErr, err error) {
+	var buf bytes.Buffer
+	whole := true
+	sendErr = s.head(ctx, ans.Head())
+	for {
+		b, err := ans.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, sendErr, err
+		}
+		if whole = whole && buf.Len()+len(b) <= keptAnswerBytes; whole {
+			buf.Write(b)
+		}
+		if sendErr == nil {
+			sendErr = s.data(ctx, b)
+		}
+	}
+	if !whole {
+		return nil, sendErr, nil
+	}
+	return &port.StoredAnswer{Head: ans.Head(), Body: buf.Bytes()}, sendErr, nil
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,182 @@
+// Package engine stands in for a model engine in tests and demos. Its answers
+// are a function of the request body and of the loaded weights, so that a test
+// can tell which version produced an answer and that all of it was loaded.
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Options are the properties of the engine.
+type Options struct {
+	// CheckFence refuses orders with a fencing number lower than the highest
+	// one seen.
+	CheckFence bool
+	// MaxRequests is the load that a warm engine bears; ColdRequests is that of
+	// a cold one. Each request that a cold engine finishes lets it bear one
+	// more. Over its limit it answers 500 to everything until it is restarted.
+	MaxRequests, ColdRequests int
+	// TokenDelay is the time for one token.
+	TokenDelay time.Duration
+	// LoadPerMiB is the time to load one MiB of weights.
+	LoadPerMiB time.Duration
+	// MemoryBytes bounds the weights that are loaded at one time; 0 is no bound.
+	MemoryBytes int64
+}
+
+// Faults are the failures that a test can switch on with POST /faults.
+type Faults struct {
+	// WrongVersion is named in answers instead of the version that produced them.
+	WrongVersion string `json:"wrong_version"`
+	// WrongID is named in answers instead of the request's id.
+	WrongID string `json:"wrong_id"`
+	// CutAfter ends the connection after that many frames, if positive.
+	CutAfter int `json:"cut_after"`
+}
+
+// Answered is one line of the history.
+type Answered struct {
+	RequestID string `json:"request_id"`
+	Version   string `json:"version"`
+	// Whole is false for an answer that was cut or canceled.
+	Whole bool `json:"whole"`
+}
+
+// maxHistory bounds the record of answers.
+const maxHistory = 100_000
+
+type model struct {
+	digest [sha256.Size]byte
+	bytes  int64
+}
+
+// Server is the stand-in's HTTP handler.
+type Server struct {
+	o Options
+
+	mu        sync.Mutex
+	boots     int
+	loadCount int64
+	fence     int64
+	loaded    map[string]model
+	inFlight  int
+	served    int
+	failed    bool
+	faults    Faults
+	counts    map[string]int64
+	history   []Answered
+}
+
+// New returns an engine without weights.
+func New(o Options) *Server {
+	if o.MaxRequests <= 0 {
+		o.MaxRequests = 8
+	}
+	if o.ColdRequests <= 0 {
+		o.ColdRequests = o.MaxRequests
+	}
+	return &Server{o: o, boots: 1, loaded: map[string]model{}, counts: map[string]int64{}}
+}
+
+// Handler returns the routes of the stand-in.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", s.counted("status", s.status))
+	mux.HandleFunc("POST /v1/load", s.counted("load", s.load))
+	mux.HandleFunc("POST /v1/unload", s.counted("unload", s.unload))
+	mux.HandleFunc("POST /v1/generate", s.counted("generate", s.generate))
+	mux.HandleFunc("POST /restart", s.restart)
+	mux.HandleFunc("POST /cold", s.cold)
+	mux.HandleFunc("POST /faults", s.setFaults)
+	mux.HandleFunc("GET /counts", s.getCounts)
+	mux.HandleFunc("GET /history", s.getHistory)
+	return mux
+}
+
+func (s *Server) count(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[kind]++
+}
+
+func (s *Server) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.count(kind)
+		s.mu.Lock()
+		failed := s.failed
+		s.mu.Unlock()
+		if failed {
+			http.Error(w, "engine has failed", http.StatusInternalServerError)
+			return
+		}
+		h(w, r)
+	}
+}
+
+type status struct {
+	BootID    string   `json:"boot_id"`
+	Loaded    []string `json:"loaded"`
+	Fence     int64    `json:"fence"`
+	LoadCount int64    `json:"load_count"`
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	st := status{BootID: fmt.Sprintf("boot-%d", s.boots), Loaded: []string{}, Fence: s.fence, LoadCount: s.loadCount}
+	for v := range s.loaded {
+		st.Loaded = append(st.Loaded, v)
+	}
+	s.mu.Unlock()
+	writeJSON(w, st)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// restart is a new process of the engine: no weights, no failure.
+func (s *Server) restart(http.ResponseWriter, *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boots++
+	s.loadCount, s.served, s.failed, s.fence = 0, 0, false, 0
+	s.loaded = map[string]model{}
+}
+
+// cold drops the caches and keeps the weights.
+func (s *Server) cold(http.ResponseWriter, *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loadCount++
+	s.served = 0
+}
+
+func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, s.counts)
+}
+
+func (s *Server) getHistory(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	h := append([]Answered{}, s.history...)
+	s.mu.Unlock()
+	writeJSON(w, h)
+}
--- /dev/null
+++ b/internal/standin/engine/generate.go
@@ -0,0 +1,161 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	maxBodyBytes  = 8 << 20
+	defaultTokens = 8
+)
+
+// Frame is one line of a generated answer.
+type Frame struct {
+	RequestID string `json:"request_id"`
+	Version   string `json:"version"`
+	Seq       int    `json:"seq"`
+	Text      string `json:"text"`
+}
+
+type headLine struct {
+	Head struct {
+		RequestID string `json:"request_id"`
+		Version   string `json:"version"`
+	} `json:"head"`
+}
+
+type endLine struct {
+	End struct {
+		Frames int `json:"frames"`
+	} `json:"end"`
+}
+
+// Token returns the text of frame seq of the answer that the given weights
+// produce for a request body.
+func Token(weights, body []byte, seq int) string { return token(sha256.Sum256(weights), body, seq) }
+
+func token(digest [sha256.Size]byte, body []byte, seq int) string {
+	h := sha256.New()
+	h.Write(digest[:])
+	h.Write(body)
+	fmt.Fprintf(h, "/%d", seq)
+	return fmt.Sprintf("%x", h.Sum(nil)[:8])
+}
+
+// Tokens returns the number of frames of the answer to body: its max_tokens
+// if it is a JSON object with one, otherwise 8.
+func Tokens(body []byte) int {
+	var req struct {
+		MaxTokens int `json:"max_tokens"`
+	}
+	if json.Unmarshal(body, &req) != nil || req.MaxTokens <= 0 {
+		return defaultTokens
+	}
+	return req.MaxTokens
+}
+
+// enter counts a request in, or makes the engine fail over its limit.
+func (s *Server) enter(version string) (model, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.loaded[version]
+	if !ok {
+		return m, http.StatusConflict
+	}
+	if s.inFlight >= min(s.o.MaxRequests, s.o.ColdRequests+s.served) {
+		s.failed = true
+		s.counts["overload"]++
+		return m, http.StatusInternalServerError
+	}
+	s.inFlight++
+	s.counts["max_in_flight"] = max(s.counts["max_in_flight"], int64(s.inFlight))
+	return m, http.StatusOK
+}
+
+func (s *Server) leave(a Answered) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight--
+	if a.Whole {
+		s.served++
+	} else {
+		s.counts["canceled"]++
+	}
+	if len(s.history) < maxHistory {
+		s.history = append(s.history, a)
+	}
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "bad body", http.StatusBadRequest)
+		return
+	}
+	a := Answered{RequestID: r.Header.Get("X-Request-Id"), Version: r.Header.Get("X-Model-Version")}
+	m, code := s.enter(a.Version)
+	if code != http.StatusOK {
+		http.Error(w, "version is not loaded, or engine has failed", code)
+		return
+	}
+	defer func() { s.leave(a) }()
+	resume, _ := strconv.Atoi(r.Header.Get("X-Resume-Frames"))
+	a.Whole = s.stream(w, r, a, m, body, resume)
+}
+
+// stream writes the answer and reports whether all of it was written.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, a Answered, m model, body []byte, resume int) bool {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	id, version := a.RequestID, a.Version
+	if f.WrongID != "" {
+		id = f.WrongID
+	}
+	if f.WrongVersion != "" {
+		version = f.WrongVersion
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	out := json.NewEncoder(w)
+	flush := http.NewResponseController(w)
+	var head headLine
+	head.Head.RequestID, head.Head.Version = id, version
+	_ = out.Encode(head)
+	n := Tokens(body)
+	for i := resume; i < n; i++ {
+		if !s.pause(r) {
+			return false
+		}
+		if f.CutAfter > 0 && i >= f.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if out.Encode(Frame{id, version, i, token(m.digest, body, i)}) != nil || flush.Flush() != nil {
+			return false
+		}
+	}
+	var end endLine
+	end.End.Frames = n
+	return out.Encode(end) == nil
+}
+
+// pause waits for one token. It reports false once the caller has gone or the
+// engine has failed.
+func (s *Server) pause(r *http.Request) bool {
+	if s.o.TokenDelay > 0 {
+		t := time.NewTimer(s.o.TokenDelay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-r.Context().Done():
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return r.Context().Err() == nil && !s.failed
+}
--- /dev/null
+++ b/internal/standin/engine/load.go
@@ -0,0 +1,98 @@
+package engine
+
+import (
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const mib = 1 << 20
+
+// fenced applies the fencing number of an order and reports whether the order
+// may be carried out.
+func (s *Server) fenced(w http.ResponseWriter, r *http.Request) bool {
+	n, err := strconv.ParseInt(r.URL.Query().Get("fence"), 10, 64)
+	if err != nil {
+		http.Error(w, "bad fencing number", http.StatusBadRequest)
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.o.CheckFence && n < s.fence {
+		s.counts["stale_order"]++
+		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+		return false
+	}
+	s.fence = max(s.fence, n)
+	return true
+}
+
+func (s *Server) load(w http.ResponseWriter, r *http.Request) {
+	if !s.fenced(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	size, err := strconv.ParseInt(q.Get("bytes"), 10, 64)
+	if err != nil || size <= 0 || q.Get("version") == "" {
+		http.Error(w, "bad version or size", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	boots, used := s.boots, int64(0)
+	for v, m := range s.loaded {
+		if v != q.Get("version") {
+			used += m.bytes
+		}
+	}
+	s.mu.Unlock()
+	if s.o.MemoryBytes > 0 && used+size > s.o.MemoryBytes {
+		s.count("out_of_memory")
+		http.Error(w, "not enough memory", http.StatusInsufficientStorage)
+		return
+	}
+	digest, n, err := s.readWeights(r)
+	if err != nil || n != size {
+		http.Error(w, "weights are not whole", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.boots != boots {
+		http.Error(w, "engine restarted", http.StatusInternalServerError)
+		return
+	}
+	s.loaded[q.Get("version")] = model{digest: digest, bytes: n}
+	s.loadCount++
+	s.served = 0
+}
+
+// readWeights reads the weights at the engine's own speed.
+func (s *Server) readWeights(r *http.Request) (digest [sha256.Size]byte, n int64, err error) {
+	h := sha256.New()
+	buf := make([]byte, 64<<10)
+	for {
+		k, err := r.Body.Read(buf)
+		h.Write(buf[:k])
+		n += int64(k)
+		if d := time.Duration(int64(s.o.LoadPerMiB) * int64(k) / mib); d > 0 {
+			time.Sleep(d)
+		}
+		if err == io.EOF {
+			return [sha256.Size]byte(h.Sum(nil)), n, nil
+		}
+		if err != nil {
+			return digest, n, err
+		}
+	}
+}
+
+func (s *Server) unload(w http.ResponseWriter, r *http.Request) {
+	if !s.fenced(w, r) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.loaded, r.URL.Query().Get("version"))
+}
