agent: keep a group in rotation during changes and fence orders in tests

Cause: an agent that restarted beside a serving engine took the engine out of rotation until the new version was complete. With overlap drain-first all agents of a group left rotation at the same time. A record of a call waited for a slow caller, and could end as unknown although the call ran.

A small answer of a call that runs once is recorded before it is sent. A lost connection to a plain service returns it to the cold limit.

--- a/internal/adapter/servicehttp/servicehttp.go
+++ b/internal/adapter/servicehttp/servicehttp.go
@@ -126,7 +126,7 @@
 	var d dialError
 	switch {
 	case errors.As(err, &d):
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeTargetError, "cannot connect to the service")
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeTargetLost, "cannot connect to the service")
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "deadline passed at the service")
 	case ctx.Err() != nil:
--- a/internal/app/agent/controller.go
+++ b/internal/app/agent/controller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
@@ -51,6 +53,9 @@
 	orderDone time.Time
 	stale     bool
 	failed    time.Time
+	// waitingAt is the time at which the version waitingFor became complete.
+	waitingFor fleet.Version
+	waitingAt  time.Time
 }
 
 func newController(a *Agent) *controller {
@@ -182,9 +187,13 @@
 	a := c.a
 	v := a.view()
 	target := rollout.Ref{Model: v.assign.Model, Version: v.assign.Version}
-	es := []rollout.Event{rollout.Assigned(target, v.assign.Overlap), rollout.EngineLost()}
+	es := []rollout.Event{
+		rollout.Assigned(target, v.assign.Overlap, knownVersions(v)...),
+		rollout.Stays(!c.mayLeave(v)),
+		rollout.EngineLost(),
+	}
 	if v.up {
-		es[1] = rollout.EngineReported(c.loaded)
+		es = append(es, rollout.EngineReported(c.loaded))
 	}
 	var complete []fleet.Version
 	for _, r := range append([]rollout.Ref{target}, c.want...) {
@@ -195,6 +204,42 @@
 	return append(append(es, rollout.HeldComplete(complete)), c.busy()...)
 }
 
+// knownVersions lists the declared versions of the assigned model in order.
+func knownVersions(v view) []fleet.Version {
+	return slices.Sorted(maps.Values(v.declaration.Models[v.assign.Model].Versions))
+}
+
+// mayLeave reports whether this agent may leave rotation for a change with
+// overlap drain-first.
+func (c *controller) mayLeave(v view) bool {
+	a := c.a
+	if v.assign.Overlap != declare.DrainFirst {
+		return true
+	}
+	now := a.d.Clock.Now()
+	if c.waitingFor != v.assign.Version {
+		c.waitingFor, c.waitingAt = v.assign.Version, time.Time{}
+	}
+	if _, _, ok := a.d.Weights.Open(v.assign.Version); ok && c.waitingAt.IsZero() {
+		c.waitingAt = now
+	}
+	if !v.ready {
+		return true
+	}
+	peers := []rollout.Peer{{VM: a.id.VM, Serving: true, Updated: v.serving.Version == v.assign.Version}}
+	for _, m := range a.d.Directory.Members(fleet.KindAgent) {
+		if st := m.Status; st != nil && st.Group == v.assign.Group && st.VM != a.id.VM {
+			serving := st.Ready && !st.Leaving && !st.Cordoned
+			peers = append(peers, rollout.Peer{VM: st.VM, Serving: serving, Updated: st.Version == v.assign.Version})
+		}
+	}
+	var waited time.Duration
+	if !c.waitingAt.IsZero() {
+		waited = now.Sub(c.waitingAt)
+	}
+	return rollout.MayLeave(a.id.VM, v.assign.Version, peers, waited)
+}
+
 func (c *controller) busy() []rollout.Event {
 	var es []rollout.Event
 	for _, v := range c.loaded {
@@ -205,7 +250,7 @@
 
 // hold tells the store of weights which versions to keep.
 func (c *controller) hold(p rollout.Plan) {
-	if sameRefs(c.want, p.Want) {
+	if slices.Equal(c.want, p.Want) {
 		return
 	}
 	c.want = p.Want
@@ -216,18 +261,6 @@
 	c.a.d.Weights.Want(ts)
 }
 
-func sameRefs(a, b []rollout.Ref) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // rotate lets admission pin the planned version.
 func (c *controller) rotate(p rollout.Plan) {
 	a := c.a
--- /dev/null
+++ b/internal/app/agent/orders_test.go
@@ -0,0 +1,99 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"github.com/masticwing/masticwing/internal/core/rollout"
+	"github.com/masticwing/masticwing/internal/port/porttest"
+)
+
+// skipClock is a clock on which waiting takes no time, but for the wait between
+// two keep-alives, which never ends: the orders of this test take no time.
+type skipClock struct{ now time.Time }
+
+func (c *skipClock) Now() time.Time { return c.now }
+
+func (c *skipClock) After(d time.Duration) <-chan time.Time {
+	if d == keepEvery {
+		return nil
+	}
+	c.now = c.now.Add(d)
+	ch := make(chan time.Time, 1)
+	ch <- c.now
+	return ch
+}
+
+func newTestOrderer(c *skipClock, kv *porttest.KV, e *porttest.Engine, boot uint64) *orderer {
+	w := porttest.NewWeights()
+	w.Put("v1", []byte("w"))
+	return newOrderer(New(Identity{VM: "vm1", BootID: boot}, Deps{Clock: c, KV: kv, Engine: e, Weights: w}))
+}
+
+var unload = rollout.Action{Kind: rollout.Unload, Ref: rollout.Ref{Version: "v0"}}
+
+// until gives an order again and again until it was given, and returns the
+// time that it took.
+func until(t *rapid.T, o *orderer, c *skipClock) time.Duration {
+	start := c.now
+	for range 1000 {
+		held, err := o.give(context.Background(), unload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !held {
+			return c.now.Sub(start)
+		}
+	}
+	t.Fatal("order never given")
+	return 0
+}
+
+// TestOrdersAreFenced guards against an order of a paused or replaced agent
+// that the engine takes after a newer one, against an order before an unknown
+// lease has lapsed, and against a lost answer that stops all orders.
+func TestOrdersAreFenced(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &skipClock{time.Unix(1000, 0)}
+		kv, e := porttest.NewKV(c.Now), porttest.NewEngine()
+		o := newTestOrderer(c, kv, e, 1)
+		boot, down := uint64(1), false
+		started := c.now
+		t.Repeat(map[string]func(*rapid.T){
+			"order": func(t *rapid.T) {
+				took := until(t, o, c)
+				if down && !o.gate.Held(c.now) && c.now.Sub(started) < rollout.LeaseTime {
+					t.Fatalf("order without the platform %v after the start, took %v", c.now.Sub(started), took)
+				}
+			},
+			"pause":   func(*rapid.T) { c.now = c.now.Add(2 * rollout.LeaseTime) },
+			"outage":  func(t *rapid.T) { down = rapid.Bool().Draw(t, "down"); kv.SetDown(down) },
+			"lose":    func(*rapid.T) { kv.LoseAnswers(1) },
+			"replace": func(*rapid.T) { boot++; started = c.now; o = newTestOrderer(c, kv, e, boot) },
+			"": func(t *rapid.T) {
+				fences := e.Orders()
+				for i := 1; i < len(fences); i++ {
+					if fences[i] < fences[i-1] {
+						t.Fatalf("fencing numbers went back: %v", fences)
+					}
+				}
+			},
+		})
+	})
+}
+
+// TestOrderNeedsCompleteWeights guards against an engine that is ordered to
+// load a version that was released meanwhile.
+func TestOrderNeedsCompleteWeights(t *testing.T) {
+	c := &skipClock{time.Unix(1000, 0)}
+	e := porttest.NewEngine()
+	o := newTestOrderer(c, porttest.NewKV(c.Now), e, 1)
+	x := rollout.Action{Kind: rollout.Load, Ref: rollout.Ref{Version: "v9"}}
+	if err := o.call(context.Background(), x, 1); !errors.Is(err, errIncomplete) || len(e.Orders()) != 0 {
+		t.Fatalf("got %v, orders %v", err, e.Orders())
+	}
+}
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bytes"
 	"context"
 	"io"
 
@@ -50,12 +49,21 @@
 		IdempotencyKey: s.r.IdempotencyKey,
 	})
 	if err != nil {
-		signal(s.a.probes)
+		s.lost(err)
 		return nil, err
 	}
 	return ans, nil
 }
 
+// lost takes a lost connection as a sign that the service restarted, since a
+// plain service reports no boot identity.
+func (s *serving) lost(err error) {
+	if verdict.Of(err).Code == verdict.CodeTargetLost {
+		s.a.adm.Cool(s.a.target, s.a.d.Clock.Now())
+	}
+	signal(s.a.probes)
+}
+
 func (s *serving) callRepeatable(ctx context.Context) error {
 	ans, err := s.open(ctx)
 	if err != nil {
@@ -115,12 +123,24 @@
 		return settle(t, err)
 	}
 	defer func() { _ = ans.Close() }()
-	kept, sendErr, err := s.copyKept(ctx, ans)
-	settled = true
+	kept, whole, err := keep(ans)
 	if err != nil {
+		settled = true
 		return settle(t, err)
 	}
-	t.Done(kept)
+	if whole {
+		// The record does not wait for the caller.
+		settled = true
+		t.Done(&port.StoredAnswer{Head: ans.Head(), Body: kept})
+	}
+	sendErr, err := s.sendOnce(ctx, ans, kept, whole)
+	if !settled {
+		settled = true
+		if err != nil {
+			return settle(t, err)
+		}
+		t.Done(nil)
+	}
 	if sendErr != nil {
 		return verdict.Of(sendErr).WithVerdict(verdict.Ran)
 	}
@@ -140,29 +160,38 @@
 	return err
 }
 
-// copyKept passes the answer on and keeps it if it is small enough. The answer
+// keep reads an answer until its end, or until it is too large to be kept.
+func keep(ans port.Answer) (kept []byte, whole bool, err error) {
+	for len(kept) <= keptAnswerBytes {
+		b, err := ans.Next()
+		if errors.Is(err, io.EOF) {
+			return kept, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+		kept = append(kept, b...)
+	}
+	return kept, false, nil
+}
+
+// sendOnce passes the answer on. The rest of an answer that is not whole yet
 // is read to its end even if the entry has gone.
-func (s *serving) copyKept(ctx context.Context, ans port.Answer) (kept *port.StoredAnswer, sendErr, err error) {
-	var buf bytes.Buffer
-	whole := true
-	sendErr = s.head(ctx, ans.Head())
-	for {
+func (s *serving) sendOnce(ctx context.Context, ans port.Answer, kept []byte, whole bool) (sendErr, err error) {
+	if sendErr = s.head(ctx, ans.Head()); sendErr == nil {
+		sendErr = s.data(ctx, kept)
+	}
+	for !whole {
 		b, err := ans.Next()
 		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
-			return nil, sendErr, err
-		}
-		if whole = whole && buf.Len()+len(b) <= keptAnswerBytes; whole {
-			buf.Write(b)
+			return sendErr, err
 		}
 		if sendErr == nil {
 			sendErr = s.data(ctx, b)
 		}
 	}
-	if !whole {
-		return nil, sendErr, nil
-	}
-	return &port.StoredAnswer{Head: ans.Head(), Body: buf.Bytes()}, sendErr, nil
+	return sendErr, nil
 }
--- a/internal/app/agent/status.go
+++ b/internal/app/agent/status.go
@@ -114,7 +114,6 @@
 		last = st
 		a.d.Directory.SetSelf(func(r *port.MemberRecord) {
 			r.Status = &st
-			r.Revision = st.Revision
 			if st.Leaving {
 				r.State = port.MemberLeaving
 			}
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -117,6 +117,12 @@
 	return cold
 }
 
+// Cool returns the target to its cold limit, for a sign of a restart that no
+// engine reports.
+func (t *Table) Cool(target string, now time.Time) {
+	t.with(target, func(r *record) { r.cool(now) })
+}
+
 // floor is the limit of a cold target.
 func (r *record) floor() int {
 	return min(max(1, r.limits.ColdRequests), r.limits.MaxRequests)
--- a/internal/core/rollout/plan.go
+++ b/internal/core/rollout/plan.go
@@ -15,20 +15,21 @@
 }
 
 // want keeps the version served last beside the target until the target
-// serves, so that an engine that restarts meanwhile can have it again.
+// serves, so that an engine that restarts meanwhile can have it again. It does
+// not fetch that version anew.
 func (m *Machine) want() []Ref {
 	var w []Ref
 	if m.target.Version != "" {
 		w = append(w, m.target)
 	}
-	if m.keepsLast() {
+	if m.keepsLast() && m.complete[m.last.Version] {
 		w = append(w, m.last)
 	}
 	return w
 }
 
 func (m *Machine) keepsLast() bool {
-	return m.target.Version != "" && m.last.Version != "" && m.last != m.target && !m.has(m.target.Version)
+	return m.target.Version != "" && m.last.Version != "" && m.last != m.target && !m.usable(m.target.Version)
 }
 
 // serving returns the target once it is loaded, and before that the version
@@ -37,17 +38,20 @@
 	switch {
 	case !m.up || m.target.Version == "":
 		return Ref{}
-	case m.has(m.target.Version) && !m.orders(Unload, m.target.Version):
+	case m.usable(m.target.Version):
 		return m.target
-	case m.overlap == declare.DrainFirst && m.complete[m.target.Version]:
+	case m.overlap == declare.DrainFirst && m.complete[m.target.Version] && !m.stays:
 		return Ref{}
-	case m.keepsLast() && m.has(m.last.Version) && !m.orders(Unload, m.last.Version):
+	case m.keepsLast() && m.usable(m.last.Version):
 		return m.last
 	default:
 		return Ref{}
 	}
 }
 
+// usable reports whether the engine holds v and is not about to release it.
+func (m *Machine) usable(v fleet.Version) bool { return m.has(v) && !m.orders(Unload, v) }
+
 func (m *Machine) orders(k Kind, v fleet.Version) bool {
 	return m.order.Kind == k && m.order.Ref.Version == v
 }
@@ -80,7 +84,7 @@
 	switch {
 	case m.target.Version == "" || m.has(m.target.Version):
 		return Action{}
-	case m.complete[m.target.Version]:
+	case m.complete[m.target.Version] && (m.overlap == declare.KeepOld || serving.Version == ""):
 		return Action{Load, m.target}
 	case serving.Version == "" && m.keepsLast() && m.complete[m.last.Version]:
 		return Action{Load, m.last}
@@ -102,7 +106,7 @@
 		return Retiring
 	case m.complete[v]:
 		return Complete
-	case v == m.target.Version || m.keepsLast() && v == m.last.Version:
+	case v == m.target.Version:
 		return Fetching
 	default:
 		return Absent
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -83,6 +83,11 @@
 type Machine struct {
 	target  Ref
 	overlap declare.Overlap
+	// known lists the declared versions of the target's model.
+	known []fleet.Version
+	// stays is true while a machine with overlap drain-first has to remain in
+	// rotation for the sake of its group.
+	stays bool
 	// last is the version served most recently; it answers until the target
 	// does, also after a restart of the engine.
 	last     Ref
@@ -97,10 +102,15 @@
 type Event func(m *Machine)
 
 // Assigned is the event of a new assignment. An empty version asks for nothing.
-func Assigned(target Ref, o declare.Overlap) Event {
-	return func(m *Machine) { m.target, m.overlap = target, o }
+// known lists the declared versions of the same model: an agent that starts
+// beside an engine that holds one of them serves it until the target is there.
+func Assigned(target Ref, o declare.Overlap, known ...fleet.Version) Event {
+	return func(m *Machine) { m.target, m.overlap, m.known = target, o, slices.Clone(known) }
 }
 
+// Stays is the event that the machine may not leave rotation yet, or may again.
+func Stays(on bool) Event { return func(m *Machine) { m.stays = on } }
+
 // HeldComplete is the event that exactly the versions vs are complete in
 // memory.
 func HeldComplete(vs []fleet.Version) Event {
@@ -157,6 +167,7 @@
 		for _, e := range es {
 			e(m)
 		}
+		m.adopt()
 		p = m.Plan()
 		m.last = p.lastServed(m.last)
 		return m, true
@@ -164,6 +175,19 @@
 	return p
 }
 
+// adopt takes a declared version that the engine holds as the one served last.
+func (m *Machine) adopt() {
+	if m.last.Version != "" {
+		return
+	}
+	for _, v := range m.known {
+		if m.has(v) {
+			m.last = Ref{m.target.Model, v}
+			return
+		}
+	}
+}
+
 func (p Plan) lastServed(last Ref) Ref {
 	if p.Serving.Version != "" {
 		return p.Serving
