--- a/internal/app/agent/harness_test.go
+++ b/internal/app/agent/harness_test.go
@@ -96,6 +96,14 @@
 
 // newBed starts an agent. kind is "engine" or "service".
 func newBed(t *testing.T, kind string, o engine.Options) *bed {
+	t.Helper()
+	b := buildBed(t, kind, o)
+	b.start()
+	return b
+}
+
+// buildBed makes an agent that does not run yet.
+func buildBed(t *testing.T, kind string, o engine.Options) *bed {
 	t.Helper()
 	metrics, err := otelmetrics.New()
 	if err != nil {
@@ -120,7 +128,6 @@
 	b.target = h.URL
 	t.Cleanup(h.Close)
 	b.agent = New(Identity{VM: "vm1", Domain: "a", BootID: 7, Labels: declare.Labels{"kind": kind}}, d)
-	b.start()
 	return b
 }
 
--- /dev/null
+++ b/internal/app/agent/life_test.go
@@ -0,0 +1,201 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/core/declare"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/internal/standin/engine"
+)
+
+// TestStatusStream guards against an entry that learns late of a change of
+// state, against a stream without heartbeats, and against a member record that
+// changes with every request.
+func TestStatusStream(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	st, err := b.client.WatchStatus(context.Background(), b.addr, "e1", "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = st.Close() }()
+	first, err := st.Next()
+	if err != nil || first.Version != "v1" || first.Revision != 1 || first.BootID != 7 || first.Load.Limit != 2 {
+		t.Fatalf("first status %+v, %v", first, err)
+	}
+	writes := b.dir.get().writes
+	for range 3 {
+		if _, _, err := b.serve(b.request("r", "x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	start := time.Now()
+	beat, err := st.Next()
+	if d := time.Since(start); err != nil || d > 1500*time.Millisecond || d < 500*time.Millisecond {
+		t.Fatalf("heartbeat after %v: %+v, %v", d, beat, err)
+	}
+	if n := b.dir.get().writes - writes; n > 1 {
+		t.Errorf("%d changes of the member record without a change of state", n)
+	}
+	d := declaration(2, "v1", declare.KeepOld)
+	d.Cordons.VMs = map[fleet.VM]bool{"vm1": true}
+	start = time.Now()
+	b.dir.set(d)
+	for {
+		got, err := st.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.Cordoned && got.Revision == 2 {
+			break
+		}
+	}
+	if d := time.Since(start); d > 500*time.Millisecond {
+		t.Errorf("cordon announced after %v", d)
+	}
+}
+
+// TestDrainFirst guards against two versions in an engine that has the memory
+// for one, and against an unload under a request in progress.
+func TestDrainFirst(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{CheckFence: true, MemoryBytes: 8, TokenDelay: 5 * time.Millisecond})
+	b.weights.Put("v1", []byte("weights1"))
+	b.dir.set(declaration(1, "v1", declare.DrainFirst))
+	b.serving("v1")
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		_, got, err := b.serve(b.request("r1", `{"max_tokens":60}`))
+		if err != nil || got != want("r1", "v1", "weights1", `{"max_tokens":60}`) {
+			t.Errorf("request in progress during the change: %v", err)
+		}
+	})
+	b.eventually("request in progress", func() bool { return b.agent.Load().InFlight == 1 })
+	b.dir.set(declaration(2, "v2", declare.DrainFirst))
+	time.Sleep(20 * time.Millisecond)
+	if st := b.agent.Status(); st.Version != "v1" {
+		t.Errorf("left rotation before the new version was complete: %+v", st)
+	}
+	b.weights.Put("v2", []byte("weights2"))
+	b.eventually("out of rotation", func() bool { return !b.agent.Status().Ready })
+	_, _, err := b.serve(b.request("r2", "x"))
+	wantError(t, err, verdict.NotRun, verdict.CodeVersionNotServing)
+	b.serving("v2")
+	wg.Wait()
+	if _, got, err := b.serve(b.request("r3", "x")); err != nil || got != want("r3", "v2", "weights2", "x") {
+		t.Fatalf("answer %q, error %v", got, err)
+	}
+}
+
+// TestOnceSurvivesItsCaller guards against a call that is cut, and so left with
+// an unknown outcome, because its caller went away.
+func TestOnceSurvivesItsCaller(t *testing.T) {
+	b := newBed(t, "service", engine.Options{})
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.eventually("ready", func() bool { return b.agent.Status().Ready })
+	b.admin("/faults", `{"delay_ms":200}`)
+	r := port.ServeRequest{ID: "r1", Service: "s", Call: "log", Customer: "c", Body: []byte("x"), IdempotencyKey: "k1", Timeout: 5 * time.Second}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := b.client.Serve(ctx, b.addr, r, nil); verdict.Of(err).Verdict != verdict.MayHaveRun {
+		t.Fatalf("got %v for a caller that gave up", err)
+	}
+	b.eventually("call done", func() bool { return b.ledger.Settled.Load() == 1 })
+	h, got, err := b.serve(r)
+	if err != nil || !h.Replayed || got != "log ok: x\n" {
+		t.Fatalf("repeat: head %+v, answer %q, error %v", h, got, err)
+	}
+	b.checkEffects(map[string]int64{"k1": 1})
+}
+
+// TestPlannedStop guards against a stop that cuts an answer, or that does not
+// end.
+func TestPlannedStop(t *testing.T) {
+	b := buildBed(t, "engine", engine.Options{TokenDelay: 10 * time.Millisecond})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	srv, err := rpc.NewServer(rpc.Handlers{Agent: b.agent})
+	if err != nil {
+		t.Fatal(err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.client.Close)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	st := stores{Run: func(ctx context.Context) { <-ctx.Done() }}
+	env := daemon.Env{Log: b.agent.d.Log, Admin: &daemon.Admin{}}
+	wg.Go(func() { done <- serve(ctx, b.agent, srv, lis, st, Settings{DrainTimeout: 10 * time.Second}, env) })
+	b.serving("v1")
+	b.addr = fleet.Address(lis.Addr().String())
+	wg.Go(func() {
+		if _, got, err := b.serve(b.request("r1", `{"max_tokens":60}`)); err != nil || got != want("r1", "v1", "w", `{"max_tokens":60}`) {
+			t.Errorf("the stop interrupted a request: %v", err)
+		}
+	})
+	b.eventually("request in progress", func() bool { return b.agent.Load().InFlight == 1 })
+	stop()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Errorf("stop failed: %v", err)
+		}
+	case <-time.After(8 * time.Second):
+		t.Error("the stop does not end")
+	}
+}
+
+// TestSettings guards against an example that does not load, and against
+// settings that contradict each other.
+func TestSettings(t *testing.T) {
+	var c Settings
+	s := settings.New("masticwing-agent")
+	c.Register(s)
+	text := s.Example()
+	for k, v := range map[string]string{
+		"id": "vm1", "admin": "127.0.0.1:1", "domain": "a", "region": "r1", "rpc": "127.0.0.1:2", "address": "127.0.0.1:3",
+	} {
+		text = strings.Replace(text, "\n"+k+" =\n", "\n"+k+" = "+v+"\n", 1)
+	}
+	path := filepath.Join(t.TempDir(), "agent.ini")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(text)
+	if f := s.Load(path); len(f) > 0 {
+		t.Fatalf("faults in the example: %v", f)
+	}
+	write(strings.ReplaceAll(text, ";address = \n", "address = 127.0.0.1:4\n") + "\n[nope]\nx = 1\n")
+	var out bytes.Buffer
+	code := daemon.Main(Role(), []string{"masticwing-agent", "check-config", "--config", path}, &out, &out)
+	if code != daemon.ExitSettings {
+		t.Fatalf("exit code %d: %s", code, out.String())
+	}
+	write(strings.ReplaceAll(text, ";address = \n", "address = 127.0.0.1:4\n"))
+	if f := s.Load(path); len(f) != 1 || f[0].Section != "service" {
+		t.Fatalf("got faults %v for an agent with two targets", f)
+	}
+}
