Spread weight versions between agents

Change: pace has token buckets in which live traffic goes first. spread has the neighbours, gateways, chunk choice, origin allowance and upload slots. app/weights has a Manager that implements port.Weights and port.PeerHandler. originhttp and standin-origin connect it to an origin over HTTP.

Conclusion: a version completes between several managers; bounds under paced links and faults are not measured yet.

--- /dev/null
+++ b/internal/adapter/originhttp/originhttp.go
@@ -0,0 +1,136 @@
+// Package originhttp implements port.Origin over HTTP:
+//
+//	GET /v1/versions/{version}/manifest      JSON {"model","chunks":[{"digest","bytes"}]}
+//	GET /v1/versions/{version}/chunks/{n}    the bytes of chunk n
+package originhttp
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+const (
+	// stallTimeout ends a call that receives nothing.
+	stallTimeout = 2 * time.Second
+	dialTimeout  = time.Second
+	// maxManifestBytes bounds a manifest in its JSON form, in which a chunk
+	// takes about 100 bytes.
+	maxManifestBytes = 128 * manifest.MaxChunks
+	// RequesterHeader names the VM that asks.
+	RequesterHeader = "X-Masticwing-VM"
+)
+
+// Client calls an origin.
+type Client struct {
+	base string
+	vm   fleet.VM
+	http *http.Client
+}
+
+var _ port.Origin = (*Client)(nil)
+
+// New returns a client of the origin at addr that names itself vm.
+func New(addr fleet.Address, vm fleet.VM) *Client {
+	d := net.Dialer{Timeout: dialTimeout}
+	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4}
+	return &Client{base: "http://" + string(addr), vm: vm, http: &http.Client{Transport: t}}
+}
+
+type manifestBody struct {
+	Model  string      `json:"model"`
+	Chunks []chunkBody `json:"chunks"`
+}
+
+type chunkBody struct {
+	Digest string `json:"digest"`
+	Bytes  int64  `json:"bytes"`
+}
+
+// Manifest implements port.Origin. The caller checks the result against the
+// version.
+func (c *Client) Manifest(ctx context.Context, v fleet.Version) (manifest.Manifest, error) {
+	rc, err := c.get(ctx, "/v1/versions/"+string(v)+"/manifest")
+	if err != nil {
+		return manifest.Manifest{}, errors.Wrap(err, "asking origin for manifest")
+	}
+	defer func() { _ = rc.Close() }()
+	var m manifestBody
+	if err := json.NewDecoder(io.LimitReader(rc, maxManifestBytes)).Decode(&m); err != nil {
+		return manifest.Manifest{}, errors.Wrap(err, "decoding manifest")
+	}
+	out := manifest.Manifest{Model: fleet.Model(m.Model)}
+	for _, ch := range m.Chunks {
+		var d manifest.Digest
+		if n, err := hex.Decode(d[:], []byte(ch.Digest)); err != nil || n != len(d) || len(ch.Digest) != 2*len(d) {
+			return manifest.Manifest{}, errors.New("manifest has a malformed digest")
+		}
+		out.Chunks = append(out.Chunks, manifest.Chunk{Digest: d, Bytes: ch.Bytes})
+	}
+	return out, nil
+}
+
+// Chunk implements port.Origin.
+func (c *Client) Chunk(ctx context.Context, v fleet.Version, i int) (io.ReadCloser, error) {
+	rc, err := c.get(ctx, "/v1/versions/"+string(v)+"/chunks/"+strconv.Itoa(i))
+	return rc, errors.Wrap(err, "asking origin for chunk")
+}
+
+func (c *Client) get(ctx context.Context, path string) (io.ReadCloser, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(stallTimeout, cancel)
+	fail := func(err error) (io.ReadCloser, error) {
+		timer.Stop()
+		cancel()
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return fail(err)
+	}
+	req.Header.Set(RequesterHeader, string(c.vm))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fail(err)
+	}
+	timer.Stop()
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return fail(errors.Errorf("origin answered with status %d", resp.StatusCode))
+	}
+	return &body{resp.Body, timer, cancel}, nil
+}
+
+// body cancels its call when a read waits too long. Time between reads does not
+// count, so that a paced reader is not taken for a stalled origin.
+type body struct {
+	io.ReadCloser
+	timer  *time.Timer
+	cancel context.CancelFunc
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	b.timer.Reset(stallTimeout)
+	defer b.timer.Stop()
+	return b.ReadCloser.Read(p)
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.timer.Stop()
+	err := b.ReadCloser.Close()
+	b.cancel()
+	return err
+}
--- /dev/null
+++ b/internal/app/weights/fetch.go
@@ -0,0 +1,254 @@
+package weights
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/spread"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// readBytes is the most that is read from a sender before the link's budget is
+// consulted.
+const readBytes = 16 << 10
+
+// dispatch starts fetches until the version is complete or ctx ends.
+func (v *version) dispatch(ctx context.Context, b *body) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	var active, outside atomic.Int64
+	for {
+		if b.table.Held() == len(b.man.Chunks) {
+			v.complete.Store(true)
+			v.setReason("")
+			signal(v.m.changed)
+			return
+		}
+		v.startOutside(ctx, b, &wg, &outside)
+		v.startPeers(ctx, b, &wg, &active)
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.wake:
+		case <-v.m.deps.Clock.After(recheck):
+		}
+	}
+}
+
+func (v *version) startPeers(ctx context.Context, b *body, wg *conc.WaitGroup, active *atomic.Int64) {
+	l := v.m.set.Limits
+	for active.Load() < int64(l.Total) {
+		ch, ok := b.table.Pick(v.m.deps.Clock.Now(), l, v.m.rand)
+		if !ok {
+			return
+		}
+		v.start(ctx, b, wg, active, ch)
+	}
+}
+
+func (v *version) startOutside(ctx context.Context, b *body, wg *conc.WaitGroup, active *atomic.Int64) {
+	plan := v.plan.Load()
+	if plan == nil {
+		return
+	}
+	now := v.m.deps.Clock.Now()
+	if !plan.Gateway || !b.table.Settled(now) {
+		v.explain(b, now, false)
+		return
+	}
+	if !v.allow.IsSet() {
+		lacking, _ := b.table.Lacking(now)
+		mean := b.size / int64(len(b.man.Chunks))
+		v.allow.Set(int64(plan.Quota(lacking)) * max(mean, b.man.Chunks[0].Bytes))
+	}
+	blocked := false
+	for active.Load() < int64(v.m.set.Limits.Outside) {
+		now = v.m.deps.Clock.Now()
+		var ch spread.Choice
+		var ok bool
+		ch, ok, blocked = b.table.PickOutside(now, v.outside(b, plan, now), v.m.rand)
+		if !ok {
+			break
+		}
+		v.start(ctx, b, wg, active, ch)
+	}
+	v.explain(b, now, blocked)
+}
+
+// outside returns what this gateway may fetch from outside its region now.
+func (v *version) outside(b *body, plan *spread.Plan, now time.Time) spread.Outside {
+	average := v.allow.Average()
+	idle := func(vm fleet.VM) time.Duration { return b.table.Idle(vm, now) }
+	still := v.still(now)
+	may := func(c int) (fetch, origin bool) {
+		owner, _ := plan.Owner(c)
+		fetch = owner == v.m.set.VM || plan.MayTakeOver(c, idle, average)
+		// A region that draws chunk c from another region turns to the origin
+		// when nothing arrives any more.
+		origin = plan.Draws(c) || still > 2*spread.OriginStep
+		return fetch, origin
+	}
+	return spread.Outside{May: may, OriginReady: v.allow.Ready(now, b.man.Chunks[0].Bytes)}
+}
+
+// explain sets the reason why the version stands still.
+func (v *version) explain(b *body, now time.Time, blocked bool) {
+	if v.still(now) < stillAfter {
+		v.setReason("")
+		return
+	}
+	n, example := b.table.Lacking(now)
+	switch {
+	case blocked:
+		v.setReason("waiting for origin")
+	case n > 0:
+		v.setReason(fmt.Sprintf("no peer has chunk %d", example))
+	default:
+		v.setReason("peers do not send")
+	}
+}
+
+func (v *version) start(ctx context.Context, b *body, wg *conc.WaitGroup, active *atomic.Int64, ch spread.Choice) {
+	active.Add(1)
+	wg.Go(func() {
+		defer func() {
+			b.table.Ended(ch)
+			active.Add(-1)
+			signal(v.wake)
+		}()
+		if ch.Origin {
+			v.fetchOrigin(ctx, b, ch)
+			return
+		}
+		v.fetchPeer(ctx, b, ch)
+	})
+}
+
+func (v *version) fetchOrigin(ctx context.Context, b *body, ch spread.Choice) {
+	start := v.m.deps.Clock.Now()
+	size := b.man.Chunks[ch.Chunk].Bytes
+	v.allow.Spend(size)
+	rc, err := v.m.deps.Origin.Chunk(ctx, v.id, ch.Chunk)
+	var data []byte
+	if err == nil {
+		data, err = v.receive(ctx, b, ch, rc, v.m.counters.fromOrigin)
+	}
+	now := v.m.deps.Clock.Now()
+	if err != nil {
+		v.allow.Failed(size-int64(len(data)), now)
+		return
+	}
+	v.allow.Done(0, now.Sub(start))
+	v.accept(b, ch, data)
+}
+
+func (v *version) fetchPeer(ctx context.Context, b *body, ch spread.Choice) {
+	member, ok := v.peer(ch)
+	if !ok {
+		return
+	}
+	local := member.Region == v.m.set.Region
+	r := port.ChunkRequest{Version: v.id, Index: ch.Chunk, From: v.m.set.VM, FromRegion: v.m.set.Region}
+	start := v.m.deps.Clock.Now()
+	rc, err := v.m.deps.Peers.FetchChunk(ctx, member.Address, r)
+	if err != nil {
+		err = v.stalled(start, err)
+	}
+	var data []byte
+	if err == nil {
+		data, err = v.receive(ctx, b, ch, rc, func(n int) { v.m.counters.fromPeer(n, local) })
+	}
+	if err == nil {
+		v.accept(b, ch, data)
+		return
+	}
+	if ctx.Err() == nil {
+		v.fetchFailed(b, ch, err)
+	}
+}
+
+func (v *version) peer(ch spread.Choice) (spread.Member, bool) {
+	for _, n := range v.plan.Load().Neighbours {
+		if n.VM == ch.From {
+			return n, true
+		}
+	}
+	return spread.Member{}, false
+}
+
+func (v *version) fetchFailed(b *body, ch spread.Choice, err error) {
+	now := v.m.deps.Clock.Now()
+	switch {
+	case errors.Is(err, port.ErrPeerBusy):
+		b.table.Refused(ch.From, ch.Chunk, true, now)
+	case errors.Is(err, port.ErrChunkMissing):
+		b.table.Refused(ch.From, ch.Chunk, false, now)
+	case errors.Is(err, errStalled):
+		b.table.Avoid(ch.From, now.Add(spread.AvoidStalled))
+		signal(v.replan)
+	default:
+		b.table.Avoid(ch.From, now.Add(spread.AvoidFailed))
+	}
+}
+
+// accept verifies a chunk and keeps it.
+func (v *version) accept(b *body, ch spread.Choice, data []byte) {
+	if err := b.man.Verify(ch.Chunk, data); err != nil {
+		v.m.counters.corruptedChunk()
+		if !ch.Origin {
+			b.table.Avoid(ch.From, v.m.deps.Clock.Now().Add(spread.AvoidCorrupted))
+			signal(v.replan)
+		}
+		return
+	}
+	if v.store(b, ch.Chunk, data) && !ch.Origin {
+		b.credit.Took(int64(len(data)))
+	}
+}
+
+// errStalled means that a fetch was abandoned because nothing arrived.
+var errStalled = errors.New("fetch made no progress")
+
+// stalled returns errStalled for an error that followed a long silence.
+func (v *version) stalled(start time.Time, err error) error {
+	if v.m.deps.Clock.Now().Sub(start) >= stallTime {
+		return errStalled
+	}
+	return err
+}
+
+// receive reads a chunk at the pace of the link. It returns what arrived, also
+// with an error. A sender that gives more than the chunk's size is cut off.
+func (v *version) receive(
+	ctx context.Context, b *body, ch spread.Choice, rc io.ReadCloser, count func(int),
+) ([]byte, error) {
+	defer func() { _ = rc.Close() }()
+	size := int(b.man.Chunks[ch.Chunk].Bytes)
+	data := make([]byte, 0, size)
+	for len(data) < size {
+		start := v.m.deps.Clock.Now()
+		n, err := rc.Read(data[len(data):min(size, len(data)+readBytes)])
+		data = data[:len(data)+n]
+		count(n)
+		now := v.m.deps.Clock.Now()
+		if err != nil && len(data) < size {
+			return data, v.stalled(start, errors.Wrap(err, "receiving chunk"))
+		}
+		if n > 0 {
+			b.table.Progress(ch.Chunk, now)
+		}
+		if err := v.m.sleep(ctx, v.m.link.In.Reserve(now, n)); err != nil {
+			return data, err
+		}
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/app/weights/manager.go
@@ -0,0 +1,216 @@
+// Package weights keeps the wanted versions of model weights in the memory of
+// an agent. It fetches chunks from other agents and from the origin, verifies
+// them, and serves them to other agents.
+package weights
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/pace"
+	"github.com/masticwing/masticwing/internal/core/shard"
+	"github.com/masticwing/masticwing/internal/core/spread"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// States of Progress.
+const (
+	StateIdle     = "idle"
+	StateManifest = "manifest"
+	StateFetching = "fetching"
+	StateComplete = "complete"
+)
+
+// Settings of a Manager.
+type Settings struct {
+	VM     fleet.VM
+	Region fleet.Region
+	// InRate and OutRate limit the link in bytes per second; 0 means no limit.
+	InRate, OutRate int64
+	// Memory bounds the bytes of all versions together; 0 means no limit.
+	Memory int64
+	// Limits bounds the fetches in progress of one version.
+	Limits spread.Limits
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Limits == (spread.Limits{}) {
+		s.Limits = spread.Limits{Total: 6, PerPeer: 2, Outside: 2}
+	}
+	return s
+}
+
+// Deps are the ports that a Manager uses.
+type Deps struct {
+	Directory port.Directory
+	Peers     port.PeerClient
+	Origin    port.Origin
+	Clock     port.Clock
+	Rand      port.Rand
+	Metrics   port.Metrics
+}
+
+// Manager implements port.Weights and port.PeerHandler.
+type Manager struct {
+	set      Settings
+	deps     Deps
+	link     pace.Link
+	slots    *spread.Slots
+	versions *shard.Map[fleet.Version, *version]
+	counters counters
+	changed  chan struct{}
+	wake     chan struct{}
+
+	mu      sync.Mutex // guards wanted
+	wanted  []port.WeightsTarget
+	memory  memory
+	stopped chan struct{}
+}
+
+var (
+	_ port.Weights     = (*Manager)(nil)
+	_ port.PeerHandler = (*Manager)(nil)
+)
+
+// New returns a manager that holds nothing. Run makes it work.
+func New(s Settings, d Deps) *Manager {
+	m := &Manager{
+		set:      s.withDefaults(),
+		deps:     d,
+		link:     pace.NewLink(s.InRate, s.OutRate, d.Clock.Now()),
+		slots:    spread.NewSlots(spread.MaxUploads),
+		versions: shard.New[fleet.Version, *version](0),
+		changed:  make(chan struct{}, 1),
+		wake:     make(chan struct{}, 1),
+		stopped:  make(chan struct{}),
+	}
+	m.counters.metrics = d.Metrics
+	m.memory.init(s.Memory)
+	return m
+}
+
+// Run fetches what is wanted until ctx ends. It is called once.
+func (m *Manager) Run(ctx context.Context) {
+	defer close(m.stopped)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		m.reconcile(ctx, &wg)
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.wake:
+		}
+	}
+}
+
+// Want implements port.Weights.
+func (m *Manager) Want(targets []port.WeightsTarget) {
+	m.mu.Lock()
+	m.wanted = slices.Clone(targets)
+	m.mu.Unlock()
+	signal(m.wake)
+}
+
+func (m *Manager) targets() []port.WeightsTarget {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wanted
+}
+
+// reconcile starts wanted versions and releases others. Only Run calls it.
+func (m *Manager) reconcile(ctx context.Context, wg *conc.WaitGroup) {
+	targets := m.targets()
+	keep := map[fleet.Version]bool{}
+	for _, t := range targets {
+		keep[t.Version] = true
+	}
+	var old []*version
+	m.versions.Range(func(id fleet.Version, v *version) bool {
+		if !keep[id] {
+			old = append(old, v)
+		}
+		return true
+	})
+	for _, v := range old {
+		m.versions.Delete(v.id)
+		v.release()
+	}
+	for _, t := range targets {
+		if _, ok := m.versions.Get(t.Version); ok || t.Version == "" {
+			continue
+		}
+		v := newVersion(ctx, m, t)
+		m.versions.Put(t.Version, v)
+		wg.Go(v.run)
+	}
+	if len(old) > 0 {
+		signal(m.changed)
+	}
+}
+
+// Open implements port.Weights.
+func (m *Manager) Open(id fleet.Version) (io.Reader, int64, bool) {
+	v, ok := m.versions.Get(id)
+	if !ok {
+		return nil, 0, false
+	}
+	return v.open()
+}
+
+// Progress implements port.Weights.
+func (m *Manager) Progress() port.Progress {
+	p := port.Progress{State: StateIdle}
+	for i, t := range m.targets() {
+		q := port.Progress{Target: t.Version, State: StateManifest}
+		if v, ok := m.versions.Get(t.Version); ok {
+			q = v.progress()
+		}
+		if i == 0 || q.State != StateComplete {
+			p = q
+		}
+		if q.State != StateComplete {
+			break
+		}
+	}
+	p.BytesFromOrigin = m.counters.origin.Load()
+	p.BytesFromPeers = m.counters.sameRegion.Load() + m.counters.otherRegion.Load()
+	p.BytesToPeers = m.counters.toPeers.Load()
+	return p
+}
+
+// Changed implements port.Weights.
+func (m *Manager) Changed() <-chan struct{} { return m.changed }
+
+// ChargeLive implements port.Weights.
+func (m *Manager) ChargeLive(n int) { m.link.Out.Charge(m.deps.Clock.Now(), n) }
+
+// rand adapts port.Rand to decisions.
+func (m *Manager) rand(n int) int { return m.deps.Rand.IntN(n) }
+
+// sleep waits for d or the end of ctx.
+func (m *Manager) sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-m.deps.Clock.After(d):
+		return nil
+	}
+}
+
+// signal wakes the receiver of a channel with room for one value.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/standin/origin/link.go
@@ -0,0 +1,47 @@
+package origin
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// link gives out the time at which bytes may be sent, in the order of the
+// calls.
+type link struct {
+	rate int64
+
+	mu   sync.Mutex
+	next time.Time
+}
+
+// wait waits until n bytes may be sent at the link's rate, or at override if it
+// is positive. It returns false if ctx ends first.
+func (l *link) wait(ctx context.Context, n int, override int64) bool {
+	rate := l.rate
+	if override > 0 {
+		rate = override
+	}
+	if rate <= 0 {
+		return true
+	}
+	t := time.NewTimer(l.reserve(n, rate))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l *link) reserve(n int, rate int64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if l.next.Before(now) {
+		l.next = now
+	}
+	l.next = l.next.Add(time.Duration(float64(n) / float64(rate) * float64(time.Second)))
+	return l.next.Sub(now)
+}
--- /dev/null
+++ b/internal/standin/origin/origin.go
@@ -0,0 +1,241 @@
+// Package origin is a stand-in for the origin of weights. It makes versions
+// from seeds, paces its link in total, and counts what it gives.
+package origin
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
+)
+
+const (
+	requesterHeader = "X-Masticwing-VM"
+	// pieceBytes is the unit of pacing.
+	pieceBytes = 16 << 10
+)
+
+// Version describes one version to make.
+type Version struct {
+	Model      fleet.Model
+	Bytes      int
+	ChunkBytes int
+	Seed       uint64
+}
+
+// Make returns the weights of a version.
+func (v Version) Make() []byte {
+	out := make([]byte, v.Bytes)
+	src := rand.New(rand.NewPCG(v.Seed, uint64(v.Bytes)))
+	for i := 0; i < len(out); i += 8 {
+		x := src.Uint64()
+		for j := range min(8, len(out)-i) {
+			out[i+j] = byte(x >> (8 * j))
+		}
+	}
+	return out
+}
+
+// Manifest returns the manifest of a version.
+func (v Version) Manifest() manifest.Manifest { return manifest.Split(v.Model, v.Make(), v.ChunkBytes) }
+
+// Faults are the failures that POST /faults switches on.
+type Faults struct {
+	// Down answers every call with 503.
+	Down bool `json:"down"`
+	// Hang leaves every call without an answer until its caller gives up.
+	Hang bool `json:"hang"`
+	// DelayMillis delays every answer.
+	DelayMillis int `json:"delay_ms"`
+	// Corrupt is the share of chunks that carry a wrong byte.
+	Corrupt float64 `json:"corrupt"`
+	// Rate replaces the rate of the link if it is positive.
+	Rate int64 `json:"rate"`
+}
+
+// Counts is the answer to GET /counts. Calls and bytes are keyed by "manifest"
+// and "chunk".
+type Counts struct {
+	Calls     map[string]int64            `json:"calls"`
+	Bytes     map[string]int64            `json:"bytes"`
+	Requester map[string]map[string]int64 `json:"bytes_by_requester"`
+}
+
+type held struct {
+	man     manifest.Manifest
+	weights []byte
+	chunk   int
+}
+
+// Server is the stand-in's HTTP handler.
+type Server struct {
+	versions map[fleet.Version]held
+	link     link
+
+	mu     sync.Mutex
+	faults Faults
+	counts Counts
+}
+
+// New makes the versions. rate limits the link in bytes per second; 0 means no
+// limit.
+func New(rate int64, versions ...Version) *Server {
+	s := &Server{versions: map[fleet.Version]held{}, link: link{rate: rate}}
+	s.counts = Counts{Calls: map[string]int64{}, Bytes: map[string]int64{}, Requester: map[string]map[string]int64{}}
+	for _, v := range versions {
+		w := v.Make()
+		m := manifest.Split(v.Model, w, v.ChunkBytes)
+		s.versions[m.Version()] = held{m, w, v.ChunkBytes}
+	}
+	return s
+}
+
+// Handler returns the routes of the stand-in.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/versions/{version}/manifest", s.faulty("manifest", s.manifest))
+	mux.HandleFunc("GET /v1/versions/{version}/chunks/{n}", s.faulty("chunk", s.chunk))
+	mux.HandleFunc("GET /versions", s.list)
+	mux.HandleFunc("GET /counts", s.getCounts)
+	mux.HandleFunc("POST /faults", s.postFaults)
+	return mux
+}
+
+func (s *Server) faulty(kind string, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.counts.Calls[kind]++
+		f := s.faults
+		s.mu.Unlock()
+		time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
+		if f.Hang {
+			<-r.Context().Done()
+			return
+		}
+		if f.Down {
+			http.Error(w, "origin unavailable", http.StatusServiceUnavailable)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (s *Server) manifest(w http.ResponseWriter, r *http.Request) {
+	v, ok := s.versions[fleet.Version(r.PathValue("version"))]
+	if !ok {
+		http.Error(w, "no such version", http.StatusNotFound)
+		return
+	}
+	type chunk struct {
+		Digest string `json:"digest"`
+		Bytes  int64  `json:"bytes"`
+	}
+	body := struct {
+		Model  string  `json:"model"`
+		Chunks []chunk `json:"chunks"`
+	}{Model: string(v.man.Model)}
+	for _, c := range v.man.Chunks {
+		body.Chunks = append(body.Chunks, chunk{hex.EncodeToString(c.Digest[:]), c.Bytes})
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	s.write(w, r, "manifest", b)
+}
+
+func (s *Server) chunk(w http.ResponseWriter, r *http.Request) {
+	v, ok := s.versions[fleet.Version(r.PathValue("version"))]
+	n, err := strconv.Atoi(r.PathValue("n"))
+	if !ok || err != nil || n < 0 || n >= len(v.man.Chunks) {
+		http.Error(w, "no such chunk", http.StatusNotFound)
+		return
+	}
+	data := v.weights[n*v.chunk : min(len(v.weights), (n+1)*v.chunk)]
+	if p := s.currentFaults().Corrupt; p > 0 && rand.Float64() < p {
+		data = append([]byte(nil), data...)
+		data[len(data)/2] ^= 1
+	}
+	s.write(w, r, "chunk", data)
+}
+
+// write sends b at the pace of the link and counts what was sent.
+func (s *Server) write(w http.ResponseWriter, r *http.Request, kind string, b []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	for len(b) > 0 {
+		n := min(len(b), pieceBytes)
+		if !s.link.wait(r.Context(), n, s.currentFaults().Rate) {
+			return
+		}
+		if _, err := w.Write(b[:n]); err != nil {
+			return
+		}
+		if f, ok := w.(http.Flusher); ok {
+			f.Flush()
+		}
+		s.count(kind, r.Header.Get(requesterHeader), n)
+		b = b[n:]
+	}
+}
+
+func (s *Server) count(kind, requester string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Bytes[kind] += int64(n)
+	by := s.counts.Requester[requester]
+	if by == nil {
+		by = map[string]int64{}
+		s.counts.Requester[requester] = by
+	}
+	by[kind] += int64(n)
+}
+
+// TotalBytes returns the bytes sent so far.
+func (s *Server) TotalBytes() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts.Bytes["manifest"] + s.counts.Bytes["chunk"]
+}
+
+func (s *Server) currentFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults replaces the failures that are switched on.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(s.counts)
+}
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	out := map[string]string{}
+	for id, v := range s.versions {
+		out[string(id)] = string(v.man.Model)
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
