Balance uploads between gateways and other agents

Cause: a trace of bench-spread shows that gateways draw on the 16 gateways that they watch as well as on 8 neighbours, so that other agents wait longest for upload slots and finish last. Limits on copies of one chunk alone refused the last chunks for about a second each.

Change: gateways ask each other only if no neighbour has a chunk. An agent gives further copies while it has given less than it took, and a little more beyond. test/bench/spread measures spreads with paced links in one process.

--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,8 @@
 	$(GO) vet ./...
 	$(GO) build -C tools -o ../$(BIN)/ honnef.co/go/tools/cmd/staticcheck
 	$(BIN)/staticcheck ./...
+
+# Measures the spread of a version to many machines; QUICK=1 for a short run.
+bench-spread:
+	$(GO) build -o $(BIN)/bench-spread ./test/bench/spread
+	$(BIN)/bench-spread
--- a/internal/app/weights/fetch.go
+++ b/internal/app/weights/fetch.go
@@ -210,7 +210,7 @@
 		}
 		return
 	}
-	if v.store(b, ch.Chunk, data) && !ch.Origin {
+	if v.store(b, ch.Chunk, data) {
 		b.credit.Took(int64(len(data)))
 	}
 }
--- a/internal/app/weights/peers.go
+++ b/internal/app/weights/peers.go
@@ -144,7 +144,7 @@
 	}
 	var added []spread.Member
 	for _, n := range p.Neighbours {
-		if watched[n.VM] == nil && b.table.AddPeer(n.VM, n.Region == v.m.set.Region, now) {
+		if watched[n.VM] == nil && b.table.AddPeer(n.VM, p.Role(n), now) {
 			added = append(added, n)
 		}
 	}
--- a/internal/core/spread/pick.go
+++ b/internal/core/spread/pick.go
@@ -25,7 +25,10 @@
 func (t *Table) Pick(now time.Time, l Limits, rnd Rand) (Choice, bool) {
 	for range attempts {
 		m := t.masks(now, l.PerPeer)
-		c, set, ok := t.rarest(now, &m, rnd)
+		c, set, ok := t.rarest(now, &m, m.usable&m.local&^m.spare, rnd)
+		if !ok && m.spare != 0 {
+			c, set, ok = t.rarest(now, &m, m.usable&m.local, rnd)
+		}
 		if !ok {
 			return Choice{}, false
 		}
@@ -37,10 +40,10 @@
 	return Choice{}, false
 }
 
-func (t *Table) rarest(now time.Time, m *masks, rnd Rand) (chunk int, set uint64, ok bool) {
+func (t *Table) rarest(now time.Time, m *masks, usable uint64, rnd Rand) (chunk int, set uint64, ok bool) {
 	rarity, ties := 0, 0
 	t.chunks.Range(func(c int, s missing) bool {
-		avail := s.available(now, m.usable&m.local)
+		avail := s.available(now, usable)
 		if avail == 0 || !s.free(now) {
 			return true
 		}
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -21,6 +21,7 @@
 
 	version fleet.Version
 	chunks  int
+	ring    int // the first of Neighbours are neighbours on the ring
 	regions []fleet.Region
 	owners  []uint8 // index into Gateways by chunk
 	salts   []uint64
@@ -39,6 +40,7 @@
 	}
 	p.assignOwners()
 	p.Neighbours = ringNeighbours(v, self, own, MaxNeighbours, avoid)
+	p.ring = len(p.Neighbours)
 	if p.Gateway {
 		p.addGatewayNeighbours(groups, avoid)
 	}
@@ -198,6 +200,19 @@
 	return quiet >= time.Duration(steps)*patience
 }
 
+// Role returns what a neighbour of the plan is used for.
+func (p *Plan) Role(m Member) Role {
+	at := slices.IndexFunc(p.Neighbours, func(n Member) bool { return n.VM == m.VM })
+	switch {
+	case m.Region != p.Self.Region:
+		return Remote
+	case at >= p.ring:
+		return Spare
+	default:
+		return Neighbour
+	}
+}
+
 // ManifestSources returns the other members of the region in the order in which
 // they ask the origin for the manifest, and the number of them before self.
 func ManifestSources(v fleet.Version, self Member, ms []Member) (others []Member, rank int) {
--- a/internal/core/spread/table.go
+++ b/internal/core/spread/table.go
@@ -57,6 +57,7 @@
 type peer struct {
 	slot   int
 	local  bool
+	spare  bool
 	active int
 	taken  int
 	avoid  time.Time
@@ -91,9 +92,25 @@
 	return t
 }
 
+// Role says what a watched peer is used for.
+type Role uint8
+
+// The roles of peers.
+const (
+	// Neighbour is a peer of the own region.
+	Neighbour Role = iota
+	// Spare is a peer of the own region that is asked only if no neighbour can
+	// be. Gateways watch each other as spares: if they drew on each other like
+	// on neighbours, their uploads would be shared by more requesters than
+	// those of other agents.
+	Spare
+	// Remote is a peer of another region.
+	Remote
+)
+
 // AddPeer starts to track a peer. It reports false if it is tracked already or
 // the table is full.
-func (t *Table) AddPeer(vm fleet.VM, local bool, now time.Time) bool {
+func (t *Table) AddPeer(vm fleet.VM, role Role, now time.Time) bool {
 	if _, ok := t.peers.Get(vm); ok {
 		return false
 	}
@@ -107,7 +124,7 @@
 			return vm, true
 		})
 		if free {
-			t.peers.Put(vm, peer{slot: s, local: local, heard: now, since: now, own: now})
+			t.peers.Put(vm, peer{slot: s, local: role != Remote, spare: role == Spare, heard: now, since: now, own: now})
 			return true
 		}
 	}
@@ -286,6 +303,7 @@
 // masks are the peers by what they can be used for at one moment.
 type masks struct {
 	local  uint64 // peers of the own region
+	spare  uint64 // peers that are asked last
 	usable uint64 // peers from which a fetch may start
 	vms    [maxSlots]fleet.VM
 	active [maxSlots]int
@@ -300,6 +318,9 @@
 		if p.local {
 			m.local |= bit
 		}
+		if p.spare {
+			m.spare |= bit
+		}
 		quiet := p.gone || now.Sub(p.heard) > quietAfter
 		if !quiet && p.active < perPeer && !now.Before(p.avoid) {
 			m.usable |= bit
--- a/internal/core/spread/uploads.go
+++ b/internal/core/spread/uploads.go
@@ -15,17 +15,22 @@
 	// maxQueued bounds the requests that wait for an upload slot.
 	maxQueued = 16
 	// copiesPerChunk is the number of times that an agent gives one chunk
-	// without restraint. Two make a tree of each chunk, whose inner nodes
-	// differ from chunk to chunk, so that no machine gives much more than one
-	// copy of the version.
+	// readily. Two make a tree of each chunk, whose inner nodes differ from
+	// chunk to chunk, so that no machine gives much more than one copy of the
+	// version.
 	copiesPerChunk = 2
-	// giveSlackPercent is how much more than it took an agent gives without
-	// restraint, in percent of the version.
-	giveSlackPercent = 8
+	// firstSlackPercent and moreSlackPercent are how much more than it took an
+	// agent gives, in percent of the version. First copies of a chunk have
+	// more slack, since nobody else may have the chunk.
+	firstSlackPercent = 12
+	moreSlackPercent  = 6
+	// idleSlackPercent is how far below what it took an agent has to be to
+	// give further copies of a chunk.
+	idleSlackPercent = -5
 	// extraSeconds is the time in which an agent gives one more copy of a
 	// version beyond these limits, so that a late agent is served by peers
 	// that have given their share.
-	extraSeconds = 60
+	extraSeconds = 30
 )
 
 // Credit limits what an agent gives of one version.
@@ -55,7 +60,14 @@
 // Allow reports whether chunk i may be given now, and records it.
 func (c *Credit) Allow(i int, n int64, now time.Time) bool {
 	copies, _ := c.given.Get(i)
-	if (copies >= copiesPerChunk || c.overShare()) && !c.extra.Take(now, int(n)) {
+	slack := int64(moreSlackPercent)
+	switch {
+	case copies == 0:
+		slack = firstSlackPercent
+	case copies >= copiesPerChunk:
+		slack = idleSlackPercent
+	}
+	if !c.within(slack) && !c.extra.Take(now, int(n)) {
 		return false
 	}
 	c.given.Update(i, func(k int, _ bool) (int, bool) { return k + 1, true })
@@ -73,10 +85,12 @@
 	c.gave -= n
 }
 
-func (c *Credit) overShare() bool {
+// within reports whether the agent gave at most slack percent of the version
+// more than it took.
+func (c *Credit) within(slack int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.gave > c.taken+c.bytes*giveSlackPercent/100
+	return c.gave <= c.taken+c.bytes*slack/100
 }
 
 // Slots grants upload slots. The waiting requester that was given the fewest
