Keep the connection of a refused chunk

Cause: a peer under load refuses chunks often, and Close of a refused stream canceled it, which closes a drpc connection.

Change: the client reads the end of a refused stream before it closes it.

--- a/internal/adapter/rpc/peer_client.go
+++ b/internal/adapter/rpc/peer_client.go
@@ -109,6 +109,8 @@
 	stream pb.DRPCPeer_FetchChunkClient
 	rest   []byte
 	err    error
+	// ended is set if the stream ended after a refusal.
+	ended bool
 }
 
 func (p *pieces) fill() error {
@@ -124,15 +126,26 @@
 	case err != nil:
 		p.err = err
 	case m.GetBusy():
-		p.err = port.ErrPeerBusy
+		p.refused(port.ErrPeerBusy)
 	case m.GetMissing():
-		p.err = port.ErrChunkMissing
+		p.refused(port.ErrChunkMissing)
 	default:
 		p.rest = m.GetBytes()
 	}
 	return p.err
 }
 
+// refused records a refusal and reads the end of the stream. Without the end,
+// Close would cancel the stream, which closes the connection.
+func (p *pieces) refused(reason error) {
+	p.err = reason
+	err := p.sil.watch(func() error {
+		_, err := p.stream.Recv()
+		return err
+	})
+	p.ended = errors.Is(err, io.EOF)
+}
+
 // Read implements io.Reader.
 func (p *pieces) Read(b []byte) (int, error) {
 	for len(p.rest) == 0 {
@@ -147,7 +160,7 @@
 
 // Close implements io.Closer.
 func (p *pieces) Close() error {
-	if errors.Is(p.err, io.EOF) {
+	if p.ended || errors.Is(p.err, io.EOF) {
 		err := p.stream.Close()
 		p.sil.close()
 		return err
