Read the end of a chunk so that its connection is used again

Cause: a fetch stopped at the size of the chunk and closed the stream before its end, which closes the connection.

Change: the manager reads once more after the last byte.

--- a/internal/app/weights/fetch.go
+++ b/internal/app/weights/fetch.go
@@ -250,5 +250,9 @@
 			return data, err
 		}
 	}
+	// Reading the end lets the connection be used again.
+	if n, _ := rc.Read(make([]byte, 1)); n > 0 {
+		return data, errors.New("chunk does not end at its size")
+	}
 	return data, nil
 }
