Take over from dead gateways once and ask corrupting peers as a last resort

A region of five machines with corrupted chunks stood still for most of the 10 s in which their senders are avoided.

Change: only gateways that cannot be heard are passed over in the order of takeovers. A sender of a corrupted chunk is not asked for 1 s, doubling, and then only while nothing else can be fetched. A less important version that is not complete gives its memory to a more important one. A peer that comes back on another address is watched there.

--- a/internal/app/weights/counters.go
+++ b/internal/app/weights/counters.go
@@ -1,7 +1,6 @@
 package weights
 
 import (
-	"sync"
 	"sync/atomic"
 
 	"github.com/masticwing/masticwing/internal/port"
@@ -72,33 +71,3 @@
 	c.corrupted.Add(1)
 	c.metrics.Count(metricCorrupted, 1)
 }
-
-// memory is the budget for chunks. Its lock covers all fields.
-type memory struct {
-	mu    sync.Mutex
-	limit int64
-	used  int64
-	freed chan struct{} // closed and replaced when memory is returned
-}
-
-func (b *memory) init(limit int64) { b.limit, b.freed = limit, make(chan struct{}) }
-
-// take reserves n bytes. If they do not fit, it returns a channel that is
-// closed once memory is returned.
-func (b *memory) take(n int64) (bool, <-chan struct{}) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.limit > 0 && b.used+n > b.limit {
-		return false, b.freed
-	}
-	b.used += n
-	return true, nil
-}
-
-func (b *memory) put(n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= n
-	close(b.freed)
-	b.freed = make(chan struct{})
-}
--- a/internal/app/weights/fetch.go
+++ b/internal/app/weights/fetch.go
@@ -47,7 +47,9 @@
 func (v *version) startPeers(ctx context.Context, b *body, wg *conc.WaitGroup, active *atomic.Int64) {
 	l := v.m.set.Limits
 	for active.Load() < int64(l.Total) {
-		ch, ok := b.table.Pick(v.m.deps.Clock.Now(), l, v.m.rand)
+		now := v.m.deps.Clock.Now()
+		resort := active.Load() == 0 && v.still(now) > resortAfter
+		ch, ok := b.table.Pick(now, l, resort, v.m.rand)
 		if !ok {
 			return
 		}
@@ -86,12 +88,15 @@
 
 // outside returns what this gateway may fetch from outside its region now.
 func (v *version) outside(b *body, plan *spread.Plan, now time.Time) spread.Outside {
-	average := v.allow.Average()
-	idle := func(vm fleet.VM) time.Duration { return b.table.Idle(vm, now) }
+	sight := spread.Sight{
+		Idle:  func(vm fleet.VM) time.Duration { return b.table.Idle(vm, now) },
+		Lost:  func(vm fleet.VM) bool { return b.table.Unheard(vm, now) },
+		Fetch: v.allow.Average(),
+	}
 	still := v.still(now)
 	may := func(c int) (fetch, origin bool) {
 		owner, _ := plan.Owner(c)
-		fetch = owner == v.m.set.VM || plan.MayTakeOver(c, idle, average)
+		fetch = owner == v.m.set.VM || plan.MayTakeOver(c, sight)
 		// A region that draws chunk c from another region turns to the origin
 		// when nothing arrives any more.
 		origin = plan.Draws(c) || still > 2*spread.OriginStep
@@ -152,7 +157,7 @@
 }
 
 func (v *version) fetchPeer(ctx context.Context, b *body, ch spread.Choice) {
-	member, ok := v.peer(ch)
+	member, ok := v.watched.Get(ch.From)
 	if !ok {
 		return
 	}
@@ -176,15 +181,6 @@
 	}
 }
 
-func (v *version) peer(ch spread.Choice) (spread.Member, bool) {
-	for _, n := range v.plan.Load().Neighbours {
-		if n.VM == ch.From {
-			return n, true
-		}
-	}
-	return spread.Member{}, false
-}
-
 func (v *version) fetchFailed(b *body, ch spread.Choice, err error) {
 	now := v.m.deps.Clock.Now()
 	switch {
@@ -205,11 +201,14 @@
 	if err := b.man.Verify(ch.Chunk, data); err != nil {
 		v.m.counters.corruptedChunk()
 		if !ch.Origin {
-			b.table.Avoid(ch.From, v.m.deps.Clock.Now().Add(spread.AvoidCorrupted))
+			b.table.Corrupted(ch.From, v.m.deps.Clock.Now())
 			signal(v.replan)
 		}
 		return
 	}
+	if !ch.Origin {
+		b.table.Verified(ch.From)
+	}
 	if v.store(b, ch.Chunk, data) {
 		b.credit.Took(int64(len(data)))
 	}
--- a/internal/app/weights/peers.go
+++ b/internal/app/weights/peers.go
@@ -105,9 +105,9 @@
 	defer stop()
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	watched := map[fleet.VM]context.CancelFunc{}
+	cancels := map[fleet.VM]context.CancelFunc{}
 	for {
-		v.makePlan(ctx, b, &wg, watched)
+		v.makePlan(ctx, b, &wg, cancels)
 		select {
 		case <-ctx.Done():
 			return
@@ -121,30 +121,33 @@
 	}
 }
 
-func (v *version) makePlan(ctx context.Context, b *body, wg *conc.WaitGroup, watched map[fleet.VM]context.CancelFunc) {
+// makePlan follows the directory: it ends the streams to members that are no
+// neighbours any more or have another address, and opens those to new ones.
+func (v *version) makePlan(ctx context.Context, b *body, wg *conc.WaitGroup, cancels map[fleet.VM]context.CancelFunc) {
 	now := v.m.deps.Clock.Now()
 	avoid := func(vm fleet.VM) bool { return b.table.Avoided(vm, now) }
 	ms := v.m.members(v.id)
 	p := spread.NewPlan(v.id, len(b.man.Chunks), v.m.self(), ms, avoid)
-	next := map[fleet.VM]bool{}
+	next := map[fleet.VM]fleet.Address{}
 	for _, n := range p.Neighbours {
-		next[n.VM] = true
+		next[n.VM] = n.Address
 	}
 	for _, m := range ms {
 		// An avoided neighbour stays watched, because its penalty ends.
-		if watched[m.VM] != nil && avoid(m.VM) {
-			next[m.VM] = true
+		if avoid(m.VM) {
+			next[m.VM] = m.Address
 		}
 	}
-	for vm, cancel := range watched {
-		if !next[vm] {
+	for vm, cancel := range cancels {
+		if old, _ := v.watched.Get(vm); next[vm] != old.Address {
 			cancel()
-			delete(watched, vm)
+			delete(cancels, vm)
 		}
 	}
 	var added []spread.Member
 	for _, n := range p.Neighbours {
-		if watched[n.VM] == nil && b.table.AddPeer(n.VM, p.Role(n), now) {
+		if cancels[n.VM] == nil && b.table.AddPeer(n.VM, p.Role(n), now) {
+			v.watched.Put(n.VM, n)
 			added = append(added, n)
 		}
 	}
@@ -153,7 +156,7 @@
 	v.plan.Store(p)
 	for _, n := range added {
 		pctx, cancel := context.WithCancel(ctx)
-		watched[n.VM] = cancel
+		cancels[n.VM] = cancel
 		wg.Go(func() { v.watchPeer(pctx, b, n) })
 	}
 	signal(v.wake)
@@ -162,7 +165,11 @@
 // watchPeer follows the chunks of one peer until ctx ends. It opens the stream
 // again when it is lost.
 func (v *version) watchPeer(ctx context.Context, b *body, n spread.Member) {
-	defer b.table.RemovePeer(n.VM)
+	defer func() {
+		v.watched.Delete(n.VM)
+		b.table.RemovePeer(n.VM)
+		signal(v.replan)
+	}()
 	pause := reconnectMin
 	for ctx.Err() == nil {
 		if v.followPeer(ctx, b, n) {
--- a/internal/app/weights/version.go
+++ b/internal/app/weights/version.go
@@ -22,6 +22,9 @@
 	// stillAfter is the time without a new chunk after which progress carries
 	// a reason.
 	stillAfter = time.Second
+	// resortAfter is the time without a new chunk after which peers that sent
+	// a corrupted chunk are asked again.
+	resortAfter = 250 * time.Millisecond
 	// recheck bounds the time until the dispatcher looks at expired penalties
 	// and at its peers again when nothing wakes it.
 	recheck = 50 * time.Millisecond
@@ -51,8 +54,10 @@
 
 	body     atomic.Pointer[body]
 	complete atomic.Bool
+	waits    atomic.Bool // for memory
 	plan     atomic.Pointer[spread.Plan]
 	watchers *shard.Map[uint64, *watcher]
+	watched  *shard.Map[fleet.VM, spread.Member]
 	nextID   atomic.Uint64
 	allow    spread.Allowance
 	wake     chan struct{}
@@ -70,6 +75,7 @@
 		id:       t.Version,
 		model:    t.Model,
 		watchers: shard.New[uint64, *watcher](4),
+		watched:  shard.New[fleet.VM, spread.Member](4),
 		wake:     make(chan struct{}, 1),
 		replan:   make(chan struct{}, 1),
 		lastGain: m.deps.Clock.Now(),
@@ -112,14 +118,20 @@
 	wg.Wait()
 }
 
-// takeMemory waits until the version fits into the memory budget.
+// takeMemory waits until the version fits into the memory budget. Less
+// important versions that are not complete give way to it.
 func (v *version) takeMemory(n int64) bool {
+	v.waits.Store(true)
+	defer v.waits.Store(false)
 	for {
-		ok, freed := v.m.memory.take(n)
-		if ok {
+		freed := v.m.memory.changes()
+		if !v.m.betterWaits(v) && v.m.memory.take(n) {
 			return v.keepMemory(n)
 		}
 		v.setReason(fmt.Sprintf("memory limit: %d bytes do not fit", n))
+		if v.m.evictBelow(v) {
+			continue
+		}
 		select {
 		case <-v.ctx.Done():
 			return false
--- a/internal/core/spread/pick.go
+++ b/internal/core/spread/pick.go
@@ -21,14 +21,18 @@
 
 // Pick chooses the chunk that the fewest peers of the region have and a peer to
 // ask for it, and claims it. Ties are random, so that agents with the same view
-// request different chunks.
-func (t *Table) Pick(now time.Time, l Limits, rnd Rand) (Choice, bool) {
+// request different chunks. Peers that sent a corrupted chunk not long ago are
+// asked only if resort is true: in a small region they may be the only ones.
+func (t *Table) Pick(now time.Time, l Limits, resort bool, rnd Rand) (Choice, bool) {
 	for range attempts {
 		m := t.masks(now, l.PerPeer)
 		c, set, ok := t.rarest(now, &m, m.usable&m.local&^m.spare, rnd)
 		if !ok && m.spare != 0 {
 			c, set, ok = t.rarest(now, &m, m.usable&m.local, rnd)
 		}
+		if !ok && resort {
+			c, set, ok = t.rarest(now, &m, m.resort&m.local, rnd)
+		}
 		if !ok {
 			return Choice{}, false
 		}
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -176,24 +176,34 @@
 	return p.Gateways[p.owners[c]].VM, true
 }
 
+// Sight is what a gateway sees of the others.
+type Sight struct {
+	// Idle returns the time since a gateway last announced a chunk of its own.
+	Idle func(fleet.VM) time.Duration
+	// Lost reports whether a gateway cannot be heard. A gateway that has all of
+	// its own chunks is idle but not lost, and still takes over before others.
+	Lost func(fleet.VM) bool
+	// Fetch is the time that an origin fetch takes here.
+	Fetch time.Duration
+}
+
 // MayTakeOver reports whether this gateway, which does not own chunk c, may
-// fetch it from outside. idle returns the time since a gateway last announced
-// a chunk of its own, and fetch is the time that an origin fetch takes here.
-// The k-th live gateway after the owner waits k times the patience.
-func (p *Plan) MayTakeOver(c int, idle func(fleet.VM) time.Duration, fetch time.Duration) bool {
+// fetch it from outside. The k-th gateway after the owner waits k times the
+// patience; lost ones are not counted.
+func (p *Plan) MayTakeOver(c int, s Sight) bool {
 	owner, ok := p.Owner(c)
 	if !ok || !p.Gateway {
 		return false
 	}
-	patience := max(OriginStep, patienceFactor*fetch)
-	quiet := idle(owner)
+	patience := max(OriginStep, patienceFactor*s.Fetch)
+	quiet := s.Idle(owner)
 	if quiet < patience {
 		return false
 	}
 	me := slices.IndexFunc(p.Gateways, func(m Member) bool { return m.VM == p.Self.VM })
 	steps := 1
 	for g, m := range p.Gateways {
-		if m.VM != owner && g != me && p.rank(g, c) < p.rank(me, c) && idle(m.VM) < patience {
+		if m.VM != owner && g != me && p.rank(g, c) < p.rank(me, c) && !s.Lost(m.VM) {
 			steps++
 		}
 	}
--- a/internal/core/spread/table.go
+++ b/internal/core/spread/table.go
@@ -9,11 +9,16 @@
 )
 
 const (
-	// AvoidCorrupted is how long the sender of a corrupted chunk is avoided.
+	// AvoidCorrupted is how long the sender of a corrupted chunk is avoided. It
+	// is asked earlier only as a last resort.
 	AvoidCorrupted = 10 * time.Second
 	// AvoidStalled is how long a peer is avoided after a fetch without
 	// progress.
 	AvoidStalled = 5 * time.Second
+	// refuseCorrupted is the part of that time in which it is not asked at all.
+	// It doubles with each further corrupted chunk, so that a sender that
+	// corrupts everything wastes little of the link.
+	refuseCorrupted = time.Second
 	// AvoidFailed is how long a peer is avoided after a failed call.
 	AvoidFailed = time.Second
 	// quietAfter is the silence after which no fetch is started from a peer.
@@ -61,11 +66,14 @@
 	active int
 	taken  int
 	avoid  time.Time
-	heard  time.Time
-	gone   bool
-	known  bool      // it sent its chunks or could not be reached
-	since  time.Time // start of the watch
-	own    time.Time // last announcement of a chunk that the peer owns
+	resort time.Time // from here to avoid, asked as a last resort
+	// corrupted counts the corrupted chunks since the last correct one.
+	corrupted int
+	heard     time.Time
+	gone      bool
+	known     bool      // it sent its chunks or could not be reached
+	since     time.Time // start of the watch
+	own       time.Time // last announcement of a chunk that the peer owns
 }
 
 // Table is what an agent knows of the missing chunks of one version and of the
@@ -243,6 +251,14 @@
 	return now.Sub(p.own)
 }
 
+// Unheard reports whether the stream of a watched peer ended or went quiet.
+func (t *Table) Unheard(vm fleet.VM, now time.Time) bool {
+	p, ok := t.peers.Get(vm)
+	return ok && p.quiet(now)
+}
+
+func (p peer) quiet(now time.Time) bool { return p.gone || now.Sub(p.heard) > quietAfter }
+
 // Avoided reports whether fetches from a peer are suspended after a fault.
 func (t *Table) Avoided(vm fleet.VM, now time.Time) bool {
 	p, ok := t.peers.Get(vm)
@@ -250,11 +266,31 @@
 }
 
 // Avoid suspends fetches from a peer.
-func (t *Table) Avoid(vm fleet.VM, until time.Time) {
+func (t *Table) Avoid(vm fleet.VM, until time.Time) { t.avoid(vm, until, until) }
+
+// Corrupted suspends fetches from a peer that sent a corrupted chunk.
+func (t *Table) Corrupted(vm fleet.VM, now time.Time) {
+	refuse := refuseCorrupted
+	t.updatePeer(vm, func(p *peer) {
+		for range p.corrupted {
+			refuse = min(2*refuse, AvoidCorrupted)
+		}
+		p.corrupted++
+	})
+	t.avoid(vm, now.Add(AvoidCorrupted), now.Add(refuse))
+}
+
+// Verified records that a peer sent a correct chunk.
+func (t *Table) Verified(vm fleet.VM) { t.updatePeer(vm, func(p *peer) { p.corrupted = 0 }) }
+
+func (t *Table) avoid(vm fleet.VM, until, resort time.Time) {
 	t.updatePeer(vm, func(p *peer) {
 		if until.After(p.avoid) {
 			p.avoid = until
 		}
+		if resort.After(p.resort) {
+			p.resort = resort
+		}
 	})
 }
 
@@ -283,7 +319,7 @@
 func (t *Table) Ended(ch Choice) {
 	t.updateMissing(ch.Chunk, func(m *missing) { m.active-- })
 	if !ch.Origin {
-		t.updatePeer(ch.From, func(p *peer) { p.active-- })
+		t.updatePeer(ch.From, func(p *peer) { p.active = max(0, p.active-1) })
 	}
 }
 
@@ -305,6 +341,7 @@
 	local  uint64 // peers of the own region
 	spare  uint64 // peers that are asked last
 	usable uint64 // peers from which a fetch may start
+	resort uint64 // peers from which one may start as a last resort
 	vms    [maxSlots]fleet.VM
 	active [maxSlots]int
 	taken  [maxSlots]int
@@ -321,8 +358,11 @@
 		if p.spare {
 			m.spare |= bit
 		}
-		quiet := p.gone || now.Sub(p.heard) > quietAfter
-		if !quiet && p.active < perPeer && !now.Before(p.avoid) {
+		if p.quiet(now) || p.active >= perPeer || now.Before(p.resort) {
+			return true
+		}
+		m.resort |= bit
+		if !now.Before(p.avoid) {
 			m.usable |= bit
 		}
 		return true
--- a/test/bench/spread/cluster/cluster.go
+++ b/test/bench/spread/cluster/cluster.go
@@ -26,6 +26,8 @@
 	// limit.
 	MachineRate, RegionRate, OriginRate int64
 	Version                             origin.Version
+	// Others are further versions that the origin has.
+	Others []origin.Version
 	// Memory bounds the chunks of one machine.
 	Memory int64
 	// Corrupt is the share of chunks between machines that carry a wrong byte.
@@ -59,7 +61,7 @@
 	man := cfg.Version.Manifest()
 	c.Target = port.WeightsTarget{Model: man.Model, Version: man.Version()}
 	c.dir = newDirectory(c.Target)
-	c.Origin = origin.New(cfg.OriginRate, cfg.Version)
+	c.Origin = origin.New(cfg.OriginRate, append([]origin.Version{cfg.Version}, cfg.Others...)...)
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "listening as origin")
