--- a/test/bench/spread/cluster/links.go
+++ b/test/bench/spread/cluster/links.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
 	"github.com/masticwing/masticwing/internal/core/pace"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -124,6 +125,17 @@
 	link  *RegionLink
 }
 
+// manifestChunkBytes is the size of one chunk's line in the JSON manifest.
+const manifestChunkBytes = 92
+
+// Manifest implements port.Origin. It counts the bytes on the region's link but
+// does not pace them.
+func (o *pacedOrigin) Manifest(ctx context.Context, v fleet.Version) (manifest.Manifest, error) {
+	m, err := o.Origin.Manifest(ctx, v)
+	o.link.in.Add(int64(manifestChunkBytes * len(m.Chunks)))
+	return m, err
+}
+
 // Chunk implements port.Origin.
 func (o *pacedOrigin) Chunk(ctx context.Context, v fleet.Version, i int) (io.ReadCloser, error) {
 	rc, err := o.Origin.Chunk(ctx, v, i)
