Add the process test harness and the relay stand-in

Cause: process tests, benches and the demo need whole deployments whose processes, addresses and network faults they control, while product processes never start others.

Change: test/harness builds ./cmd once, gives out loopback addresses, writes settings, starts, pauses, stops and kills processes by their own id, waits for conditions with a deadline, keeps their output, calls admin endpoints, makes idempotency keys and checks whole answers. Children carry a parent-death signal and are started from one thread that lives as long as the harness, so a panic of the test leaves none behind. Each harness uses a loopback address of its own below 127.0.0.0/8, so packages that test at once do not race for ports. Deployment describes a system by failure domain. internal/standin/relay and cmd/standin-relay relay TCP routes that can be cut, frozen, delayed and limited in rate, and count bytes per direction.

--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,193 @@
+package relay
+
+import (
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+)
+
+const quiet = 150 * time.Millisecond
+
+// startEcho returns a relay with one route to a server that echoes, and the
+// route's address.
+func startEcho(t *testing.T) (*Relay, string) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			})
+		}
+	})
+	r := New()
+	if err := r.AddRoute("echo", "127.0.0.1:0", lis.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		r.Close()
+		_ = lis.Close()
+		wg.Wait()
+	})
+	rt, _ := r.route("echo")
+	addr := rt.lis.Addr().String()
+	rt.listen = addr // a cut and a return keep the port
+	return r, addr
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func set(t *testing.T, r *Relay, f Faults) {
+	t.Helper()
+	if err := r.SetFaults("", f); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// echo sends msg and waits for it to come back.
+func echo(c net.Conn, msg string, within time.Duration) error {
+	if _, err := c.Write([]byte(msg)); err != nil {
+		return err
+	}
+	return expect(c, msg, within)
+}
+
+func expect(c net.Conn, msg string, within time.Duration) error {
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	b := make([]byte, len(msg))
+	if _, err := io.ReadFull(c, b); err != nil {
+		return err
+	}
+	if string(b) != msg {
+		return errors.Errorf("got %q, want %q", b, msg)
+	}
+	return nil
+}
+
+func silent(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// TestCut guards against a cut route that still takes connections or leaves
+// old ones open.
+func TestCut(t *testing.T) {
+	r, addr := startEcho(t)
+	old := dial(t, addr)
+	if err := echo(old, "ping", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	set(t, r, Faults{Cut: true})
+	if err := expect(old, "x", time.Second); err == nil || silent(err) {
+		t.Errorf("an open connection outlived the cut: %v", err)
+	}
+	if c, err := net.Dial("tcp", addr); err == nil {
+		_ = c.Close()
+		t.Error("a cut route accepts connections")
+	}
+	set(t, r, Faults{})
+	if err := echo(dial(t, addr), "ping", time.Second); err != nil {
+		t.Errorf("after the cut: %v", err)
+	}
+}
+
+// TestFreezeOld guards against a fault that also stops new connections or that
+// gives way when it is cleared.
+func TestFreezeOld(t *testing.T) {
+	r, addr := startEcho(t)
+	old := dial(t, addr)
+	if err := echo(old, "ping", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	set(t, r, Faults{Freeze: FreezeOld})
+	if err := echo(old, "ping", quiet); !silent(err) {
+		t.Errorf("the old connection: %v, want silence", err)
+	}
+	if err := echo(dial(t, addr), "ping", time.Second); err != nil {
+		t.Errorf("a new connection: %v", err)
+	}
+	set(t, r, Faults{})
+	if err := expect(old, "ping", quiet); !silent(err) {
+		t.Errorf("the old connection after the fault: %v, want silence", err)
+	}
+}
+
+// TestFreezeAll guards against new connections that work, and against bytes
+// lost when the route thaws.
+func TestFreezeAll(t *testing.T) {
+	r, addr := startEcho(t)
+	old := dial(t, addr)
+	set(t, r, Faults{Freeze: FreezeAll})
+	fresh := dial(t, addr)
+	for _, c := range []net.Conn{old, fresh} {
+		if err := echo(c, "ping", quiet); !silent(err) {
+			t.Errorf("a frozen connection: %v, want silence", err)
+		}
+	}
+	set(t, r, Faults{})
+	for _, c := range []net.Conn{old, fresh} {
+		if err := expect(c, "ping", time.Second); err != nil {
+			t.Errorf("after the thaw: %v", err)
+		}
+	}
+}
+
+// TestDelay guards against a delay that is not applied to both directions, and
+// against one that lowers the rate of a long transfer.
+func TestDelay(t *testing.T) {
+	r, addr := startEcho(t)
+	const delay = 100 * time.Millisecond
+	set(t, r, Faults{DelayMillis: int(delay.Milliseconds())})
+	c := dial(t, addr)
+	start := time.Now()
+	if err := echo(c, string(make([]byte, 1<<20)), 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(start); took < 2*delay || took > 10*delay {
+		t.Errorf("1 MiB there and back took %v, want a little over %v", took, 2*delay)
+	}
+}
+
+// TestRateAndCounts guards against a rate limit per connection instead of per
+// route, and against counts that miss a direction.
+func TestRateAndCounts(t *testing.T) {
+	r, addr := startEcho(t)
+	const rate, size = 1 << 20, 128 << 10
+	set(t, r, Faults{BytesPerSecond: rate})
+	start := time.Now()
+	var wg conc.WaitGroup
+	for range 2 {
+		c := dial(t, addr)
+		wg.Go(func() {
+			if err := echo(c, string(make([]byte, size)), 5*time.Second); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if took := time.Since(start); took < 240*time.Millisecond || took > 2*time.Second {
+		t.Errorf("2 x 128 KiB at 1 MiB/s took %v, want about 250ms", took)
+	}
+	if got, want := r.Counts()["echo"], (Counts{Connections: 2, ToTarget: 2 * size, ToCaller: 2 * size}); got != want {
+		t.Errorf("counts %+v, want %+v", got, want)
+	}
+}
--- /dev/null
+++ b/test/harness/admin.go
@@ -0,0 +1,75 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// adminTimeout bounds a call of an admin endpoint.
+const adminTimeout = 5 * time.Second
+
+var adminClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+
+func call(ctx context.Context, method, url string, body []byte) ([]byte, int, error) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "building an admin request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := adminClient.Do(req)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "calling an admin endpoint")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return b, resp.StatusCode, errors.Wrap(err, "reading an admin answer")
+}
+
+// CallJSON calls an admin endpoint with in as JSON and decodes the answer into
+// out. Either may be nil. A status other than 2xx is an error.
+func CallJSON(ctx context.Context, method, url string, in, out any) error {
+	var body []byte
+	if in != nil {
+		var err error
+		if body, err = json.Marshal(in); err != nil {
+			return errors.Wrap(err, "encoding an admin request")
+		}
+	}
+	b, status, err := call(ctx, method, url, body)
+	if err != nil {
+		return err
+	}
+	if status/100 != 2 {
+		return errors.Errorf("%s %s: status %d: %s", method, url, status, b)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.Unmarshal(b, out), "decoding the answer of %s", url)
+}
+
+// SetFaults replaces the faults of the stand-in at addr. Pass the zero value
+// of its Faults type to clear them.
+func SetFaults(ctx context.Context, addr string, faults any) error {
+	return CallJSON(ctx, http.MethodPost, "http://"+addr+"/faults", faults, nil)
+}
+
+// Counts returns the calls that the stand-in at addr counted, by kind.
+func Counts(ctx context.Context, addr string) (map[string]int64, error) {
+	var m map[string]int64
+	err := CallJSON(ctx, http.MethodGet, "http://"+addr+"/counts", nil, &m)
+	return m, err
+}
+
+// Status decodes the /status of a daemon into out.
+func Status(ctx context.Context, admin string, out any) error {
+	return CallJSON(ctx, http.MethodGet, "http://"+admin+"/status", nil, out)
+}
--- /dev/null
+++ b/test/harness/process.go
@@ -0,0 +1,149 @@
+package harness
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Process is a process that the harness started.
+type Process struct {
+	Name string
+	PID  int
+
+	cmd  *exec.Cmd
+	out  *outputBuffer
+	done chan struct{}
+	code int // set before done is closed
+}
+
+// Start runs a binary of ./cmd. The name is used in messages.
+func (h *Harness) Start(name, binary string, args ...string) (*Process, error) {
+	path, err := Binary(binary)
+	if err != nil {
+		return nil, err
+	}
+	out := &outputBuffer{}
+	cmd := exec.Command(path, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// A process group of its own keeps a Ctrl-C at the terminal from reaching
+	// the children directly.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	p := &Process{Name: name, cmd: cmd, out: out, done: make(chan struct{})}
+	if err := h.run(p); err != nil {
+		return nil, errors.Wrapf(err, "starting %s", name)
+	}
+	return p, nil
+}
+
+// run starts p on the spawning thread and watches for its end.
+func (h *Harness) run(p *Process) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return errors.New("harness is closed")
+	}
+	started := make(chan error, 1)
+	h.spawn <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
+		return err
+	}
+	p.PID = p.cmd.Process.Pid
+	h.procs = append(h.procs, p)
+	h.wg.Go(func() {
+		_ = p.cmd.Wait()
+		p.code = p.cmd.ProcessState.ExitCode()
+		close(p.done)
+	})
+	return nil
+}
+
+// Output returns the newest part of what the process wrote to its standard
+// output and standard error.
+func (p *Process) Output() string { return p.out.String() }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
+// ExitCode returns the exit code, or -1 if a signal ended the process. Call it
+// after Done is closed.
+func (p *Process) ExitCode() int { return p.code }
+
+// Pause stops the process with SIGSTOP; it keeps its memory and connections.
+func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+
+// Resume continues a paused process.
+func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+
+// Terminate sends SIGTERM and does not wait.
+func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+
+// Kill sends SIGKILL and waits for the end.
+func (p *Process) Kill() error {
+	err := p.signal(syscall.SIGKILL)
+	<-p.done
+	return err
+}
+
+// Stop sends SIGTERM and returns the exit code. A process that is still there
+// after the timeout is killed, which is an error.
+func (p *Process) Stop(timeout time.Duration) (int, error) {
+	if err := p.Terminate(); err != nil {
+		return -1, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	select {
+	case <-p.done:
+		return p.code, nil
+	case <-ctx.Done():
+		_ = p.Kill()
+		return -1, errors.Errorf("%s did not end within %v of SIGTERM", p.Name, timeout)
+	}
+}
+
+// signal does nothing after the end of the process, so that its id, which the
+// kernel may give to another process, is not used again.
+func (p *Process) signal(s syscall.Signal) error {
+	select {
+	case <-p.done:
+		return nil
+	default:
+	}
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return errors.Wrapf(err, "sending %v to %s", s, p.Name)
+	}
+	return nil
+}
+
+// maxOutput bounds the output kept of one process.
+const maxOutput = 1 << 20
+
+// outputBuffer keeps the newest output.
+type outputBuffer struct {
+	mu sync.Mutex
+	b  []byte
+}
+
+// Write implements io.Writer.
+func (o *outputBuffer) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.b = append(o.b, p...)
+	if len(o.b) > maxOutput {
+		o.b = append([]byte(nil), o.b[len(o.b)-maxOutput/2:]...)
+	}
+	return len(p), nil
+}
+
+// String returns the output kept.
+func (o *outputBuffer) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return string(o.b)
+}
