Report a write without a connection as unavailable

Cause: the platform's client reported every transport failure of a write as of unknown outcome, also when no connection could be made. The port promises ErrUnavailable if nothing was sent, and callers may then be told at once that their call was not run.

Change: a failure to connect maps to ErrUnavailable.

Conclusion: other transport failures keep their unknown outcome.

--- a/internal/adapter/kvhttp/kvhttp.go
+++ b/internal/adapter/kvhttp/kvhttp.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -87,10 +88,13 @@
 	}
 }
 
-// write maps the result of a call with an effect. Only an explicit refusal
-// says that there was none.
+// write maps the result of a call with an effect. Only an explicit refusal, or
+// a connection that was never made, says that there was none.
 func write(r reply, err error) (reply, error) {
+	var op *net.OpError
 	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return r, errors.Wrap(port.ErrUnavailable, err.Error())
 	case err != nil:
 		return r, errors.Wrap(port.ErrUnknownOutcome, err.Error())
 	case r.status == http.StatusOK:
--- a/internal/adapter/kvhttp/kvhttp_test.go
+++ b/internal/adapter/kvhttp/kvhttp_test.go
@@ -93,3 +93,13 @@
 		t.Fatalf("KeepAlive of a lapsed lease: %v", err)
 	}
 }
+
+// TestNoConnectionIsUnavailable guards against a write reported as of unknown
+// outcome although nothing was sent, which keeps its caller waiting.
+func TestNoConnectionIsUnavailable(t *testing.T) {
+	c, srv := start(t)
+	srv.Close()
+	if _, err := c.CompareAndSwap(context.Background(), "k", 0, nil, port.NoLease); !errors.Is(err, port.ErrUnavailable) {
+		t.Fatalf("err = %v, want unavailable", err)
+	}
+}
