Add the ledger for calls that may run at most once

Cause: a check log or a seedling order must not run twice, whichever agent, entry or repeat it comes through, while the platform's few hundred writes a second do not allow a write per call.

Change: internal/core/ledger checks keys, names documents, and holds per document the state machine that batches calls, merges what a read returns, and decides who runs; several of them at work on one document are safe because a call runs only after its record was added by compare-and-swap to a revision without one. internal/app/ledger reads and writes the documents with one write in flight per document, a paced rate, one lease per minute, and answers kept for repeats in a bounded memory. internal/adapter/ledgerdoc encodes the documents with protobuf. A call whose key left the window between the check and the end of its write does not run, since an earlier record may have expired in a pause. Ends of calls that no later write carries are written once a second, from half of the rate at most; a planned stop writes the rest.

Tests: TestHistory runs several ledgers over the platform stand-in with outages, lost, late and stale answers, pauses, callers that give up and ledgers that are replaced while at work, and checks the history with porcupine. TestAtMostOnce does the same on the decisions with rapid.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,8 @@
 	$(GO) build -C tools -o ../$(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
 	cd internal/adapter/rpc/pb && PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=paths=source_relative \
 		--go-drpc_out=. --go-drpc_opt=paths=source_relative masticwing.proto
+	cd internal/adapter/ledgerdoc/pb && PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=paths=source_relative \
+		ledger.proto
 
 lint:
 	@test -z "$$(gofmt -l cmd internal test)" || { gofmt -l cmd internal test; echo "run gofmt -w on these files"; exit 1; }
--- /dev/null
+++ b/internal/app/ledger/ledger.go
@@ -0,0 +1,265 @@
+// Package ledger runs the ledger of calls that may run at most once: it reads
+// and writes the documents in the platform's key-value service as
+// core/ledger decides, and holds the callers that wait.
+package ledger
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	core "github.com/masticwing/masticwing/internal/core/ledger"
+	"github.com/masticwing/masticwing/internal/core/shard"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// Options are the settings of a ledger. Zero values mean the defaults.
+type Options struct {
+	// WritesPerSecond bounds the writes to the platform. The default is 5.
+	WritesPerSecond float64
+	// Window is how long a key is accepted. The default is 60 min.
+	Window time.Duration
+	// AnswerBytes bounds the memory for answers. The default is 4 MiB.
+	AnswerBytes int64
+	// MaxWait bounds the wait of a call for its record, if the call's own
+	// deadline is later. The default is 5 s.
+	MaxWait time.Duration
+	// Metrics may be nil.
+	Metrics port.Metrics
+}
+
+// withDefaults fills in the defaults.
+func (o Options) withDefaults() Options {
+	if o.WritesPerSecond <= 0 {
+		o.WritesPerSecond = 5
+	}
+	if o.Window <= 0 {
+		o.Window = time.Hour
+	}
+	if o.AnswerBytes <= 0 {
+		o.AnswerBytes = 4 << 20
+	}
+	if o.MaxWait <= 0 {
+		o.MaxWait = 5 * time.Second
+	}
+	if o.Metrics == nil {
+		o.Metrics = noMetrics{}
+	}
+	return o
+}
+
+// Ledger implements port.Ledger. Create one with New and call Run.
+type Ledger struct {
+	kv    port.KV
+	clock port.Clock
+	rand  port.Rand
+	opts  Options
+
+	table   *core.Table
+	answers *core.Answers[*port.StoredAnswer]
+	pacer   *core.Pacer
+	leases  *leases
+	// waiters receive the outcome of their attempt. The channels hold one.
+	waiters *shard.Map[core.Attempt, chan core.Decision]
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	closed atomic.Bool
+
+	mu    sync.Mutex // orders the start of workers before the wait for them
+	ended bool
+	wg    conc.WaitGroup
+}
+
+var _ port.Ledger = (*Ledger)(nil)
+
+// New returns a ledger over kv.
+func New(kv port.KV, clock port.Clock, rand port.Rand, o Options) *Ledger {
+	o = o.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Ledger{
+		kv: kv, clock: clock, rand: rand, opts: o,
+		table:   core.NewTable(o.Window),
+		answers: core.NewAnswers[*port.StoredAnswer](o.AnswerBytes),
+		pacer:   core.NewPacer(o.WritesPerSecond),
+		waiters: shard.New[core.Attempt, chan core.Decision](0),
+		ctx:     ctx, cancel: cancel,
+	}
+	l.leases = newLeases(l)
+	return l
+}
+
+// Begin implements port.Ledger.
+func (l *Ledger) Begin(ctx context.Context, k port.LedgerKey) (port.LedgerTicket, *port.StoredAnswer, error) {
+	now := l.clock.Now()
+	key, bad := core.CheckKey(k.Service, k.Customer, k.Key, now, l.opts.Window)
+	if bad != nil {
+		return nil, nil, bad
+	}
+	if a, ok := l.answers.Get(key); ok {
+		return nil, replay(a), nil
+	}
+	if l.closed.Load() {
+		return nil, nil, verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "the agent is stopping")
+	}
+	a := core.NewAttempt(l.rand.Uint64(), l.rand.Uint64())
+	dec := l.await(ctx, key, a, now)
+	if dec != core.Run {
+		// The answer may have come while the call waited.
+		if a, ok := l.answers.Get(key); ok {
+			return nil, replay(a), nil
+		}
+		return nil, nil, dec.Err()
+	}
+	l.opts.Metrics.Count("ledger_calls", 1)
+	return &ticket{l: l, key: key, attempt: a}, nil, nil
+}
+
+// await returns the decision of a call. A call whose caller has gone, or whose
+// time is over, does not run, whatever is decided afterwards.
+func (l *Ledger) await(ctx context.Context, key core.Key, a core.Attempt, now time.Time) core.Decision {
+	ch := make(chan core.Decision, 1)
+	l.waiters.Put(a, ch)
+	defer l.waiters.Delete(a)
+	dec, start := l.table.Join(key, a, now)
+	if dec != core.Queued {
+		return dec
+	}
+	if start {
+		l.work(key.Document())
+	}
+	select {
+	case dec = <-ch:
+		return dec
+	case <-ctx.Done():
+	case <-l.clock.After(l.opts.MaxWait):
+	case <-l.ctx.Done():
+	}
+	l.table.Abandon(key, a)
+	select {
+	case dec = <-ch:
+	default:
+	}
+	if dec == core.Queued || dec == core.Run {
+		return core.Unavailable
+	}
+	return dec
+}
+
+// deliver passes outcomes to their waiters.
+func (l *Ledger) deliver(out []core.Outcome) {
+	for _, o := range out {
+		if ch, ok := l.waiters.Get(o.Attempt); ok {
+			select {
+			case ch <- o.Decision:
+			default: // an attempt has one outcome, so this is not reached
+			}
+		}
+	}
+}
+
+const (
+	// flushInterval is how often marks that no call carried along are written.
+	flushInterval = time.Second
+	// sweepInterval is how often old documents and answers are forgotten.
+	sweepInterval = 30 * time.Second
+	// stopTimeout bounds the last writes of marks at a planned stop. The
+	// partitions of two minutes take 6.4 s at the default rate of writes.
+	stopTimeout = 10 * time.Second
+)
+
+// Run writes marks and forgets what is old until ctx ends. Then it refuses new
+// calls, writes the marks that are left, and returns. Calls that run at that
+// time should have finished before ctx ends.
+func (l *Ledger) Run(ctx context.Context) error {
+	swept := l.clock.Now()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-l.clock.After(flushInterval):
+			now := l.clock.Now()
+			l.flush(l.pacer.Spare(now))
+			if now.Sub(swept) >= sweepInterval {
+				swept = now
+				l.table.Sweep(now)
+				l.leases.sweep(now)
+				l.answers.Expire(now, l.opts.Window)
+				l.opts.Metrics.Gauge("ledger_answer_bytes", float64(l.answers.Bytes()))
+			}
+		}
+	}
+	l.closed.Store(true)
+	return l.stop()
+}
+
+// flush starts the writes of up to n documents with marks.
+func (l *Ledger) flush(n int) {
+	for _, d := range l.table.Flushable(n) {
+		l.work(d)
+	}
+}
+
+// stop writes the marks that are left within stopTimeout and ends the workers.
+func (l *Ledger) stop() error {
+	end := l.clock.Now().Add(stopTimeout)
+	left := l.table.Marks()
+	for ; left > 0 && l.clock.Now().Before(end); left = l.table.Marks() {
+		l.flush(left)
+		<-l.clock.After(flushInterval / 20)
+	}
+	l.Kill()
+	if left > 0 {
+		return errors.Errorf("%d documents with ends of calls that were not written", left)
+	}
+	return nil
+}
+
+// Kill ends all work at once, as the end of the process would, and waits for
+// the workers. Calls that wait are not run.
+func (l *Ledger) Kill() {
+	l.closed.Store(true)
+	l.cancel()
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
+	l.wg.Wait()
+}
+
+// replay returns a copy of a remembered answer that is marked as such.
+func replay(a *port.StoredAnswer) *port.StoredAnswer {
+	c := *a
+	c.Head.Replayed = true
+	return &c
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Count(string, int64, ...port.Attr)           {}
+func (noMetrics) Seconds(string, time.Duration, ...port.Attr) {}
+func (noMetrics) Gauge(string, float64, ...port.Attr)         {}
+
+// ticket implements port.LedgerTicket.
+type ticket struct {
+	l       *Ledger
+	key     core.Key
+	attempt core.Attempt
+}
+
+// Done implements port.LedgerTicket.
+func (t *ticket) Done(a *port.StoredAnswer) {
+	if a != nil {
+		t.l.answers.Put(t.key, a, len(a.Body))
+	}
+	t.l.table.Finish(t.key, t.attempt, core.Done)
+}
+
+// Unknown implements port.LedgerTicket.
+func (t *ticket) Unknown() { t.l.table.Finish(t.key, t.attempt, core.Started) }
+
+// NotRun implements port.LedgerTicket.
+func (t *ticket) NotRun() { t.l.table.Finish(t.key, t.attempt, core.Aborted) }
