Add the demo and a deployment that stays up

Cause: an operator who looks at the project wants to see it work with one command, and to try it by hand.

Change: `make demo` starts two entries, three agents with engines in two failure domains and one plain service, declares version 1 and then version 2 under load, takes a failure domain out of service and back, repeats every order with its key, stops the daemons gracefully, and prints times, bytes drawn from the origin, and requests answered, refused and failed. It exits 1 on any broken answer. `make up` leaves the same deployment running and prints addresses and three commands.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,11 @@
 	$(GO) vet ./...
 	$(GO) build -C tools -o ../$(BIN)/ honnef.co/go/tools/cmd/staticcheck
 	$(BIN)/staticcheck ./...
+
+# Starts a small deployment, changes it under load and prints a table.
+demo:
+	$(GO) run ./test/demo
+
+# Starts the same deployment and leaves it running until Ctrl-C.
+up:
+	$(GO) run ./test/up
--- a/test/harness/caller.go
+++ b/test/harness/caller.go
@@ -195,6 +195,20 @@
 	return a.checkLines()
 }
 
+// CheckCall returns an error unless a is the whole answer to a call of a plain
+// service.
+func (a *Answer) CheckCall() error {
+	switch {
+	case a.Error != nil:
+		return errors.Errorf("%s (%s): %s", a.Error.Code, a.Error.Verdict, a.Error.Message)
+	case a.Status/100 != 2:
+		return errors.Errorf("status %d: %s", a.Status, a.Body)
+	case a.Verdict != "ran":
+		return errors.Errorf("verdict %q of an answer", a.Verdict)
+	}
+	return nil
+}
+
 // checkLines compares the version and request id of the engine's own lines, as
 // far as they carry them.
 func (a *Answer) checkLines() error {
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -26,6 +26,8 @@
 	// links.
 	Platform, Origin, Relay           *Process
 	PlatformAddr, OriginAddr, RelayAt string
+	// Started is when the daemons were started first.
+	Started time.Time
 
 	relayed map[string]string // address at the relay by route name
 }
@@ -143,6 +145,7 @@
 			return err
 		}
 	}
+	d.Started = time.Now()
 	p := pool.New().WithErrors()
 	for _, n := range nodes {
 		p.Go(func() error { return d.StartNode(ctx, n) })
