agent: show why an order had no effect and bound the rate of probes

Cause: an agent that waits for its order lease, or whose engine refused an order, showed no reason; failing requests could trigger probes without pause.

Change: the progress carries the reason of the last order, and two probes are at least 10 ms apart.

Conclusion: masticwingctl status can name why a machine is stuck.

--- a/internal/app/agent/controller.go
+++ b/internal/app/agent/controller.go
@@ -53,6 +53,8 @@
 	orderDone time.Time
 	stale     bool
 	failed    time.Time
+	// reason says why the last order had no effect, or is empty.
+	reason string
 	// waitingAt is the time at which the version waitingFor became complete.
 	waitingFor fleet.Version
 	waitingAt  time.Time
@@ -139,11 +141,14 @@
 	c.ordering = false
 	a.roll.Apply(c.orderGroup, rollout.OrderEnded())
 	if r.held {
+		c.reason = "waiting for the order lease"
 		return
 	}
+	c.reason = ""
 	c.stale, c.orderDone = true, a.d.Clock.Now()
 	if r.err != nil {
 		c.failed = a.d.Clock.Now()
+		c.reason = "order failed: " + r.err.Error()
 		a.d.Metrics.Count("agent_orders_failed", 1)
 		a.d.Log.Fault("order failed", r.err, logging.F("version", r.action.Ref.Version))
 	} else {
@@ -271,6 +276,9 @@
 	if s := a.roll.State(c.group, old.assign.Version); s >= rollout.Loading {
 		progress.State = s.String()
 	}
+	if progress.Reason == "" && p.Serving.Version != old.assign.Version {
+		progress.Reason = c.reason
+	}
 	a.change(func(v *view) { v.serving, v.ready, v.progress = p.Serving, ready, progress })
 	if old.serving != p.Serving {
 		a.d.Log.State("rotation changed", logging.F("version", p.Serving.Version))
--- a/internal/app/agent/harness_test.go
+++ b/internal/app/agent/harness_test.go
@@ -75,6 +75,7 @@
 	weights *porttest.Weights
 	ledger  *porttest.Ledger
 	kv      *porttest.KV
+	metrics *otelmetrics.Metrics
 	target  string
 }
 
@@ -111,7 +112,7 @@
 	}
 	b := &bed{
 		T: t, client: rpc.NewClient(), dir: newDirectory(), weights: porttest.NewWeights(),
-		ledger: porttest.NewLedger(), kv: porttest.NewKV(time.Now),
+		ledger: porttest.NewLedger(), kv: porttest.NewKV(time.Now), metrics: metrics,
 	}
 	d := Deps{
 		Clock: sysclock.Clock{}, KV: b.kv, Weights: b.weights, Ledger: b.ledger, Directory: b.dir,
--- a/internal/app/agent/life_test.go
+++ b/internal/app/agent/life_test.go
@@ -102,6 +102,27 @@
 	}
 }
 
+// TestOrderEndsWithItsLease guards against a long load that goes on after the
+// platform gave the right to orders to somebody else.
+func TestOrderEndsWithItsLease(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{LoadPerMiB: 4 * time.Second})
+	b.weights.Put("v1", make([]byte, 1<<20))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	var lease port.LeaseID
+	b.eventually("order lease taken", func() bool {
+		e, err := b.kv.Get(context.Background(), "order/vm1")
+		lease = port.LeaseID(e.Value[bytes.LastIndexByte(e.Value, '/')+1:])
+		return err == nil
+	})
+	if err := b.kv.Revoke(context.Background(), lease); err != nil {
+		t.Fatal(err)
+	}
+	b.eventually("order ended", func() bool {
+		return strings.Contains(b.agent.Status().Progress.Reason, errLeaseLost.Error())
+	})
+	b.serving("v1")
+}
+
 // TestOnceSurvivesItsCaller guards against a call that is cut, and so left with
 // an unknown outcome, because its caller went away.
 func TestOnceSurvivesItsCaller(t *testing.T) {
--- a/internal/app/agent/monitor.go
+++ b/internal/app/agent/monitor.go
@@ -9,6 +9,9 @@
 	// probeEvery is the time between two probes of the target. A cold restart
 	// goes unnoticed for at most this time.
 	probeEvery = 250 * time.Millisecond
+	// probePause is the least time between two probes, however many requests
+	// fail meanwhile.
+	probePause = 10 * time.Millisecond
 	// probeFailures is the number of failed probes after which a target counts
 	// as lost; a single one may be late under load.
 	probeFailures = 2
@@ -32,7 +35,12 @@
 			}
 		}
 		select {
-		case <-a.d.Clock.After(probeEvery):
+		case <-a.d.Clock.After(probePause):
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-a.d.Clock.After(probeEvery - probePause):
 		case <-a.probes:
 		case <-ctx.Done():
 		}
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,6 +61,18 @@
 	r.Group = "other"
 	_, _, err = b.serve(r)
 	wantError(t, err, verdict.NotRun, verdict.CodeVersionNotServing)
+	rec := httptest.NewRecorder()
+	b.metrics.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
+	for _, line := range []string{
+		`agent_serve_seconds_count{class="summary",customer="c"} 1`,
+		`agent_first_byte_seconds_count{class="summary",customer="c"} 1`,
+		`agent_refusals_total{code="version_not_serving"} 2`,
+		`agent_verdicts_total{verdict="ran"} 1`,
+	} {
+		if !strings.Contains(rec.Body.String(), line+"\n") {
+			t.Errorf("metrics lack %s", line)
+		}
+	}
 }
 
 // TestVersionChangeUnderLoad guards against an answer mixed from two versions,
