Keep entries within their share of a target under overload

Cause: at twice the capacity, permits above the share, targets that were chosen although they seemed full, and the place of a refused request that was used again at once turned into refusals that the retry budget does not cover. Requests were also started with half of the time that they need.

Change: an entry uses limit/watchers of each target freely and more only while a place stays free; a request waits for a target with room and goes to one that seems full after 100 ms; a refusal pauses the target for 10 ms; places are taken under the target's lock. Permits are the share, or what is in use and half of what seems free, so that one entry may use what others leave. A request is shed at its grant if less time is left than permits are held on average while others wait.

--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -19,7 +19,10 @@
 	// which the watched agents are replaced after a failure domain left.
 	noTargetWait = 2 * time.Second
 	// targetPoll is the pause between two looks for a target.
-	targetPoll = 20 * time.Millisecond
+	targetPoll = 5 * time.Millisecond
+	// probeAfter is the wait after which a request goes to a target that seems
+	// full, since the report of it may be a second old.
+	probeAfter = 100 * time.Millisecond
 )
 
 // attempts tries targets until one answers or no retry is allowed.
@@ -76,19 +79,20 @@
 	return v.Verdict == verdict.NotRun || repeatable && v.Verdict == verdict.MayHaveRun
 }
 
-// next returns the target of the next attempt. Only the first attempt waits
-// for one; after it, the error of the last attempt says more than a wait.
+// next returns the target of the next attempt and takes a place in it. It waits
+// for a target with room. Only the first attempt waits for any target; after
+// it, the error of the last attempt says more.
 func (e *Entry) next(
 	ctx context.Context, r *port.ServeRequest, p *plan, tried map[fleet.VM]bool,
 ) (routing.Choice, error) {
 	start := e.Clock.Now()
 	for {
-		c, out := e.choose(r, p, tried)
-		if out == routing.Chosen {
+		waited := e.Clock.Now().Sub(start)
+		c, out := e.choose(r, p, tried, waited >= probeAfter)
+		if out == routing.Chosen && e.table.Start(c.VM) {
 			return c, nil
 		}
-		waited := e.Clock.Now().Sub(start)
-		if len(tried) > 0 || out == routing.NoTarget && waited >= noTargetWait {
+		if out == routing.NoTarget && (len(tried) > 0 || waited >= noTargetWait) {
 			return c, verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no target takes work").After(time.Second)
 		}
 		select {
@@ -99,14 +103,18 @@
 	}
 }
 
-func (e *Entry) choose(r *port.ServeRequest, p *plan, tried map[fleet.VM]bool) (routing.Choice, routing.Outcome) {
+func (e *Entry) choose(
+	r *port.ServeRequest, p *plan, tried map[fleet.VM]bool, probe bool,
+) (routing.Choice, routing.Outcome) {
 	d, _ := e.Directory.Declaration()
 	if p.once(r) {
 		return e.chooseOnce(r, p, tried)
 	}
+	watchers, _ := e.watchers.Get(p.pool)
 	return e.table.Choose(routing.Query{
 		Pool: p.pool, Version: p.version, Older: p.older, Own: e.Domain,
 		Prefix: r.PrefixHash, Cordoned: d.Cordoned, Tried: tried,
+		Watchers: watchers, Probe: probe,
 	}, e.Clock.Now(), e.Rand.IntN)
 }
 
@@ -126,7 +134,7 @@
 	return routing.Choice{}, routing.NoTarget
 }
 
-// attempt sends the request to one target and waits for the first piece of the
+// attempt sends the request to a target in which next took a place, and waits for the first piece of the
 // answer, because a failure before it can still be retried.
 func (e *Entry) attempt(ctx context.Context, r *port.ServeRequest, c routing.Choice, n int) (*answer, error) {
 	q := *r
@@ -137,13 +145,23 @@
 	}
 	if d, ok := ctx.Deadline(); ok {
 		if q.Timeout = d.Sub(e.Clock.Now()); q.Timeout <= 0 {
-			return nil, ended(ctx, verdict.NotRun)
+			e.table.Done(c.VM)
+			return nil, verdict.New(verdict.NotRun, verdict.CodeDeadline, "deadline passed")
 		}
 	}
-	e.table.Start(c.VM)
-	src, err := e.Agents.Serve(ctx, c.Address, q, func(l port.Load) { e.table.Load(c.VM, l.InFlight, l.Limit) })
+	var load *port.Load
+	src, err := e.Agents.Serve(ctx, c.Address, q, func(l port.Load) { load = &l })
 	if err != nil {
 		e.table.Done(c.VM)
+	}
+	switch {
+	case load == nil:
+	case err != nil && fullCode(verdict.Of(err).Code):
+		e.table.Full(c.VM, load.InFlight, load.Limit, e.Clock.Now())
+	default:
+		e.table.Load(c.VM, load.InFlight, load.Limit)
+	}
+	if err != nil {
 		return nil, err
 	}
 	a := &answer{src: src, done: func() { e.table.Done(c.VM) }}
@@ -154,6 +172,10 @@
 	return a, nil
 }
 
+func fullCode(c verdict.Code) bool {
+	return c == verdict.CodeTargetFull || c == verdict.CodeTargetWarming
+}
+
 func (e *Entry) revision() uint64 {
 	d, _ := e.Directory.Declaration()
 	if d == nil {
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -36,6 +36,8 @@
 	budget *routing.Budget
 	plans  *shard.Map[routing.Pool, *plan]
 	assign *shard.Map[fleet.VM, assigned]
+	// watchers is the expected number of entries that watch a target.
+	watchers *shard.Map[routing.Pool, float64]
 }
 
 var _ httpapi.Backend = (*Entry)(nil)
@@ -43,12 +45,13 @@
 // New returns an entry that knows no target yet.
 func New(d Deps) *Entry {
 	return &Entry{
-		Deps:   d,
-		table:  routing.NewTable(),
-		queue:  schedule.NewQueue(d.MaxQueued),
-		budget: routing.NewBudget(),
-		plans:  shard.New[routing.Pool, *plan](0),
-		assign: shard.New[fleet.VM, assigned](0),
+		Deps:     d,
+		table:    routing.NewTable(),
+		queue:    schedule.NewQueue(d.MaxQueued),
+		budget:   routing.NewBudget(),
+		plans:    shard.New[routing.Pool, *plan](0),
+		assign:   shard.New[fleet.VM, assigned](0),
+		watchers: shard.New[routing.Pool, float64](0),
 	}
 }
 
--- a/internal/app/entry/watch.go
+++ b/internal/app/entry/watch.go
@@ -23,10 +23,6 @@
 	// opened again.
 	backoffMin = 100 * time.Millisecond
 	backoffMax = 2 * time.Second
-	// permitSlack lets an entry use a little more than its share of the known
-	// capacity. The agent is the exact judge; a larger value turns overload
-	// into refusals, which the retry budget does not cover.
-	permitSlack = 1.1
 )
 
 // Run watches agents and follows their capacity until ctx ends.
@@ -175,15 +171,19 @@
 	}
 }
 
+// setCapacity gives each pool this entry's share of its capacity, or what it
+// uses and half of what seems free. The latter lets one entry use what the
+// others leave; by half, because they see the same free places.
 func (e *Entry) setCapacity(d *declare.Declaration) {
 	entries := e.aliveEntries()
 	now := e.Clock.Now()
 	agents := e.agents(d)
 	for _, k := range pools(d) {
-		limit, targets := e.table.Capacity(k, now)
-		n := permits(limit, targets, len(agents[k]), entries)
-		e.queue.SetCapacity(k, n, now)
 		queued, inUse := e.queue.Depth(k)
+		c := e.table.Capacity(k, now)
+		n := max(permits(c, len(agents[k]), entries), c.Own+c.Free/2)
+		e.watchers.Put(k, watchersOf(len(agents[k]), entries))
+		e.queue.SetCapacity(k, n, now)
 		pool := port.Attr{Key: "pool", Value: k.String()}
 		e.Metrics.Gauge("masticwing_entry_permits", float64(n), pool)
 		e.Metrics.Gauge("masticwing_entry_requests_in_progress", float64(inUse), pool)
@@ -204,15 +204,23 @@
 
 // permits is this entry's share of a pool's capacity. Where only a subset of
 // the agents is watched, their mean limit stands for the others.
-func permits(limit, targets, agents, entries int) int {
-	if targets == 0 {
+func permits(c routing.Capacity, agents, entries int) int {
+	if c.Targets == 0 {
 		return 1
 	}
-	total := float64(limit)
+	total := float64(c.Limit)
 	if agents > routing.MaxWatched {
 		total *= float64(agents) / routing.MaxWatched
 	}
-	return int(math.Ceil(total / float64(entries) * permitSlack))
+	return int(math.Ceil(total / float64(entries)))
+}
+
+// watchersOf is the expected number of entries that watch an agent.
+func watchersOf(agents, entries int) float64 {
+	if agents <= routing.MaxWatched {
+		return float64(entries)
+	}
+	return max(1, float64(entries)*routing.MaxWatched/float64(agents))
 }
 
 func pools(d *declare.Declaration) []routing.Pool {
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -28,6 +28,34 @@
 	Cordoned func(fleet.Domain, fleet.VM) bool
 	// Tried holds the targets that the request already went to.
 	Tried map[fleet.VM]bool
+	// Watchers is the expected number of entries that share a target.
+	Watchers float64
+	// Probe also allows targets that seem full. The last report may be old, and
+	// a refusal brings a new one.
+	Probe bool
+}
+
+// spare reports whether a target seems to have room. This entry may use its
+// share of the limit whatever the report says of the others, so all entries
+// that keep to their shares fill a target without a refusal. Beyond its share
+// it leaves one place free, so that it gives a borrowed place back to an entry
+// that has less.
+func (q *Query) spare(v *target, now time.Time) bool {
+	if !now.After(v.fullUntil) {
+		return false
+	}
+	share := 0
+	if q.Watchers >= 1 {
+		share = int(float64(v.Limit) / q.Watchers)
+	}
+	if v.own < share {
+		return true
+	}
+	reserve := 0
+	if share > 0 && share < v.Limit {
+		reserve = 1
+	}
+	return v.estimate() < v.Limit-reserve
 }
 
 // Choice is the result of Choose.
@@ -45,16 +73,15 @@
 	Chosen Outcome = iota
 	// NoTarget means that no candidate takes work.
 	NoTarget
-	// AllFull means that this entry alone fills every candidate, so each would
+	// AllFull means that every candidate seems to be full, so that it would
 	// refuse the request.
 	AllFull
 )
 
 type candidate struct {
 	Choice
-	tier  int
-	load  float64
-	spare bool
+	tier int
+	load float64
 }
 
 // The tiers of candidates, best first: the declared version before an older
@@ -66,7 +93,8 @@
 )
 
 // Choose picks a target: in the first tier with spare capacity, the one with
-// prefix affinity, or the better of two random candidates.
+// prefix affinity, or the better of two random candidates. The caller takes a
+// place in it with Start.
 func (t *Table) Choose(q Query, now time.Time, intN func(int) int) (Choice, Outcome) {
 	all, full := t.candidates(q, now)
 	if len(all) == 0 {
@@ -85,18 +113,17 @@
 }
 
 // candidates returns the targets that may take the request, and whether some
-// were left out only because this entry fills them.
+// were left out only because they seem full.
 func (t *Table) candidates(q Query, now time.Time) (out []candidate, full bool) {
 	t.targets.Range(func(_ fleet.VM, v target) bool {
 		if !v.matches(q, now) {
 			return true
 		}
-		if v.own >= v.Limit {
+		if v.own >= v.Limit || !q.Probe && !q.spare(&v, now) {
 			full = true
 			return true
 		}
-		n := v.estimate()
-		c := candidate{load: float64(n) / float64(v.Limit), spare: n < v.Limit}
+		c := candidate{load: float64(v.estimate()) / float64(v.Limit)}
 		c.VM, c.Address = v.VM, v.Address
 		if v.Domain != q.Own {
 			c.tier += tierOtherDomain
@@ -125,20 +152,11 @@
 }
 
 func bestTier(all []candidate) []candidate {
-	for _, needSpare := range []bool{true, false} {
-		for tier := range numTiers {
-			var in []candidate
-			for _, c := range all {
-				if c.tier == tier && (c.spare || !needSpare) {
-					in = append(in, c)
-				}
-			}
-			if len(in) > 0 {
-				return in
-			}
-		}
+	best := numTiers
+	for _, c := range all {
+		best = min(best, c.tier)
 	}
-	return all
+	return slices.DeleteFunc(all, func(c candidate) bool { return c.tier != best })
 }
 
 // affine returns the target that ranks first for the prefix, unless it is
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -128,7 +128,7 @@
 			tab.Report(r, at)
 			ok[r.VM] = good
 		}
-		q := Query{Pool: pool, Version: "v", Own: "a", Tried: tried, Prefix: rapid.Uint64Range(0, 2).Draw(t, "prefix"),
+		q := Query{Pool: pool, Version: "v", Own: "a", Probe: true, Tried: tried, Prefix: rapid.Uint64Range(0, 2).Draw(t, "prefix"),
 			Cordoned: func(_ fleet.Domain, vm fleet.VM) bool { return cordoned[vm] }}
 		c, out := tab.Choose(q, start, rand.IntN)
 		any := false
@@ -192,14 +192,36 @@
 	}
 }
 
-// TestAllFull guards against requests that are sent to be refused.
-func TestAllFull(t *testing.T) {
+// TestFullTargets guards against requests that are sent to be refused, against
+// an entry that gets nothing while others fill a target, and against waiting
+// for ever on an old report.
+func TestFullTargets(t *testing.T) {
 	tab := NewTable()
-	tab.Report(usable("x", "a", 0), start)
-	for range 10 {
-		tab.Start("x")
+	tab.Report(usable("x", "a", 10), start)
+	q := Query{Pool: pool, Version: "v", Watchers: 4}
+	for range 2 {
+		if _, out := tab.Choose(q, start, rand.IntN); out != Chosen || !tab.Start("x") {
+			t.Errorf("outcome %v inside the share of the entry", out)
+		}
+	}
+	if _, out := tab.Choose(q, start, rand.IntN); out != AllFull {
+		t.Errorf("outcome %v for a full target", out)
+	}
+	tab.Done("x")
+	tab.Full("x", 10, 10, start)
+	if _, out := tab.Choose(q, start.Add(fullPause), rand.IntN); out != AllFull {
+		t.Errorf("outcome %v right after a refusal", out)
+	}
+	if _, out := tab.Choose(q, start.Add(fullPause+1), rand.IntN); out != Chosen {
+		t.Errorf("outcome %v after the pause", out)
+	}
+	q.Probe = true
+	for range 9 {
+		if _, out := tab.Choose(q, start, rand.IntN); out != Chosen || !tab.Start("x") {
+			t.Errorf("outcome %v of a probe", out)
+		}
 	}
-	if _, out := tab.Choose(Query{Pool: pool, Version: "v"}, start, rand.IntN); out != AllFull {
-		t.Errorf("outcome %v", out)
+	if _, out := tab.Choose(q, start, rand.IntN); out != AllFull || tab.Start("x") {
+		t.Errorf("outcome %v for a target that this entry fills", out)
 	}
 }
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -11,6 +11,10 @@
 // report each second, so it allows one report to be lost.
 const StatusMaxAge = 2500 * time.Millisecond
 
+// fullPause is the time in which a target that refused a request for lack of
+// room gets no other one, unless an answer brings a newer load.
+const fullPause = 10 * time.Millisecond
+
 // Pool names the targets that can serve a request: those of a group or those
 // of a service. Exactly one field is set.
 type Pool struct {
@@ -46,6 +50,8 @@
 	known   bool
 	own     int
 	ownSeen int
+	// fullUntil is the end of the pause after a refusal for lack of room.
+	fullUntil time.Time
 }
 
 // estimate is the number of requests in the target: the reported number plus
@@ -68,10 +74,20 @@
 	})
 }
 
-// Load records a load that came with an answer or a refusal.
+// Load records a load that came with an answer.
 func (t *Table) Load(vm fleet.VM, inFlight, limit int) {
 	t.targets.Update(vm, func(v target, ok bool) (target, bool) {
-		v.InFlight, v.Limit, v.ownSeen = inFlight, limit, v.own
+		v.InFlight, v.Limit, v.ownSeen, v.fullUntil = inFlight, limit, v.own, time.Time{}
+		return v, ok
+	})
+}
+
+// Full records that a target refused a request for lack of room. Without the
+// pause, each place that becomes free in the queue would be spent on the same
+// refusal. Done was called for the request, which the load does not include.
+func (t *Table) Full(vm fleet.VM, inFlight, limit int, now time.Time) {
+	t.targets.Update(vm, func(v target, ok bool) (target, bool) {
+		v.InFlight, v.Limit, v.ownSeen, v.fullUntil = inFlight, limit, v.own, now.Add(fullPause)
 		return v, ok
 	})
 }
@@ -85,15 +101,24 @@
 	})
 }
 
-// Start counts a request of this entry in a target. Done ends it.
-func (t *Table) Start(vm fleet.VM) { t.add(vm, 1) }
+// Start counts a request of this entry in a target. It returns false and
+// counts nothing if the requests of this entry alone fill the target. Done
+// ends the count.
+func (t *Table) Start(vm fleet.VM) bool {
+	started := false
+	t.targets.Update(vm, func(v target, ok bool) (target, bool) {
+		if started = !v.known || v.own < v.Limit; started {
+			v.own++
+		}
+		return v, ok || started
+	})
+	return started
+}
 
 // Done ends the count of one Start.
-func (t *Table) Done(vm fleet.VM) { t.add(vm, -1) }
-
-func (t *Table) add(vm fleet.VM, n int) {
+func (t *Table) Done(vm fleet.VM) {
 	t.targets.Update(vm, func(v target, _ bool) (target, bool) {
-		v.own += n
+		v.own--
 		return v, v.known || v.own > 0
 	})
 }
@@ -106,16 +131,27 @@
 	return fresh && v.Usable, fresh
 }
 
-// Capacity sums the limits of a pool's usable targets and counts them.
-func (t *Table) Capacity(p Pool, now time.Time) (limit, targets int) {
+// Capacity is what the usable targets of a pool can bear.
+type Capacity struct {
+	Targets int
+	// Limit is the sum of the targets' limits, Own what this entry uses of it,
+	// and Free what seems unused.
+	Limit, Own, Free int
+}
+
+// Capacity sums over a pool's usable targets.
+func (t *Table) Capacity(p Pool, now time.Time) Capacity {
+	var c Capacity
 	t.targets.Range(func(_ fleet.VM, v target) bool {
 		if v.Pool == p && v.fresh(now) && v.Usable {
-			limit += v.Limit
-			targets++
+			c.Targets++
+			c.Limit += v.Limit
+			c.Own += v.own
+			c.Free += max(0, v.Limit-v.estimate())
 		}
 		return true
 	})
-	return limit, targets
+	return c
 }
 
 // Snapshot returns the fresh reports, for operators.
--- a/internal/core/schedule/pool.go
+++ b/internal/core/schedule/pool.go
@@ -126,7 +126,7 @@
 // that is too high is corrected by the requests that still run.
 func (p *pool) late(t *Ticket, now time.Time) bool {
 	left := t.req.Deadline.Sub(now)
-	return left <= 0 || p.queued() > 0 && left < p.hold/2
+	return left <= 0 || p.queued() > 0 && left < p.hold
 }
 
 func (p *pool) nextClass() (fleet.Class, bool) {
