Connect the directory, weights and ledger to the daemons

Cause: the entry and the agent were built against interfaces, and their binaries refused to run.

Change: both daemons share the settings of the directory; the agent builds its weights and its ledger. A directory gives no declaration before its start-up rule is met. The service's ledger writes are divided among its live agents, and entries and agents share one partition hash. The origin's stand-in takes new versions at run time.

--- a/internal/adapter/rpc/serve_test.go
+++ b/internal/adapter/rpc/serve_test.go
@@ -36,12 +36,12 @@
 	return sink.Data(r.Body)
 }
 
-type countingListener struct {
+type acceptCounter struct {
 	net.Listener
 	n *atomic.Int64
 }
 
-func (l countingListener) Accept() (net.Conn, error) {
+func (l acceptCounter) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	l.n.Add(1)
 	return c, err
@@ -60,7 +60,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	n := new(atomic.Int64)
-	wg.Go(func() { _ = srv.Serve(ctx, countingListener{lis, n}) })
+	wg.Go(func() { _ = srv.Serve(ctx, acceptCounter{lis, n}) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	return srv, fleet.Address(lis.Addr().String()), n
 }
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -28,6 +28,11 @@
 	BootID uint64
 }
 
+// machine returns what a declaration assigns to.
+func (i Identity) machine() declare.Machine {
+	return declare.Machine{VM: i.VM, Domain: i.Domain, Labels: i.Labels}
+}
+
 // Deps is everything an agent meets outside of itself. Engine or Service is
 // nil if there is none beside the agent.
 type Deps struct {
--- a/internal/app/agent/connect.go
+++ b/internal/app/agent/connect.go
@@ -3,10 +3,16 @@
 import (
 	"context"
 
-	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/originhttp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/directory"
+	"github.com/masticwing/masticwing/internal/app/ledger"
+	"github.com/masticwing/masticwing/internal/app/weights"
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -16,17 +22,81 @@
 	Weights   port.Weights
 	Ledger    port.Ledger
 	Directory port.Directory
-	// Peer and Member may be nil.
-	Peer   port.PeerHandler
-	Member port.MemberHandler
+	Peer      port.PeerHandler
+	Member    port.MemberHandler
 	// Run runs the loops of the parts until ctx ends.
 	Run func(ctx context.Context)
 }
 
-// errNotConnected means that this build has no stores.
-var errNotConnected = errors.New("weights, ledger and directory are not connected in this build")
+// clients are the rpc clients of an agent. Exchanges and transfers have one
+// each, so that the traffic of control can be told from that of weights.
+type clients struct {
+	control, peers *rpc.Client
+}
+
+func newClients() clients { return clients{rpc.NewClient(), rpc.NewClient()} }
+
+func (c clients) close() {
+	c.control.Close()
+	c.peers.Close()
+}
+
+// connectStores builds the weights, the ledger and the directory of an agent.
+func connectStores(c Settings, id Identity, env daemon.Env, kv port.KV, cl clients) stores {
+	dir := directory.Connect(c.Settings, fleet.KindAgent, c.Common, c.Labels, env, cl.control)
+	w := weights.New(weights.Settings{
+		VM: id.VM, Region: id.Region, InRate: c.InRate, OutRate: c.OutRate, Memory: c.WeightsMemory,
+	}, weights.Deps{
+		Directory: dir, Peers: cl.peers, Origin: originhttp.New(c.Origin, id.VM),
+		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics,
+	})
+	l := ledger.New(kv, sysclock.Clock{}, sysclock.Rand{}, ledger.Options{
+		WritesPerSecond: float64(c.LedgerWritesPerSecond), Window: c.LedgerWindow,
+		AnswerBytes: c.LedgerAnswers, Metrics: env.Metrics,
+	})
+	run := func(ctx context.Context) {
+		var wg conc.WaitGroup
+		wg.Go(func() { dir.Run(ctx) })
+		wg.Go(func() { w.Run(ctx) })
+		wg.Go(func() { l.Run(ctx) })
+		wg.Go(func() { shareWrites(ctx, dir, id, l, float64(c.LedgerWritesPerSecond)) })
+		wg.Wait()
+	}
+	return stores{Weights: w, Ledger: l, Directory: dir, Peer: w, Member: dir.Handler(), Run: run}
+}
+
+// shareWrites divides the service's budget of ledger writes among its live
+// agents, so that the platform's load does not grow with their number.
+func shareWrites(ctx context.Context, dir port.Directory, id Identity, l *ledger.Ledger, budget float64) {
+	changed, unsubscribe := dir.Subscribe()
+	defer unsubscribe()
+	for {
+		if n := serviceAgents(dir, id); n > 0 {
+			l.SetRate(budget / float64(n))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
 
-// connectStores builds the real Weights, Ledger and Directory.
-func connectStores(Settings, Identity, daemon.Env, port.KV, *rpc.Client) (stores, error) {
-	return stores{}, errNotConnected
+// serviceAgents counts the agents that run the same service as this one.
+func serviceAgents(dir port.Directory, id Identity) int {
+	d, _ := dir.Declaration()
+	if d == nil {
+		return 0
+	}
+	own := d.Assign(id.machine()).Service
+	if own == "" {
+		return 0
+	}
+	n := 0
+	for _, m := range dir.Members(fleet.KindAgent) {
+		if m.Status != nil && m.Status.Service == own {
+			n++
+		}
+	}
+	return max(n, 1)
 }
--- a/internal/app/agent/controller.go
+++ b/internal/app/agent/controller.go
@@ -96,7 +96,7 @@
 	if d == nil || d == a.view().declaration {
 		return
 	}
-	as := d.Assign(declare.Machine{VM: a.id.VM, Domain: a.id.Domain, Labels: a.id.Labels})
+	as := d.Assign(a.id.machine())
 	a.adm.Configure(a.target, as.Limits, a.d.Clock.Now())
 	a.adm.SetCordoned(a.target, as.Cordoned)
 	old := a.view().assign
--- a/internal/app/agent/harness_test.go
+++ b/internal/app/agent/harness_test.go
@@ -28,8 +28,8 @@
 	"github.com/masticwing/masticwing/internal/standin/service"
 )
 
-// directory is a fake of port.Directory with one subscriber.
-type directory struct {
+// fakeDirectory is a fake of port.Directory with one subscriber.
+type fakeDirectory struct {
 	state   *shard.Map[string, dirState]
 	changed chan struct{}
 }
@@ -40,28 +40,28 @@
 	writes int
 }
 
-func newDirectory() *directory {
-	return &directory{shard.New[string, dirState](1), make(chan struct{}, 1)}
+func newDirectory() *fakeDirectory {
+	return &fakeDirectory{shard.New[string, dirState](1), make(chan struct{}, 1)}
 }
 
-func (d *directory) get() dirState {
+func (d *fakeDirectory) get() dirState {
 	s, _ := d.state.Get("")
 	return s
 }
 
-func (d *directory) update(f func(s *dirState)) {
+func (d *fakeDirectory) update(f func(s *dirState)) {
 	d.state.Update("", func(s dirState, _ bool) (dirState, bool) { f(&s); return s, true })
 }
 
-func (d *directory) set(dec *declare.Declaration) {
+func (d *fakeDirectory) set(dec *declare.Declaration) {
 	d.update(func(s *dirState) { s.d = dec })
 	signal(d.changed)
 }
 
-func (d *directory) Declaration() (*declare.Declaration, time.Duration) { return d.get().d, 0 }
-func (d *directory) Members(fleet.Kind) []port.MemberRecord             { return nil }
-func (d *directory) Subscribe() (<-chan struct{}, func())               { return d.changed, func() {} }
-func (d *directory) SetSelf(change func(*port.MemberRecord)) {
+func (d *fakeDirectory) Declaration() (*declare.Declaration, time.Duration) { return d.get().d, 0 }
+func (d *fakeDirectory) Members(fleet.Kind) []port.MemberRecord             { return nil }
+func (d *fakeDirectory) Subscribe() (<-chan struct{}, func())               { return d.changed, func() {} }
+func (d *fakeDirectory) SetSelf(change func(*port.MemberRecord)) {
 	d.update(func(s *dirState) { change(&s.self); s.writes++ })
 }
 
@@ -71,7 +71,7 @@
 	agent   *Agent
 	client  *rpc.Client
 	addr    fleet.Address
-	dir     *directory
+	dir     *fakeDirectory
 	weights *porttest.Weights
 	ledger  *porttest.Ledger
 	kv      *porttest.KV
--- a/internal/app/agent/run.go
+++ b/internal/app/agent/run.go
@@ -37,13 +37,10 @@
 	id := Identity{
 		VM: fleet.VM(c.ID), Domain: c.Domain, Region: c.Region, Labels: c.Labels, BootID: sysclock.Rand{}.Uint64(),
 	}
-	client := rpc.NewClient()
-	defer client.Close()
+	cl := newClients()
+	defer cl.close()
 	kv := kvhttp.New(c.Platform)
-	st, err := connectStores(c, id, env, kv, client)
-	if err != nil {
-		return err
-	}
+	st := connectStores(c, id, env, kv, cl)
 	a := New(id, deps(c, env, kv, st))
 	srv, err := rpc.NewServer(rpc.Handlers{Agent: a, Peer: st.Peer, Member: st.Member})
 	if err != nil {
--- a/internal/app/agent/settings.go
+++ b/internal/app/agent/settings.go
@@ -5,22 +5,19 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/directory"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
 // Settings are the settings of masticwing-agent.
 type Settings struct {
 	daemon.Common
-	Domain fleet.Domain
-	Region fleet.Region
-	RPC    fleet.Address
+	directory.Settings
 	Labels map[string]string
 
-	Platform fleet.Address
-	Seeds    []fleet.Address
-	Engine   fleet.Address
-	Service  fleet.Address
-	Origin   fleet.Address
+	Engine  fleet.Address
+	Service fleet.Address
+	Origin  fleet.Address
 
 	// InRate and OutRate are bytes per second.
 	InRate, OutRate int64
@@ -42,19 +39,16 @@
 // Register registers all keys.
 func (c *Settings) Register(s *settings.Set) {
 	c.Common.Register(s)
-	s.Name("node", "domain", func(v string) { c.Domain = fleet.Domain(v) }, settings.Required, "Failure domain of this VM.")
-	s.Name("node", "region", func(v string) { c.Region = fleet.Region(v) }, settings.Required, "Region of the failure domain.")
-	s.Address("node", "rpc", &c.RPC, settings.Required, "Address of the protocol between processes.")
+	c.Settings.Register(s)
 	s.Labels("node", "labels", &c.Labels, "", "Labels of this VM.")
-	s.Address("platform", "address", &c.Platform, settings.Required, "Address of the platform's key-value service.")
-	s.Addresses("peers", "seeds", &c.Seeds, "", "RPC addresses of some entries to join through.")
 	s.Address("engine", "address", &c.Engine, "", "Model engine beside this agent; empty if there is none.")
 	s.Address("service", "address", &c.Service, "", "Plain service beside this agent; empty if there is none.")
 	s.Address("origin", "address", &c.Origin, "", "Origin of weights; needed with an engine.")
 	s.Bytes("link", "in_rate", &c.InRate, 2*mib, kib, 100*gib, "Bytes per second that transfers of weights may receive.")
 	s.Bytes("link", "out_rate", &c.OutRate, 2*mib, kib, 100*gib, "Bytes per second that transfers of weights may send.")
 	s.Bytes("weights", "memory", &c.WeightsMemory, gib, mib, 1024*gib, "Memory for chunks; enough for two versions.")
-	s.Int("ledger", "writes_per_second", &c.LedgerWritesPerSecond, 5, 1, 100, "Writes of ledger records to the platform.")
+	s.Int("ledger", "writes_per_second", &c.LedgerWritesPerSecond, 120, 1, 1000,
+		"Writes of ledger records to the platform by all agents of a service together.")
 	s.Duration("ledger", "window", &c.LedgerWindow, time.Hour, time.Minute, 24*time.Hour, "Time for which a key of a call is kept.")
 	s.Bytes("ledger", "answers", &c.LedgerAnswers, 16*mib, 64*kib, gib, "Memory for answers to repeated calls.")
 	s.Duration("limits", "drain_timeout", &c.DrainTimeout, 30*time.Second, time.Second, time.Hour, "Longest graceful shutdown.")
--- /dev/null
+++ b/internal/app/directory/connect.go
@@ -0,0 +1,55 @@
+package directory
+
+import (
+	"github.com/masticwing/masticwing/internal/adapter/inifile"
+	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
+	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// Settings are the settings by which a process finds the platform and the
+// other processes.
+type Settings struct {
+	Domain fleet.Domain
+	Region fleet.Region
+	RPC    fleet.Address
+	// Advertise is the address that other processes use. It differs from RPC
+	// where an address translation stands between them.
+	Advertise fleet.Address
+	Platform  fleet.Address
+	Seeds     []fleet.Address
+}
+
+// Register adds the settings to a set.
+func (c *Settings) Register(s *settings.Set) {
+	s.Name("node", "domain", func(v string) { c.Domain = fleet.Domain(v) }, settings.Required, "Failure domain of this VM.")
+	s.Name("node", "region", func(v string) { c.Region = fleet.Region(v) }, settings.Required, "Region of the failure domain.")
+	s.Address("node", "rpc", &c.RPC, settings.Required, "Address of the protocol between processes.")
+	s.Address("node", "advertise", &c.Advertise, "", "Address that other processes use instead of rpc; empty for rpc.")
+	s.Address("platform", "address", &c.Platform, settings.Required, "Address of the platform's key-value service.")
+	s.Addresses("peers", "seeds", &c.Seeds, "", "RPC addresses of some entries to join through.")
+}
+
+// Connect returns the directory of a process over the platform's HTTP
+// interface. The client carries exchanges only, so that its traffic is the
+// cost of control.
+func Connect(c Settings, kind fleet.Kind, common daemon.Common, labels map[string]string, env daemon.Env, client *rpc.Client) *Directory {
+	platform := kvhttp.New(c.Platform)
+	address := c.Advertise
+	if address == "" {
+		address = c.RPC
+	}
+	self := port.MemberRecord{
+		ID: common.ID, Kind: kind, Domain: c.Domain, Region: c.Region,
+		Address: address, AdminAddress: common.Admin, Labels: labels,
+	}
+	return New(Config{Self: self, Seeds: c.Seeds}, Deps{
+		KV: platform, VMs: platform, Members: client, Clock: sysclock.Clock{}, Rand: sysclock.Rand{},
+		Decode: inifile.Decode, Metrics: env.Metrics, Log: env.Log,
+		Traffic: func() int64 { return client.Traffic.In.Load() + client.Traffic.Out.Load() },
+	})
+}
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -164,8 +164,15 @@
 	wg.Wait()
 }
 
-// Declaration implements port.Directory.
+// Declaration implements port.Directory. It returns nil until the start-up
+// rule is met, so that a process that has just started does not act on an old
+// revision that one seed still held.
 func (d *Directory) Declaration() (*declare.Declaration, time.Duration) {
+	select {
+	case <-d.start.ready:
+	default:
+		return nil, -1
+	}
 	h, age := d.rev.Held(d.deps.Clock.Now())
 	return h.Declaration, age
 }
--- a/internal/app/entry/plan.go
+++ b/internal/app/entry/plan.go
@@ -5,6 +5,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/ledger"
 	"github.com/masticwing/masticwing/internal/core/routing"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -140,7 +141,7 @@
 		ids = append(ids, string(a.VM))
 	}
 	slices.Sort(ids)
-	key := routing.OnceKey(r.Service, routing.Partition(r.Customer, r.IdempotencyKey))
+	key := routing.OnceKey(r.Service, ledger.Partition(r.Customer, r.IdempotencyKey))
 	out := make([]routing.Choice, 0, len(ids))
 	for _, id := range routing.Rank(key, ids) {
 		out = append(out, routing.Choice{VM: byID[id].VM, Address: byID[id].Address})
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -26,7 +26,7 @@
 	// Handler answers other processes.
 	Handler() port.MemberHandler
 	// Run keeps the directory up to date until ctx ends.
-	Run(ctx context.Context) error
+	Run(ctx context.Context)
 }
 
 // NewDirectory builds the directory of a process.
@@ -96,7 +96,7 @@
 			}
 		})
 	}
-	background(func() error { return p.dir.Run(live) })
+	background(func() error { p.dir.Run(live); return nil })
 	background(func() error { return p.server.Serve(live, rpcLis) })
 	background(func() error { return p.api.Serve(httpLis) })
 	background(func() error { p.entry.Run(live); return nil })
--- a/internal/app/entry/run_test.go
+++ b/internal/app/entry/run_test.go
@@ -25,10 +25,7 @@
 // fakeDirectory runs the fake of the port inside a process.
 type fakeDirectory struct{ *porttest.Directory }
 
-func (fakeDirectory) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
-}
+func (fakeDirectory) Run(ctx context.Context) { <-ctx.Done() }
 
 func (fakeDirectory) Handler() port.MemberHandler { return nil }
 
--- a/internal/app/entry/settings.go
+++ b/internal/app/entry/settings.go
@@ -5,17 +5,14 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/directory"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
 // Config holds the settings of an entry.
 type Config struct {
 	daemon.Common
-	Domain    fleet.Domain
-	Region    fleet.Region
-	RPC       fleet.Address
-	Platform  fleet.Address
-	Seeds     []fleet.Address
+	directory.Settings
 	Listen    fleet.Address
 	Memory    int64
 	MaxBody   int64
@@ -26,11 +23,7 @@
 // Register adds the settings to a set and returns the common part.
 func (c *Config) Register(s *settings.Set) *daemon.Common {
 	c.Common.Register(s)
-	s.Name("node", "domain", func(v string) { c.Domain = fleet.Domain(v) }, settings.Required, "Failure domain of this VM.")
-	s.Name("node", "region", func(v string) { c.Region = fleet.Region(v) }, settings.Required, "Region of this VM.")
-	s.Address("node", "rpc", &c.RPC, settings.Required, "Address of the protocol between processes.")
-	s.Address("platform", "address", &c.Platform, settings.Required, "Address of the platform's key-value service.")
-	s.Addresses("peers", "seeds", &c.Seeds, "", "RPC addresses of some entries to join through.")
+	c.Settings.Register(s)
 	s.Address("http", "listen", &c.Listen, settings.Required, "Address for callers.")
 	s.Bytes("limits", "memory", &c.Memory, 32<<20, 1<<20, 16<<30, "Bytes held for callers, over all requests.")
 	s.Bytes("limits", "body", &c.MaxBody, 1<<20, 1<<10, 64<<20, "Largest body of a request.")
--- a/internal/app/ledger/ledger.go
+++ b/internal/app/ledger/ledger.go
@@ -94,6 +94,9 @@
 	return l
 }
 
+// SetRate changes the number of writes per second.
+func (l *Ledger) SetRate(writesPerSecond float64) { l.pacer.SetRate(writesPerSecond) }
+
 // Begin implements port.Ledger.
 func (l *Ledger) Begin(ctx context.Context, k port.LedgerKey) (port.LedgerTicket, *port.StoredAnswer, error) {
 	now := l.clock.Now()
--- a/internal/core/ledger/pace.go
+++ b/internal/core/ledger/pace.go
@@ -8,17 +8,25 @@
 // Pacer spaces the writes of a process. One second's worth of writes may go at
 // once after a pause.
 type Pacer struct {
+	mu       sync.Mutex // guards all fields
 	interval time.Duration
 	burst    time.Duration
-
-	mu   sync.Mutex
-	next time.Time // when the next write is due if there is no pause
+	next     time.Time // when the next write is due if there is no pause
 }
 
 // NewPacer returns a pacer for the given number of writes per second.
 func NewPacer(perSecond float64) *Pacer {
+	p := &Pacer{}
+	p.SetRate(perSecond)
+	return p
+}
+
+// SetRate changes the number of writes per second.
+func (p *Pacer) SetRate(perSecond float64) {
 	i := time.Duration(float64(time.Second) / perSecond)
-	return &Pacer{interval: i, burst: max(time.Second-i, 0)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.interval, p.burst = i, max(time.Second-i, 0)
 }
 
 // Reserve takes the next turn and returns the time to wait until it.
--- a/internal/core/routing/hash.go
+++ b/internal/core/routing/hash.go
@@ -9,9 +9,6 @@
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
-// Partitions is the number of ledger partitions of a service.
-const Partitions = 16
-
 const (
 	fnvOffset = 14695981039346656037
 	fnvPrime  = 1099511628211
@@ -38,11 +35,6 @@
 	return h ^ h>>33
 }
 
-// Partition returns the ledger partition of a customer's idempotency key.
-func Partition(c fleet.Customer, key string) int {
-	return int(Hash(string(c), key) % Partitions)
-}
-
 // Rank returns the ids in rendezvous order for a key: each process computes
 // the same order, and an id that joins or leaves moves only its own share.
 func Rank(key uint64, ids []string) []string {
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -17,14 +17,11 @@
 )
 
 // TestHashIsStable guards against a hash that changes between releases: two
-// versions of the product would disagree on the partition of a key.
+// versions of the product would disagree on the agent of a partition.
 func TestHashIsStable(t *testing.T) {
 	if h := Hash("a", "bc"); h != 0xb1ab3f8db794b96 || h == Hash("ab", "c") {
 		t.Errorf("Hash(a, bc) = %#x", h)
 	}
-	if p := Partition("nursery", "0193a0b0-0000-7000-8000-000000000001"); p != 6 {
-		t.Errorf("partition %d", p)
-	}
 }
 
 // TestRankMovesLittle guards against a key that moves to another agent when an
--- a/internal/standin/origin/origin.go
+++ b/internal/standin/origin/origin.go
@@ -75,11 +75,11 @@
 
 // Server is the stand-in's HTTP handler.
 type Server struct {
-	versions map[fleet.Version]held
-	link     link
+	link link
 
-	mu     sync.Mutex
-	faults Faults
+	mu       sync.Mutex // guards the fields below
+	versions map[fleet.Version]held
+	faults   Faults
 	counts Counts
 }
 
@@ -89,19 +89,35 @@
 	s := &Server{versions: map[fleet.Version]held{}, link: link{rate: rate}}
 	s.counts = Counts{Calls: map[string]int64{}, Bytes: map[string]int64{}, Requester: map[string]map[string]int64{}}
 	for _, v := range versions {
-		w := v.Make()
-		m := manifest.Split(v.Model, w, v.ChunkBytes)
-		s.versions[m.Version()] = held{m, w, v.ChunkBytes}
+		s.Add(v)
 	}
 	return s
 }
 
+// Add makes the server offer a version, which it may offer already.
+func (s *Server) Add(v Version) fleet.Version {
+	w := v.Make()
+	m := manifest.Split(v.Model, w, v.ChunkBytes)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions[m.Version()] = held{m, w, v.ChunkBytes}
+	return m.Version()
+}
+
+func (s *Server) version(v string) (held, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h, ok := s.versions[fleet.Version(v)]
+	return h, ok
+}
+
 // Handler returns the routes of the stand-in.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/versions/{version}/manifest", s.faulty("manifest", s.manifest))
 	mux.HandleFunc("GET /v1/versions/{version}/chunks/{n}", s.faulty("chunk", s.chunk))
 	mux.HandleFunc("GET /versions", s.list)
+	mux.HandleFunc("POST /versions", s.add)
 	mux.HandleFunc("GET /counts", s.getCounts)
 	mux.HandleFunc("POST /faults", s.postFaults)
 	return mux
@@ -127,7 +143,7 @@
 }
 
 func (s *Server) manifest(w http.ResponseWriter, r *http.Request) {
-	v, ok := s.versions[fleet.Version(r.PathValue("version"))]
+	v, ok := s.version(r.PathValue("version"))
 	if !ok {
 		http.Error(w, "no such version", http.StatusNotFound)
 		return
@@ -152,7 +168,7 @@
 }
 
 func (s *Server) chunk(w http.ResponseWriter, r *http.Request) {
-	v, ok := s.versions[fleet.Version(r.PathValue("version"))]
+	v, ok := s.version(r.PathValue("version"))
 	n, err := strconv.Atoi(r.PathValue("n"))
 	if !ok || err != nil || n < 0 || n >= len(v.man.Chunks) {
 		http.Error(w, "no such chunk", http.StatusNotFound)
@@ -232,7 +248,27 @@
 	_ = json.NewEncoder(w).Encode(s.counts)
 }
 
+// add offers the version that the body {"model","size","chunk","seed"}
+// describes and answers {"version"}.
+func (s *Server) add(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Model, Size, Chunk string
+		Seed               uint64
+	}
+	err := json.NewDecoder(r.Body).Decode(&in)
+	size, sizeErr := ParseBytes(in.Size)
+	chunk, chunkErr := ParseBytes(in.Chunk)
+	if err != nil || sizeErr != nil || chunkErr != nil || chunk <= 0 {
+		http.Error(w, "model, size, chunk and seed are needed", http.StatusBadRequest)
+		return
+	}
+	v := s.Add(Version{Model: fleet.Model(in.Model), Bytes: int(size), ChunkBytes: int(chunk), Seed: in.Seed})
+	_ = json.NewEncoder(w).Encode(map[string]fleet.Version{"version": v})
+}
+
 func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	out := map[string]string{}
 	for id, v := range s.versions {
 		out[string(id)] = string(v.man.Model)
--- a/test/harness/admin.go
+++ b/test/harness/admin.go
@@ -62,11 +62,20 @@
 	return CallJSON(ctx, http.MethodPost, "http://"+addr+"/faults", faults, nil)
 }
 
-// Counts returns the calls that the stand-in at addr counted, by kind.
+// Counts returns the calls that the stand-in at addr counted, by kind. Counts
+// that are not plain numbers are left out.
 func Counts(ctx context.Context, addr string) (map[string]int64, error) {
-	var m map[string]int64
-	err := CallJSON(ctx, http.MethodGet, "http://"+addr+"/counts", nil, &m)
-	return m, err
+	var all map[string]any
+	if err := CallJSON(ctx, http.MethodGet, "http://"+addr+"/counts", nil, &all); err != nil {
+		return nil, err
+	}
+	m := map[string]int64{}
+	for k, v := range all {
+		if n, ok := v.(float64); ok {
+			m[k] = int64(n)
+		}
+	}
+	return m, nil
 }
 
 // Status decodes the /status of a daemon into out.
--- a/test/harness/operate.go
+++ b/test/harness/operate.go
@@ -77,8 +77,11 @@
 
 // OriginBytes returns the bytes that the origin has sent.
 func (d *Deployment) OriginBytes(ctx context.Context) (int64, error) {
-	c, err := Counts(ctx, d.OriginAddr)
-	return c["bytes"], err
+	var c struct{ Bytes map[string]int64 }
+	if err := CallJSON(ctx, http.MethodGet, "http://"+d.OriginAddr+"/counts", nil, &c); err != nil {
+		return 0, err
+	}
+	return c.Bytes["chunk"] + c.Bytes["manifest"], nil
 }
 
 // AgentStatus is the part of an agent's /status that the harness reads.
