--- a/internal/app/ctl/ctl_test.go
+++ b/internal/app/ctl/ctl_test.go
@@ -70,6 +70,10 @@
 	return p.answer(p.looks), nil
 }
 
+func (p *peers) Exchange(context.Context, fleet.Address, port.ExchangeMessage) (port.ExchangeMessage, error) {
+	return port.ExchangeMessage{}, errors.New("connection refused")
+}
+
 func agent(id string, dom fleet.Domain, pool string, rev uint64) port.MemberRecord {
 	return port.MemberRecord{
 		ID: id, Kind: fleet.KindAgent, Domain: dom, Revision: rev, Incarnation: 1,
--- a/internal/app/ctl/view.go
+++ b/internal/app/ctl/view.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/masticwing/masticwing/internal/adapter/inifile"
 	"github.com/masticwing/masticwing/internal/core/declare"
@@ -167,24 +168,30 @@
 	Behind  []process `json:"behind"`
 }
 
-// waitPoll is the time between two looks at the member table.
-const waitPoll = 250 * time.Millisecond
+const (
+	// waitPoll is the time between two looks at the member table.
+	waitPoll = 250 * time.Millisecond
+	// waitAsks bounds the processes that are asked at the same time.
+	waitAsks = 64
+)
 
-// wait returns once every visible process reports the revision.
+// wait returns once every visible process reports the revision. The member
+// table lags by some exchanges, so those that seem to be behind are asked.
 func (s *session) wait(ctx context.Context, rev uint64) (waited, error) {
 	began := s.Clock.Now()
 	out := waited{Behind: []process{}}
 	for {
 		v, err := s.look(ctx)
+		if err == nil {
+			out.Behind = s.behind(ctx, v, rev)
+		}
 		out.Seconds = s.Clock.Now().Sub(began).Round(10 * time.Millisecond).Seconds()
+		if err == nil && len(out.Behind) == 0 {
+			out.Done = true
+			return out, nil
+		}
 		if err == nil {
-			out.Behind = slices.DeleteFunc(v.Processes, func(p process) bool { return !p.seen() || p.Revision >= rev })
-			if len(out.Behind) == 0 {
-				out.Done = true
-				return out, nil
-			}
-			slowest := slices.MinFunc(out.Behind, func(a, b process) int { return cmp.Compare(a.Revision, b.Revision) })
-			out.Slowest = slowest.ID
+			out.Slowest = slices.MinFunc(out.Behind, func(a, b process) int { return cmp.Compare(a.Revision, b.Revision) }).ID
 		}
 		if s.Clock.Now().Sub(began) >= s.c.Duration("wait-timeout") {
 			if err != nil {
@@ -199,3 +206,19 @@
 		}
 	}
 }
+
+// behind returns the visible processes that do not have the revision.
+func (s *session) behind(ctx context.Context, v view, rev uint64) []process {
+	ps := slices.DeleteFunc(v.Processes, func(p process) bool { return !p.seen() || p.Revision >= rev })
+	asks := pool.New().WithMaxGoroutines(waitAsks)
+	for i := range ps {
+		asks.Go(func() {
+			m, err := s.Members.Exchange(ctx, ps[i].record.Address, port.ExchangeMessage{})
+			if err == nil {
+				ps[i].Revision = max(ps[i].Revision, m.Revision)
+			}
+		})
+	}
+	asks.Wait()
+	return slices.DeleteFunc(ps, func(p process) bool { return p.Revision >= rev })
+}
--- a/internal/app/directory/converge_test.go
+++ b/internal/app/directory/converge_test.go
@@ -1,10 +1,17 @@
 package directory
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/ctl"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/standin/platform"
@@ -37,6 +44,10 @@
 	w.faults(platform.Faults{})
 	w.await("change after the outage", inForce, all, at(w.change()))
 
+	rev = w.change()
+	w.awaitFirst(rev)
+	w.faults(platform.Faults{Down: true})
+	w.await("change while the platform goes down", inForce, all, at(rev))
 	w.faults(platform.Faults{LoseWriteAnswers: 1})
 	w.await("change with a lost answer", inForce, all, at(w.change()))
 	w.faults(platform.Faults{StaleReads: true, DelayMillis: 300})
@@ -175,3 +186,48 @@
 		t.Errorf("%.0f B/s per process, want at most 3000", rate)
 	}
 }
+
+// TestCommand guards against a change or cordon that operators make with the
+// command and that is not in force, or not shown to be, within the bounds.
+func TestCommand(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, fleetSize)
+	w.await("all members known", inForce, all, sees(fleetSize))
+	file := filepath.Join(t.TempDir(), "main.ini")
+	text := "[domain a]\nregion=r\n[domain b]\nregion=r\n[service s]\nvms=pool=model\n"
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	ctl := func(args ...string) (int, map[string]any) {
+		var out bytes.Buffer
+		peers := string(w.nodes[0].cfg.Self.Address) + "," + string(w.nodes[29].cfg.Self.Address)
+		args = append(append([]string{"masticwingctl"}, args...), "--output", "json",
+			"--platform", strings.TrimPrefix(w.url, "http://"), "--peer", peers)
+		code := ctl.Main(context.Background(), ctl.Deps{
+			KV: func(fleet.Address) port.KV { return w.kv }, Members: w.nodes[0].client,
+			Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Out: &out, Err: &out,
+		}, args)
+		v := map[string]any{}
+		if err := json.Unmarshal(out.Bytes(), &v); err != nil {
+			t.Errorf("%v: exit %d: %s", args, code, out.String())
+		}
+		return code, v
+	}
+	for _, args := range [][]string{{"apply", file, "--wait"}, {"cordon", "domain", "b", "--wait"}, {"apply", file, "--wait"}} {
+		code, v := ctl(args...)
+		if code != 0 {
+			t.Fatalf("%v: exit %d: %v", args, code, v)
+		}
+		seconds := v["wait"].(map[string]any)["seconds"].(float64)
+		t.Logf("%s shown in force everywhere after %.2f s", args[0], seconds)
+		w.await("in force when the command returns", 0, all, at(uint64(v["revision"].(float64))))
+		if args[0] == "cordon" && seconds > 3 {
+			t.Errorf("cordon took %v s, want at most 3", seconds)
+		}
+	}
+	for _, n := range w.nodes {
+		if d, _ := n.Directory.Declaration(); !d.Cordoned("b", "x") || d.Cordoned("a", "x") {
+			t.Errorf("%s: apply changed the cordons", n.cfg.Self.ID)
+		}
+	}
+}
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -115,9 +115,11 @@
 	budget   budget
 	start    startup
 	// differ counts exchanges in a row whose digests differ; whole is when the
-	// whole table was asked for last, in Unix milliseconds.
+	// whole table was asked for last, in Unix milliseconds, and wholes how
+	// often it was.
 	differ atomic.Int32
 	whole  atomic.Int64
+	wholes atomic.Int32
 	turn   atomic.Uint64
 }
 
@@ -145,8 +147,6 @@
 	}
 	d.own.rec = cloneRecord(cfg.Self)
 	d.start.reason.Store(&reasonStarting)
-	// A seed that started at the same time knows little at first.
-	d.differ.Store(differLimit - 1)
 	return d
 }
 
--- a/internal/app/directory/exchange.go
+++ b/internal/app/directory/exchange.go
@@ -34,6 +34,10 @@
 	// requests for the whole table. At 150 bytes a record it bounds them to
 	// 750 bytes per second.
 	wholePerMember = 200 * time.Millisecond
+	// earlyWholes requests come earlyGap apart, since the first partners of a
+	// process may have started just before it and know little.
+	earlyWholes = 3
+	earlyGap    = 1500 * time.Millisecond
 	// announceGap is the least time between announcements. Changes within it
 	// share one.
 	announceGap = 50 * time.Millisecond
@@ -155,9 +159,14 @@
 		return true
 	}
 	last := time.UnixMilli(d.whole.Load())
-	if d.differ.Load() < differLimit || now.Sub(last) < time.Duration(n)*wholePerMember {
+	gap, limit := time.Duration(n)*wholePerMember, int32(differLimit)
+	if d.wholes.Load() < earlyWholes {
+		gap, limit = min(gap, earlyGap), 1
+	}
+	if d.differ.Load() < limit || now.Sub(last) < gap {
 		return false
 	}
+	d.wholes.Add(1)
 	d.differ.Store(0)
 	d.whole.Store(now.UnixMilli())
 	return true
@@ -235,11 +244,7 @@
 // alive, the record is included so that it can refute.
 func (d *Directory) message(partner string, records int) port.ExchangeMessage {
 	now := d.deps.Clock.Now()
-	h, age := d.rev.Held(now)
-	m := port.ExchangeMessage{From: d.cfg.Self.ID, Age: age, Digest: d.table.Digest()}
-	if h.Declaration != nil {
-		m.Revision = h.Declaration.Revision
-	}
+	m := d.head(now)
 	n := d.budget.take(records-1, now)
 	rs := d.table.Changed(1+max(n, leastRecords), now)
 	d.budget.giveBack(max(0, n-(len(rs)-1)))
--- a/internal/app/directory/fleet_test.go
+++ b/internal/app/directory/fleet_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -275,6 +276,17 @@
 	}
 }
 
+// awaitFirst waits until any process has the revision.
+func (w *world) awaitFirst(rev uint64) {
+	w.t.Helper()
+	for end := time.Now().Add(7 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if slices.ContainsFunc(w.nodes, at(rev)) {
+			return
+		}
+	}
+	w.t.Fatalf("no process has revision %d", rev)
+}
+
 func all(*node) bool { return true }
 
 func in(d fleet.Domain) func(*node) bool {
--- a/internal/app/directory/handler.go
+++ b/internal/app/directory/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,8 +20,13 @@
 func (d *Directory) Handler() port.MemberHandler { return handler{d} }
 
 // Exchange implements port.MemberHandler. The answer is made before the
-// records of the partner are merged, so that they are not sent back.
+// records of the partner are merged, so that they are not sent back. A message
+// without a sender is an operator's question; its answer carries the own record
+// only and takes nothing from what is passed on to members.
 func (d handler) Exchange(_ context.Context, m port.ExchangeMessage) (port.ExchangeMessage, error) {
+	if m.From == "" {
+		return d.ownFacts(), nil
+	}
 	out := d.message(m.From, maxRecords)
 	if m.WantAll {
 		out.Records = d.allRecords()
@@ -43,8 +49,24 @@
 func (d handler) Members(context.Context) (port.ExchangeMessage, error) { return d.wholeTable(), nil }
 
 func (d *Directory) wholeTable() port.ExchangeMessage {
-	h, age := d.rev.Held(d.deps.Clock.Now())
-	m := port.ExchangeMessage{From: d.cfg.Self.ID, Age: age, Digest: d.table.Digest(), Records: d.allRecords()}
+	m := d.head(d.deps.Clock.Now())
+	m.Records = d.allRecords()
+	return m
+}
+
+func (d *Directory) ownFacts() port.ExchangeMessage {
+	now := d.deps.Clock.Now()
+	m := d.head(now)
+	if s, ok := d.table.Get(d.cfg.Self.ID, now); ok {
+		m.Records = []port.MemberRecord{fromCore(s)}
+	}
+	return m
+}
+
+// head returns a message without records.
+func (d *Directory) head(now time.Time) port.ExchangeMessage {
+	h, age := d.rev.Held(now)
+	m := port.ExchangeMessage{From: d.cfg.Self.ID, Age: age, Digest: d.table.Digest()}
 	if h.Declaration != nil {
 		m.Revision = h.Declaration.Revision
 	}
--- a/internal/core/membership/suspicion.go
+++ b/internal/core/membership/suspicion.go
@@ -47,14 +47,20 @@
 // Tick applies the passage of time and returns whether any state changed.
 // A member that is silent to this process becomes suspect. A suspect, own or
 // reported, and a leaving member that is gone become dead if they do not
-// refute. Dead members are forgotten after KeepDead.
+// refute. Dead members are forgotten after KeepDead. If this process was paused
+// since the last call, the silence was its own and is not counted.
 func (t *Table[P]) Tick(now time.Time) bool {
+	last := t.ticked.Swap(now.UnixNano())
+	paused := last != 0 && now.Sub(time.Unix(0, last)) >= SuspectAfter
 	changed := false
 	for _, id := range t.ids() {
 		t.m.Update(id, func(e entry[P], ok bool) (entry[P], bool) {
 			if !ok || id == t.self {
 				return e, ok
 			}
+			if paused {
+				e = e.forgive(now)
+			}
 			next := e.next(now)
 			if next == e.rec.State {
 				return e, next != Dead || now.Sub(e.since) < KeepDead
@@ -67,6 +73,15 @@
 	return changed
 }
 
+// forgive starts the time of a suspicion again.
+func (e entry[P]) forgive(now time.Time) entry[P] {
+	e.failing = time.Time{}
+	if e.rec.State == Suspect {
+		e.since = now
+	}
+	return e
+}
+
 func (e entry[P]) next(now time.Time) State {
 	silent := time.Duration(0)
 	if !e.failing.IsZero() {
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -9,6 +9,7 @@
 package membership
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -111,6 +112,8 @@
 type Table[P any] struct {
 	self string
 	m    *shard.Map[string, entry[P]]
+	// ticked is the time of the last Tick in Unix nanoseconds, or 0.
+	ticked atomic.Int64
 }
 
 // NewTable returns a table that holds the record of its own process.
