Test readers of the platform and the list of VMs

A platform that counts its revisions anew, a document that cannot be read and a list of VMs that lags had no test. The tests pass without a change of code.

--- /dev/null
+++ b/internal/app/directory/reader_test.go
@@ -0,0 +1,120 @@
+package directory
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/adapter/inifile"
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/membership"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// oneKey is a platform whose key never exceeds the revision that is watched.
+type oneKey struct {
+	port.KV
+	entry port.KVEntry
+}
+
+func (k *oneKey) Get(context.Context, string) (port.KVEntry, error) { return k.entry, nil }
+
+func (k *oneKey) Watch(_ context.Context, _ string, after int64, _ time.Duration) (port.KVEntry, error) {
+	if k.entry.Rev > after {
+		return k.entry, nil
+	}
+	return port.KVEntry{}, port.ErrNotFound
+}
+
+// silent counts the addresses that are contacted and never answers.
+type silent struct {
+	port.MemberClient
+	asked map[fleet.Address]int
+}
+
+func (s silent) Exchange(_ context.Context, a fleet.Address, _ port.ExchangeMessage) (port.ExchangeMessage, error) {
+	s.asked[a]++
+	return port.ExchangeMessage{}, errors.New("no answer")
+}
+
+func alone(kv port.KV, mc port.MemberClient) *Directory {
+	self := port.MemberRecord{ID: "e", Kind: fleet.KindEntry, Domain: "a", Address: "127.0.0.1:1"}
+	return New(Config{Self: self}, Deps{
+		KV: kv, Members: mc, Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Decode: inifile.Decode,
+	})
+}
+
+func stored(t *testing.T, rev uint64) []byte {
+	t.Helper()
+	b, err := inifile.Document{Revision: rev, Config: "[domain a]\nregion=r\n"}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// TestPlatformRevisionsGoBack guards against a reader that waits for ever for
+// a higher revision of a platform that started to count anew.
+func TestPlatformRevisionsGoBack(t *testing.T) {
+	kv := &oneKey{entry: port.KVEntry{Value: stored(t, 4), Rev: 900}}
+	w := watcher{d: alone(kv, nil)}
+	step := func() {
+		if err := w.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step()
+	kv.entry = port.KVEntry{Value: stored(t, 5), Rev: 3}
+	for range rereadEvery + 1 {
+		step()
+	}
+	if got := w.d.rev.Revision(); got != 5 {
+		t.Errorf("revision %d, want 5", got)
+	}
+}
+
+// TestUnreadableDocument guards against a document that cannot be read and
+// takes the one in force away.
+func TestUnreadableDocument(t *testing.T) {
+	d := alone(nil, nil)
+	if _, err := d.accept(stored(t, 2), 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := d.accept([]byte(`{"revision":9,"config":"[zone x]"}`), 0); err == nil {
+		t.Error("a document with faults was accepted")
+	}
+	if decl, _ := d.Declaration(); decl == nil || decl.Revision != 2 {
+		t.Errorf("in force: %+v", decl)
+	}
+}
+
+// TestVMListIsAHint guards against a list that takes a member out by itself,
+// that is believed at the first look, or that is not followed up.
+func TestVMListIsAHint(t *testing.T) {
+	mc := silent{asked: map[fleet.Address]int{}}
+	d := alone(nil, mc)
+	now := time.Now()
+	for _, r := range []port.MemberRecord{
+		{ID: "w1", Kind: fleet.KindAgent, Domain: "a", Address: "w1"},
+		{ID: "w2", Kind: fleet.KindAgent, Domain: "a", Address: "w2"},
+		{ID: "w3", Kind: fleet.KindAgent, Domain: "b", Address: "w3"},
+	} {
+		d.table.Merge(toCore(r), 0, now)
+	}
+	list := []port.VMRecord{{VM: "w1", State: port.VMLive}, {VM: "w2", State: port.VMLeaving}}
+	misses := map[string]int{}
+	d.probeMissing(context.Background(), list, misses)
+	if len(mc.asked) != 0 {
+		t.Errorf("asked after one list: %v", mc.asked)
+	}
+	d.probeMissing(context.Background(), list, misses)
+	if len(mc.asked) != 1 || mc.asked["w2"] != 1 {
+		t.Errorf("asked %v, want w2 only", mc.asked)
+	}
+	if s, _ := d.table.Get("w2", now); s.State != membership.Alive || len(d.Members(fleet.KindAgent)) != 3 {
+		t.Errorf("the list alone changed the state to %v", s.State)
+	}
+}
