entry: keep the caller's request id over retries

Cause: the demo failed on an answer whose lines named <id>.1, because a retry carried a changed id to the engine, which names it to the caller.

Change: all attempts carry the caller's id. A stream belongs to one attempt and no target gets two, so a late answer cannot pass for another one's.

--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"time"
 
@@ -40,7 +39,7 @@
 			break
 		}
 		tried[c.VM] = true
-		a, err := e.attempt(ctx, r, c, n)
+		a, err := e.attempt(ctx, r, c)
 		if err == nil {
 			return a, nil
 		}
@@ -134,15 +133,13 @@
 	return routing.Choice{}, routing.NoTarget
 }
 
-// attempt sends the request to a target in which next took a place, and waits for the first piece of the
-// answer, because a failure before it can still be retried.
-func (e *Entry) attempt(ctx context.Context, r *port.ServeRequest, c routing.Choice, n int) (*answer, error) {
+// attempt sends the request to a target in which next took a place, and waits
+// for the first piece of the answer, because a failure before it can still be
+// retried. All attempts carry the caller's request id, which the engine names
+// in its answer; each has its own stream, and no target gets two of them.
+func (e *Entry) attempt(ctx context.Context, r *port.ServeRequest, c routing.Choice) (*answer, error) {
 	q := *r
 	q.Revision, q.FromDomain = e.revision(), e.Domain
-	if n > 0 {
-		// A late answer to an earlier attempt must not pass for this one's.
-		q.ID = fleet.RequestID(fmt.Sprintf("%s.%d", r.ID, n))
-	}
 	if d, ok := ctx.Deadline(); ok {
 		if q.Timeout = d.Sub(e.Clock.Now()); q.Timeout <= 0 {
 			e.table.Done(c.VM)
--- a/internal/app/entry/serve_test.go
+++ b/internal/app/entry/serve_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -109,6 +110,23 @@
 			}
 		})
 	}
+	t.Run("request id", func(t *testing.T) {
+		w := newWorld(t, "model", 3)
+		var mu sync.Mutex
+		var ids []fleet.RequestID
+		w.change(func(_ int, a *fakeAgent) {
+			a.serve = func(_ context.Context, r port.ServeRequest, _ port.AnswerSink) error {
+				mu.Lock()
+				defer mu.Unlock()
+				ids = append(ids, r.ID)
+				return verdict.New(verdict.NotRun, verdict.CodeTargetFull, "as told")
+			}
+		})
+		_, _ = w.ask(generate())
+		if len(ids) != 3 || ids[0] != "r1" || ids[2] != "r1" {
+			t.Errorf("attempts carry the ids %v, want the caller's", ids)
+		}
+	})
 	t.Run("mixed", func(t *testing.T) {
 		w := newWorld(t, "status", 2)
 		first := true
--- a/internal/standin/origin/origin.go
+++ b/internal/standin/origin/origin.go
@@ -80,7 +80,7 @@
 	mu       sync.Mutex // guards the fields below
 	versions map[fleet.Version]held
 	faults   Faults
-	counts Counts
+	counts   Counts
 }
 
 // New makes the versions. rate limits the link in bytes per second; 0 means no
