Refuse malformed digests and fetch one chunk at a time from outside

Cause: a digest that is too long in an origin's manifest ended the process. A trace at 200 machines shows that the first chunks arrive late, because 16 gateways of a region share its link with two fetches each.

Change: the length of a digest is checked first. Gateways of a set of four or more fetch one chunk at a time from outside. Tests cover the origin's client, the stand-in and live traffic.

--- a/internal/adapter/originhttp/originhttp.go
+++ b/internal/adapter/originhttp/originhttp.go
@@ -73,8 +73,11 @@
 	out := manifest.Manifest{Model: fleet.Model(m.Model)}
 	for _, ch := range m.Chunks {
 		var d manifest.Digest
-		if n, err := hex.Decode(d[:], []byte(ch.Digest)); err != nil || n != len(d) || len(ch.Digest) != 2*len(d) {
-			return manifest.Manifest{}, errors.New("manifest has a malformed digest")
+		if len(ch.Digest) != hex.EncodedLen(len(d)) {
+			return manifest.Manifest{}, errors.New("manifest has a digest of a wrong length")
+		}
+		if _, err := hex.Decode(d[:], []byte(ch.Digest)); err != nil {
+			return manifest.Manifest{}, errors.Wrap(err, "manifest has a malformed digest")
 		}
 		out.Chunks = append(out.Chunks, manifest.Chunk{Digest: d, Bytes: ch.Bytes})
 	}
--- /dev/null
+++ b/internal/adapter/originhttp/originhttp_test.go
@@ -0,0 +1,69 @@
+package originhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
+)
+
+const manifestPath = "/v1/versions/v/manifest"
+
+func serve(t *testing.T, h http.HandlerFunc) *Client {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return New(fleet.Address(strings.TrimPrefix(s.URL, "http://")), "vm1")
+}
+
+// TestManifestRefusesMalformed guards against digests of a wrong length that
+// are cut or padded without an error.
+func TestManifestRefusesMalformed(t *testing.T) {
+	for _, digest := range []string{"", "00", strings.Repeat("0", 66), strings.Repeat("g", 64)} {
+		c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != manifestPath || r.Header.Get(RequesterHeader) != "vm1" {
+				t.Errorf("path %s, requester %q", r.URL.Path, r.Header.Get(RequesterHeader))
+			}
+			_, _ = io.WriteString(w, `{"model":"m","chunks":[{"digest":"`+digest+`","bytes":1}]}`)
+		})
+		if m, err := c.Manifest(context.Background(), "v"); err == nil {
+			t.Errorf("digest %q: %d chunks", digest, len(m.Chunks))
+		}
+	}
+	ok := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"model":"m","chunks":[{"digest":"`+strings.Repeat("0a", 32)+`","bytes":5}]}`)
+	})
+	m, err := ok.Manifest(context.Background(), "v")
+	if err != nil || len(m.Chunks) != 1 || m.Chunks[0].Bytes != 5 || m.Chunks[0].Digest == (manifest.Digest{}) {
+		t.Fatalf("%+v, %v", m, err)
+	}
+}
+
+// TestChunkStalls guards against a fetch that waits for ever on an origin that
+// stops in the middle of a chunk.
+func TestChunkStalls(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "half")
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	rc, err := c.Chunk(context.Background(), "v", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	if _, err := io.ReadAll(rc); err == nil {
+		t.Fatal("a chunk cut short was whole")
+	}
+	if d := time.Since(start); d > 2*stallTimeout {
+		t.Fatalf("gave up after %v", d)
+	}
+	_ = rc.Close()
+}
--- a/internal/app/weights/fetch.go
+++ b/internal/app/weights/fetch.go
@@ -73,7 +73,7 @@
 		v.allow.Set(int64(plan.Quota(lacking)) * max(mean, b.man.Chunks[0].Bytes))
 	}
 	blocked := false
-	for active.Load() < int64(v.m.set.Limits.Outside) {
+	for active.Load() < int64(plan.OutsideLimit(v.m.set.Limits.Outside)) {
 		now = v.m.deps.Clock.Now()
 		var ch spread.Choice
 		var ok bool
--- a/internal/app/weights/manager_test.go
+++ b/internal/app/weights/manager_test.go
@@ -172,3 +172,26 @@
 		t.Fatalf("too many copies: %+v", got)
 	}
 }
+
+// TestLiveTrafficFirst guards against uploads of weights that take the link
+// from live answers: while those use three quarters of it, the spread gets the
+// rest.
+func TestLiveTrafficFirst(t *testing.T) {
+	const rate = 2 << 20
+	c := start(t, cluster.Config{Machines: 2, Regions: 1, Version: small, MachineRate: rate})
+	c.Agents[0].Manager.Want([]port.WeightsTarget{c.Target})
+	until(t, c.Agents[0], "complete", func(p port.Progress) bool { return p.ChunksHave == p.Chunks && p.Chunks > 0 })
+	begin := time.Now()
+	c.Agents[1].Manager.Want([]port.WeightsTarget{c.Target})
+	for {
+		if _, _, ok := c.Agents[1].Manager.Open(c.Target.Version); ok {
+			break
+		}
+		c.Agents[0].Manager.ChargeLive(rate / 100 * 3 / 4)
+		time.Sleep(10 * time.Millisecond)
+	}
+	// Without live traffic it takes half a second.
+	if d := time.Since(begin); d < time.Second {
+		t.Fatalf("the spread took %v beside live traffic", d)
+	}
+}
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -210,6 +210,20 @@
 	return quiet >= time.Duration(steps)*patience
 }
 
+// soloGateways is the number of gateways from which each fetches one chunk at a
+// time from outside.
+const soloGateways = 4
+
+// OutsideLimit returns the number of fetches from outside that this agent may
+// have in progress, at most most. Many gateways share the link of their region;
+// with fewer fetches at a time each chunk is complete, and passed on, earlier.
+func (p *Plan) OutsideLimit(most int) int {
+	if len(p.Gateways) >= soloGateways {
+		return min(1, most)
+	}
+	return most
+}
+
 // Role returns what a neighbour of the plan is used for.
 func (p *Plan) Role(m Member) Role {
 	at := slices.IndexFunc(p.Neighbours, func(n Member) bool { return n.VM == m.VM })
