Grant the origin's quota for lacking chunks only, and extend it at a standstill

Cause: an agent that restarts in a region that has every chunk set a quota of zero for good. A region whose gateways used their quotas on corrupted chunks could never complete a version.

Change: the quota is set when the region is first seen to lack a chunk. After 30 s without a new chunk a gateway may draw one more. Progress tells a used quota from an origin that does not answer. The record of bytes by requester is bounded.

--- a/internal/app/weights/fetch.go
+++ b/internal/app/weights/fetch.go
@@ -67,11 +67,7 @@
 		v.explain(b, now, false)
 		return
 	}
-	if !v.allow.IsSet() {
-		lacking, _ := b.table.Lacking(now)
-		mean := b.size / int64(len(b.man.Chunks))
-		v.allow.Set(int64(plan.Quota(lacking)) * max(mean, b.man.Chunks[0].Bytes))
-	}
+	v.grant(b, plan, now)
 	blocked := false
 	for active.Load() < int64(plan.OutsideLimit(v.m.set.Limits.Outside)) {
 		now = v.m.deps.Clock.Now()
@@ -86,6 +82,19 @@
 	v.explain(b, now, blocked)
 }
 
+// grant sets the allowance when the region is first seen to lack chunks.
+func (v *version) grant(b *body, plan *spread.Plan, now time.Time) {
+	first := b.man.Chunks[0].Bytes
+	if v.allow.IsSet() {
+		v.allow.Extend(first, v.still(now))
+		return
+	}
+	if lacking, _ := b.table.Lacking(now); lacking > 0 {
+		mean := b.size / int64(len(b.man.Chunks))
+		v.allow.Set(int64(plan.Quota(lacking)) * max(mean, first))
+	}
+}
+
 // outside returns what this gateway may fetch from outside its region now.
 func (v *version) outside(b *body, plan *spread.Plan, now time.Time) spread.Outside {
 	sight := spread.Sight{
@@ -113,6 +122,8 @@
 	}
 	n, example := b.table.Lacking(now)
 	switch {
+	case blocked && v.allow.Used(b.man.Chunks[0].Bytes):
+		v.setReason("quota of the origin used")
 	case blocked:
 		v.setReason("waiting for origin")
 	case n > 0:
--- a/internal/app/weights/manager.go
+++ b/internal/app/weights/manager.go
@@ -67,10 +67,9 @@
 	changed  chan struct{}
 	wake     chan struct{}
 
-	mu      sync.Mutex // guards wanted
-	wanted  []port.WeightsTarget
-	memory  memory
-	stopped chan struct{}
+	mu     sync.Mutex // guards wanted
+	wanted []port.WeightsTarget
+	memory memory
 }
 
 var (
@@ -88,7 +87,6 @@
 		versions: shard.New[fleet.Version, *version](0),
 		changed:  make(chan struct{}, 1),
 		wake:     make(chan struct{}, 1),
-		stopped:  make(chan struct{}),
 	}
 	m.counters.metrics = d.Metrics
 	m.memory.init(s.Memory)
@@ -97,7 +95,6 @@
 
 // Run fetches what is wanted until ctx ends. It is called once.
 func (m *Manager) Run(ctx context.Context) {
-	defer close(m.stopped)
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	for {
--- a/internal/app/weights/peers.go
+++ b/internal/app/weights/peers.go
@@ -81,9 +81,8 @@
 	return manifest.Manifest{}, false
 }
 
-// manifestFromPeers asks those that ask the origin first, then others in turn.
-// The first agents skip it in the first round, since nobody can have it before
-// them in a fresh spread.
+// manifestFromPeers asks those that ask the origin first in even rounds, and
+// random ones in odd rounds.
 func (v *version) manifestFromPeers(others []spread.Member, round int) (manifest.Manifest, bool) {
 	for i := range min(manifestPeers, len(others)) {
 		at := i
--- a/internal/core/spread/allowance.go
+++ b/internal/core/spread/allowance.go
@@ -11,6 +11,11 @@
 	maxOriginPause = 4 * time.Second
 )
 
+// standstill is the time without any new chunk after which an agent with a used
+// allowance may draw one more. Faults can use up all allowances of a region, and
+// without it the version would never be complete.
+const standstill = 30 * time.Second
+
 // Allowance is what an agent may still draw from the origin for one version,
 // and when. Its lock covers all fields.
 type Allowance struct {
@@ -45,6 +50,22 @@
 	return a.left >= n && !now.Before(a.until)
 }
 
+// Used reports whether the allowance does not cover n bytes.
+func (a *Allowance) Used(n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.left < n
+}
+
+// Extend adds n bytes to a used allowance after a standstill.
+func (a *Allowance) Extend(n int64, still time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.set && a.left < n && still > standstill {
+		a.left = n
+	}
+}
+
 // Spend takes n bytes before a fetch starts.
 func (a *Allowance) Spend(n int64) {
 	a.mu.Lock()
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -164,6 +164,25 @@
 	})
 }
 
+// TestAllowanceExtends guards against a version that can never be complete
+// because corrupted chunks used the allowance, and against an extension while
+// the spread still moves.
+func TestAllowanceExtends(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var a Allowance
+	a.Set(10)
+	a.Spend(10)
+	a.Extend(10, standstill/2)
+	if a.Ready(now, 10) {
+		t.Fatal("extended while chunks arrive")
+	}
+	a.Extend(10, 2*standstill)
+	a.Extend(10, 2*standstill)
+	if !a.Ready(now, 10) || a.Ready(now, 11) {
+		t.Fatal("not extended by one chunk")
+	}
+}
+
 // simulation spreads a version in rounds without links: each agent starts up
 // to two fetches a round, which end in the next.
 type simulation struct {
--- a/internal/core/spread/uploads.go
+++ b/internal/core/spread/uploads.go
@@ -14,6 +14,9 @@
 	MaxUploads = 4
 	// maxQueued bounds the requests that wait for an upload slot.
 	maxQueued = 16
+	// maxRecords bounds the requesters whose bytes are remembered. Requesters
+	// come and go, and forgetting all of them only restarts their order.
+	maxRecords = 1024
 	// copiesPerChunk is the number of times that an agent gives one chunk
 	// readily. Two make a tree of each chunk, whose inner nodes differ from
 	// chunk to chunk, so that no machine gives much more than one copy of the
@@ -148,6 +151,9 @@
 func (s *Slots) Release(t *Ticket, n int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.given) >= maxRecords {
+		clear(s.given)
+	}
 	s.given[t.vm] += n
 	if len(s.queued) == 0 {
 		s.free++
@@ -163,14 +169,3 @@
 	s.queued = append(s.queued[:best], s.queued[best+1:]...)
 	close(next.Granted)
 }
-
-// Forget drops the records of requesters that are gone.
-func (s *Slots) Forget(live func(fleet.VM) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for vm := range s.given {
-		if !live(vm) {
-			delete(s.given, vm)
-		}
-	}
-}
--- a/test/bench/spread/cluster/cluster.go
+++ b/test/bench/spread/cluster/cluster.go
@@ -174,8 +174,8 @@
 	Corrupted                     int64
 }
 
-// Copies returns the use of the links since the start. The machine figure
-// covers survivors only if there are any lost ones.
+// Copies returns the use of the links since the start, those of stopped and
+// frozen machines included.
 func (c *Cluster) Copies() Copies {
 	size := float64(c.Config.Version.Bytes)
 	out := Copies{Origin: float64(c.Origin.TotalBytes()) / size}
