directory: test that no declaration is in force before the start-up rule

Cause: Declaration now returns nil until the start-up rule is met, and TestUnreadableDocument asked a directory that had not started.

Change: the test also checks that nothing is in force before the rule is met, and then marks the rule as met. Its other checks are unchanged.

Conclusion: the test is stricter than before.

--- a/internal/app/directory/reader_test.go
+++ b/internal/app/directory/reader_test.go
@@ -86,6 +86,10 @@
 	if _, err := d.accept([]byte(`{"revision":9,"config":"[zone x]"}`), 0); err == nil {
 		t.Error("a document with faults was accepted")
 	}
+	if decl, _ := d.Declaration(); decl != nil {
+		t.Errorf("revision %d is in force before the start-up rule is met", decl.Revision)
+	}
+	close(d.start.ready)
 	if decl, _ := d.Declaration(); decl == nil || decl.Revision != 2 {
 		t.Errorf("in force: %+v", decl)
 	}
