spread: send each chunk out of the origin's region once

Cause: with the origin inside a region, as today, every other region drew its copy through that region's link, which carried one copy per other region.

Change: the new setting [origin] region names the region. For each chunk one other region draws from the origin and passes it on. bench-spread has runs with the origin inside a region.

--- a/internal/app/agent/connect.go
+++ b/internal/app/agent/connect.go
@@ -45,7 +45,7 @@
 func connectStores(c Settings, id Identity, env daemon.Env, kv port.KV, cl clients) stores {
 	dir := directory.Connect(c.Settings, fleet.KindAgent, c.Common, c.Labels, env, cl.control)
 	w := weights.New(weights.Settings{
-		VM: id.VM, Region: id.Region, InRate: c.InRate, OutRate: c.OutRate, Memory: c.WeightsMemory,
+		VM: id.VM, Region: id.Region, OriginRegion: fleet.Region(c.OriginRegion), InRate: c.InRate, OutRate: c.OutRate, Memory: c.WeightsMemory,
 	}, weights.Deps{
 		Directory: dir, Peers: cl.peers, Origin: originhttp.New(c.Origin, id.VM),
 		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics,
--- a/internal/app/agent/settings.go
+++ b/internal/app/agent/settings.go
@@ -18,6 +18,8 @@
 	Engine  fleet.Address
 	Service fleet.Address
 	Origin  fleet.Address
+	// OriginRegion is empty if the origin stands in none of the regions.
+	OriginRegion string
 
 	// InRate and OutRate are bytes per second.
 	InRate, OutRate int64
@@ -44,6 +46,7 @@
 	s.Address("engine", "address", &c.Engine, "", "Model engine beside this agent; empty if there is none.")
 	s.Address("service", "address", &c.Service, "", "Plain service beside this agent; empty if there is none.")
 	s.Address("origin", "address", &c.Origin, "", "Origin of weights; needed with an engine.")
+	s.String("origin", "region", &c.OriginRegion, "", "Region of the origin; empty if it stands in none of the regions.")
 	s.Bytes("link", "in_rate", &c.InRate, 2*mib, kib, 100*gib, "Bytes per second that transfers of weights may receive.")
 	s.Bytes("link", "out_rate", &c.OutRate, 2*mib, kib, 100*gib, "Bytes per second that transfers of weights may send.")
 	s.Bytes("weights", "memory", &c.WeightsMemory, gib, mib, 1024*gib, "Memory for chunks; enough for two versions.")
--- a/internal/app/weights/manager.go
+++ b/internal/app/weights/manager.go
@@ -31,6 +31,9 @@
 type Settings struct {
 	VM     fleet.VM
 	Region fleet.Region
+	// OriginRegion is the region in which the origin stands, or empty if its
+	// traffic crosses the link of no region but the one that draws.
+	OriginRegion fleet.Region
 	// InRate and OutRate limit the link in bytes per second; 0 means no limit.
 	InRate, OutRate int64
 	// Memory bounds the bytes of all versions together; 0 means no limit.
--- a/internal/app/weights/peers.go
+++ b/internal/app/weights/peers.go
@@ -126,7 +126,7 @@
 	now := v.m.deps.Clock.Now()
 	avoid := func(vm fleet.VM) bool { return b.table.Avoided(vm, now) }
 	ms := v.m.members(v.id)
-	p := spread.NewPlan(v.id, len(b.man.Chunks), v.m.self(), ms, avoid)
+	p := spread.NewPlan(v.id, len(b.man.Chunks), v.m.self(), ms, v.m.set.OriginRegion, avoid)
 	next := map[fleet.VM]fleet.Address{}
 	for _, n := range p.Neighbours {
 		next[n.VM] = n.Address
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -20,6 +20,9 @@
 	Gateway bool
 
 	version fleet.Version
+	// home is the region of the origin, or empty if the origin stands outside
+	// all regions.
+	home    fleet.Region
 	chunks  int
 	ring    int // the first of Neighbours are neighbours on the ring
 	regions []fleet.Region
@@ -28,10 +31,13 @@
 }
 
 // NewPlan returns the plan of self for a version of the given number of
-// chunks. Avoided members are not chosen as neighbours.
-func NewPlan(v fleet.Version, chunks int, self Member, ms []Member, avoid func(fleet.VM) bool) *Plan {
+// chunks. home is the region of the origin, if it stands in one. Avoided
+// members are not chosen as neighbours.
+func NewPlan(
+	v fleet.Version, chunks int, self Member, ms []Member, home fleet.Region, avoid func(fleet.VM) bool,
+) *Plan {
 	groups := byRegion(self, ms)
-	p := &Plan{Self: self, version: v, chunks: chunks, regions: slices.Sorted(maps.Keys(groups))}
+	p := &Plan{Self: self, version: v, home: home, chunks: chunks, regions: slices.Sorted(maps.Keys(groups))}
 	own := groups[self.Region]
 	p.Gateways = p.gatewaysOf(self.Region, own)
 	p.Gateway = slices.ContainsFunc(p.Gateways, func(m Member) bool { return m.VM == self.VM })
@@ -49,7 +55,8 @@
 
 // addGatewayNeighbours lets gateways of a region watch each other, so that a
 // takeover follows from what the owner announces, and watch some gateways of
-// other regions.
+// other regions. Gateways of the origin's region are not watched: fetching from
+// them costs that region's link as much as fetching from the origin.
 func (p *Plan) addGatewayNeighbours(groups map[fleet.Region][]Member, avoid func(fleet.VM) bool) {
 	add := func(m Member) {
 		has := slices.ContainsFunc(p.Neighbours, func(n Member) bool { return n.VM == m.VM })
@@ -61,7 +68,7 @@
 		add(g)
 	}
 	for _, r := range p.regions {
-		if r == p.Self.Region {
+		if r == p.Self.Region || r == p.home {
 			continue
 		}
 		left := remoteNeighbours
@@ -116,18 +123,25 @@
 // than from another region.
 func (p *Plan) Draws(c int) bool { return p.regionDraws(p.Self.Region, c) }
 
+// regionDraws reports whether region r draws chunk c from the origin. If the
+// origin stands in a region, each chunk leaves that region once, to one other
+// region, which passes it on to the rest.
 func (p *Plan) regionDraws(r fleet.Region, c int) bool {
-	if len(p.regions) <= maxDrawing {
+	draw := maxDrawing
+	if p.home != "" {
+		draw = 1
+	}
+	if r == p.home || len(p.regions) <= draw {
 		return true
 	}
 	mine := p.drawRank(r, c)
 	ahead := 0
 	for _, o := range p.regions {
-		if o != r && p.drawRank(o, c) < mine {
+		if o != r && o != p.home && p.drawRank(o, c) < mine {
 			ahead++
 		}
 	}
-	return ahead < maxDrawing
+	return ahead < draw
 }
 
 func (p *Plan) drawRank(r fleet.Region, c int) uint64 {
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -28,7 +28,7 @@
 func plans(ms []Member, chunks int) []*Plan {
 	var out []*Plan
 	for _, m := range ms {
-		out = append(out, NewPlan(version, chunks, m, ms, nobody))
+		out = append(out, NewPlan(version, chunks, m, ms, "", nobody))
 	}
 	return out
 }
@@ -70,6 +70,38 @@
 	})
 }
 
+// TestOriginInsideRegion guards against an origin that stands in a region and
+// sends a chunk over that region's link more than once, and against a region
+// that fetches from the origin's region through its agents instead.
+func TestOriginInsideRegion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms, regions := drawMembers(t, 6)
+		const home, chunks = fleet.Region("r0"), 50
+		drawing := make([]map[fleet.Region]bool, chunks)
+		for _, m := range ms {
+			p := NewPlan(version, chunks, m, ms, home, nobody)
+			for c := range chunks {
+				if drawing[c] == nil {
+					drawing[c] = map[fleet.Region]bool{}
+				}
+				if p.Draws(c) {
+					drawing[c][m.Region] = true
+				}
+			}
+			for _, n := range p.Neighbours {
+				if m.Region != home && n.Region == home {
+					t.Fatalf("%s in %s watches %s in the origin's region", m.VM, m.Region, n.VM)
+				}
+			}
+		}
+		for c, d := range drawing {
+			if !d[home] || len(d) != min(regions, 2) {
+				t.Fatalf("chunk %d is drawn by %v of %d regions", c, d, regions)
+			}
+		}
+	})
+}
+
 // TestQuotaCoversLostGateways guards against quotas that the survivors of lost
 // gateways cannot finish a version with when a quarter is lost. Quotas are
 // rounded down to whole chunks.
--- a/test/bench/spread/cluster/agent.go
+++ b/test/bench/spread/cluster/agent.go
@@ -33,8 +33,12 @@
 		VM: fleet.VM(fmt.Sprintf("vm%03d", i)), Address: fleet.Address(lis.Addr().String()),
 		cluster: c, client: rpc.NewClient(), gate: newGate(),
 	}
+	var home fleet.Region
+	if c.Config.OriginInside {
+		home = c.Regions[0].name
+	}
 	a.Manager = weights.New(weights.Settings{
-		VM: a.VM, Region: region.name, InRate: c.Config.MachineRate, OutRate: c.Config.MachineRate, Memory: c.Config.Memory,
+		VM: a.VM, Region: region.name, OriginRegion: home, InRate: c.Config.MachineRate, OutRate: c.Config.MachineRate, Memory: c.Config.Memory,
 	}, weights.Deps{
 		Directory: c.dir.view(c.Config.Alone),
 		Peers:     &peers{PeerClient: a.client, agent: a, region: i % c.Config.Regions},
--- a/test/bench/spread/cluster/cluster.go
+++ b/test/bench/spread/cluster/cluster.go
@@ -28,6 +28,9 @@
 	Version                             origin.Version
 	// Others are further versions that the origin has.
 	Others []origin.Version
+	// OriginInside puts the origin into the first region, so that what it gives
+	// to the others crosses that region's link.
+	OriginInside bool
 	// Memory bounds the chunks of one machine.
 	Memory int64
 	// Corrupt is the share of chunks between machines that carry a wrong byte.
--- a/test/bench/spread/cluster/links.go
+++ b/test/bench/spread/cluster/links.go
@@ -142,7 +142,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return &reader{ReadCloser: rc, ctx: ctx, gate: o.agent.gate, in: o.link}, nil
+	r := &reader{ReadCloser: rc, ctx: ctx, gate: o.agent.gate, in: o.link}
+	if c := o.agent.cluster; c.Config.OriginInside {
+		home := c.Regions[0]
+		if r.out = home; o.link == home {
+			r.in, r.out = nil, nil
+		}
+	}
+	return r, nil
 }
 
 // peers is a machine's client of other machines.
--- a/test/bench/spread/main.go
+++ b/test/bench/spread/main.go
@@ -37,7 +37,7 @@
 
 func main() {
 	quick := os.Getenv("QUICK") != ""
-	only := flag.String("only", "", "run one of machine, region, faulted, baseline")
+	only := flag.String("only", "", "run one of machine, region, inside, faulted, baseline")
 	n := flag.Int("n", 0, "run with this number of machines only")
 	trace := flag.Bool("trace", false, "print the progress of each run")
 	flag.Parse()
@@ -100,17 +100,18 @@
 	if slowest == "machine" {
 		c.MachineRate = b.rate
 	} else {
-		c.RegionRate = b.rate
+		c.RegionRate, c.OriginInside = b.rate, slowest == "inside"
 	}
 	return c
 }
 
-// spread runs a fleet of n machines once with each kind of link the slowest.
+// spread runs a fleet of n machines once with each kind of link the slowest,
+// and once with slow region links and the origin inside one of the regions.
 // The copies printed are the higher ones of the two runs.
 func (b *bench) spread(n int, run func(string) bool) {
 	var worst cluster.Copies
 	ratio, link := 0.0, ""
-	for _, slowest := range []string{"region", "machine"} {
+	for _, slowest := range []string{"region", "inside", "machine"} {
 		if !run(slowest) {
 			continue
 		}
