agent: resume the engine's broken stream

Cause: engines can resume a stream, but an answer whose stream broke in the middle was ended with an error.

Change: after a broken stream whose head has reached the entry, the agent asks the engine for the rest, from the first frame not yet passed on, up to 3 times. The version is pinned and checked again, so an answer never joins two versions. A refusal to resume counts as may-have-run.

Conclusion: a short break between agent and engine is not seen by the caller.

--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -18,6 +18,10 @@
 	frameBytes = 16 << 10
 	// longestRequest bounds a request without a deadline of its own.
 	longestRequest = 10 * time.Minute
+	// maxResumes bounds how often the stream of one answer is resumed.
+	maxResumes = 3
+	// resumePause is the time before a broken stream is resumed.
+	resumePause = 50 * time.Millisecond
 )
 
 // Serve implements port.AgentHandler.
@@ -94,14 +98,49 @@
 	}
 	defer func() { s.release(err) }()
 	s.sent = s.a.d.Clock.Now()
-	ans, err := s.a.d.Engine.Generate(ctx, port.EngineRequest{
+	r := port.EngineRequest{
 		ID:       s.r.ID,
 		Model:    v.serving.Model,
 		Version:  s.permit.Version(),
 		Class:    s.r.Class,
 		Body:     s.r.Body,
 		Priority: int(s.r.Class),
-	})
+	}
+	for n := 0; ; n++ {
+		err := s.stream(ctx, &r)
+		if err == nil {
+			return nil
+		}
+		if n > 0 && verdict.Of(err).Verdict == verdict.NotRun {
+			// An engine that refuses to resume has already run a part.
+			err = verdict.Of(err).WithVerdict(verdict.MayHaveRun)
+		}
+		if n == maxResumes || !s.resumable(ctx, err) {
+			return err
+		}
+		s.a.d.Metrics.Count("agent_resumes", 1)
+	}
+}
+
+// resumable reports whether the engine may continue the answer after err, and
+// waits before it does. A stream that broke before its head is not resumed:
+// nothing has reached the entry, which tries another target.
+func (s *serving) resumable(ctx context.Context, err error) bool {
+	if !s.headed || verdict.Of(err).Code != verdict.CodeTargetError {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.a.d.Clock.After(resumePause):
+		return true
+	}
+}
+
+// stream passes one stream of the engine on, from the frame that r.Resume
+// names, and counts the frames passed there.
+func (s *serving) stream(ctx context.Context, r *port.EngineRequest) error {
+	ans, err := s.a.d.Engine.Generate(ctx, *r)
 	if err != nil {
 		signal(s.a.probes)
 		return err
@@ -110,7 +149,7 @@
 	if err := s.checkHead(ans.Head()); err != nil {
 		return err
 	}
-	return s.copyAnswer(ctx, ans)
+	return s.copyAnswer(ctx, ans, func() { r.Resume++ })
 }
 
 // checkHead refuses an answer that belongs to another request or comes from
@@ -127,10 +166,12 @@
 }
 
 // copyAnswer passes the answer on piece by piece. It reads the next piece only
-// after the entry took the last one.
-func (s *serving) copyAnswer(ctx context.Context, ans port.Answer) error {
-	if err := s.head(ctx, ans.Head()); err != nil {
-		return err
+// after the entry took the last one, and calls passed after each.
+func (s *serving) copyAnswer(ctx context.Context, ans port.Answer, passed func()) error {
+	if !s.headed {
+		if err := s.head(ctx, ans.Head()); err != nil {
+			return err
+		}
 	}
 	for {
 		b, err := ans.Next()
@@ -143,6 +184,7 @@
 		if err := s.data(ctx, b); err != nil {
 			return err
 		}
+		passed()
 	}
 }
 
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// TestBrokenStreamIsResumed guards against an answer that is cut, repeated or
+// joined wrongly when the engine's stream breaks in the middle.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	b.admin("/faults", `{"cut_after":3,"cut_once":true}`)
+	_, got, err := b.serve(b.request("r1", "x"))
+	if w := want("r1", "v1", "w", "x"); err != nil || got != w {
+		t.Fatalf("answer %q, error %v, want %q", got, err, w)
+	}
+}
+
 // TestCancelReachesEngine guards against an engine that goes on producing
 // tokens for a caller that has gone, and against a deadline that is ignored.
 func TestCancelReachesEngine(t *testing.T) {
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -70,7 +70,7 @@
 		return err
 	}
 	defer func() { _ = ans.Close() }()
-	return s.copyAnswer(ctx, ans)
+	return s.copyAnswer(ctx, ans, func() {})
 }
 
 // callOnce runs a call that may run at most once for its key.
--- a/internal/app/ctl/ctl.go
+++ b/internal/app/ctl/ctl.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -90,6 +91,7 @@
 		Name:           "masticwingctl",
 		Usage:          "change and observe a deployment",
 		Description:    description,
+		Version:        daemon.Version,
 		Writer:         d.Out,
 		ErrWriter:      d.Err,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -37,6 +37,8 @@
 	WrongID string `json:"wrong_id"`
 	// CutAfter ends the connection after that many frames, if positive.
 	CutAfter int `json:"cut_after"`
+	// CutOnce leaves resumed answers alone.
+	CutOnce bool `json:"cut_once"`
 }
 
 // Answered is one line of the history.
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -132,7 +132,7 @@
 		if !s.pause(r) {
 			return false
 		}
-		if f.CutAfter > 0 && i >= f.CutAfter {
+		if f.CutAfter > 0 && i >= f.CutAfter && (resume == 0 || !f.CutOnce) {
 			panic(http.ErrAbortHandler)
 		}
 		if out.Encode(Frame{id, version, i, token(m.digest, body, i)}) != nil || flush.Flush() != nil {
--- a/test/up/main.go
+++ b/test/up/main.go
@@ -79,6 +79,6 @@
 		customer, entry, harness.GeneratePath(harness.Group))
 	fmt.Printf("  curl -si -H '%s' -H '%s: %s' -d '{\"seedlings\":12}' %s%s\n",
 		customer, harness.HeaderKey, harness.NewKey(), entry, harness.CallPath(harness.Service, "log"))
-	fmt.Printf("  %s status --platform %s\n\nCtrl-C stops everything.\n", ctl, d.PlatformAddr)
+	fmt.Printf("  %s --platform %s --peer %s status\n\nCtrl-C stops everything.\n", ctl, d.PlatformAddr, d.Entries[0].RPC)
 	return nil
 }
