--- /dev/null
+++ b/test/proof/cordon_test.go
@@ -0,0 +1,102 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/standin/relay"
+	"github.com/masticwing/masticwing/test/harness"
+)
+
+// watchFor is how long a target that may get no new work is watched.
+const watchFor = 2 * time.Second
+
+// work returns how many requests the targets of a failure domain have got.
+func (w *world) work(domain string) int64 {
+	w.t.Helper()
+	var n int64
+	for _, a := range append(w.agents(domain, true), w.agents(domain, false)...) {
+		c, err := harness.Counts(w.ctx, a.TargetAddr)
+		w.must(err)
+		n += c["generate"] + c["log"]
+	}
+	return n
+}
+
+// idle fails the test if the targets of a failure domain get new work.
+func (w *world) idle(domain string) {
+	w.t.Helper()
+	before := w.work(domain)
+	w.sleep(watchFor)
+	if n := w.work(domain) - before; n > 0 {
+		w.t.Errorf("targets of %s got %d new requests more than %v after the cordon", domain, n, cordonBound)
+	}
+}
+
+// working waits until the targets of a failure domain get work.
+func (w *world) working(bound time.Duration, domain string) {
+	w.t.Helper()
+	before := w.work(domain)
+	w.must(harness.WaitFor(w.ctx, bound, "work in "+domain, func() error {
+		if w.work(domain) == before {
+			return errors.New("no new request")
+		}
+		return nil
+	}))
+}
+
+// allAnswered fails the test unless each request that passes the filter has its
+// whole answer.
+func (w *world) allAnswered(filter func(record) bool) {
+	w.t.Helper()
+	w.report("requests without an answer", w.lost(0, w.now(), filter))
+}
+
+func every(record) bool { return true }
+
+// TestCordonUnderLoad guards against new work in a cordoned failure domain, and
+// against requests that are cut or lost when it leaves and returns.
+func TestCordonUnderLoad(t *testing.T) {
+	w := deploy(t, nil)
+	w.startLoad()
+	w.sleep(500 * time.Millisecond)
+	for _, domain := range []string{"b", "a"} {
+		w.working(waitBound, domain)
+		w.must(w.Cordon(w.ctx, domain))
+		w.note("cordoned " + domain)
+		w.sleep(cordonBound)
+		w.idle(domain)
+		w.must(w.Uncordon(w.ctx, domain))
+		w.note("returned " + domain)
+		w.working(configBound, domain)
+	}
+	w.sleep(500 * time.Millisecond)
+	w.finish()
+	w.allAnswered(every)
+}
+
+// TestCordonWhileEntryIsCutOff guards against an entry that sends work to a
+// cordoned failure domain because it cannot reach the platform: it has to learn
+// of the cordon from its peers.
+func TestCordonWhileEntryIsCutOff(t *testing.T) {
+	w := deploy(t, func(s *harness.Spec) { s.Relays = []harness.Link{harness.LinkPlatform} })
+	cut := w.Entries[1]
+	w.startLoad()
+	w.must(w.SetLinkFaults(w.ctx, harness.LinkPlatform, relay.Faults{Cut: true}, cut))
+	w.note(cut.Name + " is cut off from the platform")
+	w.sleep(time.Second)
+	rev, err := w.revision(cut)
+	w.must(err)
+	w.must(w.Cordon(w.ctx, "a"))
+	w.note("cordoned a")
+	w.waitRevision(cordonBound, rev+1, cut)
+	w.note(cut.Name + " knows of the cordon")
+	w.sleep(cordonBound)
+	w.idle("a")
+	w.must(w.Uncordon(w.ctx, "a"))
+	w.working(configBound, "a")
+	w.finish()
+	w.allAnswered(every)
+}
