--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,12 @@
 	$(GO) build -o $(BIN)/bench-spread ./test/bench/spread
 	$(BIN)/bench-spread
 
+# Measures serving under load and faults; ONLY=section,... for a part of it,
+# SEED=n to repeat a run.
+bench-serve:
+	$(GO) build -o $(BIN)/bench-serve ./test/bench/serve
+	$(BIN)/bench-serve -only "$(ONLY)" -seed "$(or $(SEED),0)"
+
 # Starts a small deployment, changes it under load and prints a table.
 demo:
 	$(GO) run ./test/demo
--- /dev/null
+++ b/test/bench/serve/deploy.go
@@ -0,0 +1,135 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/test/harness"
+)
+
+// settle is the time after which entries have a second status of each target
+// and permits that follow from it.
+const settle = 1500 * time.Millisecond
+
+var smallOrigin = harness.OriginSpec{Model: "summarizer", Size: "1MiB", Chunk: "256KiB", Seed: 1}
+
+// limits are the lines of a group or service whose target bears n requests.
+func limits(n, cold int) []string {
+	return []string{
+		fmt.Sprintf("max_requests = %d", n), "max_bytes = 16MiB",
+		fmt.Sprintf("cold_requests = %d", cold), "ramp_step = 200ms",
+	}
+}
+
+// deploy starts a system and lets its targets become warm.
+func deploy(ctx context.Context, h *harness.Harness, s harness.Spec) (*harness.Deployment, error) {
+	s.Origin = smallOrigin
+	d, err := harness.Deploy(ctx, h, s)
+	if err != nil {
+		return nil, errors.Wrap(err, "deploying")
+	}
+	v, err := d.Publish(ctx, s.Origin.Seed)
+	if err != nil {
+		return nil, err
+	}
+	if err := d.WaitVersion(ctx, 20*time.Second, v); err != nil {
+		return nil, err
+	}
+	return d, pause(ctx, settle)
+}
+
+// customers declares further customers.
+func customers(ctx context.Context, d *harness.Deployment, names []string) error {
+	v, err := d.Publish(ctx, d.Spec.Origin.Seed)
+	if err != nil {
+		return err
+	}
+	text := d.Spec.Declare(map[string]string{"v1": v}, "v1")
+	for _, n := range names {
+		text += fmt.Sprintf("\n[customer %s]\nshare = 1\nmax_queued = 1000\nmax_bytes = 64MiB\n", n)
+	}
+	if err := d.Apply(ctx, text); err != nil {
+		return err
+	}
+	return harness.WaitFor(ctx, 10*time.Second, "the customers", func() error {
+		for _, e := range d.Entries {
+			var s struct{ Revision uint64 }
+			if err := harness.Status(ctx, e.Admin, &s); err != nil {
+				return err
+			}
+			if s.Revision < 2 {
+				return errors.Errorf("%s has revision %d", e.Name, s.Revision)
+			}
+		}
+		return nil
+	})
+}
+
+// warm sends load until every target has left its ramp.
+func warm(ctx context.Context, d *harness.Deployment, b *bench, rate float64, tokens int, t time.Duration) {
+	newLoad(d, rate, b.rand(1), genLoad("summary", tokens, 0)).run(ctx, t)
+}
+
+func pause(ctx context.Context, t time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(t):
+		return nil
+	}
+}
+
+// sum adds up a count of all stand-ins beside the agents.
+func sum(ctx context.Context, nodes []*harness.Node, kind string) (int64, error) {
+	total := int64(0)
+	for _, n := range nodes {
+		c, err := harness.Counts(ctx, n.TargetAddr)
+		if err != nil {
+			return 0, errors.Wrap(err, n.Name)
+		}
+		total += c[kind]
+	}
+	return total, nil
+}
+
+// rss returns the resident memory of a process in bytes.
+func rss(pid int) (int64, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "reading the memory of a process")
+	}
+	for _, line := range strings.Split(string(b), "\n") {
+		if f := strings.Fields(line); len(f) >= 2 && f[0] == "VmRSS:" {
+			n, err := strconv.ParseInt(f[1], 10, 64)
+			return n << 10, errors.Wrap(err, "reading VmRSS")
+		}
+	}
+	return 0, errors.New("no VmRSS")
+}
+
+// cpu returns the processor time of a process. The kernel counts it in ticks
+// of 10 ms.
+func cpu(pid int) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, errors.Wrap(err, "reading the processor time of a process")
+	}
+	f := bytes.Fields(b[bytes.LastIndexByte(b, ')')+1:])
+	const user, system, tick = 11, 12, 10 * time.Millisecond
+	if len(f) <= system {
+		return 0, errors.New("short stat line")
+	}
+	u, err1 := strconv.Atoi(string(f[user]))
+	s, err2 := strconv.Atoi(string(f[system]))
+	if err1 != nil || err2 != nil {
+		return 0, errors.New("bad stat line")
+	}
+	return time.Duration(u+s) * tick, nil
+}
