entry: wait for room instead of failing on full targets

Cause: a refusal with target_full used one of two retries and a token of the retry budget. While a failure domain leaves, the entries' views of the remaining targets shift, each entry claims its share, and refusals come in bursts that empty the budget.

Change: such a refusal is no retry. The request waits for a change of the table of targets, in the order of classes, instead of a 5 ms poll. A probe no longer ignores the pause after a refusal.

The agent keeps the place for 100 ms.

TestRetries used target_full as an example of not-run in its request id case; it uses target_error now, and TestWaitsForRoom covers target_full. TestFullTargets probes after the pause and also checks a probe inside it.

--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -16,6 +16,11 @@
 	// frameBytes is the largest piece of an answer sent to an entry, which
 	// holds one piece per request.
 	frameBytes = 16 << 10
+	// cancelHold is the time for which a request that was cut short keeps its
+	// place in the engine. The engine learns of a cancel from the closed
+	// connection and says nothing when it has stopped; until then it holds the
+	// request, and one more in its place may be more than it bears.
+	cancelHold = 100 * time.Millisecond
 	// longestRequest bounds a request without a deadline of its own.
 	longestRequest = 10 * time.Minute
 )
@@ -92,7 +97,12 @@
 	if err := s.admit(); err != nil {
 		return err
 	}
-	defer func() { s.release(err) }()
+	defer func() {
+		if cutShort(err) {
+			<-s.a.d.Clock.After(cancelHold)
+		}
+		s.release(err)
+	}()
 	s.sent = s.a.d.Clock.Now()
 	ans, err := s.a.d.Engine.Generate(ctx, port.EngineRequest{
 		ID:       s.r.ID,
@@ -113,6 +123,17 @@
 	return s.copyAnswer(ctx, ans)
 }
 
+// cutShort reports whether the engine may still work on a request that ended
+// with err, because this side closed the answer. With CodeTargetError the
+// engine ended it itself.
+func cutShort(err error) bool {
+	if err == nil {
+		return false
+	}
+	v := verdict.Of(err)
+	return v.Verdict == verdict.MayHaveRun && v.Code != verdict.CodeTargetError
+}
+
 // checkHead refuses an answer that belongs to another request or comes from
 // another version than the one pinned. Nothing of it reaches the entry.
 func (s *serving) checkHead(h port.AnswerHead) error {
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -202,6 +202,28 @@
 	}
 }
 
+// TestCanceledKeepsItsPlace guards against a request that takes the place of a
+// canceled one which the engine has not noticed yet; the engine would hold one
+// more than it bears and fail.
+func TestCanceledKeepsItsPlace(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{TokenDelay: 30 * time.Millisecond})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ans, err := b.client.Serve(ctx, b.addr, b.request("r1", "x"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Now()
+	_ = ans.Close()
+	b.eventually("the place is free", func() bool { return b.agent.Load().InFlight == 0 })
+	if d := time.Since(start); d < cancelHold {
+		t.Errorf("place was free %v after the cancel, want at least %v", d, cancelHold)
+	}
+}
+
 // TestCordonAndDrain guards against new work in a cordoned or leaving agent
 // and against a planned stop that interrupts a request.
 func TestCordonAndDrain(t *testing.T) {
--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -17,44 +17,57 @@
 	// noTargetWait bounds the wait for a first target. It covers the time in
 	// which the watched agents are replaced after a failure domain left.
 	noTargetWait = 2 * time.Second
-	// targetPoll is the pause between two looks for a target.
-	targetPoll = 5 * time.Millisecond
 	// probeAfter is the wait after which a request goes to a target that seems
-	// full, since the report of it may be a second old.
+	// full, since the report of it may be a second old. It is also the longest
+	// wait between two looks for a target, for changes that are not in the
+	// table, such as a new declaration.
 	probeAfter = 100 * time.Millisecond
 )
 
-// attempts tries targets until one answers or no retry is allowed.
+// attempts tries targets until one answers or no retry is allowed. A refusal
+// for lack of room is no retry: the request keeps its permit and waits for room
+// until its deadline, because a permit says that there is room for it and only
+// the entry's view of the targets lags.
 func (e *Entry) attempts(ctx context.Context, r *port.ServeRequest, p *plan) (*answer, error) {
 	e.budget.Earn(p.pool)
 	tried := map[fleet.VM]bool{}
 	var last error
 	mayHaveRun := false
-	for n := 0; ; n++ {
-		c, err := e.next(ctx, r, p, tried)
+	for n, full := 0, 0; ; {
+		c, err := e.next(ctx, r, p, tried, full)
 		if err != nil {
 			if last == nil {
 				last = err
 			}
 			break
 		}
-		tried[c.VM] = true
 		a, err := e.attempt(ctx, r, c)
 		if err == nil {
 			return a, nil
 		}
 		last = err
+		if v := verdict.Of(err); fullCode(v.Code) && v.Verdict == verdict.NotRun {
+			full++
+			e.countRetry(r, err)
+			continue
+		}
+		tried[c.VM] = true
 		mayHaveRun = mayHaveRun || verdict.Of(err).Verdict != verdict.NotRun
 		if n >= routing.MaxRetries || !retryable(ctx, verdict.Of(err), !p.once(r)) || !e.budget.Spend(p.pool) {
 			break
 		}
-		e.Metrics.Count("masticwing_entry_retries_total", 1,
-			port.Attr{Key: "class", Value: r.Class.String()},
-			port.Attr{Key: "code", Value: string(verdict.Of(err).Code)})
+		n++
+		e.countRetry(r, err)
 	}
 	return nil, overall(last, mayHaveRun)
 }
 
+func (e *Entry) countRetry(r *port.ServeRequest, err error) {
+	e.Metrics.Count("masticwing_entry_retries_total", 1,
+		port.Attr{Key: "class", Value: r.Class.String()},
+		port.Attr{Key: "code", Value: string(verdict.Of(err).Code)})
+}
+
 // overall returns the error of a request. A refusal by the last target does not
 // undo that an earlier one may have run the request.
 func overall(err error, mayHaveRun bool) error {
@@ -80,28 +93,58 @@
 
 // next returns the target of the next attempt and takes a place in it. It waits
 // for a target with room. Only the first attempt waits for any target; after
-// it, the error of the last attempt says more.
+// it, the error of the last attempt says more. full is the number of refusals
+// for lack of room that the request got.
 func (e *Entry) next(
-	ctx context.Context, r *port.ServeRequest, p *plan, tried map[fleet.VM]bool,
+	ctx context.Context, r *port.ServeRequest, p *plan, tried map[fleet.VM]bool, full int,
 ) (routing.Choice, error) {
 	start := e.Clock.Now()
+	var w *routing.Waiter
 	for {
 		waited := e.Clock.Now().Sub(start)
 		c, out := e.choose(r, p, tried, waited >= probeAfter)
 		if out == routing.Chosen && e.table.Start(c.VM) {
+			e.stop(w)
 			return c, nil
 		}
 		if out == routing.NoTarget && (len(tried) > 0 || waited >= noTargetWait) {
+			e.stop(w)
 			return c, verdict.New(verdict.NotRun, verdict.CodeNoTarget, "no target takes work").After(time.Second)
 		}
+		if w == nil {
+			w = e.table.Wait(p.pool, r.Class)
+			continue
+		}
+		if p.once(r) || len(tried) > 0 {
+			e.table.Pass(w)
+		}
 		select {
 		case <-ctx.Done():
+			e.stop(w)
 			return c, ended(ctx, verdict.NotRun)
-		case <-e.Clock.After(targetPoll):
+		case <-w.Woken():
+		case <-e.Clock.After(lookAfter(full)):
 		}
 	}
 }
 
+func (e *Entry) stop(w *routing.Waiter) {
+	if w != nil {
+		e.table.Stop(w)
+	}
+}
+
+// lookAfter is the longest wait for a change of the table. The end of the
+// pause after a refusal is no change, so the refused request looks by itself;
+// it doubles its wait with each refusal.
+func lookAfter(full int) time.Duration {
+	if full == 0 {
+		return probeAfter
+	}
+	const doublings = 4
+	return min(routing.FullPause<<min(full-1, doublings)+time.Millisecond, probeAfter)
+}
+
 func (e *Entry) choose(
 	r *port.ServeRequest, p *plan, tried map[fleet.VM]bool, probe bool,
 ) (routing.Choice, routing.Outcome) {
@@ -119,16 +162,21 @@
 
 // chooseOnce returns the first agent in rank that is not known to refuse work.
 // A watched agent whose status is stale is left out: a call that it swallows
-// would end as may-have-run.
+// would end as may-have-run. The call waits for an agent that is full, since
+// repeats of the key go there as well.
 func (e *Entry) chooseOnce(r *port.ServeRequest, p *plan, tried map[fleet.VM]bool) (routing.Choice, routing.Outcome) {
 	order := e.onceOrder(p, r)
 	now := e.Clock.Now()
 	for _, c := range order {
 		usable, fresh := e.table.Known(c.VM, now)
 		unwatched := !fresh && len(order) > routing.MaxWatched
-		if !tried[c.VM] && (usable || unwatched) {
-			return c, routing.Chosen
+		if tried[c.VM] || !usable && !unwatched {
+			continue
+		}
+		if e.table.Paused(c.VM, now) {
+			return c, routing.AllFull
 		}
+		return c, routing.Chosen
 	}
 	return routing.Choice{}, routing.NoTarget
 }
@@ -136,7 +184,8 @@
 // attempt sends the request to a target in which next took a place, and waits
 // for the first piece of the answer, because a failure before it can still be
 // retried. All attempts carry the caller's request id, which the engine names
-// in its answer; each has its own stream, and no target gets two of them.
+// in its answer; each has its own stream, and no target gets two of them unless
+// it refused the first one for lack of room.
 func (e *Entry) attempt(ctx context.Context, r *port.ServeRequest, c routing.Choice) (*answer, error) {
 	q := *r
 	q.Revision, q.FromDomain = e.revision(), e.Domain
--- a/internal/app/entry/serve_test.go
+++ b/internal/app/entry/serve_test.go
@@ -15,6 +15,7 @@
 	"github.com/masticwing/masticwing/internal/adapter/httpapi"
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/routing"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -119,7 +120,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				ids = append(ids, r.ID)
-				return verdict.New(verdict.NotRun, verdict.CodeTargetFull, "as told")
+				return verdict.New(verdict.NotRun, verdict.CodeTargetError, "as told")
 			}
 		})
 		_, _ = w.ask(generate())
@@ -145,6 +146,35 @@
 	})
 }
 
+// TestWaitsForRoom guards against a request that fails because all targets were
+// full for a moment, and against refusals that come as fast as the network
+// carries them.
+func TestWaitsForRoom(t *testing.T) {
+	const busy = 300 * time.Millisecond
+	for _, name := range []string{"read", "log"} {
+		t.Run(name, func(t *testing.T) { testWaitsForRoom(t, name, busy) })
+	}
+}
+
+func testWaitsForRoom(t *testing.T, name string, busy time.Duration) {
+	w := newWorld(t, "status", 2)
+	start := time.Now()
+	w.change(func(_ int, a *fakeAgent) {
+		a.serve = func(ctx context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+			if time.Since(start) < busy {
+				return verdict.New(verdict.NotRun, verdict.CodeTargetFull, "as told")
+			}
+			return a.whole(ctx, r, sink)
+		}
+	})
+	if _, err := w.ask(call(name)); err != nil {
+		t.Error(err)
+	}
+	if n, most := w.calls(), 2+2*int(busy/routing.FullPause); n > most {
+		t.Errorf("%d attempts in %v, want at most %d", n, busy, most)
+	}
+}
+
 // TestNoRetryAfterFirstPiece guards against an answer that is joined from two
 // attempts.
 func TestNoRetryAfterFirstPiece(t *testing.T) {
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -30,8 +30,9 @@
 	Tried map[fleet.VM]bool
 	// Watchers is the expected number of entries that share a target.
 	Watchers float64
-	// Probe also allows targets that seem full. The last report may be old, and
-	// a refusal brings a new one.
+	// Probe also allows targets that seem full, but for those that have just
+	// refused a request. The last report may be old, and a refusal brings a new
+	// one.
 	Probe bool
 }
 
@@ -40,10 +41,7 @@
 // that keep to their shares fill a target without a refusal. Beyond its share
 // it leaves one place free, so that it gives a borrowed place back to an entry
 // that has less.
-func (q *Query) spare(v *target, now time.Time) bool {
-	if !now.After(v.fullUntil) {
-		return false
-	}
+func (q *Query) spare(v *target) bool {
 	share := 0
 	if q.Watchers >= 1 {
 		share = int(float64(v.Limit) / q.Watchers)
@@ -119,7 +117,7 @@
 		if !v.matches(q, now) {
 			return true
 		}
-		if v.own >= v.Limit || !q.Probe && !q.spare(&v, now) {
+		if v.own >= v.Limit || !now.After(v.fullUntil) || !q.Probe && !q.spare(&v) {
 			full = true
 			return true
 		}
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -206,19 +206,62 @@
 	}
 	tab.Done("x")
 	tab.Full("x", 10, 10, start)
-	if _, out := tab.Choose(q, start.Add(fullPause), rand.IntN); out != AllFull {
+	if _, out := tab.Choose(q, start.Add(FullPause), rand.IntN); out != AllFull {
 		t.Errorf("outcome %v right after a refusal", out)
 	}
-	if _, out := tab.Choose(q, start.Add(fullPause+1), rand.IntN); out != Chosen {
+	if _, out := tab.Choose(q, start.Add(FullPause+1), rand.IntN); out != Chosen {
 		t.Errorf("outcome %v after the pause", out)
 	}
 	q.Probe = true
+	if _, out := tab.Choose(q, start.Add(FullPause), rand.IntN); out != AllFull {
+		t.Errorf("outcome %v of a probe right after a refusal", out)
+	}
+	later := start.Add(FullPause + 1)
 	for range 9 {
-		if _, out := tab.Choose(q, start, rand.IntN); out != Chosen || !tab.Start("x") {
+		if _, out := tab.Choose(q, later, rand.IntN); out != Chosen || !tab.Start("x") {
 			t.Errorf("outcome %v of a probe", out)
 		}
 	}
-	if _, out := tab.Choose(q, start, rand.IntN); out != AllFull || tab.Start("x") {
+	if _, out := tab.Choose(q, later, rand.IntN); out != AllFull || tab.Start("x") {
 		t.Errorf("outcome %v for a target that this entry fills", out)
 	}
 }
+
+// TestWaiters guards against a lower class that gets the room for which a
+// higher one waits, and against a change that wakes nobody because the one it
+// woke left or could not use it.
+func TestWaiters(t *testing.T) {
+	tab := NewTable()
+	tab.Report(usable("x", "a", 4), start)
+	draft, status := tab.Wait(pool, fleet.ClassDraft), tab.Wait(pool, fleet.ClassStatus)
+	woken := func(w *Waiter) bool {
+		select {
+		case <-w.Woken():
+			return true
+		default:
+			return false
+		}
+	}
+	tab.Start("x")
+	tab.Done("x")
+	if woken(draft) || !woken(status) {
+		t.Error("a free place did not go to the first class")
+	}
+	tab.Pass(status)
+	if !woken(draft) {
+		t.Error("a change that the first waiter passed on woke nobody")
+	}
+	tab.Load("x", 4, 4)
+	if woken(status) || woken(draft) {
+		t.Error("the load of a full target woke a waiter")
+	}
+	tab.Report(usable("x", "a", 4), start)
+	tab.Stop(status)
+	if !woken(draft) || tab.lines.m.Len() != 1 {
+		t.Error("a waiter that was woken and left did not wake the next one")
+	}
+	tab.Stop(draft)
+	if tab.lines.m.Len() != 0 {
+		t.Error("an empty line is kept")
+	}
+}
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -11,9 +11,10 @@
 // report each second, so it allows one report to be lost.
 const StatusMaxAge = 2500 * time.Millisecond
 
-// fullPause is the time in which a target that refused a request for lack of
-// room gets no other one, unless an answer brings a newer load.
-const fullPause = 10 * time.Millisecond
+// FullPause is the time in which a target that refused a request for lack of
+// room gets no other one, unless an answer brings a newer load. It bounds the
+// refusals that one target gives to one entry to 100 a second.
+const FullPause = 10 * time.Millisecond
 
 // Pool names the targets that can serve a request: those of a group or those
 // of a service. Exactly one field is set.
@@ -60,11 +61,16 @@
 
 func (t *target) fresh(now time.Time) bool { return t.known && now.Sub(t.at) <= StatusMaxAge }
 
-// Table holds the reported state of the watched targets, sharded by VM.
-type Table struct{ targets *shard.Map[fleet.VM, target] }
+// Table holds the reported state of the watched targets, sharded by VM, and
+// the requests that wait for a change of it, sharded by pool. No method holds
+// the locks of both at once.
+type Table struct {
+	targets *shard.Map[fleet.VM, target]
+	lines   lines
+}
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{shard.New[fleet.VM, target](0)} }
+func NewTable() *Table { return &Table{shard.New[fleet.VM, target](0), newLines()} }
 
 // Report records a status of a target.
 func (t *Table) Report(r Report, now time.Time) {
@@ -72,14 +78,23 @@
 		v.Report, v.at, v.known, v.ownSeen = r, now, true, v.own
 		return v, true
 	})
+	if r.Usable {
+		t.lines.wake(r.Pool, nil)
+	}
 }
 
 // Load records a load that came with an answer.
 func (t *Table) Load(vm fleet.VM, inFlight, limit int) {
+	var p Pool
+	room := false
 	t.targets.Update(vm, func(v target, ok bool) (target, bool) {
 		v.InFlight, v.Limit, v.ownSeen, v.fullUntil = inFlight, limit, v.own, time.Time{}
+		p, room = v.Pool, v.estimate() < v.Limit
 		return v, ok
 	})
+	if room {
+		t.lines.wake(p, nil)
+	}
 }
 
 // Full records that a target refused a request for lack of room. Without the
@@ -87,7 +102,7 @@
 // refusal. Done was called for the request, which the load does not include.
 func (t *Table) Full(vm fleet.VM, inFlight, limit int, now time.Time) {
 	t.targets.Update(vm, func(v target, ok bool) (target, bool) {
-		v.InFlight, v.Limit, v.ownSeen, v.fullUntil = inFlight, limit, v.own, now.Add(fullPause)
+		v.InFlight, v.Limit, v.ownSeen, v.fullUntil = inFlight, limit, v.own, now.Add(FullPause)
 		return v, ok
 	})
 }
@@ -117,10 +132,13 @@
 
 // Done ends the count of one Start.
 func (t *Table) Done(vm fleet.VM) {
+	var p Pool
 	t.targets.Update(vm, func(v target, _ bool) (target, bool) {
 		v.own--
+		p = v.Pool
 		return v, v.known || v.own > 0
 	})
+	t.lines.wake(p, nil)
 }
 
 // Known reports whether a fresh status of the VM is held, and whether it says
@@ -131,6 +149,12 @@
 	return fresh && v.Usable, fresh
 }
 
+// Paused reports whether the VM has just refused a request for lack of room.
+func (t *Table) Paused(vm fleet.VM, now time.Time) bool {
+	v, _ := t.targets.Get(vm)
+	return !now.After(v.fullUntil)
+}
+
 // Capacity is what the usable targets of a pool can bear.
 type Capacity struct {
 	Targets int
--- a/internal/core/schedule/pool.go
+++ b/internal/core/schedule/pool.go
@@ -16,6 +16,9 @@
 	// secondEvery gives each fourth grant of a band to its second class, so
 	// that check logs are not starved by status reads, nor drafts by summaries.
 	secondEvery = 4
+	// lateSpreads is the number of mean deviations that a request may take
+	// longer than the mean. Twice the mean deviation covers about 95 in 100.
+	lateSpreads = 2
 	// holdWeight is the weight of the newest sample in the mean hold time.
 	holdWeight = 0.1
 )
@@ -31,8 +34,9 @@
 	// firstRun counts grants to the first class of each band while its second
 	// class waits.
 	firstRun [2]int
-	// hold is the mean time that a permit is held; zero before the first.
-	hold time.Duration
+	// hold is the mean time that a permit is held, zero before the first, and
+	// spread the mean deviation from it.
+	hold, spread time.Duration
 }
 
 func newPool() *pool {
@@ -96,6 +100,7 @@
 		p.hold = d
 		return
 	}
+	p.spread += time.Duration(holdWeight * float64((d-p.hold).Abs()-p.spread))
 	p.hold += time.Duration(holdWeight * float64(d-p.hold))
 }
 
@@ -121,12 +126,15 @@
 	}
 }
 
-// late reports whether a request has too little time left to finish. The
-// estimate applies only while others wait for the permit, so that an estimate
+// late reports whether a request has too little time left to finish. Under a
+// steady overload most requests reach the head of the queue with just this
+// time left, so a request that is merely as slow as the mean must not be
+// started: half of those would be cut after they used a target. The estimate
+// applies only while others wait for the permit, so that an estimate
 // that is too high is corrected by the requests that still run.
 func (p *pool) late(t *Ticket, now time.Time) bool {
 	left := t.req.Deadline.Sub(now)
-	return left <= 0 || p.queued() > 0 && left < p.hold
+	return left <= 0 || p.queued() > 0 && left < p.hold+lateSpreads*p.spread
 }
 
 func (p *pool) nextClass() (fleet.Class, bool) {
--- a/internal/core/schedule/schedule_test.go
+++ b/internal/core/schedule/schedule_test.go
@@ -209,3 +209,21 @@
 		t.Errorf("%d bytes, %d customers left", b.Total(), b.customers.Len())
 	}
 }
+
+// TestStartsOnlyWhatCanFinish guards against requests that are started with
+// just the mean time left, half of which are cut after they used a target.
+func TestStartsOnlyWhatCanFinish(t *testing.T) {
+	p := newPool()
+	for i := range 200 {
+		p.sample(time.Duration(90+20*(i%2)) * time.Millisecond)
+	}
+	p.push(&Ticket{})
+	now := time.Unix(0, 0)
+	for left, late := range map[time.Duration]bool{
+		105 * time.Millisecond: true, 115 * time.Millisecond: true, 140 * time.Millisecond: false,
+	} {
+		if got := p.late(&Ticket{req: Request{Deadline: now.Add(left)}}, now); got != late {
+			t.Errorf("late with %v left: %v, want %v (hold %v, spread %v)", left, got, late, p.hold, p.spread)
+		}
+	}
+}
--- a/test/bench/serve/deploy.go
+++ b/test/bench/serve/deploy.go
@@ -77,6 +77,16 @@
 	newLoad(d, rate, b.rand(1), genLoad("summary", tokens, 0)).run(ctx, t)
 }
 
+// capacity warms the targets up and returns the answers per second that the
+// engines can give: their places over the median time of an answer.
+func capacity(ctx context.Context, d *harness.Deployment, b *bench, slots, tokens int) float64 {
+	const warmRate, ramp = 300, 3 * time.Second
+	rs := newLoad(d, warmRate, b.rand(1), genLoad("summary", tokens, 0)).run(ctx, ramp)
+	c := float64(slots) / quantile(between(rs, ramp/2, ramp), 0.5).Seconds()
+	note("capacity %.0f answers/s", c)
+	return c
+}
+
 func pause(ctx context.Context, t time.Duration) error {
 	select {
 	case <-ctx.Done():
--- a/test/bench/serve/domain.go
+++ b/test/bench/serve/domain.go
@@ -11,12 +11,12 @@
 )
 
 // The domain section has three failure domains with three engines each. An
-// answer takes 8 tokens of 10 ms, so each engine gives 100 a second.
+// answer takes 8 tokens of 10 ms and the lag of the engine's timers.
 const (
-	domainTokens   = 8
-	domainCapacity = 9 * 8 * 1000 / (domainTokens * 10)
-	domainLoad     = 0.6
-	domainPart     = 5 * time.Second
+	domainTokens = 8
+	domainSlots  = 9 * 8
+	domainLoad   = 0.6
+	domainPart   = 5 * time.Second
 )
 
 func genLoad(class string, tokens int, timeout time.Duration) func(*rand.Rand, int) harness.Request {
@@ -41,12 +41,12 @@
 	if err != nil {
 		return err
 	}
-	warm(ctx, d, b, domainCapacity*domainLoad, domainTokens, 3*time.Second)
+	rate := domainLoad * capacity(ctx, d, b, domainSlots, domainTokens)
 	var wg conc.WaitGroup
 	var out time.Duration
 	var cycleErr error
 	wg.Go(func() { out, cycleErr = cycle(ctx, d, "b") })
-	rs := newLoad(d, domainCapacity*domainLoad, b.rand(2), genLoad("summary", domainTokens, 10*time.Second)).run(ctx, 3*domainPart)
+	rs := newLoad(d, rate, b.rand(2), genLoad("summary", domainTokens, 10*time.Second)).run(ctx, 3*domainPart)
 	wg.Wait()
 	if cycleErr != nil {
 		return cycleErr
--- a/test/bench/serve/overload.go
+++ b/test/bench/serve/overload.go
@@ -4,11 +4,8 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/masticwing/masticwing/test/harness"
 )
 
@@ -41,37 +38,12 @@
 	if err := customers(ctx, d, names); err != nil {
 		return err
 	}
-	warm(ctx, d, b, 400, overTokens, 3*time.Second)
-	c := capacity(ctx, d)
-	note("capacity %.0f answers/s", c)
+	c := capacity(ctx, d, b, overEngines*overRequests, overTokens)
 	goodput(ctx, b, d, c)
 	fairShare(ctx, b, d, c)
 	return overloads(ctx, b, d, "overload")
 }
 
-// capacity measures the answers per second with one caller for each request
-// that the engines bear, straight at the engines' agents' common limit.
-func capacity(ctx context.Context, d *harness.Deployment) float64 {
-	const t = 3 * time.Second
-	var wg conc.WaitGroup
-	var n atomic.Int64
-	l := newLoad(d, 1, nil, nil)
-	start := time.Now()
-	for i := range overEngines * overRequests {
-		wg.Go(func() {
-			for time.Since(start) < t && ctx.Err() == nil {
-				r := result{req: generate("summary", overTokens, 0)}
-				send(ctx, l.callers[i%len(l.callers)], &r)
-				if r.code == "ok" {
-					n.Add(1)
-				}
-			}
-		})
-	}
-	wg.Wait()
-	return float64(n.Load()) / time.Since(start).Seconds()
-}
-
 func mixed(rng *rand.Rand, _ int) harness.Request {
 	if rng.Float64() < firstShare {
 		return generate("status", overTokens, overDeadline)
