Continue a streamed answer on another target when its own is lost

Change: engines resume a stream after a number of frames. The entry counts the whole lines that it passed on and asks another target with the same version for the rest; the agent refuses if it serves another one. The entry holds the body of a group's request, and counts it, until its answer ends.

--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -26,6 +26,7 @@
 	caller *caller
 	start  time.Time
 	known  bool
+	held   int64 // bytes counted for the body
 	frames int
 	// newline is true if the last byte sent ends a line.
 	newline bool
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -31,7 +31,8 @@
 	Admit(r port.ServeRequest) (Bounds, error)
 	// Serve returns the answer of a request. An error carries a verdict. ctx
 	// ends at the request's deadline and when its caller leaves. The backend
-	// keeps no reference to the body once Serve has returned.
+	// keeps no reference to the body once the answer is closed or, without an
+	// answer, once Serve has returned.
 	Serve(ctx context.Context, r port.ServeRequest) (port.Answer, error)
 }
 
@@ -170,6 +171,7 @@
 	defer cancel()
 	_ = x.rc.SetWriteDeadline(start.Add(r.Timeout + writeGrace))
 	answer, err := x.open(ctx, hr)
+	defer x.giveBody()
 	if err != nil {
 		x.fail(left(hr, err))
 		return
@@ -193,21 +195,29 @@
 	return verdict.Wrap(err, verdict.Of(err).Verdict, verdict.CodeCanceled, "caller left")
 }
 
-// open reads the body and asks the backend for the answer. The body is held
-// only until then.
+// open reads the body and asks the backend for the answer. The body of a
+// service call is held only until then; that of a group's request until its
+// answer ends, since another target may have to continue it.
 func (x *exchange) open(ctx context.Context, hr *http.Request) (port.Answer, error) {
-	held, err := x.readBody(hr)
-	defer func() { x.api.callers.giveBody(x.caller, held) }()
-	if err != nil {
+	var err error
+	if x.held, err = x.readBody(hr); err != nil {
 		return nil, err
 	}
-	defer func() { x.r.Body = nil }()
+	if x.r.Service != "" {
+		defer x.giveBody()
+	}
 	if err := decodeBody(x.r); err != nil {
 		return nil, err
 	}
 	return x.api.backend.Serve(ctx, *x.r)
 }
 
+// giveBody ends the count of the body. Further calls have no effect.
+func (x *exchange) giveBody() {
+	x.api.callers.giveBody(x.caller, x.held)
+	x.r.Body, x.held = nil, 0
+}
+
 // bodyStep is how much a body without a stated length grows at a time.
 const bodyStep = 16 << 10
 
--- a/internal/adapter/rpc/convert.go
+++ b/internal/adapter/rpc/convert.go
@@ -61,6 +61,8 @@
 		FromDomain:     string(r.FromDomain),
 		IdempotencyKey: r.IdempotencyKey,
 		PrefixHash:     r.PrefixHash,
+		Resume:         r.Resume,
+		Version:        string(r.Version),
 	}
 }
 
@@ -79,6 +81,8 @@
 		FromDomain:     fleet.Domain(r.GetFromDomain()),
 		IdempotencyKey: r.GetIdempotencyKey(),
 		PrefixHash:     r.GetPrefixHash(),
+		Resume:         r.GetResume(),
+		Version:        fleet.Version(r.GetVersion()),
 	}
 }
 
--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -103,6 +103,9 @@
 		}
 		s.release(err)
 	}()
+	if s.r.Version != "" && s.r.Version != s.permit.Version() {
+		return verdict.New(verdict.NotRun, verdict.CodeVersionNotServing, "target does not serve version %q", s.r.Version)
+	}
 	s.sent = s.a.d.Clock.Now()
 	ans, err := s.a.d.Engine.Generate(ctx, port.EngineRequest{
 		ID:       s.r.ID,
@@ -111,6 +114,7 @@
 		Class:    s.r.Class,
 		Body:     s.r.Body,
 		Priority: int(s.r.Class),
+		Resume:   s.r.Resume,
 	})
 	if err != nil {
 		signal(s.a.probes)
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -202,6 +202,25 @@
 	}
 }
 
+// TestServeRest guards against an answer that another target continues with the
+// wrong line or with another version.
+func TestServeRest(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	r := b.request("r1", "hello")
+	r.Resume, r.Version = 3, "v1"
+	_, tail, err := b.serve(r)
+	whole := want("r1", "v1", "w", "hello")
+	if err != nil || !strings.HasSuffix(whole, tail) || strings.Count(tail, "\n") != 5 {
+		t.Fatalf("rest %q, error %v, want the last 5 lines of %q", tail, err, whole)
+	}
+	r.Version = "v0"
+	_, _, err = b.serve(r)
+	wantError(t, err, verdict.NotRun, verdict.CodeVersionNotServing)
+}
+
 // TestCanceledKeepsItsPlace guards against a request that takes the place of a
 // canceled one which the engine has not noticed yet; the engine would hold one
 // more than it bears and fail.
--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -28,9 +28,10 @@
 // for lack of room is no retry: the request keeps its permit and waits for room
 // until its deadline, because a permit says that there is room for it and only
 // the entry's view of the targets lags.
-func (e *Entry) attempts(ctx context.Context, r *port.ServeRequest, p *plan) (*answer, error) {
-	e.budget.Earn(p.pool)
-	tried := map[fleet.VM]bool{}
+// It adds the targets that it tried to tried.
+func (e *Entry) attempts(
+	ctx context.Context, r *port.ServeRequest, p *plan, tried map[fleet.VM]bool,
+) (*answer, error) {
 	var last error
 	mayHaveRun := false
 	for n, full := 0, 0; ; {
@@ -43,6 +44,7 @@
 		}
 		a, err := e.attempt(ctx, r, c)
 		if err == nil {
+			tried[c.VM] = true
 			return a, nil
 		}
 		last = err
@@ -237,6 +239,7 @@
 	first  []byte
 	err    error
 	ready  bool
+	ended  bool
 	closed bool
 	done   func()
 	permit func()
@@ -276,14 +279,24 @@
 	return a.src.Next()
 }
 
+// end closes the stream and leaves the target.
+func (a *answer) end() error {
+	if a.ended {
+		return nil
+	}
+	a.ended = true
+	err := a.src.Close()
+	a.done()
+	return err
+}
+
 // Close implements port.Answer. It returns the permit.
 func (a *answer) Close() error {
 	if a.closed {
 		return nil
 	}
 	a.closed = true
-	err := a.src.Close()
-	a.done()
+	err := a.end()
 	if a.permit != nil {
 		a.permit()
 	}
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -84,13 +84,18 @@
 		e.countShed(&r, err)
 		return nil, err
 	}
-	a, err := e.attempts(ctx, &r, p)
+	e.budget.Earn(p.pool)
+	tried := map[fleet.VM]bool{}
+	a, err := e.attempts(ctx, &r, p, tried)
 	if err != nil {
 		e.queue.Leave(t, e.Clock.Now())
 		return nil, err
 	}
 	a.release(func() { e.queue.Leave(t, e.Clock.Now()) })
-	return a, nil
+	if r.Group == "" {
+		return a, nil
+	}
+	return &resumable{answer: a, e: e, ctx: ctx, r: r, p: p, tried: tried, head: a.Head()}, nil
 }
 
 // enqueue waits for a permit.
--- a/internal/app/entry/serve_test.go
+++ b/internal/app/entry/serve_test.go
@@ -192,6 +192,59 @@
 	}
 }
 
+// TestResume guards against an answer that fails with its target although
+// another one could continue it, and against one that repeats or leaves out a
+// line, mixes versions or keeps its permit after that.
+func TestResume(t *testing.T) {
+	w := newWorld(t, "model", 2)
+	var mu sync.Mutex
+	lost := false
+	w.change(func(_ int, a *fakeAgent) {
+		a.serve = func(_ context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+			mu.Lock()
+			first := !lost
+			lost = true
+			mu.Unlock()
+			_ = sink.Head(port.AnswerHead{ID: r.ID, Version: current}, port.Load{Limit: 8})
+			if first {
+				_ = sink.Data([]byte("one\n"))
+				return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "gone")
+			}
+			if r.Resume != 1 || r.Version != current || string(r.Body) != "{}" {
+				t.Errorf("resumed from %d with version %q and body %q", r.Resume, r.Version, r.Body)
+			}
+			return sink.Data([]byte("two\n"))
+		}
+	})
+	r := generate()
+	r.Body = []byte("{}")
+	if got, err := w.ask(r); err != nil || got != "one\ntwo\n" || w.calls() != 2 {
+		t.Fatalf("answer %q, error %v, %d calls", got, err, w.calls())
+	}
+	if _, inUse := w.entry.queue.Depth(poolOf(&r)); inUse != 0 {
+		t.Errorf("%d permits in use", inUse)
+	}
+	lost = false
+	w.change(func(i int, a *fakeAgent) {
+		serve := a.serve
+		a.serve = func(ctx context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+			if r.Resume > 0 {
+				_ = sink.Head(port.AnswerHead{ID: r.ID, Version: former}, port.Load{Limit: 8})
+				return sink.Data([]byte("other\n"))
+			}
+			return serve(ctx, r, sink)
+		}
+	})
+	if got, err := w.ask(r); got != "one\n" || verdict.Of(err).Code != verdict.CodeTargetLost {
+		t.Errorf("answer %q, error %v from two versions", got, err)
+	}
+	for _, s := range w.entry.table.Snapshot(time.Now()) {
+		if s.InFlight != 0 {
+			t.Errorf("target %s counts %d requests", s.VM, s.InFlight)
+		}
+	}
+}
+
 // TestOnceOrder guards against entries that send one idempotency key to
 // different agents, and against a key that goes nowhere when its first agent
 // is out of service.
--- a/internal/port/process.go
+++ b/internal/port/process.go
@@ -26,6 +26,11 @@
 	FromDomain     fleet.Domain
 	IdempotencyKey string
 	PrefixHash     uint64
+	// Resume is the number of frames that the caller already has from another
+	// target, and Version the version that has to continue them. Version is
+	// empty for a new answer.
+	Resume  uint64
+	Version fleet.Version
 }
 
 // Load is the exact load of a target at the moment of the message.
