entry: keep the collector near the entry's memory bounds

A CPU profile of an entry at 1,000 requests/s shows 23% in the collector, 15% in the scheduler, 18% in system calls, 6% in metrics; no single function of ours is above 5%. The daemons' gcPercent of 50 collects each 2 MB, which an entry does not need, as it shares its VM with no target: it uses 200, and a memory limit of its bytes for callers and 32 MiB.

Ruled out for slow readers: counting 128 KiB for each blocked write (63 MB). The memory is not in blocked writes: 1,000 answers are open at once, and those that are not blocked yet, or wait for memory before their first write, cost about 70 KiB each and are not counted. A limit of 48 MiB kept the collector so busy that the admin address did not answer for 5 s.

--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +21,30 @@
 // closeTimeout bounds the time to send the last bytes of finished answers.
 const closeTimeout = 2 * time.Second
 
+const (
+	// gcPercent replaces the 50 of the other daemons, since an entry shares its
+	// VM with no target. With 50 and a live heap of 4 MB, collections took a
+	// quarter of the processor time at 1,000 requests a second.
+	gcPercent = 200
+	// baseMemory is what an entry uses beside the bytes held for callers:
+	// tables, metrics, idle connections, and requests before their first write.
+	// With 16 MiB, 1,000 callers that read nothing kept the collector so busy
+	// that the admin address did not answer for 5 s.
+	baseMemory = 32 << 20
+)
+
+// limitMemory makes the collector keep the process near its bounds. Near the
+// limit it collects more often than gcPercent says, so that garbage does not
+// add to what callers that read nothing hold.
+func limitMemory(held int64) {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(held + baseMemory)
+	}
+}
+
 // Directory is the part of the process that knows the deployment and answers
 // other processes about it.
 type Directory interface {
@@ -56,6 +82,7 @@
 // run serves until ctx ends and then drains. Everything that requests in
 // progress need runs until they have finished.
 func run(ctx context.Context, c *Config, env daemon.Env, build NewDirectory) error {
+	limitMemory(c.Memory)
 	client := rpc.NewClient()
 	defer client.Close()
 	dir, err := build(c, env, client)
