--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -16,6 +16,11 @@
 	// frameBytes is the largest piece of an answer sent to an entry, which
 	// holds one piece per request.
 	frameBytes = 16 << 10
+	// cancelHold is the time for which a request that was cut short keeps its
+	// place in the engine. The engine learns of a cancel from the closed
+	// connection and says nothing when it has stopped; until then it holds the
+	// request, and one more in its place may be more than it bears.
+	cancelHold = 100 * time.Millisecond
 	// longestRequest bounds a request without a deadline of its own.
 	longestRequest = 10 * time.Minute
 	// maxResumes bounds how often the stream of one answer is resumed.
@@ -96,7 +101,15 @@
 	if err := s.admit(); err != nil {
 		return err
 	}
-	defer func() { s.release(err) }()
+	defer func() {
+		if cutShort(err) {
+			<-s.a.d.Clock.After(cancelHold)
+		}
+		s.release(err)
+	}()
+	if s.r.Version != "" && s.r.Version != s.permit.Version() {
+		return verdict.New(verdict.NotRun, verdict.CodeVersionNotServing, "target does not serve version %q", s.r.Version)
+	}
 	s.sent = s.a.d.Clock.Now()
 	r := port.EngineRequest{
 		ID:       s.r.ID,
@@ -105,6 +118,7 @@
 		Class:    s.r.Class,
 		Body:     s.r.Body,
 		Priority: int(s.r.Class),
+		Resume:   s.r.Resume,
 	}
 	for n := 0; ; n++ {
 		err := s.stream(ctx, &r)
@@ -152,6 +166,17 @@
 	return s.copyAnswer(ctx, ans, func() { r.Resume++ })
 }
 
+// cutShort reports whether the engine may still work on a request that ended
+// with err, because this side closed the answer. With CodeTargetError the
+// engine ended it itself.
+func cutShort(err error) bool {
+	if err == nil {
+		return false
+	}
+	v := verdict.Of(err)
+	return v.Verdict == verdict.MayHaveRun && v.Code != verdict.CodeTargetError
+}
+
 // checkHead refuses an answer that belongs to another request or comes from
 // another version than the one pinned. Nothing of it reaches the entry.
 func (s *serving) checkHead(h port.AnswerHead) error {
