Prove that a failure domain that is cut off goes on serving

A failure domain that is cut off from the others still has its own processes, so a relayed route has to tell its callers apart. Cause: a member has one address for everybody. Change: the setting [node] source makes connections to other processes leave from an IP address, which a VM with several needs as well; the default leaves the choice to the system. The relay can cut a route for some IP addresses, the harness gives each failure domain one, and CutDomain uses it.

--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -63,6 +64,9 @@
 // each stream by itself.
 type Client struct {
 	pools *shard.Map[fleet.Address, *addressPool]
+	// Source is the IP that connections leave from. Set it before the first
+	// call; the zero value leaves the choice to the system.
+	Source netip.Addr
 	// Traffic counts the bytes sent and received.
 	Traffic Traffic
 }
@@ -79,6 +83,9 @@
 
 func (c *Client) dial(ctx context.Context, addr fleet.Address) (drpcpool.Conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if c.Source.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.Source, 0))
+	}
 	conn, err := d.DialContext(ctx, "tcp", string(addr))
 	if err != nil {
 		return nil, dialError{err}
--- a/internal/adapter/settings/settings.go
+++ b/internal/adapter/settings/settings.go
@@ -163,6 +163,18 @@
 	})
 }
 
+// IP registers an IP address, or an empty value if def is empty.
+func (s *Set) IP(section, key string, p *netip.Addr, def, help string) {
+	s.add(section, key, def, help, "an IP address", func(v string) error {
+		if v == "" {
+			return nil
+		}
+		a, err := netip.ParseAddr(v)
+		*p = a
+		return err
+	})
+}
+
 // Addresses registers a comma-separated list of "ip:port", which may be empty.
 func (s *Set) Addresses(section, key string, p *[]fleet.Address, def, help string) {
 	s.add(section, key, def, help, "ip:port, separated by commas", func(v string) error {
--- a/internal/app/agent/connect.go
+++ b/internal/app/agent/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"github.com/sourcegraph/conc"
 
@@ -34,7 +35,11 @@
 	control, peers *rpc.Client
 }
 
-func newClients() clients { return clients{rpc.NewClient(), rpc.NewClient()} }
+func newClients(source netip.Addr) clients {
+	c := clients{rpc.NewClient(), rpc.NewClient()}
+	c.control.Source, c.peers.Source = source, source
+	return c
+}
 
 func (c clients) close() {
 	c.control.Close()
--- a/internal/app/agent/run.go
+++ b/internal/app/agent/run.go
@@ -37,7 +37,7 @@
 	id := Identity{
 		VM: fleet.VM(c.ID), Domain: c.Domain, Region: c.Region, Labels: c.Labels, BootID: sysclock.Rand{}.Uint64(),
 	}
-	cl := newClients()
+	cl := newClients(c.Source)
 	defer cl.close()
 	kv := kvhttp.New(c.Platform)
 	st := connectStores(c, id, env, kv, cl)
--- a/internal/app/directory/connect.go
+++ b/internal/app/directory/connect.go
@@ -1,6 +1,8 @@
 package directory
 
 import (
+	"net/netip"
+
 	"github.com/masticwing/masticwing/internal/adapter/inifile"
 	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
@@ -20,8 +22,11 @@
 	// Advertise is the address that other processes use. It differs from RPC
 	// where an address translation stands between them.
 	Advertise fleet.Address
-	Platform  fleet.Address
-	Seeds     []fleet.Address
+	// Source is the IP that connections to other processes leave from, on a
+	// VM with several. The zero value leaves the choice to the system.
+	Source   netip.Addr
+	Platform fleet.Address
+	Seeds    []fleet.Address
 }
 
 // Register adds the settings to a set.
@@ -30,6 +35,7 @@
 	s.Name("node", "region", func(v string) { c.Region = fleet.Region(v) }, settings.Required, "Region of the failure domain.")
 	s.Address("node", "rpc", &c.RPC, settings.Required, "Address of the protocol between processes.")
 	s.Address("node", "advertise", &c.Advertise, "", "Address that other processes use instead of rpc; empty for rpc.")
+	s.IP("node", "source", &c.Source, "", "IP address that connections to other processes leave from; empty for any.")
 	s.Address("platform", "address", &c.Platform, settings.Required, "Address of the platform's key-value service.")
 	s.Addresses("peers", "seeds", &c.Seeds, "", "RPC addresses of some entries to join through.")
 }
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -57,6 +57,7 @@
 // progress need runs until they have finished.
 func run(ctx context.Context, c *Config, env daemon.Env, build NewDirectory) error {
 	client := rpc.NewClient()
+	client.Source = c.Source
 	defer client.Close()
 	dir, err := build(c, env, client)
 	if err != nil {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -42,7 +42,9 @@
 
 // DigestToken is Token for weights of which the SHA-256 digest is known, so that
 // a test that checks many frames hashes the weights once.
-func DigestToken(digest [sha256.Size]byte, body []byte, seq int) string { return token(digest, body, seq) }
+func DigestToken(digest [sha256.Size]byte, body []byte, seq int) string {
+	return token(digest, body, seq)
+}
 
 func token(digest [sha256.Size]byte, body []byte, seq int) string {
 	h := sha256.New()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -32,6 +32,9 @@
 type Faults struct {
 	// Cut resets open connections and refuses new ones.
 	Cut bool `json:"cut"`
+	// CutFrom resets the open connections that come from these IP addresses and
+	// refuses new ones, so that a route is cut for some of its callers only.
+	CutFrom []string `json:"cut_from"`
 	// Freeze leaves connections open that carry nothing.
 	Freeze Freeze `json:"freeze"`
 	// DelayMillis delays the bytes of each direction.
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -110,6 +110,32 @@
 	}
 }
 
+// TestCutFrom guards against a cut of some callers that reaches others, and
+// against one that leaves open connections alone.
+func TestCutFrom(t *testing.T) {
+	r, addr := startEcho(t)
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	other, err := d.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = other.Close() }()
+	c := dial(t, addr)
+	set(t, r, Faults{CutFrom: []string{"127.0.0.2"}})
+	if err := echo(other, "a", time.Second); err == nil || silent(err) {
+		t.Errorf("open connection from the cut address: %v", err)
+	}
+	if err := echo(c, "b", time.Second); err != nil {
+		t.Errorf("connection from another address: %v", err)
+	}
+	if again, err := d.Dial("tcp", addr); err == nil {
+		if err := echo(again, "c", time.Second); err == nil || silent(err) {
+			t.Errorf("new connection from the cut address: %v", err)
+		}
+		_ = again.Close()
+	}
+}
+
 // TestFreezeOld guards against a fault that also stops new connections or that
 // gives way when it is cleared.
 func TestFreezeOld(t *testing.T) {
--- a/internal/standin/relay/route.go
+++ b/internal/standin/relay/route.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -90,7 +92,7 @@
 func (r *route) add(p *pair) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ended || r.faults.Cut {
+	if r.ended || r.faults.Cut || p.from(r.faults.CutFrom) {
 		return false
 	}
 	r.conns[p] = struct{}{}
@@ -112,6 +114,7 @@
 		r.lis = nil
 	}
 	r.mu.Unlock()
+	r.resetFrom(f.CutFrom)
 	if !f.Cut {
 		if open {
 			return nil
@@ -125,18 +128,28 @@
 	return nil
 }
 
-func (r *route) resetAll() {
-	r.mu.Lock()
-	open := make([]*pair, 0, len(r.conns))
-	for p := range r.conns {
-		open = append(open, p)
+// resetFrom resets what is open from IP addresses.
+func (r *route) resetFrom(ips []string) {
+	for _, p := range r.pairs() {
+		if p.from(ips) {
+			p.reset()
+		}
 	}
-	r.mu.Unlock()
-	for _, p := range open {
+}
+
+func (r *route) resetAll() {
+	for _, p := range r.pairs() {
 		p.reset()
 	}
 }
 
+// pairs returns the open connections.
+func (r *route) pairs() []*pair {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.conns))
+}
+
 func (r *route) counts() Counts {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -156,6 +169,13 @@
 	r.wg.Wait()
 }
 
+// from reports whether the caller's end of the connection has one of the IP
+// addresses.
+func (p *pair) from(ips []string) bool {
+	host, _, err := net.SplitHostPort(p.caller.RemoteAddr().String())
+	return err == nil && slices.Contains(ips, host)
+}
+
 func (p *pair) reset() {
 	p.once.Do(func() {
 		close(p.end)
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -80,7 +82,46 @@
 }
 
 func (d *Deployment) node(dom DomainSpec, name string) *Node {
-	return &Node{Name: name, Domain: dom.Name, Region: dom.Region, Admin: d.Addr(), RPC: d.Addr()}
+	return &Node{
+		Name: name, Domain: dom.Name, Region: dom.Region, Source: d.sourceIP(dom.Name), Admin: d.Addr(), RPC: d.Addr(),
+	}
+}
+
+// sourceIP returns the loopback address that the connections of a failure
+// domain's nodes leave from.
+func (d *Deployment) sourceIP(domain string) string {
+	i := slices.IndexFunc(d.Spec.Domains, func(s DomainSpec) bool { return s.Name == domain })
+	return strings.TrimSuffix(d.host, "1") + strconv.Itoa(i+2)
+}
+
+// CutDomain cuts a failure domain off from the platform, the origin and the
+// processes of the others, as far as these links are relayed, or heals it.
+func (d *Deployment) CutDomain(ctx context.Context, domain string, cut bool) error {
+	for _, n := range d.Nodes() {
+		inside := n.Domain == domain
+		for _, l := range []Link{LinkPlatform, LinkOrigin} {
+			if !inside || !d.Spec.relayed(l) || l == LinkOrigin && n.IsEntry {
+				continue
+			}
+			if err := d.SetLinkFaults(ctx, l, relay.Faults{Cut: cut}, n); err != nil {
+				return err
+			}
+		}
+		if err := d.SetLinkFaults(ctx, LinkRPC, relay.Faults{CutFrom: d.across(inside, domain, cut)}, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// across returns the addresses on the other side of a cut.
+func (d *Deployment) across(inside bool, domain string, cut bool) (ips []string) {
+	for _, dom := range d.Spec.Domains {
+		if cut && inside != (dom.Name == domain) {
+			ips = append(ips, d.sourceIP(dom.Name))
+		}
+	}
+	return ips
 }
 
 func (d *Deployment) startStandins(ctx context.Context) (err error) {
--- a/test/harness/node.go
+++ b/test/harness/node.go
@@ -17,6 +17,9 @@
 	// Admin, RPC and HTTP are the addresses in the settings. HTTP is set for
 	// entries and leads through the relay if LinkCaller does.
 	Admin, RPC, HTTP string
+	// Source is the IP that the daemon's connections to others leave from. It is
+	// the same for the nodes of a failure domain.
+	Source string
 	// TargetAddr is the address of the engine or service stand-in.
 	TargetAddr string
 	// Proc and Target are the newest processes of the daemon and its stand-in.
@@ -69,6 +72,7 @@
 	s.set("node", "region", n.Region)
 	s.set("node", "rpc", n.RPC)
 	if d.Spec.relayed(LinkRPC) {
+		s.set("node", "source", n.Source)
 		s.set("node", "advertise", d.through(n, LinkRPC, n.RPC))
 	}
 	s.set("platform", "address", d.through(n, LinkPlatform, d.PlatformAddr))
--- a/test/proof/cordon_test.go
+++ b/test/proof/cordon_test.go
@@ -100,3 +100,81 @@
 	w.finish()
 	w.allAnswered(every)
 }
+
+// cutOffFor is how long a failure domain is cut off. It is longer than the time
+// after which processes give up on a silent peer.
+const cutOffFor = 4 * time.Second
+
+// TestDomainCutOff guards against a failure domain that stops serving its own
+// callers when it loses the platform and the other failure domains, against
+// keyed calls that run there without a record, and against one that keeps an
+// old revision after it is healed.
+func TestDomainCutOff(t *testing.T) {
+	w := deploy(t, func(s *harness.Spec) {
+		s.Relays = []harness.Link{harness.LinkPlatform, harness.LinkOrigin, harness.LinkRPC}
+	})
+	v1, inB := w.versions["v1"], func(r record) bool { return r.entry == "b-e1" && r.generate() }
+	v2 := w.publish("v2", 2)
+	old, err := w.revision(w.Entries[1])
+	w.must(err)
+	w.startLoad()
+	w.sleep(500 * time.Millisecond)
+	w.must(w.CutDomain(w.ctx, "b", true))
+	w.note("b is cut off")
+	w.declare("v2")
+	w.waitRevision(configBound, old+1, w.InDomain("a")...)
+	w.sleep(silentBound)
+	from := w.now()
+	w.sleep(cutOffFor)
+	to := w.now()
+	w.must(w.CutDomain(w.ctx, "b", false))
+	w.note("b is healed")
+	w.waitRevision(configBound, old+1, w.InDomain("b")...)
+	w.note("the newest revision is in force in b")
+	w.must(w.WaitVersion(w.ctx, waitBound, v2))
+	w.finish()
+	w.report("requests at the cut off entry without an answer", w.lost(from, to, inB))
+	w.onlyFrom(from, to, "b-e1", v1)
+	w.keyedRefused(from, to, "b-e1")
+	w.served(v1, v2)
+}
+
+// onlyFrom fails the test unless an entry has answered in a time, and all from
+// one version.
+func (w *world) onlyFrom(from, to time.Duration, entry, version string) {
+	w.t.Helper()
+	n := 0
+	for _, r := range w.all() {
+		if r.entry != entry || !r.generate() || r.began < from || r.began >= to || r.outcome != ran {
+			continue
+		}
+		if n++; r.answer.Version != version {
+			w.t.Errorf("%s, cut off, answered from version %s", entry, r.answer.Version)
+		}
+	}
+	if w.t.Logf("%d answers at %s while it was cut off", n, entry); n == 0 {
+		w.t.Errorf("%s answered nothing while it was cut off", entry)
+	}
+}
+
+// keyedRefused fails the test unless an entry refused all new keyed calls as
+// not run in a time.
+func (w *world) keyedRefused(from, to time.Duration, entry string) {
+	w.t.Helper()
+	n := 0
+	first := map[string]time.Duration{}
+	for _, r := range w.all() {
+		if _, again := first[r.req.Key]; !again {
+			first[r.req.Key] = r.began
+		}
+		if r.req.Key == "" || r.entry != entry || r.began < from || r.end >= to || first[r.req.Key] < from {
+			continue
+		}
+		if n++; r.outcome != notRun {
+			w.t.Errorf("a keyed call at %s, cut off: %s", entry, r.failed())
+		}
+	}
+	if w.t.Logf("%d keyed calls at %s while it was cut off", n, entry); n == 0 {
+		w.t.Errorf("%s got no keyed call while it was cut off", entry)
+	}
+}
