Name the reason at /readyz when no declaration is known

Cause: the directory knows why a process has no declaration, but the daemons did not ask it. With the platform down and no peer left, /readyz of entries said "no configuration is known yet" and that of agents "no declaration known", which does not tell an operator whether the platform, the peers or a first apply is missing (TestNobodyKnows).

Change: both show the reason of the directory; entries look twice a second, because it changes without a change of the declaration.

After: /readyz says "waiting for the platform and the seeds" and then "the platform does not answer and no reachable process holds a declaration".

--- a/internal/app/agent/connect.go
+++ b/internal/app/agent/connect.go
@@ -25,6 +25,8 @@
 	Directory port.Directory
 	Peer      port.PeerHandler
 	Member    port.MemberHandler
+	// NotReady returns why the directory knows no declaration, or "".
+	NotReady func() string
 	// Run runs the loops of the parts until ctx ends.
 	Run func(ctx context.Context)
 }
@@ -67,7 +69,9 @@
 		wg.Go(func() { shareWrites(ctx, dir, id, l, float64(c.LedgerWritesPerSecond)) })
 		wg.Wait()
 	}
-	return stores{Weights: w, Ledger: l, Directory: dir, Peer: w, Member: dir.Handler(), Run: run}
+	return stores{
+		Weights: w, Ledger: l, Directory: dir, Peer: w, Member: dir.Handler(), NotReady: dir.NotReady, Run: run,
+	}
 }
 
 // shareWrites divides the service's budget of ledger writes among its live
--- a/internal/app/agent/life_test.go
+++ b/internal/app/agent/life_test.go
@@ -164,7 +164,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	st := stores{Run: func(ctx context.Context) { <-ctx.Done() }}
+	st := stores{Run: func(ctx context.Context) { <-ctx.Done() }, NotReady: func() string { return "" }}
 	env := daemon.Env{Log: b.agent.d.Log, Admin: &daemon.Admin{}}
 	wg.Go(func() { done <- serve(ctx, b.agent, srv, lis, st, Settings{DrainTimeout: 10 * time.Second}, env) })
 	b.serving("v1")
--- a/internal/app/agent/run.go
+++ b/internal/app/agent/run.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"net"
 
@@ -81,7 +82,7 @@
 	})
 	wg.Go(func() { st.Run(work) })
 	wg.Go(func() { a.Run(work) })
-	wg.Go(func() { a.reportReady(work, env.Admin) })
+	wg.Go(func() { a.reportReady(work, env.Admin, st.NotReady) })
 	var err error
 	select {
 	case <-ctx.Done():
@@ -105,14 +106,14 @@
 	}
 }
 
-// reportReady keeps /readyz up to date.
-func (a *Agent) reportReady(ctx context.Context, admin *daemon.Admin) {
+// reportReady keeps /readyz up to date; why tells why no declaration is known.
+func (a *Agent) reportReady(ctx context.Context, admin *daemon.Admin, why func() string) {
 	_ = a.follow(ctx, heartbeatEvery, func(st port.AgentStatus) error {
 		switch {
 		case st.Leaving:
 			admin.NotReady("leaving")
 		case st.Revision == 0:
-			admin.NotReady("no declaration known")
+			admin.NotReady(cmp.Or(why(), "no declaration known"))
 		case !st.Ready:
 			admin.NotReady("target serves nothing")
 		default:
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -19,10 +20,16 @@
 // closeTimeout bounds the time to send the last bytes of finished answers.
 const closeTimeout = 2 * time.Second
 
+// readinessEvery is the time between two looks at the reason why the process
+// serves nothing, which changes without a change of the configuration.
+const readinessEvery = 500 * time.Millisecond
+
 // Directory is the part of the process that knows the deployment and answers
 // other processes about it.
 type Directory interface {
 	port.Directory
+	// NotReady returns why this process serves nothing yet, or "".
+	NotReady() string
 	// Handler answers other processes.
 	Handler() port.MemberHandler
 	// Run keeps the directory up to date until ctx ends.
@@ -118,8 +125,10 @@
 func (p *process) followReadiness(ctx context.Context) {
 	changed, unsubscribe := p.dir.Subscribe()
 	defer unsubscribe()
-	p.env.Admin.NotReady("no configuration is known yet")
+	look := time.NewTicker(readinessEvery)
+	defer look.Stop()
 	for {
+		p.env.Admin.NotReady(cmp.Or(p.dir.NotReady(), "no configuration is known yet"))
 		if d, _ := p.dir.Declaration(); d != nil && ctx.Err() == nil {
 			p.env.Admin.Ready()
 			p.env.Log.State("ready", logging.F("revision", d.Revision))
@@ -129,6 +138,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-look.C:
 		}
 	}
 	<-ctx.Done()
