--- a/test/harness/admin.go
+++ b/test/harness/admin.go
@@ -78,6 +78,12 @@
 	return m, nil
 }
 
+// Readyz returns the status and the text of a daemon's /readyz.
+func Readyz(ctx context.Context, admin string) (int, string, error) {
+	b, status, err := call(ctx, http.MethodGet, "http://"+admin+"/readyz", nil)
+	return status, string(b), err
+}
+
 // Status decodes the /status of a daemon into out.
 func Status(ctx context.Context, admin string, out any) error {
 	return CallJSON(ctx, http.MethodGet, "http://"+admin+"/status", nil, out)
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -223,15 +223,21 @@
 
 // StartNode starts the daemon of a node, also after it has ended, and waits
 // until it is ready.
-func (d *Deployment) StartNode(ctx context.Context, n *Node) (err error) {
+func (d *Deployment) StartNode(ctx context.Context, n *Node) error {
+	if err := d.RunNode(n); err != nil {
+		return err
+	}
+	return WaitReady(ctx, startTimeout, n.Proc, n.Admin)
+}
+
+// RunNode starts the daemon of a node and does not wait.
+func (d *Deployment) RunNode(n *Node) (err error) {
 	binary := "masticwing-agent"
 	if n.IsEntry {
 		binary = "masticwing-entry"
 	}
-	if n.Proc, err = d.Start(n.Name, binary, "run", "--config", n.settings); err != nil {
-		return err
-	}
-	return WaitReady(ctx, startTimeout, n.Proc, n.Admin)
+	n.Proc, err = d.Start(n.Name, binary, "run", "--config", n.settings)
+	return err
 }
 
 // Route is the name of a link's route at the relay.
--- /dev/null
+++ b/test/proof/cold_test.go
@@ -0,0 +1,59 @@
+package proof
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/masticwing/masticwing/test/harness"
+)
+
+// manyCallers are enough to keep every engine above the load that a cold one
+// bears.
+const manyCallers = 16
+
+// TestColdRestart guards against a target that has just started and gets more
+// load than it can handle: engines restart without their weights, one after
+// the other and under load.
+func TestColdRestart(t *testing.T) {
+	w := deploy(t, nil)
+	w.startLoadOf(manyCallers)
+	w.sleep(time.Second)
+	for _, n := range w.Engines() {
+		w.coldBoot(n)
+		w.sleep(2 * time.Second)
+	}
+	w.must(w.WaitVersion(w.ctx, waitBound, w.versions["v1"]))
+	w.sleep(time.Second)
+	w.finish()
+	w.noOverload()
+	w.allAnswered(func(r record) bool { return r.generate() && len(r.answer.Lines) == 0 })
+}
+
+// TestCachesLost guards against an engine that loses its caches, keeps its
+// weights, and goes on to get the load of a warm one.
+func TestCachesLost(t *testing.T) {
+	w := deploy(t, nil)
+	w.startLoadOf(manyCallers)
+	w.sleep(time.Second)
+	for _, n := range w.Engines() {
+		w.note("engine of " + n.Name + " becomes cold")
+		w.must(harness.CallJSON(w.ctx, http.MethodPost, "http://"+n.TargetAddr+"/cold", nil, nil))
+		w.sleep(time.Second)
+	}
+	w.finish()
+	w.noOverload()
+}
+
+// noOverload fails the test if an engine got more requests than it bears.
+func (w *world) noOverload() {
+	w.t.Helper()
+	for _, n := range w.Engines() {
+		c, err := harness.Counts(w.t.Context(), n.TargetAddr)
+		w.must(err)
+		w.t.Logf("%s: %v", n.Name, c)
+		if c["overload"] > 0 {
+			w.t.Errorf("the engine of %s was overloaded %d times", n.Name, c["overload"])
+		}
+	}
+}
--- a/test/proof/load_test.go
+++ b/test/proof/load_test.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	// callersPerEntry is the load of most tests; one of the callers sends keyed calls.
 	callersPerEntry = 4
 	pause           = 10 * time.Millisecond
 	requestTimeout  = 5 * time.Second
@@ -31,14 +32,19 @@
 	cancel  context.CancelFunc
 }
 
-func (w *world) startLoad() {
+func (w *world) startLoad() { w.startLoadOf(callersPerEntry) }
+
+// startLoadOf starts a number of callers at each entry.
+func (w *world) startLoadOf(callers int) {
 	l := &load{w: w}
 	l.ctx, l.cancel = context.WithCancel(w.ctx)
 	w.load = l
-	for i, e := range w.Entries {
+	for _, e := range w.Entries {
 		l.callers = append(l.callers, harness.NewCaller(e.HTTP))
-		for c := range callersPerEntry {
-			id := i*callersPerEntry + c
+	}
+	for i := range w.Entries {
+		for c := range callers {
+			id := i*callers + c
 			rnd := rand.New(rand.NewPCG(w.rnd.Uint64(), uint64(id)))
 			l.wg.Go(func() { l.loop(id, i, c == 0, rnd) })
 		}
--- a/test/proof/proof_test.go
+++ b/test/proof/proof_test.go
@@ -128,12 +128,21 @@
 	return out
 }
 
-// restart starts the daemon of a node that has ended.
+// restart starts the daemon of a node that has ended and waits until it is
+// ready.
 func (w *world) restart(n *harness.Node) {
+	w.t.Helper()
+	w.run(n)
+	w.must(harness.WaitReady(w.ctx, waitBound, n.Proc, n.Admin))
+}
+
+// run starts the daemon of a node that has ended and does not wait. Its
+// revision is followed anew, since the old process took its own with it.
+func (w *world) run(n *harness.Node) {
 	w.t.Helper()
 	w.locks[n].Lock()
 	defer w.locks[n].Unlock()
-	w.must(w.StartNode(w.ctx, n))
+	w.must(w.RunNode(n))
 	w.revs.forget(n.Name)
 }
 
