--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"os"
@@ -21,6 +22,10 @@
 // closeTimeout bounds the time to send the last bytes of finished answers.
 const closeTimeout = 2 * time.Second
 
+// readinessEvery is the time between two looks at the reason why the process
+// serves nothing, which changes without a change of the configuration.
+const readinessEvery = 500 * time.Millisecond
+
 const (
 	// gcPercent replaces the 50 of the other daemons, since an entry shares its
 	// VM with no target. With 50 and a live heap of 4 MB, collections took a
@@ -49,6 +54,8 @@
 // other processes about it.
 type Directory interface {
 	port.Directory
+	// NotReady returns why this process serves nothing yet, or "".
+	NotReady() string
 	// Handler answers other processes.
 	Handler() port.MemberHandler
 	// Run keeps the directory up to date until ctx ends.
@@ -84,6 +91,7 @@
 func run(ctx context.Context, c *Config, env daemon.Env, build NewDirectory) error {
 	limitMemory(c.Memory)
 	client := rpc.NewClient()
+	client.Source = c.Source
 	defer client.Close()
 	dir, err := build(c, env, client)
 	if err != nil {
@@ -144,8 +152,10 @@
 func (p *process) followReadiness(ctx context.Context) {
 	changed, unsubscribe := p.dir.Subscribe()
 	defer unsubscribe()
-	p.env.Admin.NotReady("no configuration is known yet")
+	look := time.NewTicker(readinessEvery)
+	defer look.Stop()
 	for {
+		p.env.Admin.NotReady(cmp.Or(p.dir.NotReady(), "no configuration is known yet"))
 		if d, _ := p.dir.Declaration(); d != nil && ctx.Err() == nil {
 			p.env.Admin.Ready()
 			p.env.Log.State("ready", logging.F("revision", d.Revision))
@@ -155,6 +165,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-look.C:
 		}
 	}
 	<-ctx.Done()
