bench-spread: measure machine links with real agent processes

Cause: the bench ran Managers in one process and sent no live requests, so it could not show what a spread costs real agents and their callers.

Change: the machine-link and faulted runs start masticwing-agent, entry, platform and origin processes through test/harness. Region-link runs and the baseline keep Managers in one process and say so.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -13,24 +13,32 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 	"github.com/urfave/cli/v3"
 )
 
-// Listen is the flag for the address.
-var Listen = &cli.StringFlag{Name: "listen", Required: true, Usage: "`IP:PORT` to serve on"}
+// Listen is the flag for the addresses.
+var Listen = &cli.StringSliceFlag{
+	Name: "listen", Required: true, Usage: "`IP:PORT` to serve on; repeat it for several stand-ins in one process",
+}
 
 // Run runs the command line of a stand-in and exits the process on failure.
+// handler is called once per address, so that each has a state of its own.
 func Run(name, usage string, flags []cli.Flag, handler func(*cli.Command) (http.Handler, error)) {
 	cmd := &cli.Command{
 		Name:  name,
 		Usage: "stand-in for tests and demos only: " + usage,
 		Flags: append([]cli.Flag{Listen}, flags...),
 		Action: func(ctx context.Context, c *cli.Command) error {
-			h, err := handler(c)
-			if err != nil {
-				return err
+			p := pool.New().WithContext(ctx).WithCancelOnError()
+			for _, addr := range c.StringSlice("listen") {
+				h, err := handler(c)
+				if err != nil {
+					return err
+				}
+				p.Go(func(ctx context.Context) error { return serve(ctx, addr, h) })
 			}
-			return serve(ctx, c.String("listen"), h)
+			return p.Wait()
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
--- a/test/bench/spread/main.go
+++ b/test/bench/spread/main.go
@@ -1,7 +1,9 @@
 // Command spread measures how fast a version reaches N machines and what it
 // costs the links. It prints one line "name value unit bound ok|MISSED" for
-// each figure and exits with 1 if a bound is missed. QUICK=1 leaves out the
-// largest fleet and the longer baselines.
+// each figure and exits with 1 if a bound is missed. Runs with slow machine
+// links start real processes and send live requests; runs with slow region
+// links and the baseline have Managers in one process. QUICK=1 leaves out the
+// largest fleet and the runs in one process.
 package main
 
 import (
@@ -13,6 +15,7 @@
 
 	"github.com/masticwing/masticwing/internal/standin/origin"
 	"github.com/masticwing/masticwing/test/bench/spread/cluster"
+	"github.com/masticwing/masticwing/test/harness"
 )
 
 const (
@@ -26,7 +29,7 @@
 	runTimeout = 150 * time.Second
 )
 
-var timeBound = map[int]float64{15: 1.3, 60: 1.5, 200: 1.7}
+var timeBounds = map[int]float64{15: 1.3, 60: 1.5, 200: 1.7}
 
 type bench struct {
 	version origin.Version
@@ -36,42 +39,62 @@
 }
 
 func main() {
+	code := run()
+	harness.RemoveBinaries()
+	os.Exit(code)
+}
+
+func run() int {
 	quick := os.Getenv("QUICK") != ""
 	only := flag.String("only", "", "run one of machine, region, faulted, baseline")
 	n := flag.Int("n", 0, "run with this number of machines only")
-	trace := flag.Bool("trace", false, "print the progress of each run")
+	trace := flag.Bool("trace", false, "print the progress of each run with Managers in one process")
 	flag.Parse()
 	b := &bench{
 		version: origin.Version{Model: "bench", Bytes: 8 << 20, ChunkBytes: 32 << 10, Seed: 1},
 		rate:    1 << 20,
 		trace:   *trace,
 	}
+	if _, err := harness.Binary("masticwing-agent"); err != nil { // the build is not part of a run
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		return 1
+	}
 	sizes := []int{15, 60, 200}
 	if quick {
 		sizes = sizes[:2]
-		b.version.Bytes, b.version.ChunkBytes = 4<<20, 16<<10
 	}
 	if *n > 0 {
 		sizes = []int{*n}
 	}
-	run := func(name string) bool { return *only == "" || *only == name }
-	fmt.Printf("# %d bytes in chunks of %d; %d regions; the slowest link has %d B/s, others %d times that\n",
-		b.version.Bytes, b.version.ChunkBytes, regions, b.rate, faster)
+	fmt.Printf("# %d bytes in chunks of %d, %d regions; the slowest link has %d B/s, so that one copy takes %.0f s; "+
+		"the origin's link has %d times that\n",
+		b.version.Bytes, b.version.ChunkBytes, regions, b.rate, b.ideal().Seconds(), faster)
+	run := func(name string, inQuick bool) bool { return *only == name || *only == "" && (inQuick || !quick) }
 	for _, n := range sizes {
-		b.spread(n, run)
+		if run("machine", true) {
+			b.machine(n)
+		}
+		if run("region", false) {
+			b.region(n)
+		}
 	}
-	if run("faulted") && (*n == 0 || *n == 60) {
+	if run("faulted", true) && (*n == 0 || *n == 60) {
 		b.faulted(60)
 	}
-	if run("baseline") {
+	if run("baseline", false) {
 		b.baseline(15)
-		if !quick {
-			b.baseline(60)
-		}
 	}
 	if b.missed {
-		os.Exit(1)
+		return 1
 	}
+	return 0
+}
+
+func (b *bench) timeBound(n int) float64 {
+	if t, ok := timeBounds[n]; ok {
+		return t
+	}
+	return timeBounds[200]
 }
 
 func (b *bench) line(name string, v float64, unit string, bound float64) {
@@ -105,46 +128,26 @@
 	return c
 }
 
-// spread runs a fleet of n machines once with each kind of link the slowest.
-// The copies printed are the higher ones of the two runs.
-func (b *bench) spread(n int, run func(string) bool) {
-	var worst cluster.Copies
-	ratio, link := 0.0, ""
-	for _, slowest := range []string{"region", "machine"} {
-		if !run(slowest) {
-			continue
-		}
-		took, copies, err := b.once(b.config(n, slowest), nil)
-		if err != nil {
-			b.fail(fmt.Sprintf("spread.%s.%d", slowest, n), err)
-			continue
-		}
-		r := took.Seconds() / b.ideal().Seconds()
-		fmt.Printf("# %d machines, %s links slowest: %.1f s, ratio %.2f, origin %.2f, machine %.2f, region %.2f copies\n",
-			n, slowest, took.Seconds(), r, copies.Origin, copies.MachineMax, copies.RegionMax)
-		if r > ratio {
-			ratio, link = r, slowest
-		}
-		worst.Origin = max(worst.Origin, copies.Origin)
-		worst.MachineMax = max(worst.MachineMax, copies.MachineMax)
-		worst.RegionMax = max(worst.RegionMax, copies.RegionMax)
-	}
-	if ratio == 0 {
+// region runs a fleet of n machines with the region links the slowest. Its
+// Managers run in one process, because the pacing of a link that the machines
+// of a region share is part of that process.
+func (b *bench) region(n int) {
+	took, use, err := b.once(b.config(n, "region"))
+	if err != nil {
+		b.fail(fmt.Sprintf("spread.region.%d", n), err)
 		return
 	}
-	b.line(fmt.Sprintf("spread.origin_copies.%d", n), worst.Origin, "copies", boundOrigin)
-	b.line(fmt.Sprintf("spread.machine_copies_max.%d", n), worst.MachineMax, "copies", boundMachine)
-	b.line(fmt.Sprintf("spread.region_link_copies_max.%d", n), worst.RegionMax, "copies", boundRegion)
-	bound, ok := timeBound[n]
-	if !ok {
-		bound = timeBound[200]
-	}
-	b.line(fmt.Sprintf("spread.time_ratio.%d", n), ratio, link+"_link", bound)
+	r := took.Seconds() / b.ideal().Seconds()
+	fmt.Printf("# %d Managers in one process, region links slowest: %.1f s, origin %.2f, machine %.2f, region %.2f copies\n",
+		n, took.Seconds(), use.Origin, use.MachineMax, use.RegionMax)
+	b.line(fmt.Sprintf("spread.region_run.origin_copies.%d", n), use.Origin, "copies", boundOrigin)
+	b.line(fmt.Sprintf("spread.region_run.machine_copies_max.%d", n), use.MachineMax, "copies", boundMachine)
+	b.line(fmt.Sprintf("spread.region_run.region_link_copies_max.%d", n), use.RegionMax, "copies", boundRegion)
+	b.line(fmt.Sprintf("spread.region_run.time_ratio.%d", n), r, "region_link", b.timeBound(n))
 }
 
-// once runs a fleet to completion. half, if not nil, is called when the fleet
-// holds half of the chunks.
-func (b *bench) once(cfg cluster.Config, half func(*cluster.Cluster)) (time.Duration, cluster.Copies, error) {
+// once runs a fleet to completion.
+func (b *bench) once(cfg cluster.Config) (time.Duration, cluster.Copies, error) {
 	c, err := cluster.New(cfg)
 	if err != nil {
 		return 0, cluster.Copies{}, err
@@ -157,43 +160,15 @@
 		defer stop()
 	}
 	c.Want()
-	if half != nil {
-		for c.Held() < 0.5 && ctx.Err() == nil {
-			time.Sleep(20 * time.Millisecond)
-		}
-		half(c)
-	}
 	took, err := c.Wait(ctx)
 	return took, c.Copies(), err
 }
 
-// faulted stops a tenth of the machines half way and freezes another tenth,
-// while one chunk in fifty is corrupted.
-func (b *bench) faulted(n int) {
-	cfg := b.config(n, "machine")
-	cfg.Corrupt = 0.02
-	took, copies, err := b.once(cfg, func(c *cluster.Cluster) {
-		for i := range n / 10 {
-			c.Agents[10*i+3].Stop()
-			c.Agents[10*i+8].Freeze()
-		}
-	})
-	name := fmt.Sprintf("spread.faulted_time_ratio.%d", n)
-	if err != nil {
-		b.fail(name, err)
-		return
-	}
-	fmt.Printf("# %d machines with faults: %.1f s, origin %.2f, machine %.2f, region %.2f copies, %d chunks corrupted\n",
-		n, took.Seconds(), copies.Origin, copies.MachineMax, copies.RegionMax, copies.Corrupted)
-	b.line(name, took.Seconds()/b.ideal().Seconds(), "machine_link", boundFaulted)
-	b.line(fmt.Sprintf("spread.faulted_origin_copies.%d", n), copies.Origin, "copies", boundOrigin)
-}
-
 // baseline measures the same fleet when every machine draws from the origin.
 func (b *bench) baseline(n int) {
 	cfg := b.config(n, "machine")
 	cfg.Alone = true
-	took, copies, err := b.once(cfg, nil)
+	took, copies, err := b.once(cfg)
 	if err != nil {
 		b.fail(fmt.Sprintf("spread.baseline.%d", n), err)
 		return
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -100,9 +100,16 @@
 			return err
 		}
 	}
+	if d.Spec.Engine.OneProcess {
+		if err := d.startEngines(ctx); err != nil {
+			return err
+		}
+	}
 	p := pool.New().WithErrors()
 	for _, n := range d.Agents {
-		p.Go(func() error { return d.StartTarget(ctx, n) })
+		if n.Target == nil {
+			p.Go(func() error { return d.StartTarget(ctx, n) })
+		}
 	}
 	return p.Wait()
 }
@@ -123,6 +130,28 @@
 		n.Target, err = d.StartStandin(ctx, n.Name+" service", "standin-service", n.TargetAddr)
 		return err
 	}
+	n.Target, err = d.StartStandin(ctx, n.Name+" engine", "standin-engine", n.TargetAddr, d.engineArgs()...)
+	return err
+}
+
+// startEngines starts all engines in one process.
+func (d *Deployment) startEngines(ctx context.Context) error {
+	engines := d.Engines()
+	if len(engines) == 0 {
+		return nil
+	}
+	args := d.engineArgs()
+	for _, n := range engines[1:] {
+		args = append(args, "--listen", n.TargetAddr)
+	}
+	p, err := d.StartStandin(ctx, "engines", "standin-engine", engines[0].TargetAddr, args...)
+	for _, n := range engines {
+		n.Target = p
+	}
+	return err
+}
+
+func (d *Deployment) engineArgs() []string {
 	var args []string
 	e := d.Spec.Engine
 	if e.MaxRequests > 0 {
@@ -134,8 +163,7 @@
 	if e.TokenDelay != "" {
 		args = append(args, "--token-delay", e.TokenDelay)
 	}
-	n.Target, err = d.StartStandin(ctx, n.Name+" engine", "standin-engine", n.TargetAddr, args...)
-	return err
+	return args
 }
 
 func (d *Deployment) startNodes(ctx context.Context) error {
--- a/test/harness/spec.go
+++ b/test/harness/spec.go
@@ -49,6 +49,10 @@
 type EngineSpec struct {
 	MaxRequests, ColdRequests int
 	TokenDelay                string
+	// OneProcess hosts all engines in one process, each with a state of its
+	// own. Large fleets need it to stay within a few hundred processes.
+	// Node.Target is then that process for every agent with an engine.
+	OneProcess bool
 }
 
 // Link is a kind of link that a relay can stand in for.
