weights: collect announcements of chunks for 50 ms

Cause: 60 agent processes use 5.4 cores during a spread at 1 MiB/s each (about 49 s of CPU time for 9.0 s). A CPU profile of 60 Managers in one process has 3.85 s in sending one message per chunk and neighbour and 1.53 s in receiving them, against 1.94 s in fetching chunks; each message also wakes the dispatcher, which scans the table (9.4 s of 28.5 s).

Change: WatchChunks waits 50 ms after the first new chunk and sends all of them in one message.

--- a/internal/app/weights/uploads.go
+++ b/internal/app/weights/uploads.go
@@ -26,6 +26,9 @@
 	writeBytes = 16 << 10
 	// heartbeat is the longest silence of a chunk stream.
 	heartbeat = 500 * time.Millisecond
+	// announceEvery collects chunks for one message. A message per chunk and
+	// neighbour costs an agent more CPU time than the chunks themselves.
+	announceEvery = 50 * time.Millisecond
 )
 
 // watcher is a peer that follows the chunks of a version. pending is guarded by
@@ -74,6 +77,9 @@
 		case <-v.ctx.Done():
 			return errNotHeld
 		case <-w.wake:
+			if err := m.sleep(ctx, announceEvery); err != nil {
+				return err
+			}
 		case <-m.deps.Clock.After(heartbeat):
 		}
 		u := port.ChunkUpdate{Added: v.takePending(key)}
--- a/test/bench/spread/main.go
+++ b/test/bench/spread/main.go
@@ -46,10 +46,19 @@
 
 func run() int {
 	quick := os.Getenv("QUICK") != ""
-	only := flag.String("only", "", "run one of machine, region, faulted, baseline")
+	only := flag.String("only", "", "run one of machine, region, faulted, memory, baseline")
 	n := flag.Int("n", 0, "run with this number of machines only")
-	trace := flag.Bool("trace", false, "print the progress of each run with Managers in one process")
+	trace := flag.Bool("trace", false, "print the slowest live requests, and the progress of runs in one process")
+	profile := flag.String("cpuprofile", "", "write a CPU profile of the bench's own process to this file")
 	flag.Parse()
+	if *profile != "" {
+		stop, err := startProfile(*profile)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "bench:", err)
+			return 1
+		}
+		defer stop()
+	}
 	b := &bench{
 		version: origin.Version{Model: "bench", Bytes: 8 << 20, ChunkBytes: 32 << 10, Seed: 1},
 		rate:    1 << 20,
@@ -81,6 +90,9 @@
 	if run("faulted", true) && (*n == 0 || *n == 60) {
 		b.faulted(60)
 	}
+	if run("memory", true) && *n == 0 {
+		b.memory()
+	}
 	if run("baseline", false) {
 		b.baseline(15)
 	}
--- a/test/bench/spread/processes.go
+++ b/test/bench/spread/processes.go
@@ -19,6 +19,8 @@
 	// boundLive is the bound of the p99 latency during the spread over that
 	// before it.
 	boundLive = 2.0
+	// slowest is the number of slow live requests that a trace shows.
+	slowest = 30
 )
 
 // withFleet starts a fleet of real processes for the time of f.
@@ -53,8 +55,13 @@
 		t0 := time.Now()
 		time.Sleep(before)
 		t1 := time.Now()
+		stop := func() {}
+		if b.trace {
+			stop = followCPU(f)
+		}
 		took, use, err := f.Spread(ctx, nil)
 		t2 := time.Now()
+		stop()
 		live.Stop()
 		if err != nil {
 			return err
@@ -69,6 +76,11 @@
 		if e := calm.Errors + during.Errors; e > 0 {
 			fmt.Printf("# live errors: %d before, %d during; one: %v %v\n", calm.Errors, during.Errors, calm.First, during.First)
 		}
+		if b.trace {
+			for _, s := range live.Slowest(t1, t2, slowest) {
+				fmt.Println("#   slow request", s)
+			}
+		}
 		b.line(fmt.Sprintf("spread.origin_copies.%d", n), use.Origin, "copies", boundOrigin)
 		b.line(fmt.Sprintf("spread.machine_copies_max.%d", n), use.MachineMax, "copies", boundMachine)
 		b.line(fmt.Sprintf("spread.region_link_copies_max.%d", n), use.RegionMax, "copies", boundRegion)
--- a/test/bench/spread/procs/fleet.go
+++ b/test/bench/spread/procs/fleet.go
@@ -84,16 +84,38 @@
 	}
 	var err error
 	f.Deployment, err = harness.Deploy(ctx, h, s)
+	if err != nil {
+		err = errors.Wrap(err, f.notReady(ctx))
+	}
 	return f, err
 }
 
+// notReady describes the agents that serve nothing, for the message of a fleet
+// that does not start.
+func (f *Fleet) notReady(ctx context.Context) string {
+	out := ""
+	for _, n := range f.Agents {
+		var s status
+		if err := harness.Status(ctx, n.Admin, &s); err != nil || s.Version == "" {
+			out += fmt.Sprintf("%s: %+v %v; ", n.Name, s, err)
+		}
+	}
+	return out
+}
+
+// Next makes the version that was spread the old one and another the new one.
+func (f *Fleet) Next() {
+	f.old = f.new
+	f.new.Seed++
+}
+
 // id is the name of a version, the digest of its manifest.
 func id(v origin.Version) string { return string(v.Manifest().Version()) }
 
 // declare publishes the new version and applies the declaration that serves it.
 // It returns the time of acceptance, before which no agent can know of it.
 func (f *Fleet) declare(ctx context.Context) (time.Time, error) {
-	in := map[string]any{"model": model, "size": strconv.Itoa(f.cfg.Bytes), "chunk": strconv.Itoa(chunkSize), "seed": newSeed}
+	in := map[string]any{"model": model, "size": strconv.Itoa(f.cfg.Bytes), "chunk": strconv.Itoa(chunkSize), "seed": f.new.Seed}
 	url := "http://" + f.OriginAddr + "/versions"
 	if err := harness.CallJSON(ctx, "POST", url, in, nil); err != nil {
 		return time.Time{}, err
--- a/test/bench/spread/procs/live.go
+++ b/test/bench/spread/procs/live.go
@@ -1,6 +1,7 @@
 package procs
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -36,7 +37,10 @@
 type sample struct {
 	at   time.Time
 	took time.Duration
-	err  error
+	// first is the time to the first byte.
+	first   time.Duration
+	version string
+	err     error
 }
 
 // Live sends requests at a steady rate until it is stopped.
@@ -108,7 +112,7 @@
 	if err == nil {
 		err = l.check(&a)
 	}
-	l.samples.Put(n, sample{at, time.Since(at), err})
+	l.samples.Put(n, sample{at, time.Since(at), a.FirstByte, a.Version, err})
 }
 
 // check returns an error unless the answer is whole and all of it comes from
@@ -161,3 +165,22 @@
 	p.P50, p.P99 = took[len(took)/2], took[len(took)*99/100]
 	return p
 }
+
+// Slowest returns a line for each of the slowest requests that started in a
+// stretch of time.
+func (l *Live) Slowest(from, to time.Time, n int) []string {
+	var ss []sample
+	l.samples.Range(func(_ int64, s sample) bool {
+		if !s.at.Before(from) && !s.at.After(to) {
+			ss = append(ss, s)
+		}
+		return true
+	})
+	slices.SortFunc(ss, func(a, b sample) int { return cmp.Compare(b.took, a.took) })
+	var out []string
+	for _, s := range ss[:min(n, len(ss))] {
+		out = append(out, fmt.Sprintf("at %.2f s: first byte %.3f s, total %.3f s, version %.8s",
+			s.at.Sub(from).Seconds(), s.first.Seconds(), s.took.Seconds(), s.version))
+	}
+	return out
+}
