weights: charge request bodies to the link in

Cause: ChargeLive charged answers to the direction out only. Bodies may have 1 MiB, so bodies and downloads of weights together could exceed the link.

Change: ChargeLive takes both directions, and the agent charges the body of each generate request, refused ones too. Live traffic never waits itself.

Conclusion: transfers of weights give way in both directions.

--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -89,6 +89,8 @@
 }
 
 func (s *serving) generate(ctx context.Context, v view) (err error) {
+	// A refused request has used the link as well.
+	s.a.d.Weights.ChargeLive(len(s.r.Body), 0)
 	if err := s.admit(); err != nil {
 		return err
 	}
@@ -153,7 +155,7 @@
 
 func (s *serving) data(ctx context.Context, b []byte) error {
 	s.firstByte()
-	s.a.d.Weights.ChargeLive(len(b))
+	s.a.d.Weights.ChargeLive(0, len(b))
 	for len(b) > 0 {
 		n := min(frameBytes, len(b))
 		if err := gone(ctx, s.sink.Data(b[:n])); err != nil {
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -57,6 +57,10 @@
 	if n := b.weights.Live.Load(); n != int64(len(got)) {
 		t.Errorf("%d bytes charged to the link, want %d", n, len(got))
 	}
+	// The body of the refused r1 used the link too.
+	if n := b.weights.LiveIn.Load(); n != int64(len("x")+len("hello")) {
+		t.Errorf("%d bytes charged to the link in, want those of two bodies", n)
+	}
 	r := b.request("r3", "x")
 	r.Group = "other"
 	_, _, err = b.serve(r)
--- a/internal/app/weights/manager.go
+++ b/internal/app/weights/manager.go
@@ -186,7 +186,11 @@
 func (m *Manager) Changed() <-chan struct{} { return m.changed }
 
 // ChargeLive implements port.Weights.
-func (m *Manager) ChargeLive(n int) { m.link.Out.Charge(m.deps.Clock.Now(), n) }
+func (m *Manager) ChargeLive(in, out int) {
+	now := m.deps.Clock.Now()
+	m.link.In.Charge(now, in)
+	m.link.Out.Charge(now, out)
+}
 
 // rand adapts port.Rand to decisions.
 func (m *Manager) rand(n int) int { return m.deps.Rand.IntN(n) }
--- a/internal/app/weights/manager_test.go
+++ b/internal/app/weights/manager_test.go
@@ -173,10 +173,19 @@
 	}
 }
 
-// TestLiveTrafficFirst guards against uploads of weights that take the link
-// from live answers: while those use three quarters of it, the spread gets the
-// rest.
+// TestLiveTrafficFirst guards against transfers of weights that take the link
+// from live traffic: while answers of the sender, or request bodies of the
+// receiver, use three quarters of it, the spread gets the rest.
 func TestLiveTrafficFirst(t *testing.T) {
+	t.Run("answers", func(t *testing.T) {
+		liveFirst(t, func(c *cluster.Cluster, n int) { c.Agents[0].Manager.ChargeLive(0, n) })
+	})
+	t.Run("bodies", func(t *testing.T) {
+		liveFirst(t, func(c *cluster.Cluster, n int) { c.Agents[1].Manager.ChargeLive(n, 0) })
+	})
+}
+
+func liveFirst(t *testing.T, charge func(c *cluster.Cluster, n int)) {
 	const rate = 2 << 20
 	c := start(t, cluster.Config{Machines: 2, Regions: 1, Version: small, MachineRate: rate})
 	c.Agents[0].Manager.Want([]port.WeightsTarget{c.Target})
@@ -187,7 +196,7 @@
 		if _, _, ok := c.Agents[1].Manager.Open(c.Target.Version); ok {
 			break
 		}
-		c.Agents[0].Manager.ChargeLive(rate / 100 * 3 / 4)
+		charge(c, rate/100*3/4)
 		time.Sleep(10 * time.Millisecond)
 	}
 	// Without live traffic it takes half a second.
--- a/internal/port/porttest/weights.go
+++ b/internal/port/porttest/weights.go
@@ -17,8 +17,8 @@
 	held    *shard.Map[fleet.Version, []byte]
 	wanted  *shard.Map[string, []port.WeightsTarget]
 	changed chan struct{}
-	// Live counts the bytes charged for live traffic.
-	Live atomic.Int64
+	// Live and LiveIn count the bytes charged for live traffic out and in.
+	Live, LiveIn atomic.Int64
 }
 
 var _ port.Weights = (*Weights)(nil)
@@ -85,4 +85,7 @@
 func (w *Weights) Changed() <-chan struct{} { return w.changed }
 
 // ChargeLive implements port.Weights.
-func (w *Weights) ChargeLive(n int) { w.Live.Add(int64(n)) }
+func (w *Weights) ChargeLive(in, out int) {
+	w.LiveIn.Add(int64(in))
+	w.Live.Add(int64(out))
+}
--- a/internal/port/weights.go
+++ b/internal/port/weights.go
@@ -26,7 +26,7 @@
 	// Changed returns a channel that receives after a version completed or its
 	// progress changed state. Several changes may arrive as one.
 	Changed() <-chan struct{}
-	// ChargeLive takes n bytes of live traffic from the link's budget, so that
-	// transfers of weights give way. It never waits.
-	ChargeLive(n int)
+	// ChargeLive takes the bytes of live traffic in each direction from the
+	// link's budget, so that transfers of weights give way. It never waits.
+	ChargeLive(in, out int)
 }
