weights: let a complete old version give way where two do not fit

Cause: with memory for one version, a change never ended.

Change: evictBelow releases complete versions after all incomplete ones, and only if the new version fits the limit at all.

Conclusion: a machine with memory for one version takes changes. Its engine cannot get the old version again if it restarts meanwhile; design 4.5 says so.

--- a/internal/app/weights/memory.go
+++ b/internal/app/weights/memory.go
@@ -37,6 +37,13 @@
 	return true
 }
 
+// fits reports whether n bytes fit into an empty budget.
+func (b *memory) fits(n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limit <= 0 || n <= b.limit
+}
+
 func (b *memory) put(n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -68,17 +75,25 @@
 	return slices.ContainsFunc(better, func(o *version) bool { return o.waits.Load() })
 }
 
-// evictBelow releases one less important version that holds memory and is not
-// complete. Complete ones stay, since an engine may load from them. Run starts
-// the released one again, which then waits for memory.
-func (m *Manager) evictBelow(v *version) bool {
+// evictBelow releases one less important version that holds memory, so that v,
+// which needs n bytes, can have it. Complete ones are kept for an engine that
+// restarts and go only after all others: without that, v would wait forever
+// where the limit has no room for two versions. A load in progress keeps the
+// chunks that it reads. Run starts the released version again, which then
+// waits for memory.
+func (m *Manager) evictBelow(v *version, n int64) bool {
+	if !m.memory.fits(n) {
+		return false
+	}
 	_, worse := m.split(v)
-	for _, o := range slices.Backward(worse) {
-		if !o.complete.Load() && o.holdsMemory() {
-			m.versions.Delete(o.id)
-			o.release()
-			signal(m.wake)
-			return true
+	for _, complete := range []bool{false, true} {
+		for _, o := range slices.Backward(worse) {
+			if o.complete.Load() == complete && o.holdsMemory() {
+				m.versions.Delete(o.id)
+				o.release()
+				signal(m.wake)
+				return true
+			}
 		}
 	}
 	return false
--- a/internal/app/weights/version.go
+++ b/internal/app/weights/version.go
@@ -119,7 +119,7 @@
 }
 
 // takeMemory waits until the version fits into the memory budget. Less
-// important versions that are not complete give way to it.
+// important versions give way to it, complete ones last.
 func (v *version) takeMemory(n int64) bool {
 	v.waits.Store(true)
 	defer v.waits.Store(false)
@@ -129,7 +129,7 @@
 			return v.keepMemory(n)
 		}
 		v.setReason(fmt.Sprintf("memory limit: %d bytes do not fit", n))
-		if v.m.evictBelow(v) {
+		if v.m.evictBelow(v, n) {
 			continue
 		}
 		select {
