--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,11 @@
 	$(GO) build -o $(BIN)/bench-spread ./test/bench/spread
 	$(BIN)/bench-spread
 
+# Measures the cost of control at several sizes, in less than four minutes.
+bench-control:
+	$(GO) build -o $(BIN)/bench-control ./test/bench/control
+	$(BIN)/bench-control
+
 # Starts a small deployment, changes it under load and prints a table.
 demo:
 	$(GO) run ./test/demo
--- a/internal/adapter/kvhttp/kvhttp.go
+++ b/internal/adapter/kvhttp/kvhttp.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +34,8 @@
 type Client struct {
 	base string
 	http *http.Client
+	// in and out count the bytes of all connections.
+	in, out *atomic.Int64
 }
 
 var (
@@ -42,7 +45,39 @@
 
 // New returns a client of the service at addr.
 func New(addr fleet.Address) *Client {
-	return &Client{base: "http://" + string(addr), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+	c := &Client{base: "http://" + string(addr), in: &atomic.Int64{}, out: &atomic.Int64{}}
+	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: c.dial}}
+	return c
+}
+
+// Traffic returns the bytes sent and received so far.
+func (c *Client) Traffic() port.Traffic {
+	return port.Traffic{Kind: "platform", In: c.in.Load(), Out: c.out.Load()}
+}
+
+func (c *Client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{conn, c}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	c *Client
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.c.in.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.c.out.Add(int64(n))
+	return n, err
 }
 
 type reply struct {
--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,28 +33,6 @@
 	idlePerAddress = 64
 )
 
-// Traffic counts the bytes of all connections of a client or server.
-type Traffic struct {
-	In, Out atomic.Int64
-}
-
-type countedConn struct {
-	net.Conn
-	t *Traffic
-}
-
-func (c countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.t.In.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.t.Out.Add(int64(n))
-	return n, err
-}
-
 type addressPool = drpcpool.Pool[fleet.Address, drpcpool.Conn]
 
 // Client calls other processes. Connections are pooled by address; a drpc
@@ -63,13 +40,13 @@
 // each stream by itself.
 type Client struct {
 	pools *shard.Map[fleet.Address, *addressPool]
-	// Traffic counts the bytes sent and received.
-	Traffic Traffic
+	// Meter counts the bytes sent and received.
+	Meter *Meter
 }
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{pools: shard.New[fleet.Address, *addressPool](0)}
+	return &Client{pools: shard.New[fleet.Address, *addressPool](0), Meter: &Meter{}}
 }
 
 // dialError marks a failure before any byte was sent.
@@ -83,7 +60,7 @@
 	if err != nil {
 		return nil, dialError{err}
 	}
-	return drpcconn.NewWithOptions(countedConn{conn, &c.Traffic}, connOptions()), nil
+	return drpcconn.NewWithOptions(countedConn{conn, &c.Meter.connections}, connOptions()), nil
 }
 
 const (
@@ -114,7 +91,7 @@
 		p = old
 		return old, true
 	})
-	return p.Get(ctx, addr, c.dial)
+	return meteredConn{p.Get(ctx, addr, c.dial), c.Meter}
 }
 
 // Drop closes the idle connections to an address. It is called when one of
--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -24,13 +24,14 @@
 	Agent  port.AgentHandler
 	Peer   port.PeerHandler
 	Member port.MemberHandler
+	// Meter counts the bytes sent and received. It may be nil.
+	Meter *Meter
 }
 
 // Server serves the protocol.
 type Server struct {
-	mux *drpcmux.Mux
-	// Traffic counts the bytes sent and received.
-	Traffic Traffic
+	mux   *drpcmux.Mux
+	meter *Meter
 	// answers counts the answers that are not written to their end.
 	answers atomic.Int64
 }
@@ -38,7 +39,10 @@
 // NewServer registers the handlers.
 func NewServer(h Handlers) (*Server, error) {
 	mux := drpcmux.New()
-	s := &Server{mux: mux}
+	s := &Server{mux: mux, meter: h.Meter}
+	if s.meter == nil {
+		s.meter = &Meter{}
+	}
 	if h.Agent != nil {
 		if err := pb.DRPCRegisterAgent(mux, &agentServer{h.Agent, &s.answers}); err != nil {
 			return nil, errors.Wrap(err, "registering agent service")
@@ -78,7 +82,7 @@
 
 // Serve accepts connections until ctx ends.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
-	err := drpcserver.New(s.mux).Serve(ctx, countedListener{lis, &s.Traffic})
+	err := drpcserver.New(meteredHandler{s.mux, s.meter}).Serve(ctx, countedListener{lis, &s.meter.connections})
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/app/agent/connect.go
+++ b/internal/app/agent/connect.go
@@ -24,6 +24,8 @@
 	Directory port.Directory
 	Peer      port.PeerHandler
 	Member    port.MemberHandler
+	// Traffic returns the bytes sent and received by kind.
+	Traffic func() []port.Traffic
 	// Run runs the loops of the parts until ctx ends.
 	Run func(ctx context.Context)
 }
@@ -62,7 +64,7 @@
 		wg.Go(func() { shareWrites(ctx, dir, id, l, float64(c.LedgerWritesPerSecond)) })
 		wg.Wait()
 	}
-	return stores{Weights: w, Ledger: l, Directory: dir, Peer: w, Member: dir.Handler(), Run: run}
+	return stores{Weights: w, Ledger: l, Directory: dir, Peer: w, Member: dir.Handler(), Traffic: dir.Traffic, Run: run}
 }
 
 // shareWrites divides the service's budget of ledger writes among its live
--- a/internal/app/agent/run.go
+++ b/internal/app/agent/run.go
@@ -33,6 +33,12 @@
 	}
 }
 
+// statusValue is the value of /status.
+type statusValue struct {
+	port.AgentStatus
+	Traffic []port.Traffic
+}
+
 func run(ctx context.Context, c Settings, env daemon.Env) error {
 	id := Identity{
 		VM: fleet.VM(c.ID), Domain: c.Domain, Region: c.Region, Labels: c.Labels, BootID: sysclock.Rand{}.Uint64(),
@@ -42,7 +48,7 @@
 	kv := kvhttp.New(c.Platform)
 	st := connectStores(c, id, env, kv, cl)
 	a := New(id, deps(c, env, kv, st))
-	srv, err := rpc.NewServer(rpc.Handlers{Agent: a, Peer: st.Peer, Member: st.Member})
+	srv, err := rpc.NewServer(rpc.Handlers{Agent: a, Peer: st.Peer, Member: st.Member, Meter: cl.control.Meter})
 	if err != nil {
 		return err
 	}
@@ -50,7 +56,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listening on the rpc address")
 	}
-	env.Admin.SetStatus(func() any { return a.Status() })
+	env.Admin.SetStatus(func() any { return statusValue{a.Status(), st.Traffic()} })
 	return serve(ctx, a, srv, lis, st, c, env)
 }
 
--- a/internal/app/directory/connect.go
+++ b/internal/app/directory/connect.go
@@ -35,8 +35,8 @@
 }
 
 // Connect returns the directory of a process over the platform's HTTP
-// interface. The client carries exchanges only, so that its traffic is the
-// cost of control.
+// interface. The meter of the client, which the server of the process shares,
+// shows the cost of control.
 func Connect(c Settings, kind fleet.Kind, common daemon.Common, labels map[string]string, env daemon.Env, client *rpc.Client) *Directory {
 	platform := kvhttp.New(c.Platform)
 	address := c.Advertise
@@ -50,6 +50,6 @@
 	return New(Config{Self: self, Seeds: c.Seeds}, Deps{
 		KV: platform, VMs: platform, Members: client, Clock: sysclock.Clock{}, Rand: sysclock.Rand{},
 		Decode: inifile.Decode, Metrics: env.Metrics, Log: env.Log,
-		Traffic: func() int64 { return client.Traffic.In.Load() + client.Traffic.Out.Load() },
+		Traffic: func() []port.Traffic { return append(client.Meter.Read(), platform.Traffic()) },
 	})
 }
--- a/internal/app/directory/converge_test.go
+++ b/internal/app/directory/converge_test.go
@@ -173,8 +173,8 @@
 	time.Sleep(20 * time.Second)
 	bytes := func() (sum int64) {
 		for _, n := range w.nodes {
-			sum += n.client.Traffic.In.Load() + n.client.Traffic.Out.Load() +
-				n.server.Traffic.In.Load() + n.server.Traffic.Out.Load()
+			all := n.client.Meter.Read()[0] // shared with the server; the first kind is the connections'
+			sum += all.In + all.Out
 		}
 		return sum
 	}
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -86,9 +86,9 @@
 	Metrics port.Metrics
 	// Log may be nil.
 	Log *logging.Logger
-	// Traffic returns the bytes that the exchanges of this process sent and
-	// received so far. It may be nil.
-	Traffic func() int64
+	// Traffic returns the bytes that this process sent and received so far, by
+	// kind. It may be nil.
+	Traffic func() []port.Traffic
 }
 
 // Directory implements port.Directory. Its Handler serves other processes.
--- a/internal/app/directory/fleet_test.go
+++ b/internal/app/directory/fleet_test.go
@@ -168,7 +168,7 @@
 	nd.Directory = New(Config{Self: self, Seeds: seeds}, Deps{
 		KV: l, VMs: w.kv, Members: l, Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Decode: inifile.Decode,
 	})
-	if nd.server, err = rpc.NewServer(rpc.Handlers{Member: nd.Handler()}); err != nil {
+	if nd.server, err = rpc.NewServer(rpc.Handlers{Member: nd.Handler(), Meter: nd.client.Meter}); err != nil {
 		w.t.Fatal(err)
 	}
 	w.nodes = append(w.nodes, nd)
--- a/internal/app/directory/startup.go
+++ b/internal/app/directory/startup.go
@@ -120,18 +120,26 @@
 
 // meterLoop reports the members, the age and the traffic of the exchanges.
 func (d *Directory) meterLoop(ctx context.Context) {
-	last := int64(0)
+	last := map[string]port.Traffic{}
 	for d.sleep(ctx, meterEvery) {
 		now := d.deps.Clock.Now()
 		d.deps.Metrics.Gauge("directory_members", float64(len(d.table.Live(now))))
 		if _, age := d.rev.Held(now); age >= 0 {
 			d.deps.Metrics.Gauge("directory_age_seconds", age.Seconds())
 		}
-		if d.deps.Traffic == nil {
-			continue
+		for _, t := range d.Traffic() {
+			old, kind := last[t.Kind], port.Attr{Key: "kind", Value: t.Kind}
+			d.deps.Metrics.Count("rpc_bytes_total", t.In-old.In, kind, port.Attr{Key: "direction", Value: "in"})
+			d.deps.Metrics.Count("rpc_bytes_total", t.Out-old.Out, kind, port.Attr{Key: "direction", Value: "out"})
+			last[t.Kind] = t
 		}
-		total := d.deps.Traffic()
-		d.deps.Metrics.Gauge("directory_bytes_per_second", float64(total-last)/meterEvery.Seconds())
-		last = total
 	}
 }
+
+// Traffic returns the bytes that this process sent and received, by kind.
+func (d *Directory) Traffic() []port.Traffic {
+	if d.deps.Traffic == nil {
+		return nil
+	}
+	return d.deps.Traffic()
+}
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -25,6 +25,8 @@
 	port.Directory
 	// Handler answers other processes.
 	Handler() port.MemberHandler
+	// Traffic returns the bytes sent and received by kind.
+	Traffic() []port.Traffic
 	// Run keeps the directory up to date until ctx ends.
 	Run(ctx context.Context)
 }
@@ -53,6 +55,12 @@
 	server *rpc.Server
 }
 
+// status is the value of /status.
+type status struct {
+	State
+	Traffic []port.Traffic `json:"traffic"`
+}
+
 // run serves until ctx ends and then drains. Everything that requests in
 // progress need runs until they have finished.
 func run(ctx context.Context, c *Config, env daemon.Env, build NewDirectory) error {
@@ -62,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	server, err := rpc.NewServer(rpc.Handlers{Member: dir.Handler()})
+	server, err := rpc.NewServer(rpc.Handlers{Member: dir.Handler(), Meter: client.Meter})
 	if err != nil {
 		return err
 	}
@@ -72,7 +80,7 @@
 	})
 	api := httpapi.New(httpapi.Config{Memory: c.Memory, MaxBody: c.MaxBody}, e, env.Metrics)
 	p := &process{cfg: c, env: env, dir: dir, entry: e, api: api, server: server}
-	env.Admin.SetStatus(func() any { return e.State(api.BytesHeld()) })
+	env.Admin.SetStatus(func() any { return status{e.State(api.BytesHeld()), dir.Traffic()} })
 	return p.run(ctx)
 }
 
--- a/internal/app/entry/run_test.go
+++ b/internal/app/entry/run_test.go
@@ -27,6 +27,8 @@
 
 func (fakeDirectory) Run(ctx context.Context) { <-ctx.Done() }
 
+func (fakeDirectory) Traffic() []port.Traffic { return nil }
+
 func (fakeDirectory) Handler() port.MemberHandler { return nil }
 
 func freeAddress(t *testing.T) string {
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -30,12 +30,13 @@
 	Started time.Time
 
 	relayed map[string]string // address at the relay by route name
+	shared  map[string]string // address of a shared stand-in by service
 }
 
 // Deploy starts the stand-ins, applies the declaration, starts the daemons and
 // waits until all of them are ready.
 func Deploy(ctx context.Context, h *Harness, s Spec) (*Deployment, error) {
-	d := &Deployment{Harness: h, Spec: s, relayed: map[string]string{}}
+	d := &Deployment{Harness: h, Spec: s, relayed: map[string]string{}, shared: map[string]string{}}
 	d.layOut()
 	if err := d.startStandins(ctx); err != nil {
 		return d, err
@@ -72,13 +73,24 @@
 		for _, name := range d.Spec.serviceNames() {
 			for i := range dom.Services[name] {
 				n := d.node(dom, fmt.Sprintf("%s-%s%d", dom.Name, name, i+1))
-				n.Service, n.TargetAddr = name, d.Addr()
+				n.Service, n.TargetAddr = name, d.serviceAddr(name)
 				d.Agents = append(d.Agents, n)
 			}
 		}
 	}
 }
 
+// serviceAddr returns the address of the next stand-in of a service.
+func (d *Deployment) serviceAddr(name string) string {
+	if !d.Spec.ShareTargets {
+		return d.Addr()
+	}
+	if d.shared[name] == "" {
+		d.shared[name] = d.Addr()
+	}
+	return d.shared[name]
+}
+
 func (d *Deployment) node(dom DomainSpec, name string) *Node {
 	return &Node{Name: name, Domain: dom.Name, Region: dom.Region, Admin: d.Addr(), RPC: d.Addr()}
 }
@@ -101,7 +113,12 @@
 		}
 	}
 	p := pool.New().WithErrors()
+	started := map[string]bool{}
 	for _, n := range d.Agents {
+		if started[n.TargetAddr] {
+			continue
+		}
+		started[n.TargetAddr] = true
 		p.Go(func() error { return d.StartTarget(ctx, n) })
 	}
 	return p.Wait()
--- a/test/harness/spec.go
+++ b/test/harness/spec.go
@@ -22,6 +22,10 @@
 	Declaration string
 	// Entry and Agent hold further settings, by section and key.
 	Entry, Agent map[string]map[string]string
+	// ShareTargets makes all agents of a service use one stand-in, so that a
+	// bench has room for more agents. Services only; an engine takes orders
+	// from one agent.
+	ShareTargets bool
 	// Limits holds lines for the groups and services of Declare, such as
 	// "max_requests = 8".
 	Limits []string
