--- a/internal/adapter/inifile/document.go
+++ b/internal/adapter/inifile/document.go
@@ -1,7 +1,10 @@
 package inifile
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -70,7 +73,12 @@
 	return ChangeRecord{}, false
 }
 
-// Encode returns the stored form.
+// gzipMagic starts the stored form. A document without it is read as plain
+// JSON.
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// Encode returns the stored form, JSON compressed with gzip. Every process
+// gets it once per change and passes it on about once, as it is.
 func (d Document) Encode() ([]byte, error) {
 	b, err := json.Marshal(d)
 	if err != nil {
@@ -79,12 +87,38 @@
 	if len(b) > MaxDocumentBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(b))
 	}
-	return b, nil
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Wrap(err, "compressing document")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compressing document")
+	}
+	return out.Bytes(), nil
+}
+
+// inflate returns the JSON of a stored form, of at most MaxDocumentBytes and
+// one.
+func inflate(b []byte) ([]byte, error) {
+	if !bytes.HasPrefix(b, gzipMagic) {
+		return b, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(b))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompressing document")
+	}
+	out, err := io.ReadAll(io.LimitReader(r, MaxDocumentBytes+1))
+	return out, errors.Wrap(err, "decompressing document")
 }
 
 // DecodeDocument reads the stored form without its configuration.
 func DecodeDocument(b []byte) (Document, error) {
 	var d Document
+	b, err := inflate(b)
+	if err != nil {
+		return d, err
+	}
 	if len(b) > MaxDocumentBytes {
 		return d, errors.Wrapf(ErrTooLarge, "%d bytes", len(b))
 	}
--- a/internal/adapter/inifile/inifile_test.go
+++ b/internal/adapter/inifile/inifile_test.go
@@ -1,6 +1,8 @@
 package inifile
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"slices"
 	"strings"
@@ -164,3 +166,28 @@
 		}
 	})
 }
+
+// TestStoredForm guards against a stored form that is not compressed, that
+// grows beyond the bound when it is read, or that is cut, and against a plain
+// one that is refused.
+func TestStoredForm(t *testing.T) {
+	d := Document{Revision: 1, Config: strings.Repeat("[domain a]\nregion = r\n", 100)}
+	b, err := d.Encode()
+	if err != nil || len(b) > len(d.Config)/4 {
+		t.Fatalf("%d bytes for a configuration of %d: %v", len(b), len(d.Config), err)
+	}
+	if _, err := DecodeDocument(b[:len(b)-4]); err == nil {
+		t.Error("a cut document was accepted")
+	}
+	plain, _ := inflate(b)
+	if got, err := DecodeDocument(plain); err != nil || got.Config != d.Config {
+		t.Errorf("plain form: %v", err)
+	}
+	var bomb bytes.Buffer
+	w := gzip.NewWriter(&bomb)
+	_, _ = w.Write(make([]byte, 4*MaxDocumentBytes))
+	_ = w.Close()
+	if _, err := DecodeDocument(bomb.Bytes()); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("4 MB in %d bytes: %v, want ErrTooLarge", bomb.Len(), err)
+	}
+}
--- a/internal/adapter/rpc/agent_client.go
+++ b/internal/adapter/rpc/agent_client.go
@@ -208,6 +208,8 @@
 	client *Client
 	addr   fleet.Address
 	stream pb.DRPCAgent_WatchStatusClient
+	// last is the newest whole status.
+	last port.AgentStatus
 }
 
 // Next implements port.StatusStream.
@@ -221,7 +223,12 @@
 		s.client.Drop(s.addr)
 		return port.AgentStatus{}, errors.Wrap(err, "agent status stream ended")
 	}
-	return *statusFromPB(m), nil
+	if m.GetVm() != "" {
+		s.last = *statusFromPB(m)
+	}
+	// A heartbeat carries only the load.
+	s.last.Load = loadFromPB(m.GetLoad())
+	return s.last, nil
 }
 
 // Close implements port.StatusStream.
--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -27,8 +27,9 @@
 	SilenceTimeout = 2 * time.Second
 	// dialTimeout bounds the time to open a connection.
 	dialTimeout = time.Second
-	// idleExpiry closes connections that no request has used.
-	idleExpiry = time.Minute
+	// idleExpiry closes connections that no request has used. It is longer than
+	// the turn of eight neighbours, 8 s.
+	idleExpiry = 20 * time.Second
 	// idlePerAddress bounds the idle connections kept for one address.
 	idlePerAddress = 64
 )
--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -220,11 +220,29 @@
 
 // WatchStatus implements the generated interface.
 func (s *agentServer) WatchStatus(in *pb.WatchStatusRequest, stream pb.DRPCAgent_WatchStatusStream) error {
+	var last port.AgentStatus
 	return s.h.WatchStatus(stream.Context(), in.GetEntryId(), func(st port.AgentStatus) error {
-		return stream.Send(statusToPB(&st))
+		m := statusToPB(&st)
+		if last.VM != "" && sameState(st, last) {
+			// The rest of a status takes more than 100 bytes, and an entry gets 32
+			// heartbeats a second.
+			m = &pb.AgentStatus{Load: m.Load}
+		}
+		last = st
+		return stream.Send(m)
 	})
 }
 
+// sameState reports whether two states differ in load and amounts of progress
+// at most.
+func sameState(a, b port.AgentStatus) bool {
+	for _, st := range []*port.AgentStatus{&a, &b} {
+		st.Load = port.Load{}
+		st.Progress = port.Progress{Target: st.Progress.Target, State: st.Progress.State, Reason: st.Progress.Reason}
+	}
+	return a == b
+}
+
 type memberServer struct{ h port.MemberHandler }
 
 // Exchange implements the generated interface.
--- a/internal/app/agent/status.go
+++ b/internal/app/agent/status.go
@@ -44,9 +44,10 @@
 	return st
 }
 
-// stateOf returns the part of a status whose change is announced at once.
+// stateOf returns the part of a status whose change is announced at once. A
+// revision that changes nothing for this target waits for the next heartbeat.
 func stateOf(st port.AgentStatus) port.AgentStatus {
-	st.Load = port.Load{}
+	st.Load, st.Revision = port.Load{}, 0
 	st.Progress = port.Progress{Target: st.Progress.Target, State: st.Progress.State, Reason: st.Progress.Reason}
 	return st
 }
@@ -103,15 +104,19 @@
 }
 
 // publish keeps the member record of this agent up to date. Load alone does
-// not change the record, since entries learn it from status streams.
+// not change the record, since entries learn it from status streams. A
+// revision alone does not either, since every record of the fleet would change
+// with each declaration.
 func (a *Agent) publish(ctx context.Context) {
 	var last port.AgentStatus
 	_ = a.follow(ctx, progressEvery, func(st port.AgentStatus) error {
 		st.Load = port.Load{Limit: st.Load.Limit}
-		if st == last {
+		without := st
+		without.Revision = 0
+		if without == last {
 			return nil
 		}
-		last = st
+		last = without
 		a.d.Directory.SetSelf(func(r *port.MemberRecord) {
 			r.Status = &st
 			if st.Leaving {
--- a/internal/app/ctl/status.go
+++ b/internal/app/ctl/status.go
@@ -47,7 +47,7 @@
 }
 
 func (s *session) status(ctx context.Context) error {
-	v, err := s.look(ctx)
+	v, err := s.lookClosely(ctx)
 	if err != nil {
 		return err
 	}
@@ -58,7 +58,7 @@
 		if !s.after(ctx, every) {
 			return ctx.Err()
 		}
-		next, err := s.look(ctx)
+		next, err := s.lookClosely(ctx)
 		if err != nil {
 			return err
 		}
@@ -68,7 +68,7 @@
 		return err
 	}
 	for s.after(ctx, every) {
-		next, err := s.look(ctx)
+		next, err := s.lookClosely(ctx)
 		if err != nil {
 			s.warn("%v", err)
 			continue
--- a/internal/app/ctl/view.go
+++ b/internal/app/ctl/view.go
@@ -210,8 +210,18 @@
 // behind returns the visible processes that do not have the revision.
 func (s *session) behind(ctx context.Context, v view, rev uint64) []process {
 	ps := slices.DeleteFunc(v.Processes, func(p process) bool { return !p.seen() || p.Revision >= rev })
+	s.ask(ctx, ps, rev)
+	return slices.DeleteFunc(ps, func(p process) bool { return p.Revision >= rev })
+}
+
+// ask asks the visible processes that seem to be behind rev. Their records lag:
+// a revision alone does not rewrite them.
+func (s *session) ask(ctx context.Context, ps []process, rev uint64) {
 	asks := pool.New().WithMaxGoroutines(waitAsks)
 	for i := range ps {
+		if !ps[i].seen() || ps[i].Revision >= rev {
+			continue
+		}
 		asks.Go(func() {
 			m, err := s.Members.Exchange(ctx, ps[i].record.Address, port.ExchangeMessage{})
 			if err == nil {
@@ -220,5 +230,13 @@
 		})
 	}
 	asks.Wait()
-	return slices.DeleteFunc(ps, func(p process) bool { return p.Revision >= rev })
+}
+
+// lookClosely is look with the revisions that the processes report themselves.
+func (s *session) lookClosely(ctx context.Context) (view, error) {
+	v, err := s.look(ctx)
+	if err == nil {
+		s.ask(ctx, v.Processes, v.Revision)
+	}
+	return v, err
 }
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -165,6 +165,26 @@
 	}
 }
 
+// returnEvery is the time between two returns of unused memory. The first
+// seconds of a process in a large fleet, and later bursts, leave a heap that the
+// runtime gives back only over minutes. A collection of a daemon's heap takes
+// some milliseconds.
+const returnEvery = 15 * time.Second
+
+// returnMemory gives unused memory back to the VM until ctx ends.
+func returnMemory(ctx context.Context) {
+	t := time.NewTicker(returnEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			debug.FreeOSMemory()
+		}
+	}
+}
+
 func serve(ctx context.Context, common *Common, env Env, r Role) error {
 	lis, err := net.Listen("tcp", string(common.Admin))
 	if err != nil {
@@ -173,9 +193,12 @@
 	srv := &http.Server{Handler: env.Admin.handler(), ReadHeaderTimeout: adminTimeout}
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = srv.Serve(lis) })
+	idle, stopIdle := context.WithCancel(context.WithoutCancel(ctx))
+	wg.Go(func() { returnMemory(idle) })
 	env.Log.State("started", logging.F("version", Version), logging.F("admin", common.Admin))
 	err = r.Run(ctx, env)
 	_ = srv.Close()
+	stopIdle()
 	wg.Wait()
 	if err != nil {
 		env.Log.Fault("stopped", err)
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -104,12 +104,14 @@
 	// busy holds the addresses with an exchange in progress, so that a silent
 	// member holds at most one goroutine.
 	busy *shard.Map[fleet.Address, struct{}]
-	// waiting holds the addresses with an announcement that waits for busy.
-	waiting *shard.Map[fleet.Address, struct{}]
+	// waiting holds the announcements that wait for busy.
+	waiting *shard.Map[announcement, struct{}]
 	pulls   chan pull
 	// pulling holds the revisions that are being fetched.
 	pulling  *shard.Map[uint64, struct{}]
 	announce chan struct{}
+	// revised wakes the announcement of a revision, which carries no records.
+	revised  chan struct{}
 	relay    chan struct{}
 	accepted chan struct{}
 	budget   budget
@@ -121,6 +123,10 @@
 	whole  atomic.Int64
 	wholes atomic.Int32
 	turn   atomic.Uint64
+	// agreed is the digest of the last exchange if both tables had it, else 0.
+	agreed atomic.Uint64
+	// lists holds the answers of Members.
+	lists *shard.Map[fleet.Kind, memberList]
 }
 
 var _ port.Directory = (*Directory)(nil)
@@ -137,10 +143,12 @@
 		table:    membership.NewTable(toCore(cfg.Self), now),
 		subs:     shard.New[uint64, chan struct{}](0),
 		busy:     shard.New[fleet.Address, struct{}](0),
-		waiting:  shard.New[fleet.Address, struct{}](0),
+		waiting:  shard.New[announcement, struct{}](0),
 		pulls:    make(chan pull, pullQueue),
 		pulling:  shard.New[uint64, struct{}](0),
 		announce: make(chan struct{}, 1),
+		revised:  make(chan struct{}, 1),
+		lists:    shard.New[fleet.Kind, memberList](0),
 		relay:    make(chan struct{}, 1),
 		accepted: make(chan struct{}, 1),
 		start:    startup{ready: make(chan struct{})},
@@ -177,18 +185,6 @@
 	return h.Declaration, age
 }
 
-// Members implements port.Directory. The records are shared and must not be
-// modified. The process itself is among them.
-func (d *Directory) Members(k fleet.Kind) []port.MemberRecord {
-	var out []port.MemberRecord
-	for _, s := range d.table.Live(d.deps.Clock.Now()) {
-		if s.Kind == k {
-			out = append(out, fromCore(s))
-		}
-	}
-	return out
-}
-
 // Subscribe implements port.Directory.
 func (d *Directory) Subscribe() (<-chan struct{}, func()) {
 	id, ch := d.subID.Add(1), make(chan struct{}, 1)
@@ -199,6 +195,7 @@
 // notify wakes the subscribers. It never blocks: a channel that is full has
 // a wake-up that was not taken yet.
 func (d *Directory) notify() {
+	d.forgetLists()
 	d.subs.Range(func(_ uint64, ch chan struct{}) bool {
 		signal(ch)
 		return true
@@ -237,9 +234,9 @@
 	}
 	d.deps.Metrics.Gauge("directory_revision", float64(decl.Revision))
 	d.logState("declaration in force", logging.F("revision", decl.Revision))
-	d.publishRevision()
+	d.publishFirstRevision()
 	signal(d.accepted)
-	signal(d.announce)
+	signal(d.revised)
 	d.notify()
 	return decl.Revision, nil
 }
--- a/internal/app/directory/exchange.go
+++ b/internal/app/directory/exchange.go
@@ -21,6 +21,9 @@
 	// announceRecords bounds the records of an announcement, which goes to all
 	// neighbours at the same time.
 	announceRecords = 8
+	// noRecords is for the announcement of a revision, which each process sends
+	// and gets about 16 times per change.
+	noRecords = 0
 	// maxRetries bounds the members that are retried in one round, beside the
 	// neighbour whose turn it is.
 	maxRetries = 2
@@ -182,8 +185,8 @@
 	return d.exchangeClaimed(ctx, t, records, all)
 }
 
-// claim takes an address that is free.
-func claim(m *shard.Map[fleet.Address, struct{}], a fleet.Address) bool {
+// claim takes a key that is free.
+func claim[K comparable](m *shard.Map[K, struct{}], a K) bool {
 	free := false
 	m.Update(a, func(_ struct{}, ok bool) (struct{}, bool) {
 		free = !ok
@@ -197,13 +200,20 @@
 	now := d.deps.Clock.Now()
 	before, known := d.table.Get(t.id, now)
 	gone := d.table.Gone(t.id, now)
+	doubted := known && (before.State == membership.Suspect || before.State == membership.Dead)
+	// Tables that agree are compared by their digests alone, which keeps a quiet
+	// fleet quiet, also while records wait to be passed on once more.
+	if !all && !doubted && records > noRecords && d.agreed.Load() == d.table.Digest() {
+		if _, ok := d.swap(ctx, t, noRecords, false); !ok || d.agreed.Load() != 0 {
+			return ok
+		}
+	}
 	refuted, ok := d.swap(ctx, t, records, all)
 	if !ok {
 		return false
 	}
 	// A side refutes only after it answered, so the facts are swapped again.
 	// After a partition, this process also needs what it missed.
-	doubted := known && (before.State == membership.Suspect || before.State == membership.Dead)
 	if !all && (refuted || doubted) {
 		_, ok = d.swap(ctx, t, records, gone)
 	}
@@ -227,29 +237,37 @@
 	}
 	d.deps.Metrics.Count("directory_exchanges_total", 1)
 	refuted = d.absorb(reply, t.addr)
-	d.compare(reply)
+	d.compare(reply, records)
 	return refuted, true
 }
 
 // compare counts exchanges in a row after which the tables differ.
-func (d *Directory) compare(reply port.ExchangeMessage) {
-	if reply.Digest == d.table.Digest() {
+// One without records could not make them equal.
+func (d *Directory) compare(reply port.ExchangeMessage, records int) {
+	if own := d.table.Digest(); reply.Digest == own {
+		d.agreed.Store(own)
 		d.differ.Store(0)
 		return
 	}
-	d.differ.Add(1)
+	d.agreed.Store(0)
+	if records > noRecords {
+		d.differ.Add(1)
+	}
 }
 
-// message returns the newest facts. If the table does not hold the partner for
-// alive, the record is included so that it can refute.
+// message returns the newest facts, with noRecords only the head. If the table
+// does not hold the partner for alive, the record is included so that it can
+// refute.
 func (d *Directory) message(partner string, records int) port.ExchangeMessage {
 	now := d.deps.Clock.Now()
 	m := d.head(now)
-	n := d.budget.take(records-1, now)
-	rs := d.table.Changed(1+max(n, leastRecords), now)
-	d.budget.giveBack(max(0, n-(len(rs)-1)))
-	for _, s := range rs {
-		m.Records = append(m.Records, fromCore(s))
+	if records > noRecords {
+		n := d.budget.take(records-1, now)
+		rs := d.table.Changed(1+max(n, leastRecords), now)
+		d.budget.giveBack(max(0, n-(len(rs)-1)))
+		for _, s := range rs {
+			m.Records = append(m.Records, fromCore(s))
+		}
 	}
 	if p, ok := d.table.Get(partner, now); ok && (p.State == membership.Suspect || p.State == membership.Dead) {
 		m.Records = append(m.Records, fromCore(p))
@@ -293,23 +311,31 @@
 	return refuted
 }
 
+// announcement is a message to a neighbour that must not wait for its turn.
+type announcement struct {
+	addr    fleet.Address
+	records int
+}
+
 // announceLoop tells all neighbours at once of a new revision, a new state of
 // this process or a refutation, and passes on new states of others.
 func (d *Directory) announceLoop(ctx context.Context) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	for {
-		gap := announceGap
+		gap, records := announceGap, announceRecords
 		select {
 		case <-ctx.Done():
 			return
+		case <-d.revised:
+			records = noRecords
 		case <-d.announce:
 		case <-d.relay:
 			gap = relayGap
 		}
 		for _, id := range d.table.Neighbours(d.deps.Clock.Now()) {
 			for _, t := range d.appendTarget(nil, id) {
-				wg.Go(func() { d.announceTo(ctx, t) })
+				wg.Go(func() { d.announceTo(ctx, t, records) })
 			}
 		}
 		if !d.sleep(ctx, gap) {
@@ -320,18 +346,19 @@
 
 // announceTo does not skip a neighbour with an exchange in progress, which may
 // have begun before the change; it waits for that one to end. One announcement
-// waits at a time, since it carries the newest facts when it goes out.
-func (d *Directory) announceTo(ctx context.Context, t target) {
-	if !claim(d.waiting, t.addr) {
+// of each kind waits at a time, since it carries the newest facts when it goes out.
+func (d *Directory) announceTo(ctx context.Context, t target, records int) {
+	a := announcement{t.addr, records}
+	if !claim(d.waiting, a) {
 		return
 	}
 	for !claim(d.busy, t.addr) {
 		if !d.sleep(ctx, announceGap) {
-			d.waiting.Delete(t.addr)
+			d.waiting.Delete(a)
 			return
 		}
 	}
-	d.waiting.Delete(t.addr)
+	d.waiting.Delete(a)
 	defer d.busy.Delete(t.addr)
-	d.exchangeClaimed(ctx, t, announceRecords, false)
+	d.exchangeClaimed(ctx, t, records, false)
 }
--- a/internal/app/directory/handler.go
+++ b/internal/app/directory/handler.go
@@ -22,12 +22,17 @@
 // Exchange implements port.MemberHandler. The answer is made before the
 // records of the partner are merged, so that they are not sent back. A message
 // without a sender is an operator's question; its answer carries the own record
-// only and takes nothing from what is passed on to members.
+// only and takes nothing from what is passed on to members. A message without
+// records announces a revision and is answered without records.
 func (d handler) Exchange(_ context.Context, m port.ExchangeMessage) (port.ExchangeMessage, error) {
 	if m.From == "" {
 		return d.ownFacts(), nil
 	}
-	out := d.message(m.From, maxRecords)
+	records := maxRecords
+	if len(m.Records) == 0 {
+		records = noRecords
+	}
+	out := d.message(m.From, records)
 	if m.WantAll {
 		out.Records = d.allRecords()
 	}
--- /dev/null
+++ b/internal/app/directory/large_bench_test.go
@@ -0,0 +1,71 @@
+package directory
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// designMembers is the number of processes at the design size.
+const designMembers = 2790
+
+// large returns a directory that knows the fleet of the design size.
+func large() *Directory {
+	d := alone(nil, nil)
+	for i := range designMembers - 1 {
+		r := port.MemberRecord{
+			ID: fmt.Sprintf("d%02d-w%d", i%14, i), Domain: fleet.Domain(fmt.Sprintf("d%02d", i%14)), Region: "r1",
+			Address: fleet.Address(fmt.Sprintf("10.%d.%d.1:7100", i/250, i%250)), Incarnation: 1, Version: 1,
+			Labels: map[string]string{"pool": "model", "rack": fmt.Sprint("r", i%40)},
+		}
+		if i >= 389 {
+			r.Kind = fleet.KindAgent
+			r.Status = &port.AgentStatus{VM: fleet.VM(r.ID), Group: "summaries", Ready: true, Version: fleet.Version(fmt.Sprintf("%064d", 1))}
+		}
+		d.table.Merge(toCore(r), 0, d.deps.Clock.Now())
+	}
+	return d
+}
+
+// BenchmarkDesignSize measures what the table of the design size costs: memory
+// for each member, and the time of a round, of an exchange between tables that
+// agree, and of a look at the members after a change.
+func BenchmarkDesignSize(b *testing.B) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	d := large()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	perMember := float64(after.HeapAlloc-before.HeapAlloc) / designMembers
+	now := d.deps.Clock.Now()
+	b.Run("round", func(b *testing.B) {
+		for b.Loop() {
+			d.table.Tick(now)
+			d.round(now)
+			d.wantAll(now)
+		}
+		b.ReportMetric(perMember, "B/member")
+	})
+	b.Run("head", func(b *testing.B) {
+		for b.Loop() {
+			d.message("", noRecords)
+		}
+	})
+	b.Run("members", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			d.forgetLists()
+			d.Members(fleet.KindAgent)
+		}
+	})
+	b.Run("readers", func(b *testing.B) {
+		for b.Loop() {
+			d.table.IsReader()
+		}
+	})
+	runtime.KeepAlive(d)
+}
--- /dev/null
+++ b/internal/app/directory/quiet_test.go
@@ -0,0 +1,78 @@
+package directory
+
+import (
+	"context"
+	"testing"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// recorder answers exchanges with the digest of a directory, or another one,
+// and notes what it was sent.
+type recorder struct {
+	port.MemberClient
+	d    *Directory
+	add  uint64
+	sent []port.ExchangeMessage
+}
+
+func (r *recorder) Exchange(_ context.Context, _ fleet.Address, m port.ExchangeMessage) (port.ExchangeMessage, error) {
+	r.sent = append(r.sent, m)
+	return port.ExchangeMessage{From: "w", Digest: r.d.table.Digest() + r.add}, nil
+}
+
+// TestQuietExchanges guards against tables that agree and still send their
+// records, and against a difference that is not followed by records.
+func TestQuietExchanges(t *testing.T) {
+	r := &recorder{}
+	r.d = alone(nil, r)
+	swap := func() (records []int) {
+		r.sent = nil
+		r.d.exchange(context.Background(), target{"w", "127.0.0.1:2"}, maxRecords, false)
+		for _, m := range r.sent {
+			records = append(records, len(m.Records))
+		}
+		return records
+	}
+	if got := swap(); len(got) != 1 || got[0] == 0 {
+		t.Errorf("before the tables agreed: messages with %v records, want one with some", got)
+	}
+	if got := swap(); len(got) != 1 || got[0] != 0 {
+		t.Errorf("tables that agree: messages with %v records, want one with none", got)
+	}
+	r.add = 1
+	if got := swap(); len(got) != 2 || got[1] == 0 {
+		t.Errorf("tables that differ: messages with %v records, want a second one with some", got)
+	}
+}
+
+// TestRevisionKeepsRecord guards against a declaration that rewrites the
+// record of every process of the fleet.
+func TestRevisionKeepsRecord(t *testing.T) {
+	d := alone(nil, nil)
+	var versions []uint64
+	for rev := uint64(1); rev <= 3; rev++ {
+		if _, err := d.accept(stored(t, rev), 0); err != nil {
+			t.Fatal(err)
+		}
+		versions = append(versions, d.table.Self().Version)
+	}
+	if versions[0] == 0 || versions[2] != versions[0] {
+		t.Errorf("versions of the own record: %v, want one change, at the first revision", versions)
+	}
+}
+
+// TestMembersSeeChanges guards against an answer of Members that is used again
+// after the table changed.
+func TestMembersSeeChanges(t *testing.T) {
+	d := alone(nil, nil)
+	if n := len(d.Members(fleet.KindAgent)); n != 0 {
+		t.Fatalf("%d agents, want 0", n)
+	}
+	rec := port.MemberRecord{ID: "w", Kind: fleet.KindAgent, Domain: "a", Address: "127.0.0.1:2", Incarnation: 1}
+	d.absorb(port.ExchangeMessage{From: "w", Records: []port.MemberRecord{rec}}, rec.Address)
+	if n := len(d.Members(fleet.KindAgent)); n != 1 {
+		t.Errorf("%d agents after an exchange, want 1", n)
+	}
+}
--- a/internal/app/directory/reader.go
+++ b/internal/app/directory/reader.go
@@ -24,6 +24,10 @@
 	// vmMisses is the number of lists in a row in which a VM is missing or
 	// leaving before its agent is contacted, since the list lags.
 	vmMisses = 2
+	// vmListPerVM times the length of the list is the least time between two
+	// reads of it. At 50 bytes a line it bounds them to 1.25 KB/s, whatever
+	// the size of the fleet.
+	vmListPerVM = 40 * time.Millisecond
 	// vmProbes bounds the agents contacted after one list.
 	vmProbes = 8
 )
@@ -116,7 +120,8 @@
 // spreads and the agent can refute it.
 func (d *Directory) vmListLoop(ctx context.Context) {
 	misses := map[string]int{}
-	for d.sleep(ctx, d.jitter(d.cfg.VMListEvery)) {
+	length := 0
+	for d.sleep(ctx, d.jitter(max(d.cfg.VMListEvery, time.Duration(length)*vmListPerVM))) {
 		if d.deps.VMs == nil || !d.table.IsReader() {
 			continue
 		}
@@ -124,6 +129,7 @@
 		if err != nil || len(list) == 0 {
 			continue
 		}
+		length = len(list)
 		d.probeMissing(ctx, list, misses)
 	}
 }
--- a/internal/app/directory/record.go
+++ b/internal/app/directory/record.go
@@ -86,11 +86,17 @@
 	})
 }
 
-// publishRevision publishes the own record with the revision held.
-func (d *Directory) publishRevision() {
+// publishFirstRevision publishes the own record once a revision is held. Later
+// revisions go along with the next change of the record: a change of the
+// declaration must not rewrite the record of every process, which would take
+// the fleet longer to pass on than the time between two changes. An exchange
+// tells the revision of its sender in any case.
+func (d *Directory) publishFirstRevision() {
 	d.own.mu.Lock()
 	defer d.own.mu.Unlock()
-	d.publishLocked(d.deps.Clock.Now())
+	if d.own.rec.Revision == 0 {
+		d.publishLocked(d.deps.Clock.Now())
+	}
 }
 
 // flushSelf publishes changes that waited for StatusEvery.
--- a/internal/core/membership/spread.go
+++ b/internal/core/membership/spread.go
@@ -41,7 +41,7 @@
 		t.m.Update(it.id, func(e entry[P], ok bool) (entry[P], bool) {
 			if ok {
 				e.sends = min(e.sends, times) - 1
-				out = append(out, Seen[P]{e.rec, t.age(e, now)})
+				out = append(out, t.seen(e, now))
 			}
 			return e, ok
 		})
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -105,6 +105,8 @@
 type Seen[P any] struct {
 	Record[P]
 	Age time.Duration
+	// Gone means that the member is known to be dead.
+	Gone bool
 }
 
 // Table holds the members, sharded by id. The record of the process itself is
@@ -132,7 +134,11 @@
 // Get returns the record of a member.
 func (t *Table[P]) Get(id string, now time.Time) (Seen[P], bool) {
 	e, ok := t.m.Get(id)
-	return Seen[P]{e.rec, t.age(e, now)}, ok
+	return t.seen(e, now), ok
+}
+
+func (t *Table[P]) seen(e entry[P], now time.Time) Seen[P] {
+	return Seen[P]{Record: e.rec, Age: t.age(e, now), Gone: e.gone(now)}
 }
 
 func (t *Table[P]) age(e entry[P], now time.Time) time.Duration {
@@ -229,7 +235,7 @@
 
 // Range calls f for each member while the lock of its shard is held.
 func (t *Table[P]) Range(now time.Time, f func(Seen[P]) bool) {
-	t.m.Range(func(_ string, e entry[P]) bool { return f(Seen[P]{e.rec, t.age(e, now)}) })
+	t.m.Range(func(_ string, e entry[P]) bool { return f(t.seen(e, now)) })
 }
 
 // Gone reports whether the member is known to be dead.
@@ -244,7 +250,7 @@
 	var out []Seen[P]
 	t.m.Range(func(_ string, e entry[P]) bool {
 		if !e.gone(now) {
-			out = append(out, Seen[P]{e.rec, t.age(e, now)})
+			out = append(out, t.seen(e, now))
 		}
 		return true
 	})
