--- a/internal/app/ctl/ctl_test.go
+++ b/internal/app/ctl/ctl_test.go
@@ -129,12 +129,17 @@
 
 // exec runs one command line and returns its exit code.
 func (r *rig) exec(out, errOut io.Writer, line string) int {
+	return r.execUntil(context.Background(), out, errOut, line)
+}
+
+// execUntil is exec with a context that interrupts the command.
+func (r *rig) execUntil(ctx context.Context, out, errOut io.Writer, line string) int {
 	args := []string{"masticwingctl"}
 	args = append(args, strings.Fields(line)...)
 	if !strings.Contains(line, "--platform") {
 		args = append(args, "--platform", string(r.addr))
 	}
-	return Main(context.Background(), Deps{
+	return Main(ctx, Deps{
 		KV: func(a fleet.Address) port.KV { return kvhttp.New(a) }, Members: r.peers,
 		Clock: r.clock, Rand: r.clock, Out: out, Err: errOut, Operator: "amaya",
 	}, args)
@@ -266,3 +271,29 @@
 	r.run("apply main.ini --wait --wait-timeout 1s" + peer)
 	r.golden("status")
 }
+
+// TestWatchSession guards against a watch that shows no rate, time left or
+// reason while a version spreads, and against one that goes on after it was
+// interrupted.
+func TestWatchSession(t *testing.T) {
+	r := newRig(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	r.peers.answer = func(look int) port.ExchangeMessage {
+		rs := []port.MemberRecord{agent("a-w1", "a", "model", 2), agent("a-w2", "a", "model", 2)}
+		for i, have := range []int{min(100, 40*look), 10} {
+			rs[i].Status = &port.AgentStatus{Group: "summaries", Progress: port.Progress{
+				Target: "2222", State: "fetching", Chunks: 100, ChunksHave: have, BytesTotal: 100 << 20,
+			}}
+		}
+		if look >= 3 {
+			rs[0].Status.Version = "2222"
+			rs[1].Status.Progress.Reason = "no peer has chunk 7"
+			cancel()
+		}
+		return port.ExchangeMessage{Revision: 2, Age: time.Second, Records: rs}
+	}
+	var out bytes.Buffer
+	code := r.execUntil(ctx, &out, &out, "status --watch"+peer)
+	fmt.Fprintf(&r.script, "$ masticwingctl status --watch\n%s[exit %d]\n", out.String(), code)
+	r.golden("watch")
+}
--- a/internal/app/ctl/status.go
+++ b/internal/app/ctl/status.go
@@ -87,7 +87,7 @@
 	case <-ctx.Done():
 		return false
 	case <-s.Clock.After(d):
-		return true
+		return ctx.Err() == nil
 	}
 }
 
