--- a/test/proof/cold_test.go
+++ b/test/proof/cold_test.go
@@ -46,24 +46,19 @@
 	w.noOverload()
 }
 
-// fewCallers send one generate request at a time at each entry, which a cold
-// engine bears.
-const fewCallers = 2
-
-// TestCachesLostBeforeLoad guards against an engine that lost its caches under
-// a load that it bears, and gets the load of a warm one when more arrives.
+// TestCachesLostBeforeLoad guards against an engine that lost its caches while
+// it was idle, and gets the load of a warm one when requests arrive. No request
+// may run in between, since each one that it finishes makes it bear one more.
 func TestCachesLostBeforeLoad(t *testing.T) {
 	w := deploy(t, nil)
 	w.startLoadOf(manyCallers)
 	w.sleep(time.Second)
 	w.load.stop()
-	w.startLoadOf(fewCallers)
 	for _, n := range w.Engines() {
 		w.must(harness.CallJSON(w.ctx, http.MethodPost, "http://"+n.TargetAddr+"/cold", nil, nil))
 	}
 	w.note("all engines are cold")
-	w.sleep(time.Second)
-	w.load.stop()
+	w.sleep(time.Second) // the agents probe their engines meanwhile
 	w.startLoadOf(manyCallers)
 	w.sleep(2 * time.Second)
 	w.finish()
