entry: refuse for a second before connections are closed

Conclusion: better, not solved: an idle connection that its caller did not use within that time can still be closed while a request is on its way.

--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -97,17 +97,41 @@
 	return nil
 }
 
+// refusalTime is the least time for which a draining entry answers new requests
+// with a refusal. A caller may send a request on an idle connection at the
+// moment in which it is closed, and then learns no verdict; within this time
+// each connection in use gets an answer that closes it.
+const refusalTime = time.Second
+
+// lingerTime is how long connections that have just become idle, or were just
+// accepted, are still served before they are closed.
+const lingerTime = 200 * time.Millisecond
+
 // Drain refuses new requests and waits for those in progress, or for ctx.
 func (a *API) Drain(ctx context.Context) error {
-	a.server.SetKeepAlivesEnabled(false)
+	refused := time.NewTimer(refusalTime)
+	defer refused.Stop()
 	a.gate.close()
-	return errors.Wrap(a.gate.wait(ctx), "requests still in progress")
+	err := a.gate.wait(ctx)
+	pause(ctx, refused.C)
+	pause(ctx, time.After(lingerTime))
+	return errors.Wrap(err, "requests still in progress")
+}
+
+func pause(ctx context.Context, until <-chan time.Time) {
+	select {
+	case <-until:
+	case <-ctx.Done():
+	}
 }
 
 // Close closes the listener and all connections. The connections that Drain
 // has finished with may still carry the last bytes of an answer, so idle ones
-// are closed first and the rest have until ctx ends.
+// are closed first and the rest have until ctx ends. A connection that was
+// accepted while the listener closed is refused before the last step.
 func (a *API) Close(ctx context.Context) {
+	_ = a.server.Shutdown(ctx)
+	pause(ctx, time.After(lingerTime))
 	_ = a.server.Shutdown(ctx)
 	_ = a.server.Close()
 }
