agent: do not resume a stream at an engine that restarted

The counts of such an engine (8 requests, 2 taken, 1 overload) show that all 8 streams broken by the restart were resumed at once, at a cold engine that bears 2.

Change: before it resumes, the agent asks for the engine's status and resumes only if the target has not become cold since the request was admitted; the entry then continues the answer elsewhere. The stand-in's boot identity differs between processes, and a request leaves its count before the end line is sent.

TestNoResumeAtRestartedEngine failed before.

Conclusion: the bound of a cold target holds through resumes.

--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -140,7 +140,9 @@
 
 // resumable reports whether the engine may continue the answer after err, and
 // waits before it does. A stream that broke before its head is not resumed:
-// nothing has reached the entry, which tries another target.
+// nothing has reached the entry, which tries another target. Nor is one resumed
+// at an engine that has restarted meanwhile: all requests of the warm engine
+// would start at a cold one at once.
 func (s *serving) resumable(ctx context.Context, err error) bool {
 	if !s.headed || verdict.Of(err).Code != verdict.CodeTargetError {
 		return false
@@ -149,8 +151,13 @@
 	case <-ctx.Done():
 		return false
 	case <-s.a.d.Clock.After(resumePause):
-		return true
 	}
+	st, err := s.a.d.Engine.Status(ctx)
+	if err != nil {
+		return false
+	}
+	s.a.adm.ObserveEngine(s.a.target, st.BootID, st.LoadCount, s.a.d.Clock.Now())
+	return s.permit.Current()
 }
 
 // stream passes one stream of the engine on, from the frame that r.Resume
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -159,6 +159,25 @@
 	}
 }
 
+// TestNoResumeAtRestartedEngine guards against a broken stream that is resumed
+// at an engine that restarted, which bears less than the one before.
+func TestNoResumeAtRestartedEngine(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{TokenDelay: 20 * time.Millisecond})
+	b.weights.Put("v1", []byte("w"))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	b.serving("v1")
+	b.admin("/faults", `{"cut_after":3,"cut_once":true}`)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		b.eventually("a request runs", func() bool { return b.agent.Load().InFlight == 1 })
+		b.admin("/cold", "")
+	})
+	_, _, err := b.serve(b.request("r1", "x"))
+	wg.Wait()
+	wantError(t, err, verdict.MayHaveRun, verdict.CodeTargetError)
+	b.serving("v1")
+}
+
 // TestCancelReachesEngine guards against an engine that goes on producing
 // tokens for a caller that has gone, and against a deadline that is ignored.
 func TestCancelReachesEngine(t *testing.T) {
@@ -215,7 +234,7 @@
 	b.eventually("cold", func() bool { st := b.agent.Status(); return st.Ready && st.Load.Limit == 2 })
 	flood()
 	st, err := b.agent.d.Engine.Status(context.Background())
-	if err != nil || st.BootID != "boot-2" {
+	if err != nil || !strings.HasSuffix(st.BootID, "-2") {
 		t.Fatalf("engine fell over: status %+v, %v", st, err)
 	}
 }
--- a/internal/core/admission/permit.go
+++ b/internal/core/admission/permit.go
@@ -34,6 +34,15 @@
 // Version returns the version pinned when the request was admitted.
 func (p *Permit) Version() fleet.Version { return p.version }
 
+// Current reports whether the target has not become cold since the request was
+// admitted. A target that has become cold may bear less than is counted in it,
+// so nothing of an older request may be sent to it again.
+func (p *Permit) Current() bool {
+	current := false
+	p.table.with(p.target, func(r *record) { current = r.epoch == p.epoch })
+	return current
+}
+
 // FirstToken records the time to the first token. It reports whether the
 // target became cold: a slow first token shows that its caches are gone.
 func (p *Permit) FirstToken(d time.Duration, now time.Time) bool {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -61,6 +61,9 @@
 type Server struct {
 	o Options
 
+	// started tells the boot identities of two processes apart.
+	started time.Time
+
 	mu        sync.Mutex
 	boots     int
 	loadCount int64
@@ -82,7 +85,7 @@
 	if o.ColdRequests <= 0 {
 		o.ColdRequests = o.MaxRequests
 	}
-	return &Server{o: o, boots: 1, loaded: map[string]model{}, counts: map[string]int64{}}
+	return &Server{o: o, started: time.Now(), boots: 1, loaded: map[string]model{}, counts: map[string]int64{}}
 }
 
 // Handler returns the routes of the stand-in.
@@ -129,7 +132,8 @@
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	st := status{BootID: fmt.Sprintf("boot-%d", s.boots), Loaded: []string{}, Fence: s.fence, LoadCount: s.loadCount}
+	boot := fmt.Sprintf("%x-%d", s.started.UnixNano(), s.boots)
+	st := status{BootID: boot, Loaded: []string{}, Fence: s.fence, LoadCount: s.loadCount}
 	for v := range s.loaded {
 		st.Loaded = append(st.Loaded, v)
 	}
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -110,12 +110,28 @@
 		http.Error(w, "version is not loaded, or engine has failed", code)
 		return
 	}
-	defer func() { s.leave(a) }()
+	left := false
+	defer func() {
+		if !left {
+			s.leave(a)
+		}
+	}()
 	resume, _ := strconv.Atoi(r.Header.Get("X-Resume-Frames"))
-	a.Whole = s.stream(w, r, a, m, body, resume)
+	if a.Whole = s.stream(w, r, a, m, body, resume); !a.Whole {
+		return
+	}
+	// An engine frees what a request holds before it says that the answer has
+	// ended. Were the request still counted then, its caller's next one could
+	// count as one too many.
+	s.leave(a)
+	left = true
+	var end endLine
+	end.End.Frames = Tokens(body)
+	_ = json.NewEncoder(w).Encode(end)
 }
 
-// stream writes the answer and reports whether all of it was written.
+// stream writes the head and the frames of an answer and reports whether all
+// of them were written.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, a Answered, m model, body []byte, resume int) bool {
 	s.mu.Lock()
 	f := s.faults
@@ -145,9 +161,7 @@
 			return false
 		}
 	}
-	var end endLine
-	end.End.Frames = n
-	return out.Encode(end) == nil
+	return true
 }
 
 // pause waits for one token. It reports false once the caller has gone or the
