harness: send a caller's request once

When an entry was killed, the repeat failed to connect, the caller recorded the request as not sent, and the first attempt, which had run, was missing in the history.

Change: the caller of the tests sends without GetBody, which turns the repeat off.

--- a/test/harness/caller.go
+++ b/test/harness/caller.go
@@ -103,6 +103,10 @@
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "building a request")
 	}
+	// Without GetBody net/http does not repeat a request with an
+	// Idempotency-Key by itself after a lost connection. The error of the
+	// repeat would hide that the first one may have run.
+	req.GetBody = nil
 	setHeaders(req.Header, r)
 	start := time.Now()
 	resp, err := c.http.Do(req)
