ledger: free the key of a call that was given up while its record is written

Two faults met. A repeat of a call that was told "not run" was told "in progress" (may have run) while the write of the first attempt was still in flight, although that attempt can never run. The test failed on it and then could not close the platform's stand-in: its "hang" fault left the body of a write unread, and net/http notices a closed connection only after the body was read. Ruled out: a record of the first attempt that is taken for a run; the marks of given-up attempts already free the key in the document. Change: an attempt in flight whose caller has gone no longer holds its key; the stand-in reads the body before it hangs.

--- a/internal/core/ledger/doc.go
+++ b/internal/core/ledger/doc.go
@@ -92,11 +92,13 @@
 	return Queued
 }
 
-// holds reports whether a call with the key waits or is being written.
+// holds reports whether a call with the key waits or is being written. A call
+// that is being written and whose caller has gone never runs, so it holds
+// nothing.
 func (d *doc) holds(k KeyHash) bool {
 	for _, cs := range [2][]call{d.waiting, d.inflight} {
 		for _, c := range cs {
-			if c.key.Hash == k {
+			if c.key.Hash == k && d.own[c.attempt] != notRun {
 				return true
 			}
 		}
--- a/internal/core/ledger/table_test.go
+++ b/internal/core/ledger/table_test.go
@@ -177,6 +177,23 @@
 	b.want("repeat through the same process", d, Run)
 }
 
+// TestAbandonedWriteFreesKey guards against a repeat that is told "may have
+// run" because the write of an earlier attempt, whose caller was told "not run"
+// and has gone, is still in flight.
+func TestAbandonedWriteFreesKey(t *testing.T) {
+	for name, end := range map[string]write{"lands": lands, "answer lost": answerLost, "refused": refuses} {
+		b := newBench(t)
+		gone, _ := b.join()
+		b.tab.Loaded(b.key.Document(), nil, 0, b.now)
+		rec, _, _, _ := b.tab.Compose(b.key.Document(), b.now)
+		b.tab.Abandon(b.key, gone)
+		_, d := b.join()
+		b.want(name+": repeat while the write is in flight", d, Queued)
+		end(b, rec)
+		b.want(name+": repeat after the write", b.work(lands, true), Run)
+	}
+}
+
 // TestLeaseConflict guards against a lease that is gone and is used again for
 // ever, because its conflict looks like that of a race.
 func TestLeaseConflict(t *testing.T) {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -80,6 +80,8 @@
 			time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
 		}
 		if f.Hang {
+			// The server notices that a caller has gone only after the body was read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
