harness: return from Pause once the process has stopped

SIGSTOP takes effect some time after kill returns, and on a busy machine a request got its answer in between. All tests with paused processes relied on it. Change: Pause waits for the stop with waitid, which leaves the exit status to the goroutine that waits for the end.

--- a/test/harness/process.go
+++ b/test/harness/process.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // Process is a process that the harness started.
@@ -74,8 +75,20 @@
 // after Done is closed.
 func (p *Process) ExitCode() int { return p.code }
 
-// Pause stops the process with SIGSTOP; it keeps its memory and connections.
-func (p *Process) Pause() error { return p.signal(syscall.SIGSTOP) }
+// Pause stops the process with SIGSTOP and returns once all its threads have
+// stopped, which the kernel does some time after the signal was sent. The
+// process keeps its memory and connections.
+func (p *Process) Pause() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	// WNOWAIT leaves the status to cmd.Wait.
+	err := unix.Waitid(unix.P_PID, p.PID, nil, unix.WSTOPPED|unix.WNOWAIT, nil)
+	if err != nil && !errors.Is(err, syscall.ECHILD) { // ECHILD: it has ended
+		return errors.Wrapf(err, "waiting until %s has stopped", p.Name)
+	}
+	return nil
+}
 
 // Resume continues a paused process.
 func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
