standin, demo: keep shared logic in one place

Cause: four stand-ins each had their own POST /faults, GET /counts, delay, down and hang, and the demo and "make up" had the same main function. The origin's hang did not read the request's body first, unlike the platform's.

Change: internal/standin/fault holds the switch, the counts and the faults of a call; harness.SmallCommand is the main function of test/demo and test/up. Counts of the engine are written outside its lock. The demo prints its table before it stops the daemons.

Conclusion: behaviour is the same, but that every stand-in that hangs ends with its caller.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,11 +5,12 @@
 
 import (
 	"crypto/sha256"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/masticwing/masticwing/internal/standin/fault"
 )
 
 // Options are the properties of the engine.
@@ -64,7 +65,10 @@
 	// started tells the boot identities of two processes apart.
 	started time.Time
 
-	mu        sync.Mutex
+	faults fault.Switch[Faults]
+	counts fault.Counts
+
+	mu        sync.Mutex // guards the fields below
 	boots     int
 	loadCount int64
 	fence     int64
@@ -72,8 +76,6 @@
 	inFlight  int
 	served    int
 	failed    bool
-	faults    Faults
-	counts    map[string]int64
 	history   []Answered
 }
 
@@ -85,7 +87,7 @@
 	if o.ColdRequests <= 0 {
 		o.ColdRequests = o.MaxRequests
 	}
-	return &Server{o: o, started: time.Now(), boots: 1, loaded: map[string]model{}, counts: map[string]int64{}}
+	return &Server{o: o, started: time.Now(), boots: 1, loaded: map[string]model{}}
 }
 
 // Handler returns the routes of the stand-in.
@@ -97,21 +99,15 @@
 	mux.HandleFunc("POST /v1/generate", s.counted("generate", s.generate))
 	mux.HandleFunc("POST /restart", s.restart)
 	mux.HandleFunc("POST /cold", s.cold)
-	mux.HandleFunc("POST /faults", s.setFaults)
-	mux.HandleFunc("GET /counts", s.getCounts)
+	mux.Handle("POST /faults", &s.faults)
+	mux.Handle("GET /counts", &s.counts)
 	mux.HandleFunc("GET /history", s.getHistory)
 	return mux
 }
 
-func (s *Server) count(kind string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts[kind]++
-}
-
 func (s *Server) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		s.count(kind)
+		s.counts.Add(kind)
 		s.mu.Lock()
 		failed := s.failed
 		s.mu.Unlock()
@@ -138,12 +134,7 @@
 		st.Loaded = append(st.Loaded, v)
 	}
 	s.mu.Unlock()
-	writeJSON(w, st)
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	fault.WriteJSON(w, st)
 }
 
 // restart is a new process of the engine: no weights, no failure.
@@ -163,26 +154,9 @@
 	s.served = 0
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(w, s.counts)
-}
-
 func (s *Server) getHistory(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	h := append([]Answered{}, s.history...)
 	s.mu.Unlock()
-	writeJSON(w, h)
+	fault.WriteJSON(w, h)
 }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -7,7 +7,8 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
+
+	"github.com/masticwing/masticwing/internal/standin/fault"
 )
 
 const (
@@ -68,30 +69,40 @@
 
 // enter counts a request in, or makes the engine fail over its limit.
 func (s *Server) enter(version string) (model, int) {
+	m, inFlight, code := s.take(version)
+	switch code {
+	case http.StatusInternalServerError:
+		s.counts.Add("overload")
+	case http.StatusOK:
+		s.counts.Max("max_in_flight", int64(inFlight))
+	}
+	return m, code
+}
+
+func (s *Server) take(version string) (m model, inFlight, code int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m, ok := s.loaded[version]
 	if !ok {
-		return m, http.StatusConflict
+		return m, s.inFlight, http.StatusConflict
 	}
 	if s.inFlight >= min(s.o.MaxRequests, s.o.ColdRequests+s.served) {
 		s.failed = true
-		s.counts["overload"]++
-		return m, http.StatusInternalServerError
+		return m, s.inFlight, http.StatusInternalServerError
 	}
 	s.inFlight++
-	s.counts["max_in_flight"] = max(s.counts["max_in_flight"], int64(s.inFlight))
-	return m, http.StatusOK
+	return m, s.inFlight, http.StatusOK
 }
 
 func (s *Server) leave(a Answered) {
+	if !a.Whole {
+		s.counts.Add("canceled")
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inFlight--
 	if a.Whole {
 		s.served++
-	} else {
-		s.counts["canceled"]++
 	}
 	if len(s.history) < maxHistory {
 		s.history = append(s.history, a)
@@ -133,9 +144,7 @@
 // stream writes the head and the frames of an answer and reports whether all
 // of them were written.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, a Answered, m model, body []byte, resume int) bool {
-	s.mu.Lock()
-	f := s.faults
-	s.mu.Unlock()
+	f := s.faults.Get()
 	id, version := a.RequestID, a.Version
 	if f.WrongID != "" {
 		id = f.WrongID
@@ -168,12 +177,7 @@
 // engine has failed.
 func (s *Server) pause(r *http.Request) bool {
 	if s.o.TokenDelay > 0 {
-		t := time.NewTimer(s.o.TokenDelay)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-r.Context().Done():
-		}
+		fault.Wait(r.Context(), s.o.TokenDelay)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -18,11 +18,19 @@
 		http.Error(w, "bad fencing number", http.StatusBadRequest)
 		return false
 	}
+	if !s.raiseFence(n) {
+		s.counts.Add("stale_order")
+		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+		return false
+	}
+	return true
+}
+
+// raiseFence reports false for a number that the engine refuses.
+func (s *Server) raiseFence(n int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.o.CheckFence && n < s.fence {
-		s.counts["stale_order"]++
-		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
 		return false
 	}
 	s.fence = max(s.fence, n)
@@ -48,7 +56,7 @@
 	}
 	s.mu.Unlock()
 	if s.o.MemoryBytes > 0 && used+size > s.o.MemoryBytes {
-		s.count("out_of_memory")
+		s.counts.Add("out_of_memory")
 		http.Error(w, "not enough memory", http.StatusInsufficientStorage)
 		return
 	}
--- a/internal/standin/origin/link.go
+++ b/internal/standin/origin/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/masticwing/masticwing/internal/standin/fault"
 )
 
 // link gives out the time at which bytes may be sent, in the order of the
@@ -25,14 +27,7 @@
 	if rate <= 0 {
 		return true
 	}
-	t := time.NewTimer(l.reserve(n, rate))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return fault.Wait(ctx, l.reserve(n, rate))
 }
 
 func (l *link) reserve(n int, rate int64) time.Duration {
--- a/internal/standin/origin/origin.go
+++ b/internal/standin/origin/origin.go
@@ -9,10 +9,10 @@
 	"net/http"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/manifest"
+	"github.com/masticwing/masticwing/internal/standin/fault"
 )
 
 const (
@@ -75,11 +75,11 @@
 
 // Server is the stand-in's HTTP handler.
 type Server struct {
-	link link
+	link   link
+	faults fault.Switch[Faults]
 
 	mu       sync.Mutex // guards the fields below
 	versions map[fleet.Version]held
-	faults   Faults
 	counts   Counts
 }
 
@@ -114,31 +114,25 @@
 // Handler returns the routes of the stand-in.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/versions/{version}/manifest", s.faulty("manifest", s.manifest))
-	mux.HandleFunc("GET /v1/versions/{version}/chunks/{n}", s.faulty("chunk", s.chunk))
+	mux.HandleFunc("GET /v1/versions/{version}/manifest", s.counted("manifest", s.manifest))
+	mux.HandleFunc("GET /v1/versions/{version}/chunks/{n}", s.counted("chunk", s.chunk))
 	mux.HandleFunc("GET /versions", s.list)
 	mux.HandleFunc("POST /versions", s.add)
 	mux.HandleFunc("GET /counts", s.getCounts)
-	mux.HandleFunc("POST /faults", s.postFaults)
+	mux.Handle("POST /faults", &s.faults)
 	return mux
 }
 
-func (s *Server) faulty(kind string, h http.HandlerFunc) http.HandlerFunc {
+// counted counts the calls of a kind and lets them meet the faults.
+func (s *Server) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.counts.Calls[kind]++
-		f := s.faults
 		s.mu.Unlock()
-		time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
-		if f.Hang {
-			<-r.Context().Done()
-			return
-		}
-		if f.Down {
-			http.Error(w, "origin unavailable", http.StatusServiceUnavailable)
-			return
+		f := s.faults.Get()
+		if (fault.Call{Down: f.Down, Hang: f.Hang, DelayMillis: f.DelayMillis}).Pass(w, r) {
+			h(w, r)
 		}
-		h(w, r)
 	}
 }
 
@@ -175,7 +169,7 @@
 		return
 	}
 	data := v.weights[n*v.chunk : min(len(v.weights), (n+1)*v.chunk)]
-	if p := s.currentFaults().Corrupt; p > 0 && rand.Float64() < p {
+	if p := s.faults.Get().Corrupt; p > 0 && rand.Float64() < p {
 		data = append([]byte(nil), data...)
 		data[len(data)/2] ^= 1
 	}
@@ -187,7 +181,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
 	for len(b) > 0 {
 		n := min(len(b), pieceBytes)
-		if !s.link.wait(r.Context(), n, s.currentFaults().Rate) {
+		if !s.link.wait(r.Context(), n, s.faults.Get().Rate) {
 			return
 		}
 		if _, err := w.Write(b[:n]); err != nil {
@@ -220,32 +214,13 @@
 	return s.counts.Bytes["manifest"] + s.counts.Bytes["chunk"]
 }
 
-func (s *Server) currentFaults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
 // SetFaults replaces the failures that are switched on.
-func (s *Server) SetFaults(f Faults) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-func (s *Server) postFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.SetFaults(f)
-}
+func (s *Server) SetFaults(f Faults) { s.faults.Set(f) }
 
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.counts)
+	fault.WriteJSON(w, s.counts)
 }
 
 // add offers the version that the body {"model","size","chunk","seed"}
@@ -263,7 +238,7 @@
 		return
 	}
 	v := s.Add(Version{Model: fleet.Model(in.Model), Bytes: int(size), ChunkBytes: int(chunk), Seed: in.Seed})
-	_ = json.NewEncoder(w).Encode(map[string]fleet.Version{"version": v})
+	fault.WriteJSON(w, map[string]fleet.Version{"version": v})
 }
 
 func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
@@ -273,5 +248,5 @@
 	for id, v := range s.versions {
 		out[string(id)] = string(v.man.Model)
 	}
-	_ = json.NewEncoder(w).Encode(out)
+	fault.WriteJSON(w, out)
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/masticwing/masticwing/internal/standin/fault"
 )
 
 // maxValueBytes is the service's limit of a value.
@@ -38,18 +40,18 @@
 
 // Server is the stand-in's HTTP handler.
 type Server struct {
-	store *store
+	store  *store
+	faults fault.Switch[Faults]
+	counts fault.Counts
 
-	mu     sync.Mutex
-	faults Faults
-	counts map[string]int64
-	stale  map[string]entry
-	vms    []VM
+	mu    sync.Mutex // guards the fields below
+	stale map[string]entry
+	vms   []VM
 }
 
 // New returns an empty service.
 func New() *Server {
-	return &Server{store: newStore(), counts: map[string]int64{}, stale: map[string]entry{}}
+	return &Server{store: newStore(), stale: map[string]entry{}}
 }
 
 // Handler returns the routes of the stand-in.
@@ -63,71 +65,32 @@
 	mux.HandleFunc("DELETE /v1/leases/{id}", s.counted("revoke", s.revoke))
 	mux.HandleFunc("GET /v1/vms", s.counted("vms", s.listVMs))
 	mux.HandleFunc("PUT /vms", s.putVMs)
-	mux.HandleFunc("POST /faults", s.setFaults)
-	mux.HandleFunc("GET /counts", s.getCounts)
+	mux.Handle("POST /faults", &s.faults)
+	mux.Handle("GET /counts", &s.counts)
 	return mux
 }
 
+// counted counts the calls of a kind and lets them meet the faults.
 func (s *Server) counted(kind string, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if kind == "read" && r.URL.Query().Has("after") {
-			s.count("watch")
+			s.counts.Add("watch")
 		} else {
-			s.count(kind)
-		}
-		f := s.currentFaults()
-		if f.DelayMillis > 0 {
-			time.Sleep(time.Duration(f.DelayMillis) * time.Millisecond)
-		}
-		if f.Hang {
-			// The server notices that a caller has gone only after the body was read.
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-r.Context().Done()
-			return
+			s.counts.Add(kind)
 		}
-		if f.Down {
-			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
-			return
+		f := s.faults.Get()
+		if (fault.Call{Down: f.Down, Hang: f.Hang, DelayMillis: f.DelayMillis}).Pass(w, r) {
+			h(w, r)
 		}
-		h(w, r)
 	}
 }
 
-func (s *Server) count(kind string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts[kind]++
-}
-
-func (s *Server) currentFaults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
-func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(s.counts)
-}
-
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
 	key := r.PathValue("key")
 	q := r.URL.Query()
 	if !q.Has("after") {
 		e, ok, _ := s.store.get(key)
-		if s.currentFaults().StaleReads {
+		if s.faults.Get().StaleReads {
 			e, ok = s.staleEntry(key)
 		}
 		writeEntry(w, e, ok)
@@ -199,7 +162,7 @@
 }
 
 func (s *Server) loses() bool {
-	p := s.currentFaults().LoseWriteAnswers
+	p := s.faults.Get().LoseWriteAnswers
 	return p > 0 && rand.Float64() < p
 }
 
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -14,7 +14,7 @@
 // unread, and then net/http does not notice that the connection was closed.
 func TestHangEndsWithCaller(t *testing.T) {
 	s := New()
-	s.faults = Faults{Hang: true}
+	s.faults.Set(Faults{Hang: true})
 	ended := make(chan struct{}, 1)
 	h := s.Handler()
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -4,12 +4,12 @@
 package service
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
+
+	"github.com/masticwing/masticwing/internal/standin/fault"
 )
 
 // Faults are the failures that a test can switch on with POST /faults.
@@ -30,56 +30,31 @@
 
 // Server is the stand-in's HTTP handler.
 type Server struct {
-	mu      sync.Mutex
-	faults  Faults
-	counts  map[string]int64
-	effects map[string]int64
+	faults fault.Switch[Faults]
+	// counts are keyed by the name of the call, effects by idempotency key.
+	counts, effects fault.Counts
 }
 
 // New returns a service without effects.
-func New() *Server { return &Server{counts: map[string]int64{}, effects: map[string]int64{}} }
+func New() *Server { return &Server{} }
 
 // Handler returns the routes of the stand-in.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", s.healthz)
 	mux.HandleFunc("POST /call/{name}", s.call)
-	mux.HandleFunc("POST /faults", s.setFaults)
-	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { s.write(w, s.counts) })
-	mux.HandleFunc("GET /effects", func(w http.ResponseWriter, _ *http.Request) { s.write(w, s.effects) })
+	mux.Handle("POST /faults", &s.faults)
+	mux.Handle("GET /counts", &s.counts)
+	mux.Handle("GET /effects", &s.effects)
 	return mux
 }
 
-func (s *Server) write(w http.ResponseWriter, m map[string]int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(m)
-}
-
-func (s *Server) currentFaults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.faults
-}
-
 func (s *Server) healthz(w http.ResponseWriter, _ *http.Request) {
-	if s.currentFaults().Sick {
+	if s.faults.Get().Sick {
 		http.Error(w, "sick", http.StatusServiceUnavailable)
 	}
 }
 
-func (s *Server) setFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.faults = f
-}
-
 // Answer returns the answer to a call, a function of its name and body.
 func Answer(name string, body []byte) string { return fmt.Sprintf("%s ok: %s\n", name, body) }
 
@@ -89,13 +64,13 @@
 		http.Error(w, "bad body", http.StatusBadRequest)
 		return
 	}
-	f := s.currentFaults()
+	f := s.faults.Get()
 	if f.Refuse {
 		w.Header().Set("X-Not-Run", "true")
 		http.Error(w, "refused", http.StatusServiceUnavailable)
 		return
 	}
-	if f.DelayMillis > 0 && !wait(r, time.Duration(f.DelayMillis)*time.Millisecond) {
+	if f.DelayMillis > 0 && !fault.Wait(r.Context(), time.Duration(f.DelayMillis)*time.Millisecond) {
 		return
 	}
 	s.effect(r.PathValue("name"), r.Header.Get("Idempotency-Key"))
@@ -110,23 +85,9 @@
 	_, _ = io.WriteString(w, Answer(r.PathValue("name"), body))
 }
 
-// wait reports false once the caller has gone.
-func wait(r *http.Request, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-		return false
-	}
-}
-
 func (s *Server) effect(name, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.counts[name]++
+	s.counts.Add(name)
 	if key != "" {
-		s.effects[key]++
+		s.effects.Add(key)
 	}
 }
--- a/test/demo/main.go
+++ b/test/demo/main.go
@@ -7,8 +7,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,52 +17,19 @@
 const (
 	// demoTimeout bounds the whole demo.
 	demoTimeout = 55 * time.Second
-	// spreadTimeout bounds the time to all replicas.
-	spreadTimeout = 20 * time.Second
 	// cordonBound is the bound for a cordon to take effect.
 	cordonBound = 3 * time.Second
 	// configBound is the bound for any other change to take effect.
 	configBound = 7 * time.Second
-	// stopTimeout bounds the graceful shutdown of a daemon.
-	stopTimeout = 10 * time.Second
 	// settle is how long requests go on between two changes.
 	settle = 2 * time.Second
 )
 
-func main() {
-	code := 0
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		code = 1
-	}
-	harness.RemoveBinaries()
-	os.Exit(code)
-}
+func main() { harness.SmallCommand("demo", demoTimeout, demo) }
 
-func run() (err error) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if _, err := harness.Binary("masticwing-entry"); err != nil { // the build is not part of the bound
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
-	defer cancel()
-	h, err := harness.New(func(f string, args ...any) { fmt.Fprintf(os.Stderr, f+"\n", args...) })
-	if err != nil {
-		return err
-	}
-	defer h.Close()
-	defer func() {
-		if err != nil {
-			h.DumpOutput()
-		}
-	}()
-	d, err := harness.Deploy(ctx, h, harness.SmallSpec())
-	if err != nil {
-		return err
-	}
-	r := report{}
-	if err := show(ctx, d, &r); err != nil {
+func demo(ctx context.Context, d *harness.Deployment, v1 string) error {
+	r := report{replicas1: time.Since(d.Started)}
+	if err := show(ctx, d, &r, v1); err != nil {
 		return err
 	}
 	r.print(os.Stdout)
@@ -72,15 +37,7 @@
 }
 
 // show goes through the demo.
-func show(ctx context.Context, d *harness.Deployment, r *report) error {
-	v1, err := d.Publish(ctx, 1)
-	if err != nil {
-		return err
-	}
-	if err := d.WaitVersion(ctx, spreadTimeout, v1); err != nil {
-		return err
-	}
-	r.replicas1 = time.Since(d.Started)
+func show(ctx context.Context, d *harness.Deployment, r *report, v1 string) (err error) {
 	if r.origin1, err = d.OriginBytes(ctx); err != nil {
 		return err
 	}
@@ -96,8 +53,7 @@
 		return err
 	}
 	time.Sleep(settle)
-	r.load.stop()
-	return d.StopNodes(stopTimeout)
+	return nil
 }
 
 // change declares version 2 while requests go on.
@@ -110,7 +66,7 @@
 	if err := d.Apply(ctx, d.Spec.Declare(map[string]string{"v1": v1, "v2": v2}, "v2")); err != nil {
 		return err
 	}
-	if err := d.WaitVersion(ctx, spreadTimeout, v2); err != nil {
+	if err := d.WaitVersion(ctx, harness.SmallSpreadTimeout, v2); err != nil {
 		return err
 	}
 	r.replicas2 = time.Since(at)
--- a/test/up/main.go
+++ b/test/up/main.go
@@ -5,59 +5,19 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/masticwing/masticwing/test/harness"
 )
 
-const (
-	spreadTimeout = 20 * time.Second
-	stopTimeout   = 10 * time.Second
-)
-
-func main() {
-	code := 0
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "up:", err)
-		code = 1
-	}
-	harness.RemoveBinaries()
-	os.Exit(code)
-}
+func main() { harness.SmallCommand("up", 0, up) }
 
-func run() (err error) {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	h, err := harness.New(func(f string, args ...any) { fmt.Fprintf(os.Stderr, f+"\n", args...) })
-	if err != nil {
-		return err
-	}
-	defer h.Close()
-	defer func() {
-		if err != nil {
-			h.DumpOutput()
-		}
-	}()
-	d, err := harness.Deploy(ctx, h, harness.SmallSpec())
-	if err != nil {
-		return err
-	}
-	v1, err := d.Publish(ctx, 1)
-	if err != nil {
-		return err
-	}
-	if err := d.WaitVersion(ctx, spreadTimeout, v1); err != nil {
-		return err
-	}
+func up(ctx context.Context, d *harness.Deployment, _ string) error {
 	if err := explain(d); err != nil {
 		return err
 	}
 	<-ctx.Done()
 	fmt.Println("\nstopping")
-	return d.StopNodes(stopTimeout)
+	return nil
 }
 
 // explain prints the addresses and three commands to try.
