enginehttp, servicehttp: share the connections and their errors

Cause: both clients had the same dialer, dial error and mapping of a lost connection to a verdict.

Change: internal/adapter/targethttp holds them. The code of a lost connection stays target_error for engines and target_lost for services.

Tests of both clients and of the import graph pass under the race detector.

Conclusion: one place says which failures mean not run.

--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/targethttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -23,21 +23,12 @@
 const (
 	// statusTimeout bounds a status call on loopback.
 	statusTimeout = time.Second
-	dialTimeout   = time.Second
-	// idleConns is the number of idle connections kept; it covers the requests
-	// of a usual target.
-	idleConns    = 64
-	maxTextBytes = 4 << 10
+	maxTextBytes  = 4 << 10
 )
 
 // ErrStaleFence means that the engine has seen a higher fencing number.
 var ErrStaleFence = errors.New("engine refused an old fencing number")
 
-// dialError marks a failure before anything was sent.
-type dialError struct{ error }
-
-func (e dialError) Unwrap() error { return e.error }
-
 // Client calls one engine.
 type Client struct {
 	base string
@@ -48,18 +39,7 @@
 
 // New returns a client of the engine at addr.
 func New(addr fleet.Address) *Client {
-	d := net.Dialer{Timeout: dialTimeout}
-	t := &http.Transport{
-		MaxIdleConnsPerHost: idleConns,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, dialError{err}
-			}
-			return c, nil
-		},
-	}
-	return &Client{base: "http://" + string(addr), http: &http.Client{Transport: t}}
+	return &Client{base: "http://" + string(addr), http: &http.Client{Transport: targethttp.NewTransport()}}
 }
 
 type statusBody struct {
@@ -167,17 +147,7 @@
 }
 
 func sendError(ctx context.Context, err error) *verdict.Error {
-	var d dialError
-	switch {
-	case errors.As(err, &d):
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeTargetError, "cannot connect to the engine")
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "deadline passed at the engine")
-	case ctx.Err() != nil:
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "request canceled")
-	default:
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTargetError, "connection to the engine lost")
-	}
+	return targethttp.SendError(ctx, err, "engine", verdict.CodeTargetError)
 }
 
 // refusal maps a status other than 200. The engine states 409 and 400 before it
--- a/internal/adapter/servicehttp/servicehttp.go
+++ b/internal/adapter/servicehttp/servicehttp.go
@@ -6,13 +6,13 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/targethttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -20,8 +20,6 @@
 
 const (
 	healthTimeout = time.Second
-	dialTimeout   = time.Second
-	idleConns     = 64
 	// pieceBytes is the size of one piece of an answer, the same as a frame of
 	// the protocol between processes.
 	pieceBytes = 16 << 10
@@ -29,11 +27,6 @@
 	notRunHeader = "X-Not-Run"
 )
 
-// dialError marks a failure before anything was sent.
-type dialError struct{ error }
-
-func (e dialError) Unwrap() error { return e.error }
-
 // Client calls one service.
 type Client struct {
 	base  string
@@ -45,18 +38,12 @@
 
 // New returns a client of the service at addr.
 func New(addr fleet.Address) *Client {
-	d := net.Dialer{Timeout: dialTimeout}
-	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, dialError{err}
-		}
-		return c, nil
-	}
+	fresh := targethttp.NewTransport()
+	fresh.DisableKeepAlives = true
 	return &Client{
 		base:  "http://" + string(addr),
-		http:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, DialContext: dial}},
-		fresh: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: dial}},
+		http:  &http.Client{Transport: targethttp.NewTransport()},
+		fresh: &http.Client{Transport: fresh},
 	}
 }
 
@@ -123,17 +110,7 @@
 }
 
 func sendError(ctx context.Context, err error) *verdict.Error {
-	var d dialError
-	switch {
-	case errors.As(err, &d):
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeTargetLost, "cannot connect to the service")
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeDeadline, "deadline passed at the service")
-	case ctx.Err() != nil:
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "call canceled")
-	default:
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTargetLost, "connection to the service lost")
-	}
+	return targethttp.SendError(ctx, err, "service", verdict.CodeTargetLost)
 }
 
 type answer struct {
