entry, agent, ledger, rpc: wait for signals instead of polling

Cause: the agent's drain looked every 10 ms, the rpc server's every 5 ms, the ledger's stop every 50 ms, and a request without any target every 100 ms.

Requests that wait at an entry are woken by a change of the declaration or the members. A request that finds no target passes the signal on, since another one may want another version. Timers stay, each with its reason, where nothing signals: the notice before a drain ends, a platform that takes no writes at a stop, the age of a target's report, and the end of the pause after a refusal.

Figures: tests with clocks whose short timers never fire pass for the drain and the stop. Tests of inflight, routing, entry, ledger, agent and rpc pass under the race detector.

Conclusion: no wait in these places depends on the length of a pause.

--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +13,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/inflight"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -33,18 +33,18 @@
 	mux   *drpcmux.Mux
 	meter *Meter
 	// answers counts the answers that are not written to their end.
-	answers atomic.Int64
+	answers *inflight.Counter
 }
 
 // NewServer registers the handlers.
 func NewServer(h Handlers) (*Server, error) {
 	mux := drpcmux.New()
-	s := &Server{mux: mux, meter: h.Meter}
+	s := &Server{mux: mux, meter: h.Meter, answers: inflight.New()}
 	if s.meter == nil {
 		s.meter = &Meter{}
 	}
 	if h.Agent != nil {
-		if err := pb.DRPCRegisterAgent(mux, &agentServer{h.Agent, &s.answers}); err != nil {
+		if err := pb.DRPCRegisterAgent(mux, &agentServer{h.Agent, s.answers}); err != nil {
 			return nil, errors.Wrap(err, "registering agent service")
 		}
 	}
@@ -61,20 +61,15 @@
 	return s, nil
 }
 
-// drainPause is the time between two looks at the answers in progress.
-const drainPause = 5 * time.Millisecond
-
 // Drain returns once all answers of Agent.Serve are written to their end, or
 // when ctx ends. A handler returns before the end of its answer is sent, so
 // a server that stops must not rely on its handlers alone.
 func (s *Server) Drain(ctx context.Context) error {
-	t := time.NewTicker(drainPause)
-	defer t.Stop()
-	for s.answers.Load() > 0 {
+	for !s.answers.Idle() {
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "waiting for answers in progress")
-		case <-t.C:
+		case <-s.answers.Left():
 		}
 	}
 	return nil
@@ -104,13 +99,13 @@
 
 type agentServer struct {
 	h       port.AgentHandler
-	answers *atomic.Int64
+	answers *inflight.Counter
 }
 
 // Serve implements the generated interface.
 func (s *agentServer) Serve(in *pb.ServeRequest, stream pb.DRPCAgent_ServeStream) error {
-	s.answers.Add(1)
-	defer s.answers.Add(-1)
+	s.answers.Enter()
+	defer s.answers.Leave()
 	r := requestFromPB(in)
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -13,6 +13,7 @@
 	"github.com/masticwing/masticwing/internal/core/admission"
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/inflight"
 	"github.com/masticwing/masticwing/internal/core/rollout"
 	"github.com/masticwing/masticwing/internal/core/shard"
 	"github.com/masticwing/masticwing/internal/port"
@@ -74,7 +75,7 @@
 	watchers *shard.Map[uint64, chan struct{}]
 	watches  atomic.Uint64
 	// serving counts the requests inside Serve, admitted or not.
-	serving atomic.Int64
+	serving *inflight.Counter
 	kicks   chan struct{}
 	probes  chan struct{}
 }
@@ -91,6 +92,7 @@
 		roll:     rollout.NewTable(),
 		views:    shard.New[string, view](1),
 		watchers: shard.New[uint64, chan struct{}](0),
+		serving:  inflight.New(),
 		kicks:    make(chan struct{}, 1),
 		probes:   make(chan struct{}, 1),
 	}
@@ -132,13 +134,11 @@
 	wg.Wait()
 }
 
-const (
-	// drainNotice is the least time between the announcement of leaving and the
-	// stop. Entries learn of it from their status streams within it, so that
-	// none opens a request on a connection that is about to close.
-	drainNotice = 300 * time.Millisecond
-	drainPause  = 10 * time.Millisecond
-)
+// drainNotice is the least time between the announcement of leaving and the
+// stop. Entries learn of it from their status streams within it, so that none
+// opens a request on a connection that is about to close. It is a timer because
+// no entry confirms that it has learned of it.
+const drainNotice = 300 * time.Millisecond
 
 // Drain refuses new work and returns once no request is in progress, or after
 // timeout. It reports whether all requests finished.
@@ -146,16 +146,14 @@
 	a.adm.SetLeaving(a.target)
 	a.change(func(v *view) { v.leaving = true })
 	a.notify()
-	start := a.d.Clock.Now()
-	for {
-		past := a.d.Clock.Now().Sub(start)
-		idle := a.serving.Load() == 0
-		if idle && past >= drainNotice {
-			return true
-		}
-		if past >= timeout {
-			return idle
+	end := a.d.Clock.After(timeout)
+	<-a.d.Clock.After(min(drainNotice, timeout))
+	for !a.serving.Idle() {
+		select {
+		case <-a.serving.Left():
+		case <-end:
+			return a.serving.Idle()
 		}
-		<-a.d.Clock.After(drainPause)
 	}
+	return true
 }
--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -31,8 +31,8 @@
 
 // Serve implements port.AgentHandler.
 func (a *Agent) Serve(ctx context.Context, r port.ServeRequest, sink port.AnswerSink) error {
-	a.serving.Add(1)
-	defer a.serving.Add(-1)
+	a.serving.Enter()
+	defer a.serving.Leave()
 	if r.Timeout <= 0 || r.Timeout > longestRequest {
 		r.Timeout = longestRequest
 	}
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -315,6 +315,43 @@
 	wg.Wait()
 }
 
+// heldClock fires no timer but that of the drain notice.
+type heldClock struct{ port.Clock }
+
+func (c heldClock) After(d time.Duration) <-chan time.Time {
+	if d != drainNotice {
+		return nil
+	}
+	return c.Clock.After(d)
+}
+
+// TestDrainNeedsNoTimer guards against a drain that polls for the end of the
+// last request instead of being woken by it.
+func TestDrainNeedsNoTimer(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{})
+	a := New(b.agent.id, b.agent.d)
+	a.d.Clock = heldClock{a.d.Clock}
+	a.serving.Enter()
+	drained := make(chan bool, 1)
+	var wg conc.WaitGroup
+	wg.Go(func() { drained <- a.Drain(time.Minute) })
+	select {
+	case <-drained:
+		t.Fatal("drain did not wait for the request")
+	case <-time.After(2 * drainNotice):
+	}
+	a.serving.Leave()
+	select {
+	case whole := <-drained:
+		if !whole {
+			t.Error("drain says that a request did not finish")
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the end of the last request did not end the drain")
+	}
+	wg.Wait()
+}
+
 // TestCallsRunAtMostOnce guards against a second effect for one key, against a
 // lost answer reported as not run, and against a call without a key.
 func TestCallsRunAtMostOnce(t *testing.T) {
--- a/internal/app/entry/attempt.go
+++ b/internal/app/entry/attempt.go
@@ -19,8 +19,8 @@
 	noTargetWait = 2 * time.Second
 	// probeAfter is the wait after which a request goes to a target that seems
 	// full, since the report of it may be a second old. It is also the longest
-	// wait between two looks for a target, for changes that are not in the
-	// table, such as a new declaration.
+	// wait between two looks while all targets are full, since nothing signals
+	// that a report has become old or that the pause after a refusal has ended.
 	probeAfter = 100 * time.Millisecond
 )
 
@@ -117,15 +117,15 @@
 			w = e.table.Wait(p.pool, r.Class)
 			continue
 		}
-		if p.once(r) || len(tried) > 0 {
-			e.table.Pass(w)
+		if p.once(r) || len(tried) > 0 || out == routing.NoTarget {
+			e.table.Pass(w) // another request may have other targets
 		}
 		select {
 		case <-ctx.Done():
 			e.stop(w)
 			return c, ended(ctx, verdict.NotRun)
 		case <-w.Woken():
-		case <-e.Clock.After(lookAfter(full)):
+		case <-e.Clock.After(lookAfter(out, full, waited)):
 		}
 	}
 }
@@ -136,10 +136,14 @@
 	}
 }
 
-// lookAfter is the longest wait for a change of the table. The end of the
-// pause after a refusal is no change, so the refused request looks by itself;
-// it doubles its wait with each refusal.
-func lookAfter(full int) time.Duration {
+// lookAfter is the longest wait for a change. A request without a target waits
+// for the signal of one until its time is over. The end of the pause after a
+// refusal has no signal, so the refused request looks by itself; it doubles its
+// wait with each refusal.
+func lookAfter(out routing.Outcome, full int, waited time.Duration) time.Duration {
+	if out == routing.NoTarget {
+		return noTargetWait - waited
+	}
 	if full == 0 {
 		return probeAfter
 	}
--- a/internal/app/entry/serve_test.go
+++ b/internal/app/entry/serve_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/httpapi"
 	"github.com/masticwing/masticwing/internal/core/declare"
@@ -175,6 +176,62 @@
 	}
 }
 
+// TestChangesWakeWaiters guards against a request that finds no target and goes
+// on waiting after the declaration or the members have changed.
+func TestChangesWakeWaiters(t *testing.T) {
+	w := newWorld(t, "model", 0)
+	waiter := w.entry.table.Wait(routing.Pool{Group: "summaries"}, fleet.ClassSummary)
+	defer w.entry.table.Stop(waiter)
+	changes := map[string]func(){
+		"declaration": func() { w.dir.Declare(declaration(), 0) },
+		"members":     func() { w.dir.SetMembers(port.MemberRecord{ID: "e2", Kind: fleet.KindEntry}) },
+	}
+	for name, change := range changes {
+		// The entry may subscribe after the first change, so it is repeated.
+		w.until("a change of the "+name+" wakes a waiter", func() bool {
+			change()
+			select {
+			case <-waiter.Woken():
+				return true
+			default:
+				return false
+			}
+		})
+	}
+}
+
+// TestOtherVersionsAreWoken guards against a request that has no target, waits
+// first in line, and takes the signal of a target that the next one could use.
+func TestOtherVersionsAreWoken(t *testing.T) {
+	w := newWorld(t, "model", 1)
+	w.change(func(_ int, a *fakeAgent) { a.status.Version = former })
+	w.until("the former version is known", func() bool {
+		s := w.entry.table.Snapshot(time.Now())
+		return len(s) == 1 && s[0].Version == former
+	})
+	pool := routing.Pool{Group: "summaries"}
+	behind := w.entry.table.Wait(pool, fleet.ClassDraft)
+	defer w.entry.table.Stop(behind)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	r, p := generate(), &plan{pool: pool, version: "v-other"}
+	began := time.Now()
+	wg.Go(func() { _, _ = w.entry.next(ctx, &r, p, nil, 0) })
+	w.until("the signal reaches the request behind", func() bool {
+		select {
+		case <-behind.Woken():
+			return true
+		default:
+			return false
+		}
+	})
+	if d := time.Since(began); d >= noTargetWait {
+		t.Errorf("the signal came after %v, with the end of the request in front", d)
+	}
+	cancel()
+	wg.Wait()
+}
+
 // TestNoRetryAfterFirstPiece guards against an answer that is joined from two
 // attempts.
 func TestNoRetryAfterFirstPiece(t *testing.T) {
--- a/internal/app/entry/watch.go
+++ b/internal/app/entry/watch.go
@@ -14,7 +14,9 @@
 )
 
 const (
-	// capacityEvery is the pause between two computations of the permits.
+	// capacityEvery is the pause between two computations of the permits. They
+	// rest on all loads, which change with every answer, so a signal for each
+	// change would cost more than the timer.
 	capacityEvery = 250 * time.Millisecond
 	// refreshPause is the least time between two choices of the watched
 	// agents, since the member table changes all the time in a large fleet.
@@ -30,9 +32,25 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { e.watchAgents(ctx, &wg) })
 	wg.Go(func() { e.followCapacity(ctx) })
+	wg.Go(func() { e.wakeWaiters(ctx) })
 	wg.Wait()
 }
 
+// wakeWaiters lets the requests that wait for a target look again when the
+// declaration or the members have changed.
+func (e *Entry) wakeWaiters(ctx context.Context) {
+	changed, stop := e.Directory.Subscribe()
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			e.table.WakeAll()
+		}
+	}
+}
+
 // watched is a status stream in progress.
 type watched struct {
 	agent  routing.Agent
--- a/internal/app/ledger/ledger.go
+++ b/internal/app/ledger/ledger.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/core/inflight"
 	core "github.com/masticwing/masticwing/internal/core/ledger"
 	"github.com/masticwing/masticwing/internal/core/shard"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -71,6 +72,8 @@
 	cancel context.CancelFunc
 	closed atomic.Bool
 
+	workers *inflight.Counter
+
 	mu    sync.Mutex // orders the start of workers before the wait for them
 	ended bool
 	wg    conc.WaitGroup
@@ -88,6 +91,7 @@
 		answers: core.NewAnswers[*port.StoredAnswer](o.AnswerBytes),
 		pacer:   core.NewPacer(o.WritesPerSecond),
 		waiters: shard.New[core.Attempt, chan core.Decision](0),
+		workers: inflight.New(),
 		ctx:     ctx, cancel: cancel,
 	}
 	l.leases = newLeases(l)
@@ -209,19 +213,42 @@
 
 // stop writes the marks that are left within stopTimeout and ends the workers.
 func (l *Ledger) stop() error {
-	end := l.clock.Now().Add(stopTimeout)
-	left := l.table.Marks()
-	for ; left > 0 && l.clock.Now().Before(end); left = l.table.Marks() {
-		l.flush(left)
-		<-l.clock.After(flushInterval / 20)
+	end := l.clock.After(stopTimeout)
+	for l.flushed(end) && l.table.Marks() > 0 && l.pauseBefore(end) {
 	}
 	l.Kill()
-	if left > 0 {
+	if left := l.table.Marks(); left > 0 {
 		return errors.Errorf("%d documents with ends of calls that were not written", left)
 	}
 	return nil
 }
 
+// pauseBefore waits before marks are written again that the platform did not
+// take. It is a timer because nothing signals that the platform takes writes
+// again. It returns false if end comes first.
+func (l *Ledger) pauseBefore(end <-chan time.Time) bool {
+	select {
+	case <-l.clock.After(minBackoff):
+		return true
+	case <-end:
+		return false
+	}
+}
+
+// flushed starts the writes of all marks and waits until no worker is left. It
+// returns false if end comes first.
+func (l *Ledger) flushed(end <-chan time.Time) bool {
+	l.flush(l.table.Marks())
+	for !l.workers.Idle() {
+		select {
+		case <-l.workers.Left():
+		case <-end:
+			return false
+		}
+	}
+	return true
+}
+
 // Kill ends all work at once, as the end of the process would, and waits for
 // the workers. Calls that wait are not run.
 func (l *Ledger) Kill() {
--- a/internal/app/ledger/ledger_test.go
+++ b/internal/app/ledger/ledger_test.go
@@ -132,6 +132,36 @@
 	begin(t, next, notRun).Done(nil)
 }
 
+// signalClock fires no timer shorter than a second, so that a wait that relies
+// on one does not end.
+type signalClock struct{ sysclock.Clock }
+
+func (c signalClock) After(d time.Duration) <-chan time.Time {
+	if d < time.Second {
+		return nil
+	}
+	return c.Clock.After(d)
+}
+
+// TestStopNeedsNoTimer guards against a planned stop that polls for the end of
+// the last writes instead of being woken by it.
+func TestStopNeedsNoTimer(t *testing.T) {
+	w := plainWorld(t)
+	l := New(kvhttp.New(w.addr), signalClock{}, sysclock.Rand{}, Options{WritesPerSecond: 100})
+	for range 3 {
+		begin(t, l, newKey()).Done(nil)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	began := time.Now()
+	if err := l.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if d := time.Since(began); d > stopTimeout/2 {
+		t.Errorf("the stop took %v", d)
+	}
+}
+
 // TestReplay guards against a repeat that gets another call's answer, and
 // against answers that are kept above their size.
 func TestReplay(t *testing.T) {
--- a/internal/app/ledger/worker.go
+++ b/internal/app/ledger/worker.go
@@ -23,7 +23,9 @@
 	if l.ended {
 		return
 	}
+	l.workers.Enter()
 	l.wg.Go(func() {
+		defer l.workers.Leave()
 		w := worker{l: l, name: name, backoff: minBackoff}
 		for w.step() {
 		}
--- a/internal/core/routing/wait.go
+++ b/internal/core/routing/wait.go
@@ -60,6 +60,20 @@
 	})
 }
 
+// WakeAll wakes all waiters, for a change that is not in the table, such as a
+// new declaration.
+func (t *Table) WakeAll() {
+	t.lines.m.Range(func(_ Pool, v []*Waiter) bool {
+		for _, w := range v {
+			select {
+			case w.woken <- struct{}{}:
+			default:
+			}
+		}
+		return true
+	})
+}
+
 // Wait puts a request into the line of its pool. The caller looks for a target
 // once more before it waits, because a change may have come just before.
 func (t *Table) Wait(p Pool, c fleet.Class) *Waiter {
