--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -387,7 +387,7 @@
 	wantError(t, err, verdict.NotRun, verdict.CodeTargetError)
 	b.admin("/faults", `{}`)
 	_, _, err = b.serve(call("log", "k2"))
-	wantError(t, err, verdict.MayHaveRun, verdict.CodeInProgress)
+	wantError(t, err, verdict.MayHaveRun, verdict.CodeDuplicate)
 	if _, _, err = b.serve(call("log", "k3")); err != nil {
 		t.Fatalf("a refused call must be able to run again: %v", err)
 	}
--- a/internal/port/porttest/ledger.go
+++ b/internal/port/porttest/ledger.go
@@ -64,8 +64,10 @@
 		return nil, old.answer, nil
 	case old.state == LedgerDone:
 		return nil, nil, verdict.New(verdict.Ran, verdict.CodeDuplicate, "answer not kept")
+	case old.state == LedgerUnknown:
+		return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeDuplicate, "end of the call is not known")
 	default:
-		return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeInProgress, "call was started before")
+		return nil, nil, verdict.New(verdict.MayHaveRun, verdict.CodeInProgress, "call is in progress")
 	}
 }
 
