admission: let no request start in an engine that has changed

Cause: an engine that drops its caches with up to 8 requests in progress bears 2. The agent learned of it at its next probe, up to 0.25 s later, and admitted into it until then; the first such request overloaded it. Change: a permit holds the identity (boot id, load count) that the decision relied on. An engine that states it as the entity tag of its status gets it as If-Match and refuses with 412 and its present tag before it does anything; the agent cools the target at once and refuses as target_warming, not run. Late reports of an older identity no longer replace a newer one. The stand-in checks if told to; the harness tells it to unless the spec says otherwise. Tests: the calls of ObserveEngine in admission_test.go follow its new signature; their checks are the same.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -14,6 +14,7 @@
 func main() {
 	flags := []cli.Flag{
 		&cli.BoolFlag{Name: "check-fence", Usage: "refuse orders with an old fencing number"},
+		&cli.BoolFlag{Name: "check-identity", Usage: "refuse requests for another boot identity or load count"},
 		&cli.IntFlag{Name: "max-requests", Value: 8, Usage: "requests that the warm engine bears"},
 		&cli.IntFlag{Name: "cold-requests", Value: 1, Usage: "requests that the cold engine bears"},
 		&cli.DurationFlag{Name: "token-delay", Usage: "time for one token"},
@@ -22,12 +23,13 @@
 	}
 	command.Run("standin-engine", "a model engine", flags, func(c *cli.Command) (http.Handler, error) {
 		return engine.New(engine.Options{
-			CheckFence:   c.Bool("check-fence"),
-			MaxRequests:  c.Int("max-requests"),
-			ColdRequests: c.Int("cold-requests"),
-			TokenDelay:   c.Duration("token-delay"),
-			LoadPerMiB:   c.Duration("load-per-mib"),
-			MemoryBytes:  c.Int64("memory-bytes"),
+			CheckFence:    c.Bool("check-fence"),
+			CheckIdentity: c.Bool("check-identity"),
+			MaxRequests:   c.Int("max-requests"),
+			ColdRequests:  c.Int("cold-requests"),
+			TokenDelay:    c.Duration("token-delay"),
+			LoadPerMiB:    c.Duration("load-per-mib"),
+			MemoryBytes:   c.Int64("memory-bytes"),
 		}).Handler(), nil
 	})
 }
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -85,7 +85,14 @@
 	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
 		return port.EngineStatus{}, errors.Wrap(err, "decoding engine status")
 	}
-	return port.EngineStatus{BootID: b.BootID, Loaded: b.Loaded, Fence: b.Fence, LoadCount: b.LoadCount}, nil
+	id := fleet.EngineIdentity{BootID: b.BootID, LoadCount: b.LoadCount}
+	return port.EngineStatus{
+		EngineIdentity: id,
+		// Some HTTP servers add a tag of their own to every answer.
+		ChecksIdentity: resp.Header.Get(tagHeader) == entityTag(id),
+		Loaded:         b.Loaded,
+		Fence:          b.Fence,
+	}, nil
 }
 
 func (c *Client) do(ctx context.Context, method, path string, q url.Values, body io.Reader) (*http.Response, error) {
@@ -148,6 +155,10 @@
 	req.Header.Set("X-Class", r.Class.String())
 	req.Header.Set("X-Priority", strconv.Itoa(r.Priority))
 	req.Header.Set("X-Resume-Frames", strconv.FormatUint(r.Resume, 10))
+	expects := r.Expect != fleet.EngineIdentity{}
+	if expects {
+		req.Header.Set(preconditionHeader, entityTag(r.Expect))
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		defer cancel()
@@ -156,6 +167,9 @@
 	if resp.StatusCode != http.StatusOK {
 		defer cancel()
 		defer func() { _ = resp.Body.Close() }()
+		if expects && resp.StatusCode == http.StatusPreconditionFailed {
+			return nil, changed(resp)
+		}
 		return nil, refusal(resp)
 	}
 	a, err := newAnswer(ctx, cancel, resp, r)
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -77,6 +77,10 @@
 	serving atomic.Int64
 	kicks   chan struct{}
 	probes  chan struct{}
+	// rounds holds the round of confirmations that requests have joined, and
+	// asks wakes the goroutine that asks for them.
+	rounds *shard.Map[string, chan struct{}]
+	asks   chan struct{}
 }
 
 var _ port.AgentHandler = (*Agent)(nil)
@@ -93,6 +97,8 @@
 		watchers: shard.New[uint64, chan struct{}](0),
 		kicks:    make(chan struct{}, 1),
 		probes:   make(chan struct{}, 1),
+		rounds:   shard.New[string, chan struct{}](1),
+		asks:     make(chan struct{}, 1),
 	}
 }
 
@@ -127,6 +133,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { a.monitor(ctx, c.reports) })
 	wg.Go(func() { newOrderer(a).run(ctx, c.orders, c.ended) })
+	wg.Go(func() { a.confirm(ctx) })
 	wg.Go(func() { a.publish(ctx) })
 	wg.Go(func() { c.run(ctx) })
 	wg.Wait()
--- a/internal/app/agent/controller.go
+++ b/internal/app/agent/controller.go
@@ -129,7 +129,7 @@
 	if !up {
 		a.d.Log.State("target answers", logging.F("boot", r.engine.BootID))
 	}
-	if a.d.Engine != nil && a.adm.ObserveEngine(a.target, r.engine.BootID, r.engine.LoadCount, a.d.Clock.Now()) {
+	if a.d.Engine != nil && a.adm.ObserveEngine(a.target, observation(r.engine, r.asked), a.d.Clock.Now()) {
 		a.d.Metrics.Count("agent_cold_restarts", 1)
 	}
 	c.loaded = r.engine.Loaded
--- a/internal/app/agent/monitor.go
+++ b/internal/app/agent/monitor.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// probeEvery is the time between two probes of the target. A cold restart
-	// goes unnoticed for at most this time.
+	// probeEvery is the time between two probes of the target. It bounds how
+	// long a cold restart goes unnoticed while no request finds out.
 	probeEvery = 250 * time.Millisecond
 	// probePause is the least time between two probes, however many requests
 	// fail meanwhile.
--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -73,8 +73,8 @@
 }
 
 // admit takes a permit or returns the refusal.
-func (s *serving) admit() error {
-	p, refusal := s.a.adm.Admit(s.a.target, int64(len(s.r.Body)), s.a.d.Clock.Now())
+func (s *serving) admit(ctx context.Context) error {
+	p, refusal := s.a.admit(ctx, int64(len(s.r.Body)), s.start)
 	if refusal != nil {
 		return refusal
 	}
@@ -100,7 +100,7 @@
 func (s *serving) generate(ctx context.Context, v view) (err error) {
 	// A refused request has used the link as well.
 	s.a.d.Weights.ChargeLive(len(s.r.Body), 0)
-	if err := s.admit(); err != nil {
+	if err := s.admit(ctx); err != nil {
 		return err
 	}
 	defer func() {
@@ -121,12 +121,18 @@
 		Body:     s.r.Body,
 		Priority: int(s.r.Class),
 		Resume:   s.r.Resume,
+		Expect:   s.permit.Expect(),
 	}
+	var broke error
 	for n := 0; ; n++ {
 		err := s.stream(ctx, &r)
 		if err == nil {
 			return nil
 		}
+		var changed *port.EngineChanged
+		if n > 0 && errors.As(err, &changed) {
+			return broke
+		}
 		if n > 0 && verdict.Of(err).Verdict == verdict.NotRun {
 			// An engine that refuses to resume has already run a part.
 			err = verdict.Of(err).WithVerdict(verdict.MayHaveRun)
@@ -135,6 +141,7 @@
 			return err
 		}
 		s.a.d.Metrics.Count("agent_resumes", 1)
+		broke = err
 	}
 }
 
@@ -152,19 +159,22 @@
 		return false
 	case <-s.a.d.Clock.After(resumePause):
 	}
+	asked := s.a.d.Clock.Now()
 	st, err := s.a.d.Engine.Status(ctx)
 	if err != nil {
 		return false
 	}
-	s.a.adm.ObserveEngine(s.a.target, st.BootID, st.LoadCount, s.a.d.Clock.Now())
+	s.a.observeEngine(observation(st, asked))
 	return s.permit.Current()
 }
 
 // stream passes one stream of the engine on, from the frame that r.Resume
 // names, and counts the frames passed there.
 func (s *serving) stream(ctx context.Context, r *port.EngineRequest) error {
+	asked := s.a.d.Clock.Now()
 	ans, err := s.a.d.Engine.Generate(ctx, *r)
 	if err != nil {
+		s.a.refused(err, s.permit, asked)
 		signal(s.a.probes)
 		return err
 	}
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -24,7 +24,7 @@
 	case call.Once && s.r.IdempotencyKey == "":
 		return verdict.New(verdict.NotRun, verdict.CodeKeyRequired, "call %q needs an idempotency key", s.r.Call)
 	}
-	if err := s.admit(); err != nil {
+	if err := s.admit(ctx); err != nil {
 		return err
 	}
 	var err error
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -40,9 +40,15 @@
 	finished int
 	raisedAt time.Time
 
-	bootID    string
-	loadCount int64
+	// identity is the newest one that the engine stated, if seen. changedAt is
+	// the time at which it replaced another one.
+	identity  fleet.EngineIdentity
 	seen      bool
+	changedAt time.Time
+	// confirmed is the time after which the engine stated identity last.
+	confirmed time.Time
+	// checks means that the engine refuses requests for another identity.
+	checks bool
 
 	ready    bool
 	version  fleet.Version
@@ -103,20 +109,59 @@
 	})
 }
 
-// ObserveEngine records the identity that an engine reports. It reports
-// whether the target became cold: a new boot identity or another load count.
-func (t *Table) ObserveEngine(target, bootID string, loadCount int64, now time.Time) bool {
+// Observation is what an engine stated of itself.
+type Observation struct {
+	fleet.EngineIdentity
+	// Checks means that the engine refuses requests for another identity.
+	Checks bool
+	// Asked is the time before the engine was asked.
+	Asked time.Time
+}
+
+// ObserveEngine records the identity that an engine states. It reports
+// whether the target became cold: a new boot identity or a higher load count.
+// Observations may come in another order than the engine made them; one that
+// is known to be older than the identity held has no effect.
+func (t *Table) ObserveEngine(target string, o Observation, now time.Time) bool {
 	cold := false
 	t.with(target, func(r *record) {
-		cold = r.seen && (r.bootID != bootID || r.loadCount != loadCount)
-		r.bootID, r.loadCount, r.seen = bootID, loadCount, true
+		if r.outdated(o) {
+			return
+		}
+		cold = r.seen && r.identity != o.EngineIdentity
+		r.identity, r.seen, r.checks = o.EngineIdentity, true, o.Checks
+		if r.confirmed.Before(o.Asked) {
+			r.confirmed = o.Asked
+		}
 		if cold {
+			r.changedAt = now
 			r.cool(now)
 		}
 	})
 	return cold
 }
 
+// outdated reports whether o shows an identity that the engine had before the
+// one held. Boot identities have no order, so an observation with another one
+// counts as older if it may have been made before the one held was known.
+func (r *record) outdated(o Observation) bool {
+	switch {
+	case !r.seen || o.EngineIdentity == r.identity:
+		return false
+	case o.BootID == r.identity.BootID:
+		return o.LoadCount < r.identity.LoadCount
+	default:
+		return o.Asked.Before(r.changedAt)
+	}
+}
+
+// unconfirmed reports whether the engine has to state its identity again
+// before one more request may start. It need not if it checks the identity
+// itself, or if a cold engine bears the request as well.
+func (r *record) unconfirmed(since time.Time) bool {
+	return r.seen && !r.checks && r.inFlight >= r.floor() && r.confirmed.Before(since)
+}
+
 // Cool returns the target to its cold limit, for a sign of a restart that no
 // engine reports.
 func (t *Table) Cool(target string, now time.Time) {
@@ -171,17 +216,27 @@
 // Admit counts a request of n bytes into the target and pins the version that
 // answers it, or returns why it may not start, with verdict not-run.
 func (t *Table) Admit(target string, n int64, now time.Time) (*Permit, *verdict.Error) {
+	return t.AdmitSince(target, n, time.Time{}, now)
+}
+
+// AdmitSince is Admit for a request that arrived at the time since. It returns
+// neither a permit nor a refusal if the target's engine has to state its
+// identity first, with a question asked after that time.
+func (t *Table) AdmitSince(target string, n int64, since, now time.Time) (*Permit, *verdict.Error) {
 	var p *Permit
 	var refusal *verdict.Error
 	t.with(target, func(r *record) {
 		r.advance(now)
-		if refusal = r.refuse(n); refusal != nil {
+		if refusal = r.refuse(n); refusal != nil || r.unconfirmed(since) {
 			return
 		}
 		r.inFlight++
 		r.bytes += n
 		r.pinned[r.version]++
 		p = &Permit{table: t, target: target, bytes: n, version: r.version, epoch: r.epoch}
+		if r.checks {
+			p.expect = r.identity
+		}
 	})
 	return p, refusal
 }
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/masticwing/masticwing/internal/core/declare"
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 )
 
@@ -24,6 +25,10 @@
 	return tb
 }
 
+func seen(boot string, loads int64, asked time.Time) Observation {
+	return Observation{EngineIdentity: fleet.EngineIdentity{BootID: boot, LoadCount: loads}, Asked: asked}
+}
+
 func mustRefuse(t *testing.T, tb *Table, n int64, now time.Time, want verdict.Code) {
 	t.Helper()
 	p, err := tb.Admit("t", n, now)
@@ -92,14 +97,14 @@
 	step(1, Succeeded, 0, 8)
 	step(20, Succeeded, time.Minute, 8)
 
-	if tb.ObserveEngine("t", "boot1", 1, now) {
+	if tb.ObserveEngine("t", seen("boot1", 1, now), now) {
 		t.Fatal("the first report of an engine is no restart")
 	}
 	old, err := tb.Admit("t", 1, now)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !tb.ObserveEngine("t", "boot1", 2, now) || tb.Load("t", now).Limit != 1 {
+	if !tb.ObserveEngine("t", seen("boot1", 2, now), now) || tb.Load("t", now).Limit != 1 {
 		t.Fatal("a changed load count must make the target cold")
 	}
 	old.Release(Succeeded, now.Add(time.Hour))
@@ -153,7 +158,7 @@
 				p.Release(o, now)
 				p.Release(o, now)
 			},
-			"restart": func(*rapid.T) { boot++; tb.ObserveEngine("t", "b", boot, now) },
+			"restart": func(*rapid.T) { boot++; tb.ObserveEngine("t", seen("b", boot, now), now) },
 			"wait":    func(*rapid.T) { now = now.Add(700 * time.Millisecond) },
 			"": func(t *rapid.T) {
 				got := tb.Load("t", now)
@@ -175,7 +180,7 @@
 		wg.Go(func() {
 			for i := range 500 {
 				if w == 0 {
-					tb.ObserveEngine("t", "b", int64(i), t0)
+					tb.ObserveEngine("t", seen("b", int64(i), t0), t0)
 				}
 				p, err := tb.Admit("t", 1, t0)
 				if err != nil {
--- a/internal/core/admission/permit.go
+++ b/internal/core/admission/permit.go
@@ -28,12 +28,29 @@
 	bytes    int64
 	version  fleet.Version
 	epoch    uint64
+	expect   fleet.EngineIdentity
 	released atomic.Bool
 }
 
 // Version returns the version pinned when the request was admitted.
 func (p *Permit) Version() fleet.Version { return p.version }
 
+// Expect returns the identity of the engine that the request was admitted for,
+// for the engine to check. It is zero for an engine that does not check it.
+func (p *Permit) Expect() fleet.EngineIdentity { return p.expect }
+
+// Changed records that the engine refused the request because it has become
+// another one, and did not say which.
+func (p *Permit) Changed(now time.Time) bool {
+	cold := false
+	p.table.with(p.target, func(r *record) {
+		if cold = r.epoch == p.epoch; cold {
+			r.cool(now)
+		}
+	})
+	return cold
+}
+
 // Current reports whether the target has not become cold since the request was
 // admitted. A target that has become cold may bear less than is counted in it,
 // so nothing of an older request may be sent to it again.
--- a/internal/port/porttest/engine.go
+++ b/internal/port/porttest/engine.go
@@ -55,14 +55,28 @@
 
 // NewEngine returns an engine without weights.
 func NewEngine() *Engine {
-	return &Engine{status: port.EngineStatus{BootID: "boot-1"}, texts: map[fleet.Version]string{}}
+	return &Engine{status: port.EngineStatus{EngineIdentity: fleet.EngineIdentity{BootID: "boot-1"}}, texts: map[fleet.Version]string{}}
 }
 
 // Restart gives the engine another boot identity and drops its weights.
 func (e *Engine) Restart(boot string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.status = port.EngineStatus{BootID: boot}
+	e.status = port.EngineStatus{EngineIdentity: fleet.EngineIdentity{BootID: boot}, ChecksIdentity: e.status.ChecksIdentity}
+}
+
+// Cold makes the engine lose its caches and keep its weights.
+func (e *Engine) Cold() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status.LoadCount++
+}
+
+// CheckIdentity makes the engine refuse requests that expect another identity.
+func (e *Engine) CheckIdentity() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status.ChecksIdentity = true
 }
 
 // Orders returns the fencing numbers of all orders.
@@ -114,6 +128,10 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.status.ChecksIdentity && r.Expect != (fleet.EngineIdentity{}) && r.Expect != e.status.EngineIdentity {
+		changed := &port.EngineChanged{Now: e.status.EngineIdentity}
+		return nil, verdict.Wrap(changed, verdict.NotRun, verdict.CodeTargetWarming, "engine refused")
+	}
 	if !slices.Contains(e.status.Loaded, r.Version) {
 		return nil, verdict.New(verdict.NotRun, verdict.CodeVersionNotServing, "version is not loaded")
 	}
--- a/internal/port/target.go
+++ b/internal/port/target.go
@@ -29,14 +29,14 @@
 
 // EngineStatus is what an engine says of itself.
 type EngineStatus struct {
-	// BootID changes when the engine restarts.
-	BootID string
+	fleet.EngineIdentity
+	// ChecksIdentity means that the engine refuses requests that expect
+	// another identity.
+	ChecksIdentity bool
 	// Loaded lists the versions that the engine can serve.
 	Loaded []fleet.Version
 	// Fence is the highest fencing number that the engine has seen.
 	Fence int64
-	// LoadCount rises with each load of weights.
-	LoadCount int64
 }
 
 // EngineRequest asks an engine for an answer from one version.
@@ -48,8 +48,21 @@
 	Body     []byte
 	Resume   uint64 // frames already received
 	Priority int
+	// Expect, unless zero, is the identity for which the request was admitted.
+	// An engine that has another one by now refuses it with EngineChanged.
+	Expect fleet.EngineIdentity
 }
 
+// EngineChanged is the cause of a refusal by an engine that is not the one that
+// the request expects. Nothing of the request ran.
+type EngineChanged struct {
+	// Now is the identity of the engine; zero if it does not say.
+	Now fleet.EngineIdentity
+}
+
+// Error implements error.
+func (e *EngineChanged) Error() string { return "the engine has restarted or lost its caches" }
+
 // AnswerHead precedes the data of an answer.
 type AnswerHead struct {
 	// ID is the request that the answer belongs to, as its producer states it.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -17,6 +17,9 @@
 	// CheckFence refuses orders with a fencing number lower than the highest
 	// one seen.
 	CheckFence bool
+	// CheckIdentity states the identity as the entity tag of the status and
+	// refuses requests that name another one as their precondition.
+	CheckIdentity bool
 	// MaxRequests is the load that a warm engine bears; ColdRequests is that of
 	// a cold one. Each request that a cold engine finishes lets it bear one
 	// more. Over its limit it answers 500 to everything until it is restarted.
@@ -132,15 +135,23 @@
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	boot := fmt.Sprintf("%x-%d", s.started.UnixNano(), s.boots)
-	st := status{BootID: boot, Loaded: []string{}, Fence: s.fence, LoadCount: s.loadCount}
+	st := status{BootID: s.bootID(), Loaded: []string{}, Fence: s.fence, LoadCount: s.loadCount}
 	for v := range s.loaded {
 		st.Loaded = append(st.Loaded, v)
 	}
+	if s.o.CheckIdentity {
+		w.Header().Set("ETag", s.tag())
+	}
 	s.mu.Unlock()
 	writeJSON(w, st)
 }
 
+// bootID is called under the lock.
+func (s *Server) bootID() string { return fmt.Sprintf("%x-%d", s.started.UnixNano(), s.boots) }
+
+// tag is the entity tag of the identity. It is called under the lock.
+func (s *Server) tag() string { return fmt.Sprintf(`"%s/%d"`, s.bootID(), s.loadCount) }
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -66,10 +66,16 @@
 	return req.MaxTokens
 }
 
-// enter counts a request in, or makes the engine fail over its limit.
-func (s *Server) enter(version string) (model, int) {
+// enter counts a request in, or makes the engine fail over its limit. expect is
+// the identity that the request names, or empty.
+func (s *Server) enter(w http.ResponseWriter, version, expect string) (model, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.o.CheckIdentity && expect != "" && expect != s.tag() {
+		s.counts["changed"]++
+		w.Header().Set("ETag", s.tag())
+		return model{}, http.StatusPreconditionFailed
+	}
 	m, ok := s.loaded[version]
 	if !ok {
 		return m, http.StatusConflict
@@ -105,9 +111,9 @@
 		return
 	}
 	a := Answered{RequestID: r.Header.Get("X-Request-Id"), Version: r.Header.Get("X-Model-Version")}
-	m, code := s.enter(a.Version)
+	m, code := s.enter(w, a.Version, r.Header.Get("If-Match"))
 	if code != http.StatusOK {
-		http.Error(w, "version is not loaded, or engine has failed", code)
+		http.Error(w, "engine has changed, has failed, or has not loaded the version", code)
 		return
 	}
 	left := false
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -219,6 +219,9 @@
 	if e.TokenDelay != "" {
 		args = append(args, "--token-delay", e.TokenDelay)
 	}
+	if !e.IgnoreIdentity {
+		args = append(args, "--check-identity")
+	}
 	return args
 }
 
--- a/test/harness/spec.go
+++ b/test/harness/spec.go
@@ -53,6 +53,9 @@
 type EngineSpec struct {
 	MaxRequests, ColdRequests int
 	TokenDelay                string
+	// IgnoreIdentity makes the engines run requests that expect another
+	// identity, as engines without the check do.
+	IgnoreIdentity bool
 	// OneProcess hosts all engines in one process, each with a state of its
 	// own. Large fleets need it to stay within a few hundred processes.
 	// Node.Target is then that process for every agent with an engine.
