agent: cool a service that cuts a call within its answer

Cause: a plain service states no identity; a lost connection is the only sign that it restarted. The agent took it as one only if the connection was lost before the answer began, and kept the warm limit otherwise. Change: a connection lost before or within the answer cools the target. Conclusion: what the agent can see of a service's restart cools it at once. A restart that cuts no call stays unseen until a probe fails.

--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -33,13 +33,16 @@
 	} else {
 		err = s.callRepeatable(ctx)
 	}
+	if err != nil {
+		s.lost(err)
+	}
 	s.release(err)
 	return err
 }
 
 func (s *serving) open(ctx context.Context) (port.Answer, error) {
 	s.sent = s.a.d.Clock.Now()
-	ans, err := s.a.d.Service.Call(ctx, port.ServiceRequest{
+	return s.a.d.Service.Call(ctx, port.ServiceRequest{
 		ID:             s.r.ID,
 		Service:        s.r.Service,
 		Call:           s.r.Call,
@@ -48,20 +51,18 @@
 		ContentType:    s.r.ContentType,
 		IdempotencyKey: s.r.IdempotencyKey,
 	})
-	if err != nil {
-		s.lost(err)
-		return nil, err
-	}
-	return ans, nil
 }
 
-// lost takes a lost connection as a sign that the service restarted, since a
-// plain service reports no boot identity.
+// lost takes a connection lost before or within the answer as a sign that the
+// service restarted, since a plain service reports no boot identity.
 func (s *serving) lost(err error) {
-	if verdict.Of(err).Code == verdict.CodeTargetLost {
+	switch verdict.Of(err).Code {
+	case verdict.CodeTargetLost:
 		s.a.adm.Cool(s.a.target, s.a.d.Clock.Now())
+		signal(s.a.probes)
+	case verdict.CodeTargetError:
+		signal(s.a.probes)
 	}
-	signal(s.a.probes)
 }
 
 func (s *serving) callRepeatable(ctx context.Context) error {
