--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -78,6 +78,10 @@
 	serving *inflight.Counter
 	kicks   chan struct{}
 	probes  chan struct{}
+	// rounds holds the round of confirmations that requests have joined, and
+	// asks wakes the goroutine that asks for them.
+	rounds *shard.Map[string, chan struct{}]
+	asks   chan struct{}
 }
 
 var _ port.AgentHandler = (*Agent)(nil)
@@ -95,6 +99,8 @@
 		serving:  inflight.New(),
 		kicks:    make(chan struct{}, 1),
 		probes:   make(chan struct{}, 1),
+		rounds:   shard.New[string, chan struct{}](1),
+		asks:     make(chan struct{}, 1),
 	}
 }
 
@@ -129,6 +135,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { a.monitor(ctx, c.reports) })
 	wg.Go(func() { newOrderer(a).run(ctx, c.orders, c.ended) })
+	wg.Go(func() { a.confirm(ctx) })
 	wg.Go(func() { a.publish(ctx) })
 	wg.Go(func() { c.run(ctx) })
 	wg.Wait()
--- a/internal/core/inflight/inflight.go
+++ b/internal/core/inflight/inflight.go
@@ -27,7 +27,10 @@
 }
 
 // Idle reports whether no work is in progress.
-func (c *Counter) Idle() bool { return c.n.Load() == 0 }
+func (c *Counter) Idle() bool { return c.Count() == 0 }
+
+// Count returns the work in progress.
+func (c *Counter) Count() int64 { return c.n.Load() }
 
 // Left receives after the last piece of work has ended. The signal may be of an
 // earlier end, and work may have started since, so the receiver asks Idle again.
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -18,6 +18,9 @@
 	// CheckFence refuses orders with a fencing number lower than the highest
 	// one seen.
 	CheckFence bool
+	// CheckIdentity states the identity as the entity tag of the status and
+	// refuses requests that name another one as their precondition.
+	CheckIdentity bool
 	// MaxRequests is the load that a warm engine bears; ColdRequests is that of
 	// a cold one. Each request that a cold engine finishes lets it bear one
 	// more. Over its limit it answers 500 to everything until it is restarted.
@@ -128,15 +131,25 @@
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	boot := fmt.Sprintf("%x-%d", s.started.UnixNano(), s.boots)
-	st := status{BootID: boot, Loaded: []string{}, Fence: s.fence, LoadCount: s.loadCount}
+	st := status{BootID: s.bootID(), Loaded: []string{}, Fence: s.fence, LoadCount: s.loadCount}
 	for v := range s.loaded {
 		st.Loaded = append(st.Loaded, v)
 	}
+	if s.o.CheckIdentity {
+		w.Header().Set("ETag", s.tag())
+	}
 	s.mu.Unlock()
 	fault.WriteJSON(w, st)
 }
 
+// bootID is called under the lock.
+func (s *Server) bootID() string { return fmt.Sprintf("%x-%d", s.started.UnixNano(), s.boots) }
+
+// tag is the entity tag of the identity. It is called under the lock.
+func (s *Server) tag() string {
+	return fmt.Sprintf(`"%s/%d"`, s.bootID(), s.loadCount)
+}
+
 // restart is a new process of the engine: no weights, no failure.
 func (s *Server) restart(http.ResponseWriter, *http.Request) {
 	s.mu.Lock()
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -67,10 +67,13 @@
 	return req.MaxTokens
 }
 
-// enter counts a request in, or makes the engine fail over its limit.
-func (s *Server) enter(version string) (model, int) {
-	m, inFlight, code := s.take(version)
+// enter counts a request in, or makes the engine fail over its limit. expect is
+// the identity that the request names, or empty.
+func (s *Server) enter(w http.ResponseWriter, version, expect string) (model, int) {
+	m, inFlight, code := s.take(w, version, expect)
 	switch code {
+	case http.StatusPreconditionFailed:
+		s.counts.Add("changed")
 	case http.StatusInternalServerError:
 		s.counts.Add("overload")
 	case http.StatusOK:
@@ -79,9 +82,13 @@
 	return m, code
 }
 
-func (s *Server) take(version string) (m model, inFlight, code int) {
+func (s *Server) take(w http.ResponseWriter, version, expect string) (m model, inFlight, code int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.o.CheckIdentity && expect != "" && expect != s.tag() {
+		w.Header().Set("ETag", s.tag())
+		return model{}, s.inFlight, http.StatusPreconditionFailed
+	}
 	m, ok := s.loaded[version]
 	if !ok {
 		return m, s.inFlight, http.StatusConflict
@@ -116,9 +123,9 @@
 		return
 	}
 	a := Answered{RequestID: r.Header.Get("X-Request-Id"), Version: r.Header.Get("X-Model-Version")}
-	m, code := s.enter(a.Version)
+	m, code := s.enter(w, a.Version, r.Header.Get("If-Match"))
 	if code != http.StatusOK {
-		http.Error(w, "version is not loaded, or engine has failed", code)
+		http.Error(w, "engine has changed, has failed, or has not loaded the version", code)
 		return
 	}
 	left := false
