kvhttp: drop idle connections after a call without an answer

Cause: an entry keeps a connection for its watch and, once it has read the list of VMs, another idle one. When both went silent for good, the watch that followed the first timeout used the second silent connection, so a change was in force only after two timeouts of 4 s, past the bound of 7 s.

Change: a call that ends with its timeout closes the idle connections.

Conclusion: a silent platform connection costs an entry one timeout.

--- a/internal/adapter/kvhttp/kvhttp.go
+++ b/internal/adapter/kvhttp/kvhttp.go
@@ -86,12 +86,23 @@
 	body   []byte
 }
 
-// call sends one request. An error means that the outcome is unknown.
+// call sends one request. An error means that the outcome is unknown. A call
+// that gets no answer in time may have used a connection that went silent for
+// good. The idle ones are dropped then, since they may be silent as well and
+// each would cost a further call its timeout.
 func (c *Client) call(
 	ctx context.Context, timeout time.Duration, method, path string, q url.Values, body []byte,
 ) (reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	r, err := c.send(ctx, method, path, q, body)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+	return r, err
+}
+
+func (c *Client) send(ctx context.Context, method, path string, q url.Values, body []byte) (reply, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+q.Encode(), bytes.NewReader(body))
 	if err != nil {
 		return reply{}, errors.Wrap(err, "building platform request")
--- a/internal/adapter/kvhttp/kvhttp_test.go
+++ b/internal/adapter/kvhttp/kvhttp_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -9,10 +10,12 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/standin/platform"
+	"github.com/masticwing/masticwing/internal/standin/relay"
 )
 
 func start(t *testing.T) (*Client, *httptest.Server) {
@@ -103,3 +106,51 @@
 		t.Fatalf("err = %v, want unavailable", err)
 	}
 }
+
+// startRelayed is start with a relay between the client and the platform.
+func startRelayed(t *testing.T) (*Client, *relay.Relay) {
+	t.Helper()
+	_, srv := start(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := lis.Addr().String()
+	_ = lis.Close()
+	r := relay.New()
+	t.Cleanup(r.Close)
+	if err := r.AddRoute("platform", addr, strings.TrimPrefix(srv.URL, "http://")); err != nil {
+		t.Fatal(err)
+	}
+	return New(fleet.Address(addr)), r
+}
+
+// TestSilentConnectionsAreDropped guards against calls that wait for each
+// pooled connection in turn after all of them went silent for good.
+func TestSilentConnectionsAreDropped(t *testing.T) {
+	c, r := startRelayed(t)
+	ctx := context.Background()
+	if _, err := c.CompareAndSwap(ctx, "k", 0, []byte("v"), port.NoLease); err != nil {
+		t.Fatal(err)
+	}
+	const conns = 3
+	var wg conc.WaitGroup
+	for range conns { // watches at the same time open a connection each
+		wg.Go(func() { _, _ = c.Watch(ctx, "k", 100, 200*time.Millisecond) })
+	}
+	wg.Wait()
+	if n := r.Counts()["platform"].Connections; n < conns {
+		t.Fatalf("%d connections are open, want %d", n, conns)
+	}
+	for _, f := range []relay.Freeze{relay.FreezeOld, relay.FreezeNone} {
+		if err := r.SetFaults("platform", relay.Faults{Freeze: f}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := c.Get(ctx, "k"); err == nil {
+		t.Fatal("a silent connection answered")
+	}
+	if _, err := c.Get(ctx, "k"); err != nil {
+		t.Errorf("the second call used a silent connection as well: %v", err)
+	}
+}
