--- a/internal/app/agent/confirm_test.go
+++ b/internal/app/agent/confirm_test.go
@@ -230,7 +230,11 @@
 	before := make(chan error, 1)
 	var wg conc.WaitGroup
 	wg.Go(func() { before <- w.ask("before") })
-	<-taken
+	select {
+	case <-taken:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the engine is not asked")
+	}
 	w.engine.Cold()
 	const waiting = 4
 	for i := range waiting {
