entry: end idle connections with a verdict at a planned stop

Cause: a caller that sent a request on an idle connection in the moment in which a stopping entry closed it got EOF without a verdict, and net/http drops a request that it reads after its Shutdown began. Change: after the drain the listener closes, and each connection that is or becomes idle gets an unsolicited 408 response (not-run, shutting_down, Connection: close). Only the sending side is closed; the entry reads on for up to 0.5 s and refuses what arrives. The connections and their states are in a shard map, filled by net/http's ConnState hook. net/http's own shutdown comes last.

--- a/internal/adapter/httpapi/errors.go
+++ b/internal/adapter/httpapi/errors.go
@@ -79,15 +79,24 @@
 	return append(b, '\n')
 }
 
-func writeError(w http.ResponseWriter, e *verdict.Error, id fleet.RequestID) {
-	h := w.Header()
-	h.Del("Trailer")
+// shuttingDown is the error of a request that comes after the drain began.
+func shuttingDown() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "entry is shutting down").After(time.Second)
+}
+
+// errorHeaders sets the headers of an answer whose body is errorJSON.
+func errorHeaders(h http.Header, e *verdict.Error, id fleet.RequestID) {
 	h.Set("Content-Type", "application/json")
 	h.Set(headerRequest, string(id))
 	h.Set(headerVerdict, e.Verdict.String())
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(e.RetryAfter)/float64(time.Second)))))
 	}
+}
+
+func writeError(w http.ResponseWriter, e *verdict.Error, id fleet.RequestID) {
+	w.Header().Del("Trailer")
+	errorHeaders(w.Header(), e, id)
 	w.WriteHeader(Status(e.Code))
 	_, _ = w.Write(errorJSON(e, id))
 }
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -8,11 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/julienschmidt/httprouter"
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -65,12 +67,17 @@
 	metrics port.Metrics
 	callers *callers
 	gate    *gate
+	conns   *conns
 	server  *http.Server
+	// closing is closed when Close begins, served when Serve has returned.
+	closing, served chan struct{}
+	closeOnce       sync.Once
 }
 
 // New returns an interface that serves nothing yet.
 func New(cfg Config, b Backend, m port.Metrics) *API {
-	a := &API{cfg: cfg, backend: b, metrics: m, callers: newCallers(cfg.Memory), gate: newGate()}
+	a := &API{cfg: cfg, backend: b, metrics: m, callers: newCallers(cfg.Memory), gate: newGate(),
+		conns: newConns(), closing: make(chan struct{}), served: make(chan struct{})}
 	a.server = &http.Server{
 		Handler:           a.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -78,6 +85,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       smallBuffers,
+		ConnState:         a.conns.follow,
 	}
 	return a
 }
@@ -89,23 +97,38 @@
 	return ctx
 }
 
-// Serve accepts callers until Close.
+// Serve accepts callers until Close. It is called once.
 func (a *API) Serve(lis net.Listener) error {
-	if err := a.server.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+	defer close(a.served)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ended := make(chan struct{})
+	defer close(ended)
+	wg.Go(func() {
+		select {
+		case <-a.closing:
+			_ = lis.Close()
+		case <-ended:
+		}
+	})
+	err := a.server.Serve(lis)
+	select {
+	case <-a.closing:
+		return nil
+	default:
 		return errors.Wrap(err, "serving callers")
 	}
-	return nil
 }
 
 // refusalTime is the least time for which a draining entry answers new requests
-// with a refusal. A caller may send a request on an idle connection at the
-// moment in which it is closed, and then learns no verdict; within this time
-// each connection in use gets an answer that closes it.
+// with a refusal, so that most callers have gone to another entry by the time
+// in which the address closes.
 const refusalTime = time.Second
 
-// lingerTime is how long connections that have just become idle, or were just
-// accepted, are still served before they are closed.
-const lingerTime = 200 * time.Millisecond
+// lingerTime is how long a stopping entry goes on reading from connections on
+// which it has sent its last answer. Callers are about 1 ms away and close
+// their side when they see it; the rest is for a caller on a busy machine.
+const lingerTime = 500 * time.Millisecond
 
 // Drain refuses new requests and waits for those in progress, or for ctx.
 func (a *API) Drain(ctx context.Context) error {
@@ -113,25 +136,31 @@
 	defer refused.Stop()
 	a.gate.close()
 	err := a.gate.wait(ctx)
-	pause(ctx, refused.C)
-	pause(ctx, time.After(lingerTime))
-	return errors.Wrap(err, "requests still in progress")
-}
-
-func pause(ctx context.Context, until <-chan time.Time) {
 	select {
-	case <-until:
+	case <-refused.C:
 	case <-ctx.Done():
 	}
+	return errors.Wrap(err, "requests still in progress")
 }
 
-// Close closes the listener and all connections. The connections that Drain
-// has finished with may still carry the last bytes of an answer, so idle ones
-// are closed first and the rest have until ctx ends. A connection that was
-// accepted while the listener closed is refused before the last step.
+// Close closes the listener and all connections. Idle connections end with an
+// answer that carries a verdict; one on which Drain has finished the last
+// request may still carry the end of an answer and becomes idle after that.
+// net/http would close both kinds at once or drop a request that it has read.
+// What is still open after lingerTime is closed when its request ends, or when
+// ctx does. Serve has been called before.
 func (a *API) Close(ctx context.Context) {
-	_ = a.server.Shutdown(ctx)
-	pause(ctx, time.After(lingerTime))
+	a.closeOnce.Do(func() { close(a.closing) })
+	a.gate.close()
+	select {
+	case <-a.served:
+	case <-ctx.Done():
+	}
+	a.conns.dismissIdle()
+	_ = a.gate.wait(ctx)
+	linger, cancel := context.WithTimeout(ctx, lingerTime)
+	defer cancel()
+	a.conns.wait(linger)
 	_ = a.server.Shutdown(ctx)
 	_ = a.server.Close()
 }
@@ -170,7 +199,7 @@
 		target(p, &r)
 		if !a.gate.enter() {
 			w.Header().Set("Connection", "close")
-			e := verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "entry is shutting down").After(time.Second)
+			e := shuttingDown()
 			a.count(&r, e.Verdict, e.Code)
 			writeError(w, e, r.ID)
 			return
