entry: count open answers in the memory bound

Cause: the memory of an open answer was counted only while a write was blocked, so 1,000 callers that read nothing were nearly all kept. A heap and goroutine profile of 457 of them shows 58 KiB each: 32 KiB of live heap (drpc's frame reader 10, net/http's buffers 10) and 26 KiB of stacks of five goroutines. The collector's limit of 64 MiB let garbage add up beside that. Change: a request takes 96 KiB in the budgets of the process and its customer when it has its permit, before it is sent on, and keeps it until its answer ends. Past the bound the slowest is ended as before; if none is slow, the request is refused as not run and its connection closes. The limit of the collector is the bound, 6 MiB, and 24 KiB for each idle connection, which is not counted. The buffers and goroutines of an answer are not reduced. Tests: fakes pass the new argument of Backend.Serve. TestSlowCallersAreBounded uses the renamed constant; its check is the same.

--- a/internal/adapter/httpapi/callers.go
+++ b/internal/adapter/httpapi/callers.go
@@ -12,14 +12,18 @@
 )
 
 const (
-	// callOverhead is counted beside the bytes of a frame for what a request
-	// whose caller does not read costs: five goroutines and the buffers of two
-	// connections. 528 such callers took 71 KiB each in heap and stacks.
-	callOverhead = 72 << 10
+	// openBytes is counted for an open answer beside the bytes of its frame.
+	// 457 callers that did not read took 58 KiB each in live heap and stacks:
+	// five goroutines and the buffers of two connections. The rest is for
+	// garbage, so that the collector is not busy while the bound is reached.
+	openBytes = 96 << 10
+	// maxWaiting bounds the requests that wait for memory with their permit.
+	// Each takes about 25 KiB, which is not counted.
+	maxWaiting = 64
 	// slowAfter is the time a write must be blocked before its caller counts
 	// as slow. Healthy callers take a frame within milliseconds.
 	slowAfter = 100 * time.Millisecond
-	// holdTries bounds how often a frame waits slowAfter for memory.
+	// holdTries bounds how often a request or a frame waits slowAfter for memory.
 	holdTries = 10
 )
 
@@ -31,24 +35,30 @@
 	// interrupt makes a blocked write return.
 	interrupt func()
 	ended     atomic.Bool
+	// refused is true if the request found no memory.
+	refused bool
 }
 
-// write is a write in progress.
-type write struct {
+// hold is what an open answer holds.
+type hold struct {
 	caller *caller
-	bytes  int64
-	since  time.Time
+	// frame is the size of the frame that is being written, zero if none is.
+	frame int64
+	// since is the time at which the write began.
+	since time.Time
 }
 
 // callers counts the memory held for callers and ends the slowest when a bound
 // is passed.
 type callers struct {
-	bytes  *schedule.Bytes
-	writes *shard.Map[fleet.RequestID, write]
+	bytes *schedule.Bytes
+	open  *shard.Map[fleet.RequestID, hold]
+	// waiting counts the requests in beginAnswer.
+	waiting atomic.Int64
 }
 
 func newCallers(limit int64) *callers {
-	return &callers{bytes: schedule.NewBytes(limit), writes: shard.New[fleet.RequestID, write](0)}
+	return &callers{bytes: schedule.NewBytes(limit), open: shard.New[fleet.RequestID, hold](0)}
 }
 
 // takeBody counts n bytes of a request body, or returns the error for the
@@ -64,61 +74,114 @@
 
 func (s *callers) giveBody(c *caller, n int64) { s.bytes.Give(c.customer, n) }
 
-// beginWrite counts a frame that is about to be written. It waits for a slow
-// caller to make way and fails if none does.
-func (s *callers) beginWrite(ctx context.Context, c *caller, n int) error {
-	size := int64(n) + callOverhead
+// beginAnswer counts an answer that is about to be opened. The request has not
+// been sent on, so a failure means that it did not run. It waits only for the
+// bound of the process: the request has a permit, which others need while its
+// customer is over its own bound.
+func (s *callers) beginAnswer(ctx context.Context, c *caller) error {
+	patient := s.waiting.Add(1) <= maxWaiting
+	defer s.waiting.Add(-1)
+	err := s.wait(ctx, c, openBytes, func(code verdict.Code) bool { return patient && code != verdict.CodeCustomerLimit })
+	if err != nil && ctx.Err() != nil {
+		return verdict.Wrap(ctx.Err(), verdict.NotRun, verdict.CodeCanceled, "caller left")
+	}
+	if err != nil {
+		c.refused = true
+		return err
+	}
+	s.open.Put(c.id, hold{caller: c})
+	return nil
+}
+
+// endAnswer returns what the answer holds unless endSlowest did.
+func (s *callers) endAnswer(c *caller) { s.drop(c.id) }
+
+// wait counts n bytes. It ends slow callers to make room, and waits up to
+// holdTries times for one that becomes slow or for an answer that ends, if patient
+// allows it for the code of the error.
+func (s *callers) wait(ctx context.Context, c *caller, n int64, patient func(verdict.Code) bool) error {
 	for try := 0; ; {
-		err := s.bytes.Take(c.customer, size, c.maxBytes)
+		err := s.bytes.Take(c.customer, n, c.maxBytes)
 		if err == nil {
-			break
+			return nil
 		}
-		if s.endSlowest(c, verdict.Of(err).Code) {
+		code := verdict.Of(err).Code
+		if s.endSlowest(c, code) {
 			continue
 		}
-		if try++; try > holdTries {
-			return verdict.New(verdict.MayHaveRun, verdict.CodeSlowCaller, "entry has no memory for the answer")
+		if try++; try > holdTries || !patient(code) {
+			return err
 		}
 		select {
 		case <-ctx.Done():
-			return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeCanceled, "caller left")
+			return ctx.Err()
 		case <-time.After(slowAfter):
 		}
 	}
-	s.writes.Put(c.id, write{c, size, time.Now()})
+}
+
+// beginWrite counts a frame that is about to be written. It waits for a slow
+// caller to make way and fails if none does.
+func (s *callers) beginWrite(ctx context.Context, c *caller, n int) error {
+	size := int64(n)
+	if err := s.wait(ctx, c, size, func(verdict.Code) bool { return true }); err != nil {
+		if ctx.Err() != nil {
+			return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeCanceled, "caller left")
+		}
+		return verdict.New(verdict.MayHaveRun, verdict.CodeSlowCaller, "entry has no memory for the answer")
+	}
+	now := time.Now()
+	held := false
+	s.open.Update(c.id, func(h hold, ok bool) (hold, bool) {
+		held = ok
+		h.frame, h.since = size, now
+		return h, ok
+	})
+	if !held {
+		s.bytes.Give(c.customer, size)
+		return verdict.New(verdict.MayHaveRun, verdict.CodeSlowCaller, "answer holds no memory")
+	}
 	return nil
 }
 
 // endWrite returns the bytes of a write unless endSlowest did.
 func (s *callers) endWrite(c *caller) {
-	s.take(c.id)
+	var size int64
+	s.open.Update(c.id, func(h hold, ok bool) (hold, bool) {
+		size, h.frame = h.frame, 0
+		return h, ok
+	})
+	if size > 0 {
+		s.bytes.Give(c.customer, size)
+	}
 }
 
-// take removes a write and returns its bytes; only one of its callers does.
-func (s *callers) take(id fleet.RequestID) (write, bool) {
-	var w write
+// drop removes an open answer and returns its bytes; only one of its callers
+// does.
+func (s *callers) drop(id fleet.RequestID) bool {
+	var h hold
 	var found bool
-	s.writes.Update(id, func(v write, ok bool) (write, bool) {
-		w, found = v, ok
+	s.open.Update(id, func(v hold, ok bool) (hold, bool) {
+		h, found = v, ok
 		return v, false
 	})
 	if found {
-		s.bytes.Give(w.caller.customer, w.bytes)
+		s.bytes.Give(h.caller.customer, openBytes+h.frame)
 	}
-	return w, found
+	return found
 }
 
 // endSlowest ends the caller whose write is blocked the longest, among those
 // of one customer if its bound was passed. It reports whether one was ended.
 func (s *callers) endSlowest(self *caller, code verdict.Code) bool {
-	var worst write
+	var worst hold
 	limit := time.Now().Add(-slowAfter)
-	s.writes.Range(func(_ fleet.RequestID, w write) bool {
-		if code == verdict.CodeCustomerLimit && w.caller.customer != self.customer {
+	s.open.Range(func(_ fleet.RequestID, h hold) bool {
+		if code == verdict.CodeCustomerLimit && h.caller.customer != self.customer {
 			return true
 		}
-		if w.since.Before(limit) && (worst.caller == nil || w.since.Before(worst.since)) {
-			worst = w
+		if h.frame > 0 && h.since.Before(limit) && (worst.caller == nil || h.since.Before(worst.since)) {
+			worst = h
 		}
 		return true
 	})
@@ -127,6 +190,6 @@
 	}
 	worst.caller.ended.Store(true)
 	worst.caller.interrupt()
-	s.take(worst.caller.id)
+	s.drop(worst.caller.id)
 	return true
 }
--- a/internal/adapter/httpapi/conns.go
+++ b/internal/adapter/httpapi/conns.go
@@ -62,6 +62,17 @@
 	}
 }
 
+func (s *conns) idle() int {
+	n := 0
+	s.set.Range(func(_ net.Conn, v conn) bool {
+		if v.idle {
+			n++
+		}
+		return true
+	})
+	return n
+}
+
 // dismissIdle ends the idle connections, and from now on each that becomes
 // idle.
 func (s *conns) dismissIdle() {
--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -39,6 +39,10 @@
 func (x *exchange) fail(err error) {
 	e := verdict.Of(err)
 	x.finish(e.Verdict, e.Code)
+	if x.caller != nil && x.caller.refused {
+		// An idle connection would keep its buffers.
+		x.w.Header().Set("Connection", "close")
+	}
 	writeError(x.w, e, x.r.ID)
 }
 
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -33,9 +33,11 @@
 	Admit(r port.ServeRequest) (Bounds, error)
 	// Serve returns the answer of a request. An error carries a verdict. ctx
 	// ends at the request's deadline and when its caller leaves. The backend
+	// calls begin once, when the request has waited for its turn and before it
+	// is sent on; an error of begin is the error of the request. The backend
 	// keeps no reference to the body once the answer is closed or, without an
 	// answer, once Serve has returned.
-	Serve(ctx context.Context, r port.ServeRequest) (port.Answer, error)
+	Serve(ctx context.Context, r port.ServeRequest, begin func() error) (port.Answer, error)
 }
 
 // Config holds the limits of the interface.
@@ -165,6 +167,9 @@
 	_ = a.server.Close()
 }
 
+// IdleConnections returns the number of connections without a request.
+func (a *API) IdleConnections() int { return a.conns.idle() }
+
 // BytesHeld returns the bytes that are held for callers.
 func (a *API) BytesHeld() int64 { return a.callers.bytes.Total() }
 
@@ -225,6 +230,7 @@
 	_ = x.rc.SetWriteDeadline(start.Add(r.Timeout + writeGrace))
 	answer, err := x.open(ctx, hr)
 	defer x.giveBody()
+	defer a.callers.endAnswer(x.caller)
 	if err != nil {
 		x.fail(left(hr, err))
 		return
@@ -262,7 +268,7 @@
 	if err := decodeBody(x.r); err != nil {
 		return nil, err
 	}
-	return x.api.backend.Serve(ctx, *x.r)
+	return x.api.backend.Serve(ctx, *x.r, func() error { return x.api.callers.beginAnswer(ctx, x.caller) })
 }
 
 // giveBody ends the count of the body. Further calls have no effect.
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -28,7 +28,10 @@
 
 func (b *fakeBackend) Admit(port.ServeRequest) (Bounds, error) { return b.bounds, b.admit }
 
-func (b *fakeBackend) Serve(ctx context.Context, r port.ServeRequest) (port.Answer, error) {
+func (b *fakeBackend) Serve(ctx context.Context, r port.ServeRequest, begin func() error) (port.Answer, error) {
+	if err := begin(); err != nil {
+		return nil, err
+	}
 	return b.serve(ctx, r)
 }
 
@@ -236,7 +239,7 @@
 	for range slow {
 		open(t, addr)
 	}
-	fits := bound / (callOverhead + 2048)
+	fits := bound / (openBytes + 2048)
 	until(t, "the slowest callers are ended", func() bool { return closed.Load() >= int32(slow-fits) })
 	if n := api.BytesHeld(); n > bound || n == 0 {
 		t.Errorf("%d bytes held, bound %d", n, bound)
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -74,7 +74,7 @@
 
 // Serve implements httpapi.Backend. The request holds its permit until the
 // answer is closed.
-func (e *Entry) Serve(ctx context.Context, r port.ServeRequest) (port.Answer, error) {
+func (e *Entry) Serve(ctx context.Context, r port.ServeRequest, begin func() error) (port.Answer, error) {
 	p, err := e.plan(poolOf(&r), &r)
 	if err != nil {
 		return nil, err
@@ -84,6 +84,11 @@
 		e.countShed(&r, err)
 		return nil, err
 	}
+	if err := begin(); err != nil {
+		e.queue.Leave(t, e.Clock.Now())
+		e.countShed(&r, err)
+		return nil, err
+	}
 	e.budget.Earn(p.pool)
 	tried := map[fleet.VM]bool{}
 	a, err := e.attempts(ctx, &r, p, tried)
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -32,21 +32,43 @@
 	// quarter of the processor time at 1,000 requests a second.
 	gcPercent = 200
 	// baseMemory is what an entry uses beside the bytes held for callers:
-	// tables, metrics, idle connections, and requests before their first write.
-	// With 16 MiB, 1,000 callers that read nothing kept the collector so busy
-	// that the admin address did not answer for 5 s.
-	baseMemory = 32 << 20
+	// tables, metrics, and the runtime's own. All but idle connections is
+	// counted, with room for garbage, so the limit may be close to the bound.
+	baseMemory = 6 << 20
+	// idleBytes is added for each idle connection: two buffers of 4 KiB, a
+	// goroutine, and what its last request leaves. Without it, some thousand of
+	// them would keep the collector busy all the time.
+	idleBytes = 24 << 10
+	// limitEvery is the time between two looks at the idle connections.
+	limitEvery = time.Second
 )
 
-// limitMemory makes the collector keep the process near its bounds. Near the
-// limit it collects more often than gcPercent says, so that garbage does not
-// add to what callers that read nothing hold.
-func limitMemory(held int64) {
+// collectLess sets the collector's pace.
+func collectLess() {
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(held + baseMemory)
+}
+
+// limitMemory makes the collector keep the process near its bounds until ctx
+// ends. Near the limit it collects more often than gcPercent says, so that
+// garbage does not add to what callers that read nothing hold.
+func limitMemory(ctx context.Context, held int64, idle func() int) {
+	if os.Getenv("GOMEMLIMIT") != "" {
+		return
+	}
+	look := time.NewTicker(limitEvery)
+	defer look.Stop()
+	for last := int64(-1); ; {
+		if n := held + baseMemory + idleBytes*int64(idle()); n != last {
+			debug.SetMemoryLimit(n)
+			last = n
+		}
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -97,7 +119,7 @@
 // run serves until ctx ends and then drains. Everything that requests in
 // progress need runs until they have finished.
 func run(ctx context.Context, c *Config, env daemon.Env, build NewDirectory) error {
-	limitMemory(c.Memory)
+	collectLess()
 	client := rpc.NewClient()
 	client.Source = c.Source
 	defer client.Close()
@@ -144,6 +166,7 @@
 	background(func() error { return p.api.Serve(httpLis) })
 	background(func() error { p.entry.Run(live); return nil })
 	background(func() error { p.followReadiness(ctx); return nil })
+	background(func() error { limitMemory(live, p.cfg.Memory, p.api.IdleConnections); return nil })
 	select {
 	case <-ctx.Done():
 		err = nil
--- a/internal/app/entry/serve_test.go
+++ b/internal/app/entry/serve_test.go
@@ -36,7 +36,7 @@
 func (w *world) ask(r port.ServeRequest) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), r.Timeout)
 	defer cancel()
-	a, err := w.entry.Serve(ctx, r)
+	a, err := w.entry.Serve(ctx, r, func() error { return nil })
 	if err != nil {
 		return "", err
 	}
