--- a/internal/app/ctl/change.go
+++ b/internal/app/ctl/change.go
@@ -121,7 +121,7 @@
 		return err
 	}
 	if s.c.IsSet("revision") && cur.doc.Revision != s.c.Uint64("revision") {
-		return s.showConflict(s.c.Uint64("revision"), cur.doc, conflict{cur})
+		return s.wrongBase(s.c.Uint64("revision"), cur)
 	}
 	next := cur.doc.Next(s.newRecord("apply " + strings.Join(s.c.Args().Slice(), " ")))
 	next.Config = config
@@ -168,6 +168,15 @@
 	return cmp, exitf(ExitRefused, "refused by a check; --force applies it all the same")
 }
 
+// wrongBase refuses a change that is based on another revision than the one in
+// the platform. One above it is no conflict between operators.
+func (s *session) wrongBase(base uint64, cur current) error {
+	if base > cur.doc.Revision {
+		return exitf(ExitConflict, "revision %d does not exist yet; the declaration is at revision %d", base, cur.doc.Revision)
+	}
+	return s.showConflict(base, cur.doc, conflict{cur})
+}
+
 // showConflict prints what changed since the revision that the operator saw.
 func (s *session) showConflict(seen uint64, now inifile.Document, c conflict) error {
 	others := []inifile.ChangeRecord{}
--- a/internal/app/ctl/ctl_test.go
+++ b/internal/app/ctl/ctl_test.go
@@ -210,6 +210,22 @@
 	r.golden("change")
 }
 
+// TestFutureRevision guards against a base revision that does not exist and that
+// is reported as a change of another operator.
+func TestFutureRevision(t *testing.T) {
+	r := newRig(t)
+	r.file("main.ini", config("one"))
+	var errs bytes.Buffer
+	if code := r.exec(io.Discard, io.Discard, "apply main.ini"+peer); code != 0 {
+		t.Fatalf("first change: exit %d", code)
+	}
+	code := r.exec(io.Discard, &errs, "apply main.ini --revision 9"+peer)
+	want := "revision 9 does not exist yet; the declaration is at revision 1"
+	if code != ExitConflict || !strings.Contains(errs.String(), want) {
+		t.Errorf("exit %d: %q, want exit %d and %q", code, errs.String(), ExitConflict, want)
+	}
+}
+
 // TestUsageSession guards against exit codes and messages that scripts depend
 // on: wrong usage, a platform or peers that cannot be reached.
 func TestUsageSession(t *testing.T) {
