membership: find differences by digests, within a budget of bytes

Cause: every record that a process learnt was passed on 1 + log2(n) times, also those of a whole table that all others had. Nothing bounded whole tables after a suspicion.

Change: package membership decides what an exchange says (Gossip). States and marks go first and as bare records where the payload does not matter; other changes are passed on three times within 10 s. All else is found by digests of the table, of 16 groups (failure domains), of 32 leaves of a group, and then of members, so that a record goes only to a process that lacks it. A token bucket ("[peers] exchange_bytes", 800 B/s) counts what is sent and received; urgent records have a reserve, and a process that starts has a credit for one table. Whole tables are gone from the protocol (want_all is reserved). Progress alone changes a record at most each 100 ms times the number of members. The list of VMs is read each 200 ms a VM instead of 40 ms. Records share names, versions and labels, and hold times as integers.

Tests: TestChangedIsBounded counted records and expected the own record in each message, which is no longer sent; it now bounds by size and also checks that news end. Calls in TestQuietExchanges and TestMembersSeeChanges have the new signatures; their checks are the same.

--- a/internal/adapter/rpc/convert.go
+++ b/internal/adapter/rpc/convert.go
@@ -201,7 +201,12 @@
 	return out
 }
 
+// memberToPB leaves out of the status what the record says already.
 func memberToPB(m port.MemberRecord) *pb.MemberRecord {
+	status := statusToPB(m.Status)
+	if status != nil && status.Vm == m.ID && status.Domain == string(m.Domain) {
+		status.Vm, status.Domain = "", ""
+	}
 	return &pb.MemberRecord{
 		Id:           m.ID,
 		Kind:         uint32(m.Kind),
@@ -214,12 +219,16 @@
 		Version:      m.Version,
 		State:        uint32(m.State),
 		Revision:     m.Revision,
-		Status:       statusToPB(m.Status),
+		Status:       status,
 		AgeMs:        m.Age.Milliseconds(),
 	}
 }
 
 func memberFromPB(m *pb.MemberRecord) port.MemberRecord {
+	status := statusFromPB(m.GetStatus())
+	if status != nil && status.VM == "" && status.Domain == "" {
+		status.VM, status.Domain = fleet.VM(m.GetId()), fleet.Domain(m.GetDomain())
+	}
 	return port.MemberRecord{
 		ID:           m.GetId(),
 		Kind:         fleet.Kind(m.GetKind()),
@@ -232,7 +241,7 @@
 		Version:      m.GetVersion(),
 		State:        port.MemberState(m.GetState()),
 		Revision:     m.GetRevision(),
-		Status:       statusFromPB(m.GetStatus()),
+		Status:       status,
 		Age:          time.Duration(m.GetAgeMs()) * time.Millisecond,
 	}
 }
@@ -243,7 +252,11 @@
 		Revision: m.Revision,
 		AgeMs:    ageToMillis(m.Age),
 		Digest:   m.Digest,
-		WantAll:  m.WantAll,
+		Compare:  m.Compare,
+		Group:    m.Group,
+		Digests:  m.Digests,
+		Leaves:   m.Leaves,
+		Want:     m.Want,
 	}
 	for _, r := range m.Records {
 		out.Records = append(out.Records, memberToPB(r))
@@ -257,7 +270,11 @@
 		Revision: m.GetRevision(),
 		Age:      ageFromMillis(m.GetAgeMs()),
 		Digest:   m.GetDigest(),
-		WantAll:  m.GetWantAll(),
+		Compare:  m.GetCompare(),
+		Group:    m.GetGroup(),
+		Digests:  m.GetDigests(),
+		Leaves:   m.GetLeaves(),
+		Want:     m.GetWant(),
 	}
 	for _, r := range m.GetRecords() {
 		out.Records = append(out.Records, memberFromPB(r))
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -50,8 +50,16 @@
 	// ProbeEvery is the time between attempts to reach a dead member or a seed
 	// that is not a member.
 	ProbeEvery time.Duration
+	// ExchangeBytes is the bound of the bytes per second that records and
+	// digests take in exchanges, both ways together.
+	ExchangeBytes int
 }
 
+// DefaultExchangeBytes is the default of Config.ExchangeBytes. It leaves room in
+// 3 KB/s for the heads of exchanges and their frames, status streams, the
+// document, and at readers the platform.
+const DefaultExchangeBytes = 800
+
 func (c Config) withDefaults(now time.Time) Config {
 	def := func(p *time.Duration, d time.Duration) {
 		if *p <= 0 {
@@ -64,6 +72,9 @@
 	def(&c.StartWait, 2*time.Second)
 	def(&c.StatusEvery, 5*time.Second)
 	def(&c.ProbeEvery, 3*time.Second)
+	if c.ExchangeBytes <= 0 {
+		c.ExchangeBytes = DefaultExchangeBytes
+	}
 	if c.Key == "" {
 		c.Key = "config/current"
 	}
@@ -114,15 +125,10 @@
 	revised  chan struct{}
 	relay    chan struct{}
 	accepted chan struct{}
-	budget   budget
+	gossip   membership.Gossip[port.MemberRecord]
+	intern   interner
 	start    startup
-	// differ counts exchanges in a row whose digests differ; whole is when the
-	// whole table was asked for last, in Unix milliseconds, and wholes how
-	// often it was.
-	differ atomic.Int32
-	whole  atomic.Int64
-	wholes atomic.Int32
-	turn   atomic.Uint64
+	turn     atomic.Uint64
 	// agreed is the digest of the last exchange if both tables had it, else 0.
 	agreed atomic.Uint64
 	// lists holds the answers of Members.
@@ -151,8 +157,12 @@
 		lists:    shard.New[fleet.Kind, memberList](0),
 		relay:    make(chan struct{}, 1),
 		accepted: make(chan struct{}, 1),
+		intern:   interner{shard.New[uint64, map[string]string](0)},
 		start:    startup{ready: make(chan struct{})},
 	}
+	d.gossip = membership.Gossip[port.MemberRecord]{
+		Table: d.table, Budget: membership.NewBudget(cfg.ExchangeBytes, now), Size: recordSize, Pick: deps.Rand.IntN,
+	}
 	d.own.rec = cloneRecord(cfg.Self)
 	d.start.reason.Store(&reasonStarting)
 	return d
--- a/internal/app/directory/exchange.go
+++ b/internal/app/directory/exchange.go
@@ -13,34 +13,15 @@
 )
 
 const (
-	// maxRecords bounds the records of one exchange.
-	maxRecords = 32
-	// leastRecords may be passed on in every exchange even when the budget is
-	// used up, so that a change of state is never held back.
-	leastRecords = 3
-	// announceRecords bounds the records of an announcement, which goes to all
-	// neighbours at the same time.
-	announceRecords = 8
-	// noRecords is for the announcement of a revision, which each process sends
-	// and gets about 16 times per change.
-	noRecords = 0
 	// maxRetries bounds the members that are retried in one round, beside the
 	// neighbour whose turn it is.
 	maxRetries = 2
 	// maxChecks bounds the members that are contacted in one round because
 	// others hold them for suspect or dead.
 	maxChecks = 4
-	// differLimit is the number of exchanges in a row with differing digests
-	// after which a process asks for the whole table.
-	differLimit = 3
-	// wholePerMember times the number of members is the least time between two
-	// requests for the whole table. At 150 bytes a record it bounds them to
-	// 750 bytes per second.
-	wholePerMember = 200 * time.Millisecond
-	// earlyWholes requests come earlyGap apart, since the first partners of a
-	// process may have started just before it and know little.
-	earlyWholes = 3
-	earlyGap    = 1500 * time.Millisecond
+	// maxComparisons bounds the comparisons of one exchange. More than one is
+	// made only while much of the budget is left, as after a start.
+	maxComparisons = 8
 	// announceGap is the least time between announcements. Changes within it
 	// share one.
 	announceGap = 50 * time.Millisecond
@@ -65,6 +46,7 @@
 	for d.sleep(ctx, d.jitter(d.cfg.ExchangeEvery)) {
 		now := d.deps.Clock.Now()
 		if d.table.Tick(now) {
+			d.deps.Metrics.Count("directory_suspicions_total", 1)
 			signal(d.relay)
 			d.notify()
 		}
@@ -74,9 +56,8 @@
 			probed = now
 			targets = append(targets, d.probe(now)...)
 		}
-		all := d.wantAll(now)
 		for _, t := range targets {
-			wg.Go(func() { d.exchange(ctx, t, maxRecords, all) })
+			wg.Go(func() { d.exchange(ctx, t, compared) })
 		}
 	}
 }
@@ -154,35 +135,26 @@
 	return append(ts, target{id, s.Address})
 }
 
-// wantAll reports whether the whole table is needed: this process knows no
-// other one, or its digest stays different.
-func (d *Directory) wantAll(now time.Time) bool {
-	n := d.table.Len()
-	if n == 1 {
-		return true
-	}
-	last := time.UnixMilli(d.whole.Load())
-	gap, limit := time.Duration(n)*wholePerMember, int32(differLimit)
-	if d.wholes.Load() < earlyWholes {
-		gap, limit = min(gap, earlyGap), 1
-	}
-	if d.differ.Load() < limit || now.Sub(last) < gap {
-		return false
-	}
-	d.wholes.Add(1)
-	d.differ.Store(0)
-	d.whole.Store(now.UnixMilli())
-	return true
-}
+// extent says how much an exchange is about.
+type extent int
+
+const (
+	// headOnly tells the revision.
+	headOnly extent = iota
+	// newsOnly also passes on what changed lately.
+	newsOnly
+	// compared also finds out where the tables differ.
+	compared
+)
 
 // exchange swaps facts with t. It reports whether t answered. Exchanges with
 // the same address do not overlap.
-func (d *Directory) exchange(ctx context.Context, t target, records int, all bool) bool {
+func (d *Directory) exchange(ctx context.Context, t target, e extent) bool {
 	if !claim(d.busy, t.addr) {
 		return false
 	}
 	defer d.busy.Delete(t.addr)
-	return d.exchangeClaimed(ctx, t, records, all)
+	return d.exchangeClaimed(ctx, t, e)
 }
 
 // claim takes a key that is free.
@@ -196,105 +168,115 @@
 }
 
 // exchangeClaimed is exchange for a caller that has claimed the address.
-func (d *Directory) exchangeClaimed(ctx context.Context, t target, records int, all bool) bool {
-	now := d.deps.Clock.Now()
-	before, known := d.table.Get(t.id, now)
-	gone := d.table.Gone(t.id, now)
+func (d *Directory) exchangeClaimed(ctx context.Context, t target, e extent) bool {
+	before, known := d.table.Get(t.id, d.deps.Clock.Now())
 	doubted := known && (before.State == membership.Suspect || before.State == membership.Dead)
 	// Tables that agree are compared by their digests alone, which keeps a quiet
 	// fleet quiet, also while records wait to be passed on once more.
-	if !all && !doubted && records > noRecords && d.agreed.Load() == d.table.Digest() {
-		if _, ok := d.swap(ctx, t, noRecords, false); !ok || d.agreed.Load() != 0 {
+	if !doubted && e != newsOnly && (e == headOnly || d.agreed.Load() == d.table.Digest()) {
+		if _, _, ok := d.swap(ctx, t, d.gossip.Head()); !ok || e == headOnly || d.agreed.Load() != 0 {
 			return ok
 		}
 	}
-	refuted, ok := d.swap(ctx, t, records, all)
+	if !doubted && e == newsOnly {
+		return d.tellNews(ctx, t)
+	}
+	d.deps.Metrics.Count("directory_comparisons_total", 1)
+	refuted, ok := d.compare(ctx, t)
 	if !ok {
 		return false
 	}
 	// A side refutes only after it answered, so the facts are swapped again.
-	// After a partition, this process also needs what it missed.
-	if !all && (refuted || doubted) {
-		_, ok = d.swap(ctx, t, records, gone)
+	if refuted || doubted {
+		_, ok = d.compare(ctx, t)
 	}
 	return ok
 }
 
-// swap makes one exchange. It reports whether this process had to refute
+// tellNews sends what changed lately, if anything.
+func (d *Directory) tellNews(ctx context.Context, t target) bool {
+	m := d.gossip.Open(t.id, d.deps.Clock.Now())
+	if len(m.Records) == 0 {
+		return true
+	}
+	m.Compare = false
+	_, _, ok := d.swap(ctx, t, m)
+	return ok
+}
+
+// compare swaps news with t and then what else differs, in pieces.
+func (d *Directory) compare(ctx context.Context, t target) (refuted, ok bool) {
+	for range maxComparisons {
+		reply, r, ok := d.swap(ctx, t, d.gossip.Open(t.id, d.deps.Clock.Now()))
+		refuted = refuted || r
+		if !ok {
+			return refuted, false
+		}
+		if len(reply.Digests) == 0 {
+			return refuted, true
+		}
+		for m, more := d.gossip.Next(reply, d.deps.Clock.Now()); more; m, more = d.gossip.Next(reply, d.deps.Clock.Now()) {
+			if reply, r, ok = d.swap(ctx, t, m); !ok {
+				return refuted, false
+			}
+			refuted = refuted || r
+		}
+		if d.agreed.Load() == d.table.Digest() || !d.gossip.Budget.Full(d.deps.Clock.Now()) {
+			break
+		}
+	}
+	return refuted, true
+}
+
+// swap makes one call. It reports whether this process had to refute
 // something, and whether t answered.
-func (d *Directory) swap(ctx context.Context, t target, records int, all bool) (refuted, ok bool) {
+func (d *Directory) swap(
+	ctx context.Context, t target, m membership.Message[port.MemberRecord],
+) (answer membership.Message[port.MemberRecord], refuted, ok bool) {
 	began := d.deps.Clock.Now()
-	m := d.message(t.id, records)
-	m.WantAll = all
-	reply, err := d.deps.Members.Exchange(ctx, t.addr, m)
+	reply, err := d.deps.Members.Exchange(ctx, t.addr, d.fromMessage(m))
 	if ctx.Err() != nil {
-		return false, false
+		return answer, false, false
 	}
 	if err != nil {
 		d.deps.Metrics.Count("directory_exchanges_failed_total", 1)
 		d.table.Fail(t.id, began)
-		return false, false
+		return answer, false, false
 	}
 	d.deps.Metrics.Count("directory_exchanges_total", 1)
-	refuted = d.absorb(reply, t.addr)
-	d.compare(reply, records)
-	return refuted, true
-}
-
-// compare counts exchanges in a row after which the tables differ.
-// One without records could not make them equal.
-func (d *Directory) compare(reply port.ExchangeMessage, records int) {
-	if own := d.table.Digest(); reply.Digest == own {
-		d.agreed.Store(own)
-		d.differ.Store(0)
-		return
-	}
-	d.agreed.Store(0)
-	if records > noRecords {
-		d.differ.Add(1)
+	answer = d.toMessage(reply)
+	l := d.gossip.Absorb(answer, d.deps.Clock.Now())
+	d.learnt(l)
+	d.heard(reply, t.addr)
+	own := d.table.Digest()
+	if reply.Digest != own {
+		own = 0
 	}
+	d.agreed.Store(own)
+	return answer, l.Refuted, true
 }
 
-// message returns the newest facts, with noRecords only the head. If the table
-// does not hold the partner for alive, the record is included so that it can
-// refute.
-func (d *Directory) message(partner string, records int) port.ExchangeMessage {
-	now := d.deps.Clock.Now()
-	m := d.head(now)
-	if records > noRecords {
-		n := d.budget.take(records-1, now)
-		rs := d.table.Changed(1+max(n, leastRecords), now)
-		d.budget.giveBack(max(0, n-(len(rs)-1)))
-		for _, s := range rs {
-			m.Records = append(m.Records, fromCore(s))
-		}
+// learnt wakes those who pass on or use what an exchange changed. New members
+// are passed on at once only while much of the budget is left.
+func (d *Directory) learnt(l membership.Learnt) {
+	d.deps.Metrics.Count("directory_records_total", int64(l.New), port.Attr{Key: "known", Value: "false"})
+	d.deps.Metrics.Count("directory_records_total", int64(l.Known), port.Attr{Key: "known", Value: "true"})
+	if l.Refuted {
+		d.deps.Metrics.Count("directory_refutations_total", 1)
+		signal(d.announce)
 	}
-	if p, ok := d.table.Get(partner, now); ok && (p.State == membership.Suspect || p.State == membership.Dead) {
-		m.Records = append(m.Records, fromCore(p))
+	if l.Moved || l.Changed && d.gossip.Budget.Full(d.deps.Clock.Now()) {
+		signal(d.relay)
+	}
+	if l.Changed {
+		d.notify()
 	}
-	return m
 }
 
-// absorb merges what another process said. from is its address if known. It
-// reports whether this process had to refute something.
-func (d *Directory) absorb(m port.ExchangeMessage, from fleet.Address) bool {
+// heard takes the revision of a message. from is the address of its sender if
+// known.
+func (d *Directory) heard(m port.ExchangeMessage, from fleet.Address) {
 	now := d.deps.Clock.Now()
-	refuted, changed := false, false
-	for _, r := range m.Records {
-		if r.ID == "" || r.State > port.MemberDead {
-			continue
-		}
-		switch d.table.Merge(toCore(r), r.Age, now) {
-		case membership.Refuted:
-			refuted = true
-		case membership.Updated:
-			changed = true
-		case membership.Moved:
-			changed = true
-			signal(d.relay)
-		}
-	}
-	d.table.Contact(m.From, now)
 	if s, ok := d.table.Get(m.From, now); ok && from == "" {
 		from = s.Address
 	}
@@ -302,19 +284,12 @@
 	if m.Revision > d.rev.Revision() && from != "" {
 		d.requestPull(pull{from, m.Revision})
 	}
-	if refuted {
-		signal(d.announce)
-	}
-	if changed {
-		d.notify()
-	}
-	return refuted
 }
 
 // announcement is a message to a neighbour that must not wait for its turn.
 type announcement struct {
-	addr    fleet.Address
-	records int
+	addr fleet.Address
+	e    extent
 }
 
 // announceLoop tells all neighbours at once of a new revision, a new state of
@@ -323,19 +298,19 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	for {
-		gap, records := announceGap, announceRecords
+		gap, e := announceGap, newsOnly
 		select {
 		case <-ctx.Done():
 			return
 		case <-d.revised:
-			records = noRecords
+			e = headOnly
 		case <-d.announce:
 		case <-d.relay:
 			gap = relayGap
 		}
 		for _, id := range d.table.Neighbours(d.deps.Clock.Now()) {
 			for _, t := range d.appendTarget(nil, id) {
-				wg.Go(func() { d.announceTo(ctx, t, records) })
+				wg.Go(func() { d.announceTo(ctx, t, e) })
 			}
 		}
 		if !d.sleep(ctx, gap) {
@@ -347,8 +322,8 @@
 // announceTo does not skip a neighbour with an exchange in progress, which may
 // have begun before the change; it waits for that one to end. One announcement
 // of each kind waits at a time, since it carries the newest facts when it goes out.
-func (d *Directory) announceTo(ctx context.Context, t target, records int) {
-	a := announcement{t.addr, records}
+func (d *Directory) announceTo(ctx context.Context, t target, e extent) {
+	a := announcement{t.addr, e}
 	if !claim(d.waiting, a) {
 		return
 	}
@@ -360,5 +335,5 @@
 	}
 	d.waiting.Delete(a)
 	defer d.busy.Delete(t.addr)
-	d.exchangeClaimed(ctx, t, records, false)
+	d.exchangeClaimed(ctx, t, e)
 }
--- a/internal/app/directory/handler.go
+++ b/internal/app/directory/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -19,25 +18,17 @@
 // Handler returns what serves the member protocol.
 func (d *Directory) Handler() port.MemberHandler { return handler{d} }
 
-// Exchange implements port.MemberHandler. The answer is made before the
-// records of the partner are merged, so that they are not sent back. A message
-// without a sender is an operator's question; its answer carries the own record
-// only and takes nothing from what is passed on to members. A message without
-// records announces a revision and is answered without records.
+// Exchange implements port.MemberHandler. A message without a sender is an
+// operator's question; its answer carries the own record only and takes
+// nothing from what is passed on to members.
 func (d handler) Exchange(_ context.Context, m port.ExchangeMessage) (port.ExchangeMessage, error) {
 	if m.From == "" {
 		return d.ownFacts(), nil
 	}
-	records := maxRecords
-	if len(m.Records) == 0 {
-		records = noRecords
-	}
-	out := d.message(m.From, records)
-	if m.WantAll {
-		out.Records = d.allRecords()
-	}
-	d.absorb(m, "")
-	return out, nil
+	out, l := d.gossip.Answer(d.toMessage(m), d.deps.Clock.Now())
+	d.learnt(l)
+	d.heard(m, "")
+	return d.fromMessage(out), nil
 }
 
 // Declaration implements port.MemberHandler.
@@ -54,30 +45,20 @@
 func (d handler) Members(context.Context) (port.ExchangeMessage, error) { return d.wholeTable(), nil }
 
 func (d *Directory) wholeTable() port.ExchangeMessage {
-	m := d.head(d.deps.Clock.Now())
+	m := d.fromMessage(d.gossip.Head())
 	m.Records = d.allRecords()
 	return m
 }
 
 func (d *Directory) ownFacts() port.ExchangeMessage {
 	now := d.deps.Clock.Now()
-	m := d.head(now)
+	m := d.fromMessage(d.gossip.Head())
 	if s, ok := d.table.Get(d.cfg.Self.ID, now); ok {
 		m.Records = []port.MemberRecord{fromCore(s)}
 	}
 	return m
 }
 
-// head returns a message without records.
-func (d *Directory) head(now time.Time) port.ExchangeMessage {
-	h, age := d.rev.Held(now)
-	m := port.ExchangeMessage{From: d.cfg.Self.ID, Age: age, Digest: d.table.Digest()}
-	if h.Declaration != nil {
-		m.Revision = h.Declaration.Revision
-	}
-	return m
-}
-
 func (d *Directory) allRecords() []port.MemberRecord {
 	var out []port.MemberRecord
 	for _, s := range d.table.All(d.deps.Clock.Now()) {
--- /dev/null
+++ b/internal/app/directory/intern.go
@@ -0,0 +1,74 @@
+package directory
+
+import (
+	"maps"
+	"unique"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/shard"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// maxLabelSets bounds the sets of labels that are shared between records. Above
+// it, sharing starts again; records keep the sets that they have.
+const maxLabelSets = 1024
+
+// interner lets records share what most of them have in common: names, the
+// version, and labels. A set of labels alone takes 400 bytes.
+type interner struct {
+	labels *shard.Map[uint64, map[string]string]
+}
+
+func same[S ~string](s S) S { return unique.Make(s).Value() }
+
+// record replaces the parts of a record by shared ones.
+func (in interner) record(r *port.MemberRecord) {
+	r.Domain, r.Region = same(r.Domain), same(r.Region)
+	r.Labels = in.set(r.Labels)
+	if s := r.Status; s != nil {
+		if string(s.VM) == r.ID {
+			s.VM = fleet.VM(r.ID)
+		}
+		s.Domain, s.Group, s.Service, s.Version = same(s.Domain), same(s.Group), same(s.Service), same(s.Version)
+		p := &s.Progress
+		p.Target, p.State, p.Reason = same(p.Target), same(p.State), same(p.Reason)
+	}
+}
+
+// set returns an equal set that other records have, if there is one. Records of
+// members are never modified, so that they can share it.
+func (in interner) set(labels map[string]string) map[string]string {
+	if len(labels) == 0 {
+		return nil
+	}
+	var sum uint64
+	for k, v := range labels {
+		sum += fnv(k, v)
+	}
+	if old, ok := in.labels.Get(sum); ok && maps.Equal(old, labels) {
+		return old
+	}
+	if in.labels.Len() >= maxLabelSets {
+		var keys []uint64
+		in.labels.Range(func(k uint64, _ map[string]string) bool {
+			keys = append(keys, k)
+			return true
+		})
+		for _, k := range keys {
+			in.labels.Delete(k)
+		}
+	}
+	in.labels.Put(sum, labels)
+	return labels
+}
+
+// fnv is FNV-1a over a label.
+func fnv(k, v string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range []string{k, "=", v} {
+		for i := range len(s) {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	return h
+}
--- a/internal/app/directory/reader.go
+++ b/internal/app/directory/reader.go
@@ -25,9 +25,10 @@
 	// leaving before its agent is contacted, since the list lags.
 	vmMisses = 2
 	// vmListPerVM times the length of the list is the least time between two
-	// reads of it. At 50 bytes a line it bounds them to 1.25 KB/s, whatever
-	// the size of the fleet.
-	vmListPerVM = 40 * time.Millisecond
+	// reads of it. At 50 bytes a line it bounds them to 250 B/s, whatever the
+	// size of the fleet. The list has no form that tells only what changed; that
+	// an agent is gone is found by its neighbours in any case.
+	vmListPerVM = 200 * time.Millisecond
 	// vmProbes bounds the agents contacted after one list.
 	vmProbes = 8
 )
@@ -158,7 +159,7 @@
 			continue
 		}
 		probes++
-		wg.Go(func() { d.exchange(ctx, target{s.ID, s.Address}, announceRecords, false) })
+		wg.Go(func() { d.exchange(ctx, target{s.ID, s.Address}, compared) })
 	}
 	for id := range misses {
 		if !known[id] {
--- a/internal/app/directory/record.go
+++ b/internal/app/directory/record.go
@@ -13,10 +13,90 @@
 	return membership.Record[port.MemberRecord]{
 		ID: r.ID, Kind: r.Kind, Domain: r.Domain, Address: r.Address,
 		Incarnation: r.Incarnation, Version: r.Version, State: membership.State(r.State),
-		Payload: r,
+		Marks: marks(r.Status), Payload: r,
 	}
 }
 
+// marks returns what others should hear of at once beside the state.
+func marks(s *port.AgentStatus) (m uint8) {
+	if s == nil {
+		return 0
+	}
+	for i, set := range []bool{s.Cordoned, s.Leaving, s.Ready} {
+		if set {
+			m |= 1 << i
+		}
+	}
+	return m
+}
+
+// Sizes of a record in a message, without its strings.
+const (
+	bareBytes   = 24
+	memberBytes = 40
+	statusBytes = 40
+	labelBytes  = 6
+)
+
+// recordSize estimates the bytes of a record in a message.
+func recordSize(r *membership.Record[port.MemberRecord]) int {
+	if r.Bare {
+		return bareBytes + len(r.ID)
+	}
+	p := &r.Payload
+	n := memberBytes + len(r.ID) + len(r.Domain) + len(p.Region) + len(r.Address) + len(p.AdminAddress)
+	for k, v := range p.Labels {
+		n += labelBytes + len(k) + len(v)
+	}
+	if s := p.Status; s != nil {
+		n += statusBytes + len(s.Group) + len(s.Service) + len(s.Version) + len(s.Progress.Target) +
+			len(s.Progress.State) + len(s.Progress.Reason)
+	}
+	return n
+}
+
+// toMessage leaves out records that no process may send.
+func (d *Directory) toMessage(m port.ExchangeMessage) membership.Message[port.MemberRecord] {
+	out := membership.Message[port.MemberRecord]{
+		From: m.From, Digest: m.Digest, Compare: m.Compare, Group: int(m.Group), Digests: m.Digests, Want: m.Want,
+	}
+	for _, l := range m.Leaves {
+		out.Leaves = append(out.Leaves, int(l))
+	}
+	for _, r := range m.Records {
+		if r.ID == "" || r.State > port.MemberDead {
+			continue
+		}
+		d.intern.record(&r)
+		s := membership.Seen[port.MemberRecord]{Record: toCore(r), Age: r.Age}
+		s.Bare = r.Address == ""
+		out.Records = append(out.Records, s)
+	}
+	return out
+}
+
+// fromMessage adds the revision.
+func (d *Directory) fromMessage(m membership.Message[port.MemberRecord]) port.ExchangeMessage {
+	h, age := d.rev.Held(d.deps.Clock.Now())
+	out := port.ExchangeMessage{
+		From: m.From, Age: age, Digest: m.Digest, Compare: m.Compare, Group: uint32(m.Group), Digests: m.Digests, Want: m.Want,
+	}
+	if h.Declaration != nil {
+		out.Revision = h.Declaration.Revision
+	}
+	for _, l := range m.Leaves {
+		out.Leaves = append(out.Leaves, uint32(l))
+	}
+	for _, s := range m.Records {
+		r := fromCore(s)
+		if s.Bare {
+			r.ID = s.ID
+		}
+		out.Records = append(out.Records, r)
+	}
+	return out
+}
+
 // fromCore returns the payload with what the table knows better.
 func fromCore(s membership.Seen[port.MemberRecord]) port.MemberRecord {
 	r := s.Payload
@@ -45,7 +125,7 @@
 	change(&rec)
 	d.own.rec, d.own.dirty = rec, true
 	state := stateChanged(old, rec)
-	if state || now.Sub(d.own.published) >= d.cfg.StatusEvery {
+	if state || now.Sub(d.own.published) >= d.statusGap() {
 		d.publishLocked(now)
 	}
 	d.own.mu.Unlock()
@@ -99,47 +179,21 @@
 	}
 }
 
-// flushSelf publishes changes that waited for StatusEvery.
+// statusPerMember times the number of members is the least time between two
+// versions of a record that differ in load and progress only. Only operators
+// read these from records, and a spread to 600 VMs would otherwise change 120
+// records a second.
+const statusPerMember = 100 * time.Millisecond
+
+func (d *Directory) statusGap() time.Duration {
+	return max(d.cfg.StatusEvery, time.Duration(d.table.Len())*statusPerMember)
+}
+
+// flushSelf publishes changes that waited for statusGap.
 func (d *Directory) flushSelf(now time.Time) {
 	d.own.mu.Lock()
 	defer d.own.mu.Unlock()
-	if d.own.dirty && now.Sub(d.own.published) >= d.cfg.StatusEvery {
+	if d.own.dirty && now.Sub(d.own.published) >= d.statusGap() {
 		d.publishLocked(now)
 	}
 }
-
-// recordsPerSecond and recordsBurst bound how many records of others a process
-// passes on. A record has about 150 bytes, so that the steady rate is about
-// 1.2 KB/s; the burst lets a fleet of 60 machines settle at once.
-const (
-	recordsPerSecond = 4
-	recordsBurst     = 128
-)
-
-// budget is a token bucket for records of others.
-type budget struct {
-	mu     sync.Mutex
-	tokens float64
-	last   time.Time
-}
-
-// take reserves records to pass on, at most want.
-func (b *budget) take(want int, now time.Time) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.last.IsZero() {
-		b.tokens, b.last = recordsBurst, now
-	}
-	b.tokens = min(recordsBurst, b.tokens+now.Sub(b.last).Seconds()*recordsPerSecond)
-	b.last = now
-	n := max(0, min(want, int(b.tokens)))
-	b.tokens -= float64(n)
-	return n
-}
-
-// giveBack returns what was reserved and not used.
-func (b *budget) giveBack(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens += float64(n)
-}
--- a/internal/app/directory/startup.go
+++ b/internal/app/directory/startup.go
@@ -104,7 +104,7 @@
 
 // askSeed joins through one seed and takes its declaration.
 func (d *Directory) askSeed(ctx context.Context, a fleet.Address, heard chan struct{}) {
-	if d.exchange(ctx, target{addr: a}, maxRecords, true) {
+	if d.exchange(ctx, target{addr: a}, compared) {
 		doc, err := d.deps.Members.Declaration(ctx, a)
 		if err == nil {
 			_, _ = d.accept(doc.Stored, doc.Age)
--- a/internal/core/membership/choose.go
+++ b/internal/core/membership/choose.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -43,13 +42,27 @@
 	score uint64
 }
 
-// top returns the n ids with the highest scores.
-func top(rs []ranked, n int) []string {
-	slices.SortFunc(rs, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.id, b.id))
-	})
-	out := make([]string, 0, n)
-	for _, r := range rs[:min(n, len(rs))] {
+// best keeps the ids with the highest scores, in falling order. n is small.
+type best struct {
+	n  int
+	rs []ranked
+}
+
+func (b *best) add(r ranked) {
+	at := len(b.rs)
+	for at > 0 && (b.rs[at-1].score < r.score || b.rs[at-1].score == r.score && b.rs[at-1].id > r.id) {
+		at--
+	}
+	if at == b.n {
+		return
+	}
+	b.rs = slices.Insert(b.rs, at, r)
+	b.rs = b.rs[:min(len(b.rs), b.n)]
+}
+
+func (b *best) ids() []string {
+	out := make([]string, 0, len(b.rs))
+	for _, r := range b.rs {
 		out = append(out, r.id)
 	}
 	return out
@@ -61,18 +74,18 @@
 // the choice only of those that had chosen it.
 func (t *Table[P]) Neighbours(now time.Time) []string {
 	self := t.Self()
-	var own, other []ranked
+	own, other := best{n: OwnNeighbours}, best{n: OtherNeighbours}
 	t.m.Range(func(id string, e entry[P]) bool {
-		switch r := (ranked{id, hash(self.ID, id)}); {
+		switch {
 		case id == self.ID || e.gone(now):
 		case e.rec.Domain == self.Domain:
-			own = append(own, r)
+			own.add(ranked{id, hash(self.ID, id)})
 		default:
-			other = append(other, r)
+			other.add(ranked{id, hash(self.ID, id)})
 		}
 		return true
 	})
-	return append(top(own, OwnNeighbours), top(other, OtherNeighbours)...)
+	return append(own.ids(), other.ids()...)
 }
 
 // Dead returns the ids of dead members.
@@ -98,12 +111,12 @@
 // Readers returns the readers of a failure domain. A suspect is passed over,
 // so that the domain has two readers that answer.
 func (t *Table[P]) Readers(d fleet.Domain) []string {
-	var rs []ranked
+	first := best{n: ReadersPerDomain}
 	t.m.Range(func(id string, e entry[P]) bool {
 		if e.rec.Kind == fleet.KindEntry && e.rec.Domain == d && e.rec.State == Alive {
-			rs = append(rs, ranked{id, hash(string(d), id)})
+			first.add(ranked{id, hash(string(d), id)})
 		}
 		return true
 	})
-	return top(rs, ReadersPerDomain)
+	return first.ids()
 }
--- a/internal/core/membership/suspicion.go
+++ b/internal/core/membership/suspicion.go
@@ -12,8 +12,8 @@
 	if id == t.self {
 		return
 	}
-	t.m.Update(id, func(e entry[P], ok bool) (entry[P], bool) {
-		e.heard, e.failing = now, time.Time{}
+	t.update(id, func(e entry[P], ok bool) (entry[P], bool) {
+		e.heard, e.failing = at(now), 0
 		return e, ok
 	})
 }
@@ -23,9 +23,9 @@
 	if id == t.self {
 		return
 	}
-	t.m.Update(id, func(e entry[P], ok bool) (entry[P], bool) {
-		if e.failing.IsZero() {
-			e.failing = now
+	t.update(id, func(e entry[P], ok bool) (entry[P], bool) {
+		if e.failing == 0 {
+			e.failing = at(now)
 		}
 		return e, ok
 	})
@@ -36,7 +36,7 @@
 func (t *Table[P]) Failing() []string {
 	var out []string
 	t.m.Range(func(id string, e entry[P]) bool {
-		if !e.failing.IsZero() && e.rec.State != Dead {
+		if e.failing != 0 && e.rec.State != Dead {
 			out = append(out, id)
 		}
 		return true
@@ -54,7 +54,7 @@
 	paused := last != 0 && now.Sub(time.Unix(0, last)) >= SuspectAfter
 	changed := false
 	for _, id := range t.ids() {
-		t.m.Update(id, func(e entry[P], ok bool) (entry[P], bool) {
+		t.update(id, func(e entry[P], ok bool) (entry[P], bool) {
 			if !ok || id == t.self {
 				return e, ok
 			}
@@ -63,11 +63,11 @@
 			}
 			next := e.next(now)
 			if next == e.rec.State {
-				return e, next != Dead || now.Sub(e.since) < KeepDead
+				return e, next != Dead || e.since.until(now) < KeepDead
 			}
 			changed = true
-			e.rec.State, e.since, e.sends = next, now, initialSends
-			return e, true
+			e.rec.State, e.since = next, at(now)
+			return e.changed(now, true), true
 		})
 	}
 	return changed
@@ -75,22 +75,22 @@
 
 // forgive starts the time of a suspicion again.
 func (e entry[P]) forgive(now time.Time) entry[P] {
-	e.failing = time.Time{}
+	e.failing = 0
 	if e.rec.State == Suspect {
-		e.since = now
+		e.since = at(now)
 	}
 	return e
 }
 
 func (e entry[P]) next(now time.Time) State {
 	silent := time.Duration(0)
-	if !e.failing.IsZero() {
-		silent = now.Sub(e.failing)
+	if e.failing != 0 {
+		silent = e.failing.until(now)
 	}
 	switch {
 	case e.rec.State == Alive && silent >= SuspectAfter:
 		return Suspect
-	case e.rec.State == Suspect && now.Sub(e.since) >= DeadAfter-SuspectAfter:
+	case e.rec.State == Suspect && e.since.until(now) >= DeadAfter-SuspectAfter:
 		return Dead
 	case e.rec.State == Leaving && silent >= SuspectAfter:
 		return Dead
@@ -113,7 +113,7 @@
 	var out []string
 	t.m.Range(func(id string, e entry[P]) bool {
 		silent := e.rec.State == Suspect || e.rec.State == Dead
-		if silent && e.failing.IsZero() && !e.gone(now) {
+		if silent && e.failing == 0 && !e.gone(now) {
 			out = append(out, id)
 		}
 		return true
@@ -131,7 +131,7 @@
 func (t *Table[P]) Troubled(now time.Time) []string {
 	domains := map[fleet.Domain]bool{}
 	t.m.Range(func(_ string, e entry[P]) bool {
-		if e.rec.State == Suspect || e.rec.State == Dead && now.Sub(e.since) < troubledFor {
+		if e.rec.State == Suspect || e.rec.State == Dead && e.since.until(now) < troubledFor {
 			domains[e.rec.Domain] = true
 		}
 		return true
@@ -141,7 +141,7 @@
 	}
 	var out []string
 	t.m.Range(func(id string, e entry[P]) bool {
-		if id != t.self && e.rec.State == Alive && e.failing.IsZero() && domains[e.rec.Domain] {
+		if id != t.self && e.rec.State == Alive && e.failing == 0 && domains[e.rec.Domain] {
 			out = append(out, id)
 		}
 		return true
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -55,6 +55,13 @@
 	// Version rises with each change that the member makes to its record.
 	Version uint64
 	State   State
+	// Marks hold what the payload says that others should hear of at once, such
+	// as that the member is cordoned. Only a difference of marks matters.
+	Marks uint8
+	// Bare marks a record of the state alone: incarnation and state count, the
+	// rest is not set. It changes nothing in a table that does not hold the
+	// member in that incarnation.
+	Bare    bool
 	Payload P
 }
 
@@ -68,28 +75,41 @@
 		return a, false
 	}
 	out, state := a, max(a.State, b.State)
-	if b.Version > a.Version {
+	if b.Version > a.Version && !b.Bare {
 		out = b
 	}
 	out.State = state
 	return out, out.Version != a.Version || out.State != a.State
 }
 
+// instant is a time in Unix nanoseconds; zero means never. It takes a third of
+// the memory of a time.Time.
+type instant int64
+
+func at(t time.Time) instant { return instant(t.UnixNano()) }
+
+// until returns the time from i to now.
+func (i instant) until(now time.Time) time.Duration { return time.Duration(now.UnixNano() - int64(i)) }
+
 // entry is a record with what this process observed of the member.
 type entry[P any] struct {
 	rec Record[P]
 	// heard is when the record was last known to be true, here or elsewhere.
-	heard time.Time
+	heard instant
 	// failing is when the first of a row of failed contacts happened; zero
 	// after a successful one.
-	failing time.Time
+	failing instant
 	// since is when the state was entered, as seen here.
-	since time.Time
+	since instant
 	// listed is the time until which a member that others report as dead is
 	// still used, so that it can refute.
-	listed time.Time
-	// sends counts how often a change is still to be passed on.
-	sends int
+	listed instant
+	// news is when this process learnt of the last change, and sends counts how
+	// often it is still to be passed on.
+	news  instant
+	sends uint16
+	// urgent means that the change is one of state or marks.
+	urgent bool
 }
 
 // gone reports whether the member is dead and had the time to refute. When a
@@ -97,8 +117,8 @@
 // that time every member would vanish for a moment. It ends early if this
 // process cannot reach the member either.
 func (e entry[P]) gone(now time.Time) bool {
-	silent := !e.failing.IsZero() && now.Sub(e.failing) >= SuspectAfter
-	return e.rec.State == Dead && (silent || !now.Before(e.listed))
+	silent := e.failing != 0 && e.failing.until(now) >= SuspectAfter
+	return e.rec.State == Dead && (silent || e.listed.until(now) >= 0)
 }
 
 // Seen is a record with the time since it was last known to be true.
@@ -116,12 +136,15 @@
 	m    *shard.Map[string, entry[P]]
 	// ticked is the time of the last Tick in Unix nanoseconds, or 0.
 	ticked atomic.Int64
+	parts  parts
 }
 
 // NewTable returns a table that holds the record of its own process.
 func NewTable[P any](self Record[P], now time.Time) *Table[P] {
 	t := &Table[P]{self: self.ID, m: shard.New[string, entry[P]](0)}
-	t.m.Put(self.ID, entry[P]{rec: self, heard: now, since: now, sends: initialSends})
+	t.update(self.ID, func(entry[P], bool) (entry[P], bool) {
+		return entry[P]{rec: self, heard: at(now), since: at(now)}.changed(now, false), true
+	})
 	return t
 }
 
@@ -145,16 +168,18 @@
 	if e.rec.ID == t.self {
 		return 0
 	}
-	return max(0, now.Sub(e.heard))
+	return max(0, e.heard.until(now))
 }
 
 // SetSelf changes the record of the process itself and raises its version.
 func (t *Table[P]) SetSelf(now time.Time, change func(*Record[P])) Record[P] {
 	var out Record[P]
-	t.m.Update(t.self, func(e entry[P], _ bool) (entry[P], bool) {
+	t.update(t.self, func(e entry[P], _ bool) (entry[P], bool) {
+		old := e.rec
 		change(&e.rec)
 		e.rec.Version++
-		e.heard, e.sends = now, initialSends
+		e.heard = at(now)
+		e = e.changed(now, old.State != e.rec.State || old.Marks != e.rec.Marks)
 		out = e.rec
 		return e, true
 	})
@@ -168,10 +193,9 @@
 const (
 	// Unchanged means that nothing new was learnt.
 	Unchanged Outcome = iota
-	// Updated means that the record changed and is passed on.
+	// Updated means that the member is new or its record changed.
 	Updated
-	// Moved means that the member is new or its state changed, which is passed
-	// on at once.
+	// Moved means that its state or marks changed, which is passed on at once.
 	Moved
 	// Refuted means that another process held this one for suspect or dead, or
 	// knew a former life of it, and its incarnation was raised.
@@ -185,31 +209,42 @@
 		return t.refute(r, now)
 	}
 	out := Unchanged
-	t.m.Update(r.ID, func(e entry[P], ok bool) (entry[P], bool) {
+	t.update(r.ID, func(e entry[P], ok bool) (entry[P], bool) {
+		if r.Bare && (!ok || r.Incarnation != e.rec.Incarnation) {
+			return e, ok
+		}
 		if !ok {
 			if r.State == Dead && age > KeepDead {
 				return e, false
 			}
-			out = Moved
-			return entry[P]{rec: r, heard: now.Add(-age), since: now, sends: initialSends}, true
+			out = Updated
+			e = entry[P]{rec: r, heard: at(now.Add(-age)), since: at(now)}
+			if age < newsFor {
+				e = e.changed(now, false)
+			}
+			return e, true
 		}
 		merged, changed := Merge(e.rec, r)
 		same := merged.Incarnation == r.Incarnation && merged.Version == r.Version && merged.State == r.State
-		if at := now.Add(-age); same && at.After(e.heard) {
-			e.heard = at
+		if heard := at(now.Add(-age)); same && heard > e.heard {
+			e.heard = heard
 		}
 		if !changed {
 			return e, true
 		}
-		out, e.sends = Updated, initialSends
+		out = Updated
 		if merged.State != e.rec.State {
 			if e.rec.State == Alive && merged.State == Dead {
-				e.listed = now.Add(ReportedGrace)
+				e.listed = at(now.Add(ReportedGrace))
 			}
-			e.since, out = now, Moved
+			e.since, out = at(now), Moved
+		}
+		if merged.Marks != e.rec.Marks {
+			out = Moved
 		}
+		e = e.changed(now, out == Moved)
 		if merged.Incarnation > e.rec.Incarnation {
-			e.failing = time.Time{}
+			e.failing = 0
 		}
 		e.rec = merged
 		return e, true
@@ -221,13 +256,14 @@
 // holds a record that would win over its own.
 func (t *Table[P]) refute(r Record[P], now time.Time) Outcome {
 	out := Unchanged
-	t.m.Update(t.self, func(e entry[P], _ bool) (entry[P], bool) {
+	t.update(t.self, func(e entry[P], _ bool) (entry[P], bool) {
 		if _, changed := Merge(e.rec, r); !changed {
 			return e, true
 		}
 		out = Refuted
 		e.rec.Incarnation = max(e.rec.Incarnation, r.Incarnation) + 1
-		e.heard, e.sends = now, initialSends
+		e.heard = at(now)
+		e = e.changed(now, true)
 		return e, true
 	})
 	return out
--- a/internal/port/process.go
+++ b/internal/port/process.go
@@ -164,7 +164,8 @@
 	MemberDead
 )
 
-// MemberRecord is what is known of one process.
+// MemberRecord is what is known of one process. In an exchange, one without an
+// address has its state alone: ID, Incarnation, Version and State.
 type MemberRecord struct {
 	ID           string
 	Kind         fleet.Kind
@@ -195,7 +196,13 @@
 	Age     time.Duration
 	Digest  uint64
 	Records []MemberRecord
-	WantAll bool
+	// Compare, Group, Digests, Leaves and Want find out where two tables differ.
+	// See membership.Message.
+	Compare bool
+	Group   uint32
+	Digests []uint32
+	Leaves  []uint32
+	Want    []string
 }
 
 // Document is the stored form of a declaration.
