weights: say that a version without a manifest waits for the origin

While the origin was down before a version had its manifest, masticwingctl status showed "no progress in state manifest" or "waiting for manifest".

The reason now follows from what the origin answered: "waiting for origin", "origin does not have the version", or that its manifest is not that of the version. Agents that have not yet asked the origin still show "waiting for manifest".

--- a/internal/adapter/originhttp/originhttp.go
+++ b/internal/adapter/originhttp/originhttp.go
@@ -108,6 +108,10 @@
 		return fail(err)
 	}
 	timer.Stop()
+	if resp.StatusCode == http.StatusNotFound {
+		_ = resp.Body.Close()
+		return fail(port.ErrVersionUnknown)
+	}
 	if resp.StatusCode != http.StatusOK {
 		_ = resp.Body.Close()
 		return fail(errors.Errorf("origin answered with status %d", resp.StatusCode))
--- a/internal/app/weights/peers.go
+++ b/internal/app/weights/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/core/declare"
@@ -72,15 +73,30 @@
 		}
 		step := time.Duration(min(max(0, rank-manifestFirst+1), manifestSteps)) * spread.OriginStep
 		if v.m.deps.Clock.Now().Sub(start) >= step {
-			if man, err := v.m.deps.Origin.Manifest(v.ctx, v.id); err == nil && man.Check(v.id) == nil {
+			man, err := v.m.deps.Origin.Manifest(v.ctx, v.id)
+			if err == nil && man.Check(v.id) == nil {
 				return man, true
 			}
+			v.setReason(manifestReason(err))
 		}
 		_ = v.m.sleep(v.ctx, manifestRetry)
 	}
 	return manifest.Manifest{}, false
 }
 
+// manifestReason says what a version without a manifest waits for after the
+// origin was asked for it.
+func manifestReason(err error) string {
+	switch {
+	case err == nil:
+		return "manifest of the origin is not that of the version"
+	case errors.Is(err, port.ErrVersionUnknown):
+		return "origin does not have the version"
+	default:
+		return "waiting for origin"
+	}
+}
+
 // manifestFromPeers asks those that ask the origin first in even rounds, and
 // random ones in odd rounds.
 func (v *version) manifestFromPeers(others []spread.Member, round int) (manifest.Manifest, bool) {
--- a/internal/port/weights.go
+++ b/internal/port/weights.go
@@ -3,9 +3,15 @@
 import (
 	"io"
 
+	"github.com/pkg/errors"
+
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
+// ErrVersionUnknown means that the origin answers and does not have a version,
+// or a chunk of it.
+var ErrVersionUnknown = errors.New("origin does not have the version")
+
 // WeightsTarget names the version that an agent should hold.
 type WeightsTarget struct {
 	Model   fleet.Model
--- a/test/spread/bed_test.go
+++ b/test/spread/bed_test.go
@@ -68,6 +68,14 @@
 // declare publishes the version of a seed, declares that it is served, and
 // returns its digest.
 func (b *bed) declare(seed uint64) string {
+	b.t.Helper()
+	v := b.publish(seed)
+	b.apply(seed)
+	return v
+}
+
+// publish makes the origin offer the version of a seed.
+func (b *bed) publish(seed uint64) string {
 	b.t.Helper()
 	in := map[string]any{"model": "m", "size": strconv.Itoa(newBytes), "chunk": strconv.Itoa(chunk), "seed": seed}
 	var out struct{ Version string }
@@ -76,10 +84,15 @@
 	}
 	name := fmt.Sprintf("v%d", seed)
 	b.ids[name] = out.Version
-	if err := b.Apply(b.t.Context(), b.Spec.Declare(b.ids, name)); err != nil {
+	return out.Version
+}
+
+// apply declares that a published version is served.
+func (b *bed) apply(seed uint64) {
+	b.t.Helper()
+	if err := b.Apply(b.t.Context(), b.Spec.Declare(b.ids, fmt.Sprintf("v%d", seed))); err != nil {
 		b.t.Fatal(err)
 	}
-	return out.Version
 }
 
 // status is the part of an agent's /status that the tests read.
--- a/test/spread/faults_test.go
+++ b/test/spread/faults_test.go
@@ -66,20 +66,44 @@
 	v := b.declare(2)
 	b.partly(b.Agents[0], v, 0.2)
 	b.faults(origin.Faults{Down: true})
-	what := "a machine that waits for the origin"
-	err := harness.WaitFor(t.Context(), limit, what, func() error {
-		out, _, err := b.Ctl(t.Context(), "status", "--peer", b.Entries[0].RPC)
-		if err == nil && !strings.Contains(out, "waiting for origin") {
+	b.shows("waiting for origin")
+	b.answers(version(1, oldBytes), b.Entries[0])
+	b.faults(origin.Faults{})
+	b.serves(v, b.Agents...)
+}
+
+// shows waits until masticwingctl status shows a text.
+func (b *bed) shows(text string) {
+	b.t.Helper()
+	err := harness.WaitFor(b.t.Context(), limit, "status to show "+text, func() error {
+		out, _, err := b.Ctl(b.t.Context(), "status", "--peer", b.Entries[0].RPC)
+		if err == nil && !strings.Contains(out, text) {
 			return errNotShown(out)
 		}
 		return err
 	})
 	if err != nil {
-		t.Fatal(err)
+		b.t.Fatal(err)
+	}
+}
+
+// TestOriginDownBeforeManifest guards against a status that does not name the
+// origin as the reason while a version has not even a manifest, and that calls
+// an origin down that answers and does not have the version.
+func TestOriginDownBeforeManifest(t *testing.T) {
+	b := start(t, nil)
+	v := b.publish(2)
+	b.faults(origin.Faults{Down: true})
+	b.apply(2)
+	for _, n := range b.Agents {
+		b.shows("stuck: " + n.Name + ": waiting for origin")
 	}
 	b.answers(version(1, oldBytes), b.Entries[0])
 	b.faults(origin.Faults{})
 	b.serves(v, b.Agents...)
+	b.ids["v3"] = strings.Repeat("3", len(v))
+	b.apply(3)
+	b.shows("origin does not have the version")
 }
 
 type errNotShown string
