spread: get chunks past a peer that corrupts them; bound what the origin gives beyond its budget

Corrupted peer. A chunk counted as present in a region while any watched peer announced it. When the owner of some chunks sent all of them corrupted, nobody else fetched these, and the region never had the version. Now a peer counts as having nothing after two corrupted chunks in a row, for as long as it is avoided, so that the takeover rules apply within the quotas.

Origin budget. After 30 s of standstill each gateway with a used quota drew one more chunk, and if that one was corrupted as well, the next one at once, since the standstill went on: an origin that corrupts everything was asked without a limit. Now one of the gateways that can be heard does it for its region, at most once in 30 s.

TestOriginBoundUnderFaults (rapid) holds 4 copies + wasted + lost with dead machines. TestAllowanceExtends has the new arguments, and checks the pause as well.

--- a/internal/app/weights/fetch.go
+++ b/internal/app/weights/fetch.go
@@ -86,7 +86,8 @@
 func (v *version) grant(b *body, plan *spread.Plan, now time.Time) {
 	first := b.man.Chunks[0].Bytes
 	if v.allow.IsSet() {
-		v.allow.Extend(first, v.still(now))
+		lost := func(vm fleet.VM) bool { return b.table.Unheard(vm, now) }
+		v.allow.Extend(first, now, v.still(now), plan.ExtendAfter(lost))
 		return
 	}
 	if lacking, _ := b.table.Lacking(now); lacking > 0 {
--- a/internal/core/spread/allowance.go
+++ b/internal/core/spread/allowance.go
@@ -11,9 +11,10 @@
 	maxOriginPause = 4 * time.Second
 )
 
-// standstill is the time without any new chunk after which an agent with a used
-// allowance may draw one more. Faults can use up all allowances of a region, and
-// without it the version would never be complete.
+// standstill is the time without any new chunk after which a gateway with a used
+// allowance may draw one more. Corrupted or cut transfers and lost gateways can
+// use up all allowances of a region, and without it the version would never be
+// complete.
 const standstill = 30 * time.Second
 
 // Allowance is what an agent may still draw from the origin for one version,
@@ -25,6 +26,8 @@
 	pause   time.Duration
 	until   time.Time
 	average time.Duration
+	// extended is the time of the last extension.
+	extended time.Time
 }
 
 // Set gives the allowance in bytes, once.
@@ -57,12 +60,14 @@
 	return a.left < n
 }
 
-// Extend adds n bytes to a used allowance after a standstill.
-func (a *Allowance) Extend(n int64, still time.Duration) {
+// Extend adds n bytes to a used allowance after a standstill of the given time,
+// and not again before that time has passed: what was drawn may have been
+// corrupted, and the standstill then goes on.
+func (a *Allowance) Extend(n int64, now time.Time, still, after time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.set && a.left < n && still > standstill {
-		a.left = n
+	if a.set && a.left < n && still > after && now.Sub(a.extended) > after {
+		a.left, a.extended = n, now
 	}
 }
 
--- a/internal/core/spread/pick.go
+++ b/internal/core/spread/pick.go
@@ -110,7 +110,7 @@
 	OriginReady bool
 }
 
-// PickOutside chooses a chunk that no watched peer of the region has, and
+// PickOutside chooses a chunk that no trusted peer of the region has, and
 // claims it. The origin is asked where it may be; otherwise a peer of another
 // region that has the chunk. blocked reports that a chunk could be fetched from
 // the origin only, which is not ready.
@@ -119,7 +119,7 @@
 		m := t.masks(now, maxSlots)
 		var free []int
 		t.chunks.Range(func(c int, s missing) bool {
-			if s.holders&m.local == 0 && s.free(now) {
+			if s.holders&m.trusted == 0 && s.free(now) {
 				free = append(free, c)
 			}
 			return true
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -224,6 +224,22 @@
 	return quiet >= time.Duration(steps)*patience
 }
 
+// ExtendAfter returns the standstill after which this gateway may draw a chunk
+// beyond its allowance. The k-th of the gateways that can be heard waits k times
+// the least one, so that one of them does it for the region.
+func (p *Plan) ExtendAfter(lost func(fleet.VM) bool) time.Duration {
+	turn := 1
+	for _, g := range p.Gateways {
+		if g.VM == p.Self.VM {
+			break
+		}
+		if !lost(g.VM) {
+			turn++
+		}
+	}
+	return time.Duration(turn) * standstill
+}
+
 // soloGateways is the number of gateways from which each fetches one chunk at a
 // time from outside.
 const soloGateways = 4
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -204,15 +204,24 @@
 	var a Allowance
 	a.Set(10)
 	a.Spend(10)
-	a.Extend(10, standstill/2)
+	a.Extend(10, now, standstill/2, standstill)
 	if a.Ready(now, 10) {
 		t.Fatal("extended while chunks arrive")
 	}
-	a.Extend(10, 2*standstill)
-	a.Extend(10, 2*standstill)
+	a.Extend(10, now, 2*standstill, standstill)
+	a.Extend(10, now, 2*standstill, standstill)
 	if !a.Ready(now, 10) || a.Ready(now, 11) {
 		t.Fatal("not extended by one chunk")
 	}
+	a.Spend(10)
+	a.Extend(10, now.Add(standstill), 3*standstill, standstill)
+	if a.Ready(now, 10) {
+		t.Fatal("extended again at once after a corrupted chunk")
+	}
+	a.Extend(10, now.Add(standstill+1), 3*standstill, standstill)
+	if !a.Ready(now, 10) {
+		t.Fatal("not extended again")
+	}
 }
 
 // simulation spreads a version in rounds without links: each agent starts up
@@ -227,6 +236,15 @@
 	origin  int
 	outside map[fleet.Region]int
 	rnd     Rand
+	// gain is when each agent got its last chunk; bad is the number of draws
+	// that still arrive corrupted. drawn counts the correct ones by agent, and
+	// wasted those that were corrupted.
+	gain   []time.Time
+	bad    int
+	drawn  []int
+	wasted int
+	// fixed turns extensions off.
+	fixed bool
 }
 
 func newSimulation(ms []Member, chunks int, rnd Rand) *simulation {
@@ -239,6 +257,7 @@
 		s.tables = append(s.tables, NewTable(chunks))
 		s.allow = append(s.allow, &Allowance{})
 		s.allow[i].Set(int64(p.Quota(chunks)))
+		s.gain, s.drawn = append(s.gain, s.now), append(s.drawn, 0)
 		for _, n := range p.Neighbours {
 			s.tables[i].AddPeer(n.VM, p.Role(n), s.now)
 		}
@@ -284,9 +303,13 @@
 		Idle: func(vm fleet.VM) time.Duration { return t.Idle(vm, s.now) },
 		Lost: func(vm fleet.VM) bool { return t.Unheard(vm, s.now) },
 	}
+	still := s.now.Sub(s.gain[i])
+	if p.Gateway && !s.fixed {
+		s.allow[i].Extend(1, s.now, still, p.ExtendAfter(sight.Lost))
+	}
 	may := func(c int) (bool, bool) {
 		owner, _ := p.Owner(c)
-		return p.Gateway && (owner == p.Self.VM || p.MayTakeOver(c, sight)), p.Draws(c)
+		return p.Gateway && (owner == p.Self.VM || p.MayTakeOver(c, sight)), p.Draws(c) || still > 2*OriginStep
 	}
 	ch, ok, _ := t.PickOutside(s.now, Outside{May: may, OriginReady: s.allow[i].Ready(s.now, 1)}, s.rnd)
 	if ok && ch.Origin {
@@ -305,7 +328,14 @@
 	}
 	if ch.Origin {
 		s.origin++
+		if s.bad > 0 {
+			s.bad--
+			s.wasted++
+			return
+		}
+		s.drawn[i]++
 	}
+	s.gain[i] = s.now
 	if ch.Origin || s.plans[from].Self.Region != p.Self.Region {
 		s.outside[p.Self.Region]++
 	}
@@ -350,3 +380,90 @@
 		}
 	})
 }
+
+// TestOriginBoundUnderFaults guards against an origin that gives more than its
+// budget and what was wasted: draws that arrived corrupted, and draws of
+// machines that died. It guards as well against a version that is never
+// complete because the budget was wasted; that is why more than the budget is
+// given at all.
+func TestOriginBoundUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ms, regions := drawMembers(t, 5)
+		chunks := rapid.IntRange(8*regions, 8*regions+16).Draw(t, "chunks")
+		src := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		s := newSimulation(ms, chunks, src.IntN)
+		s.bad = rapid.IntRange(0, 2*chunks).Draw(t, "corrupted")
+		deaths := rapid.IntRange(0, len(ms)/3).Draw(t, "deaths")
+		at := rapid.IntRange(0, 60).Draw(t, "death_round")
+		dead := map[fleet.Region]int{}
+		const rounds = 40_000
+		left := 1
+		for r := 0; r < rounds && left > 0; r++ {
+			for i := 0; r == at && i < deaths; i++ {
+				k := (i * 7) % len(ms)
+				if region := ms[k].Region; (dead[region]+1)*2 <= len(ms)/regions {
+					s.dead[k] = true
+					dead[region]++
+				}
+			}
+			left = s.round()
+		}
+		lost := 0
+		for i := range s.dead {
+			lost += s.drawn[i]
+		}
+		if left > 0 {
+			t.Fatalf("%d chunks are missing; the origin gave %d of %d, %d wasted, %d lost", left, s.origin, chunks, s.wasted, lost)
+		}
+		if s.origin > OriginCopies*chunks+s.wasted+lost {
+			t.Fatalf("the origin gave %d of %d chunks, %d wasted, %d lost", s.origin, chunks, s.wasted, lost)
+		}
+	})
+}
+
+// TestDistrustedHolder guards against a chunk that is never fetched from outside
+// because the only peer of the region that has it corrupts all it sends, and
+// against one that is fetched from outside after a single corrupted chunk.
+func TestDistrustedHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tb := NewTable(1)
+	tb.AddPeer("bad", Neighbour, now)
+	tb.Holds("bad", 0, true, now)
+	o := Outside{May: func(int) (bool, bool) { return true, true }, OriginReady: true}
+	for i, want := range []bool{false, false, true} {
+		ch, ok, _ := tb.PickOutside(now, o, func(int) int { return 0 })
+		if n, _ := tb.Lacking(now); ok != want || (n == 1) != want {
+			t.Fatalf("after %d corrupted chunks: fetched from outside %v, %d lacking", i, ok, n)
+		}
+		if ok {
+			tb.Ended(ch)
+		}
+		tb.Corrupted("bad", now)
+	}
+	tb.Verified("bad")
+	if _, ok, _ := tb.PickOutside(now, o, func(int) int { return 0 }); ok {
+		t.Fatal("fetched from outside although the peer sends correct chunks again")
+	}
+}
+
+// TestBudgetMayNotSuffice shows why allowances are extended: with a budget that
+// is fixed, corrupted draws leave a version incomplete for ever.
+func TestBudgetMayNotSuffice(t *testing.T) {
+	var ms []Member
+	for i := range 6 {
+		ms = append(ms, Member{VM: fleet.VM(fmt.Sprint("vm", i)), Region: fleet.Region(fmt.Sprint("r", i%2))})
+	}
+	const chunks = 20
+	for _, fixed := range []bool{true, false} {
+		s := newSimulation(ms, chunks, rand.New(rand.NewPCG(1, 1)).IntN)
+		s.bad, s.fixed = 3*chunks, fixed
+		left := 1
+		for r := 0; r < 40_000 && left > 0; r++ {
+			left = s.round()
+		}
+		t.Logf("fixed %v: %d missing, origin gave %d of %d", fixed, left, s.origin, chunks)
+		if fixed != (left > 0) || fixed && s.origin > OriginCopies*chunks {
+			t.Fatalf("fixed %v: %d missing, origin gave %d of %d", fixed, left, s.origin, chunks)
+		}
+	}
+}
--- a/internal/core/spread/table.go
+++ b/internal/core/spread/table.go
@@ -19,6 +19,11 @@
 	// It doubles with each further corrupted chunk, so that a sender that
 	// corrupts everything wastes little of the link.
 	refuseCorrupted = time.Second
+	// distrustAfter is the number of corrupted chunks in a row after which an
+	// avoided peer counts as having nothing. Chunks that only it has are then
+	// fetched from outside; a region whose owner of some chunks corrupts all of
+	// them would never get these otherwise.
+	distrustAfter = 2
 	// AvoidFailed is how long a peer is avoided after a failed call.
 	AvoidFailed = time.Second
 	// quietAfter is the silence after which no fetch is started from a peer.
@@ -198,13 +203,13 @@
 	return settled
 }
 
-// Lacking returns the number of chunks that no watched peer of the region has,
+// Lacking returns the number of chunks that no trusted peer of the region has,
 // and one of them, or -1.
 func (t *Table) Lacking(now time.Time) (n, example int) {
 	m := t.masks(now, maxSlots)
 	example = -1
 	t.chunks.Range(func(c int, s missing) bool {
-		if s.holders&m.local == 0 {
+		if s.holders&m.trusted == 0 {
 			n++
 			if example < 0 || c < example {
 				example = c
@@ -257,6 +262,11 @@
 	return ok && p.quiet(now)
 }
 
+// distrusted reports whether the chunks of a peer do not count.
+func (p peer) distrusted(now time.Time) bool {
+	return p.corrupted >= distrustAfter && now.Before(p.avoid)
+}
+
 func (p peer) quiet(now time.Time) bool { return p.gone || now.Sub(p.heard) > quietAfter }
 
 // Avoided reports whether fetches from a peer are suspended after a fault.
@@ -338,13 +348,14 @@
 
 // masks are the peers by what they can be used for at one moment.
 type masks struct {
-	local  uint64 // peers of the own region
-	spare  uint64 // peers that are asked last
-	usable uint64 // peers from which a fetch may start
-	resort uint64 // peers from which one may start as a last resort
-	vms    [maxSlots]fleet.VM
-	active [maxSlots]int
-	taken  [maxSlots]int
+	local   uint64 // peers of the own region
+	trusted uint64 // those of them that do not corrupt what they send
+	spare   uint64 // peers that are asked last
+	usable  uint64 // peers from which a fetch may start
+	resort  uint64 // peers from which one may start as a last resort
+	vms     [maxSlots]fleet.VM
+	active  [maxSlots]int
+	taken   [maxSlots]int
 }
 
 func (t *Table) masks(now time.Time, perPeer int) masks {
@@ -354,6 +365,9 @@
 		m.vms[p.slot], m.active[p.slot], m.taken[p.slot] = vm, p.active, p.taken
 		if p.local {
 			m.local |= bit
+			if !p.distrusted(now) {
+				m.trusted |= bit
+			}
 		}
 		if p.spare {
 			m.spare |= bit
--- a/internal/standin/relay/pump.go
+++ b/internal/standin/relay/pump.go
@@ -67,6 +67,7 @@
 		if !sleepUntil(p, due) || !r.waitThawed(p) {
 			break
 		}
+		r.corrupt(dir, pc.data)
 		// Counted first, so that a byte that arrived is in the counts.
 		r.count(dir, len(pc.data))
 		if _, err := dst.Write(pc.data); err != nil {
@@ -83,6 +84,19 @@
 	}
 }
 
+// corruptFrom is the least size of a piece that is altered.
+const corruptFrom = 4 << 10
+
+// corrupt alters the middle of a piece if the route's faults say so.
+func (r *route) corrupt(dir int, b []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if dir == toCaller && r.faults.CorruptToCaller && len(b) >= corruptFrom {
+		b[len(b)/2] ^= 0xff
+		r.passed.Corrupted++
+	}
+}
+
 func sleepUntil(p *pair, due time.Time) bool {
 	d := time.Until(due)
 	if d <= 0 {
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -39,6 +39,10 @@
 	Freeze Freeze `json:"freeze"`
 	// DelayMillis delays the bytes of each direction.
 	DelayMillis int `json:"delay_ms"`
+	// CorruptToCaller alters one byte in each full piece of data that is sent to
+	// the caller, as a sender with damaged memory or a broken link does. Short
+	// pieces, which carry calls and their framing, are left alone.
+	CorruptToCaller bool `json:"corrupt_to_caller"`
 	// BytesPerSecond limits each direction of the route; 0 is no limit.
 	BytesPerSecond int64 `json:"bytes_per_second"`
 }
@@ -49,6 +53,8 @@
 	// ToTarget and ToCaller count the bytes passed on in each direction.
 	ToTarget int64 `json:"to_target"`
 	ToCaller int64 `json:"to_caller"`
+	// Corrupted counts the pieces that were altered.
+	Corrupted int64 `json:"corrupted"`
 }
 
 // Relay is a set of routes.
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -217,3 +217,31 @@
 		t.Errorf("counts %+v, want %+v", got, want)
 	}
 }
+
+// TestCorrupt guards against damaged data that a test believes to be sent and
+// is not, and against damage to short pieces or in the other direction.
+func TestCorrupt(t *testing.T) {
+	r, addr := startEcho(t)
+	c := dial(t, addr)
+	set(t, r, Faults{CorruptToCaller: true})
+	if err := echo(c, "short", time.Second); err != nil {
+		t.Fatal(err)
+	}
+	sent := make([]byte, 64<<10)
+	if _, err := c.Write(sent); err != nil {
+		t.Fatal(err)
+	}
+	got := make([]byte, len(sent))
+	if _, err := io.ReadFull(c, got); err != nil {
+		t.Fatal(err)
+	}
+	altered := int64(0)
+	for _, b := range got {
+		if b != 0 {
+			altered++
+		}
+	}
+	if n := r.Counts()["echo"].Corrupted; altered == 0 || altered != n {
+		t.Fatalf("%d bytes altered, %d counted", altered, n)
+	}
+}
