agent: end an order with its lease, and check it before each write

The agent compared its clock with the order lease once, before an order.

- A pause between that check and the order, or in the middle of it, let the rest of the order go out after another holder's.
- An order went on when the platform could not be reached and the lease lapsed, while another agent of the VM could get the lease.
- Without the platform, an agent whose own lease had lapsed long ago gave orders at once, although another one may have got the lease since.

Now the time up to which an order may be sent follows from the decision to give it, and is checked before each write to the engine, on a connection of its own. An order ends with its lease. An engine is asked whether it takes a load before weights are sent; one that refuses got them anew each second, up to 4 MB until its refusal was read.

Callers of Unload and Load in tests give a check, as the port asks.

The stand-in of the engine records its orders, and one that checks numbers also checks at the end of a load.

--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -24,6 +24,9 @@
 	// statusTimeout bounds a status call on loopback.
 	statusTimeout = time.Second
 	dialTimeout   = time.Second
+	// continueTimeout is how long the weights wait for the engine to ask for
+	// them. An engine that refuses an order is not sent any.
+	continueTimeout = time.Second
 	// idleConns is the number of idle connections kept; it covers the requests
 	// of a usual target.
 	idleConns    = 64
@@ -69,11 +72,26 @@
 	LoadCount int64           `json:"load_count"`
 }
 
+// checkedConn writes nothing once check fails. The engine acts on an order only
+// when it has all of it, so one that is cut off here has no effect.
+type checkedConn struct {
+	net.Conn
+	check port.OrderCheck
+}
+
+// Write implements net.Conn.
+func (c checkedConn) Write(b []byte) (int, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
 // Status implements port.Engine.
 func (c *Client) Status(ctx context.Context) (port.EngineStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	resp, err := c.do(ctx, http.MethodGet, "/v1/status", nil, nil)
+	resp, err := c.do(ctx, c.http, http.MethodGet, "/v1/status", nil, nil)
 	if err != nil {
 		return port.EngineStatus{}, errors.Wrap(err, "asking engine for its status")
 	}
@@ -88,12 +106,17 @@
 	return port.EngineStatus{BootID: b.BootID, Loaded: b.Loaded, Fence: b.Fence, LoadCount: b.LoadCount}, nil
 }
 
-func (c *Client) do(ctx context.Context, method, path string, q url.Values, body io.Reader) (*http.Response, error) {
+func (c *Client) do(
+	ctx context.Context, hc *http.Client, method, path string, q url.Values, body io.Reader,
+) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path+"?"+q.Encode(), body)
 	if err != nil {
 		return nil, err
 	}
-	return c.http.Do(req)
+	if body != nil {
+		req.Header.Set("Expect", "100-continue")
+	}
+	return hc.Do(req)
 }
 
 func describe(resp *http.Response) string {
@@ -109,17 +132,31 @@
 		"fence":   {strconv.FormatInt(o.Fence, 10)},
 		"bytes":   {strconv.FormatInt(o.Bytes, 10)},
 	}
-	return c.order(ctx, "/v1/load", q, io.NopCloser(o.Weights))
+	return c.order(ctx, "/v1/load", q, io.NopCloser(o.Weights), o.Check)
 }
 
 // Unload implements port.Engine.
-func (c *Client) Unload(ctx context.Context, v fleet.Version, fence int64) error {
-	q := url.Values{"version": {string(v)}, "fence": {strconv.FormatInt(fence, 10)}}
-	return c.order(ctx, "/v1/unload", q, nil)
+func (c *Client) Unload(ctx context.Context, o port.UnloadOrder) error {
+	q := url.Values{"version": {string(o.Version)}, "fence": {strconv.FormatInt(o.Fence, 10)}}
+	return c.order(ctx, "/v1/unload", q, nil, o.Check)
 }
 
-func (c *Client) order(ctx context.Context, path string, q url.Values, body io.Reader) error {
-	resp, err := c.do(ctx, http.MethodPost, path, q, body)
+// order sends an order on a connection of its own, which checks the right to
+// give it before each write.
+func (c *Client) order(ctx context.Context, path string, q url.Values, body io.Reader, check port.OrderCheck) error {
+	t := &http.Transport{
+		DisableKeepAlives:     true,
+		ExpectContinueTimeout: continueTimeout,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return checkedConn{conn, check}, nil
+		},
+	}
+	defer t.CloseIdleConnections()
+	resp, err := c.do(ctx, &http.Client{Transport: t}, http.MethodPost, path, q, body)
 	if err != nil {
 		return errors.Wrap(err, "giving the engine an order")
 	}
--- a/internal/app/agent/orders.go
+++ b/internal/app/agent/orders.go
@@ -21,6 +21,7 @@
 	key   string
 	owner string
 	lease port.LeaseID
+	valid rollout.Validity
 }
 
 func newOrderer(a *Agent) *orderer {
@@ -59,7 +60,7 @@
 	}
 	switch d.Step {
 	case rollout.Give:
-		return false, o.order(ctx, x, d.Fence)
+		return false, o.order(ctx, x, d)
 	case rollout.Hold:
 		select {
 		case <-o.a.d.Clock.After(d.Wait):
@@ -130,15 +131,14 @@
 }
 
 // order carries out x and keeps the lease alive meanwhile. It ends the order
-// if the platform says that the lease is gone.
-func (o *orderer) order(ctx context.Context, x rollout.Action, fence int64) error {
+// with the lease, and an order without a lease after a pause of this process.
+func (o *orderer) order(ctx context.Context, x rollout.Action, d rollout.Decision) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var wg conc.WaitGroup
-	if held := o.gate.Held(o.a.d.Clock.Now()); held {
-		wg.Go(func() { o.keep(ctx, cancel) })
-	}
-	err := o.call(ctx, x, fence)
+	o.valid.Start(d)
+	wg.Go(func() { o.keep(ctx, cancel, d.Leased) })
+	err := o.call(ctx, x, d.Fence)
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
@@ -149,39 +149,62 @@
 
 func (o *orderer) call(ctx context.Context, x rollout.Action, fence int64) error {
 	if x.Kind == rollout.Unload {
-		return o.a.d.Engine.Unload(ctx, x.Ref.Version, fence)
+		return o.a.d.Engine.Unload(ctx, port.UnloadOrder{Version: x.Ref.Version, Fence: fence, Check: o.check})
 	}
 	r, n, ok := o.a.d.Weights.Open(x.Ref.Version)
 	if !ok {
 		return errIncomplete
 	}
 	return o.a.d.Engine.Load(ctx, port.LoadOrder{
-		Model: x.Ref.Model, Version: x.Ref.Version, Fence: fence, Bytes: n, Weights: r,
+		Model: x.Ref.Model, Version: x.Ref.Version, Fence: fence, Bytes: n, Weights: r, Check: o.check,
 	})
 }
 
+// check returns an error once the order in progress may not be sent any more.
+func (o *orderer) check() error {
+	if o.valid.Lapsed(o.a.d.Clock.Now()) {
+		return errLeaseLost
+	}
+	return nil
+}
+
 const keepEvery = rollout.LeaseTime / 3
 
-// keep extends the lease until ctx ends. The gate is not used by anything else
-// during an order.
-func (o *orderer) keep(ctx context.Context, cancel context.CancelCauseFunc) {
+// keep extends the lease, or the time of an order without one, until ctx ends.
+// The gate is not used by anything else during an order.
+func (o *orderer) keep(ctx context.Context, cancel context.CancelCauseFunc, leased bool) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.a.d.Clock.After(keepEvery):
 		}
-		sent := o.a.d.Clock.Now()
-		err := o.a.d.KV.KeepAlive(ctx, o.lease)
-		switch {
-		case err == nil:
-			o.gate.Extended(sent)
-		case errors.Is(err, port.ErrNotFound):
-			cancel(errLeaseLost)
+		if err := o.extend(ctx, leased); err != nil {
+			cancel(err)
 			return
 		}
 	}
 }
 
+// extend returns errLeaseLost once the order may not go on.
+func (o *orderer) extend(ctx context.Context, leased bool) error {
+	sent := o.a.d.Clock.Now()
+	if !leased {
+		o.valid.Alive(sent)
+		return o.check()
+	}
+	err := o.a.d.KV.KeepAlive(ctx, o.lease)
+	switch {
+	case err == nil:
+		o.gate.Extended(sent)
+		o.valid.Extended(sent)
+	case errors.Is(err, port.ErrNotFound):
+		return errLeaseLost
+	case ctx.Err() == nil:
+		o.gate.Unreachable(o.a.d.Clock.Now())
+	}
+	return o.check()
+}
+
 // errLeaseLost means that the order lease expired during an order.
 var errLeaseLost = errors.New("order lease expired during the order")
--- a/internal/app/agent/orders_test.go
+++ b/internal/app/agent/orders_test.go
@@ -97,3 +97,20 @@
 		t.Fatalf("got %v, orders %v", err, e.Orders())
 	}
 }
+
+// TestPausedBeforeOrder guards against an order that is sent although the agent
+// was paused past its time after it had decided to give it.
+func TestPausedBeforeOrder(t *testing.T) {
+	for _, leased := range []bool{true, false} {
+		c := &skipClock{time.Unix(1000, 0)}
+		e := porttest.NewEngine()
+		o := newTestOrderer(c, porttest.NewKV(c.Now), e, 1)
+		d := rollout.Decision{Step: rollout.Give, Fence: 5, Until: c.now.Add(time.Second), Leased: leased}
+		c.now = d.Until
+		for _, x := range []rollout.Action{unload, {Kind: rollout.Load, Ref: rollout.Ref{Version: "v1"}}} {
+			if err := o.order(context.Background(), x, d); !errors.Is(err, errLeaseLost) || len(e.Orders()) > 0 {
+				t.Fatalf("leased %v: got %v, orders %v", leased, err, e.Orders())
+			}
+		}
+	}
+}
--- a/internal/port/porttest/engine.go
+++ b/internal/port/porttest/engine.go
@@ -87,6 +87,9 @@
 	if err != nil {
 		return err
 	}
+	if err := o.Check(); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, o.Fence)
@@ -98,12 +101,15 @@
 }
 
 // Unload implements port.Engine.
-func (e *Engine) Unload(_ context.Context, v fleet.Version, fence int64) error {
+func (e *Engine) Unload(_ context.Context, o port.UnloadOrder) error {
+	if err := o.Check(); err != nil {
+		return err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.orders = append(e.orders, fence)
-	e.status.Fence = max(e.status.Fence, fence)
-	e.status.Loaded = slices.DeleteFunc(e.status.Loaded, func(x fleet.Version) bool { return x == v })
+	e.orders = append(e.orders, o.Fence)
+	e.status.Fence = max(e.status.Fence, o.Fence)
+	e.status.Loaded = slices.DeleteFunc(e.status.Loaded, func(x fleet.Version) bool { return x == o.Version })
 	return nil
 }
 
--- a/internal/port/target.go
+++ b/internal/port/target.go
@@ -10,7 +10,7 @@
 
 // Origin is the origin of weights.
 type Origin interface {
-	// Manifest returns the manifest of a version.
+	// Manifest returns the manifest of a version, or ErrVersionUnknown.
 	Manifest(ctx context.Context, v fleet.Version) (manifest.Manifest, error)
 	// Chunk streams chunk i of a version. The bytes are not verified.
 	Chunk(ctx context.Context, v fleet.Version, i int) (io.ReadCloser, error)
@@ -25,8 +25,22 @@
 	Bytes int64
 	// Weights streams the whole, verified version.
 	Weights io.Reader
+	Check   OrderCheck
 }
 
+// UnloadOrder tells an engine to release a version.
+type UnloadOrder struct {
+	Version fleet.Version
+	// Fence is the fencing number of the order.
+	Fence int64
+	Check OrderCheck
+}
+
+// OrderCheck returns an error once the right to give an order has ended. It is
+// called before each part of the order is sent, so that a process that was
+// paused in between sends no more of it. It may be called from any goroutine.
+type OrderCheck func() error
+
 // EngineStatus is what an engine says of itself.
 type EngineStatus struct {
 	// BootID changes when the engine restarts.
@@ -77,7 +91,7 @@
 type Engine interface {
 	Status(ctx context.Context) (EngineStatus, error)
 	Load(ctx context.Context, o LoadOrder) error
-	Unload(ctx context.Context, v fleet.Version, fence int64) error
+	Unload(ctx context.Context, o UnloadOrder) error
 	// Generate opens an answer. An error carries a verdict.
 	Generate(ctx context.Context, r EngineRequest) (Answer, error)
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -49,7 +49,17 @@
 	Whole bool `json:"whole"`
 }
 
-// maxHistory bounds the record of answers.
+// Order is one order that the engine has taken. Began and Done number these
+// events of all orders; Done is 0 for an order without an effect.
+type Order struct {
+	Kind    string `json:"kind"`
+	Version string `json:"version"`
+	Fence   int64  `json:"fence"`
+	Began   int    `json:"began"`
+	Done    int    `json:"done"`
+}
+
+// maxHistory bounds the record of answers, and that of orders.
 const maxHistory = 100_000
 
 type model struct {
@@ -75,6 +85,8 @@
 	faults    Faults
 	counts    map[string]int64
 	history   []Answered
+	orders    []*Order
+	ticks     int
 }
 
 // New returns an engine without weights.
@@ -100,6 +112,7 @@
 	mux.HandleFunc("POST /faults", s.setFaults)
 	mux.HandleFunc("GET /counts", s.getCounts)
 	mux.HandleFunc("GET /history", s.getHistory)
+	mux.HandleFunc("GET /orders", s.getOrders)
 	return mux
 }
 
@@ -186,3 +199,9 @@
 	s.mu.Unlock()
 	writeJSON(w, h)
 }
+
+func (s *Server) getOrders(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, s.orders)
+}
