agent: end an order without the platform once another agent gives one

TestOrderEndsWithLeaseWithoutPlatform showed it: an agent that is cut off from the platform ended its order with its lease, waited its time and gave it again without a lease; its successor then got the lease and gave its own, and the older one took effect after it. Engines report the highest number that they saw, also those that ignore it. An agent now looks at it during an order without a lease, every 1.7 s, and ends the order.

TestOrderWithoutPlatformEndsForSuccessor (agent in the test process, engine stand-in): ends within 1.7 s, nothing is given until the platform is back. Seen failing without the look at the number, and without the rule that an agent with a successor gives nothing.

--- a/internal/app/agent/life_test.go
+++ b/internal/app/agent/life_test.go
@@ -17,6 +17,7 @@
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/rollout"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/standin/engine"
@@ -123,6 +124,28 @@
 	b.serving("v1")
 }
 
+// TestOrderWithoutPlatformEndsForSuccessor guards against an agent that is cut
+// off from the platform and goes on with an order while another agent of the VM
+// gives orders.
+func TestOrderWithoutPlatformEndsForSuccessor(t *testing.T) {
+	b := newBed(t, "engine", engine.Options{LoadPerMiB: 4 * time.Second})
+	b.kv.SetDown(true)
+	b.weights.Put("v1", make([]byte, 4<<20))
+	b.dir.set(declaration(1, "v1", declare.KeepOld))
+	time.Sleep(rollout.LeaseTime + time.Second)
+	b.eventually("order given", func() bool { return b.agent.Status().Progress.State == "loading" })
+	b.admin("/v1/unload?version=v0&fence=99", "")
+	b.eventually("order ended", func() bool {
+		return strings.Contains(b.agent.Status().Progress.Reason, errSucceeded.Error())
+	})
+	time.Sleep(2 * rollout.LeaseTime)
+	if st := b.agent.Status(); st.Progress.Reason != "waiting for the order lease" {
+		t.Fatalf("an order was given after that of another agent: %+v", st.Progress)
+	}
+	b.kv.SetDown(false)
+	b.eventually("order given with the lease", func() bool { return b.agent.Status().Progress.State == "loading" })
+}
+
 // TestOnceSurvivesItsCaller guards against a call that is cut, and so left with
 // an unknown outcome, because its caller went away.
 func TestOnceSurvivesItsCaller(t *testing.T) {
--- a/internal/app/agent/orders.go
+++ b/internal/app/agent/orders.go
@@ -137,7 +137,7 @@
 	defer cancel(nil)
 	var wg conc.WaitGroup
 	o.valid.Start(d)
-	wg.Go(func() { o.keep(ctx, cancel, d.Leased) })
+	wg.Go(func() { o.keep(ctx, cancel, d) })
 	err := o.call(ctx, x, d.Fence)
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
@@ -172,24 +172,28 @@
 
 // keep extends the lease, or the time of an order without one, until ctx ends.
 // The gate is not used by anything else during an order.
-func (o *orderer) keep(ctx context.Context, cancel context.CancelCauseFunc, leased bool) {
+func (o *orderer) keep(ctx context.Context, cancel context.CancelCauseFunc, d rollout.Decision) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.a.d.Clock.After(keepEvery):
 		}
-		if err := o.extend(ctx, leased); err != nil {
+		if err := o.extend(ctx, d); err != nil {
 			cancel(err)
 			return
 		}
 	}
 }
 
-// extend returns errLeaseLost once the order may not go on.
-func (o *orderer) extend(ctx context.Context, leased bool) error {
+// extend returns an error once the order may not go on. Without a lease, the
+// engine is what shows that another agent gives orders.
+func (o *orderer) extend(ctx context.Context, d rollout.Decision) error {
 	sent := o.a.d.Clock.Now()
-	if !leased {
+	if !d.Leased {
+		if st, err := o.a.d.Engine.Status(ctx); err == nil && st.Fence > d.Fence {
+			return errSucceeded
+		}
 		o.valid.Alive(sent)
 		return o.check()
 	}
@@ -206,5 +210,9 @@
 	return o.check()
 }
 
+// errSucceeded means that another agent gave an order during one that was given
+// without the platform.
+var errSucceeded = errors.New("another agent gave the engine an order")
+
 // errLeaseLost means that the order lease expired during an order.
 var errLeaseLost = errors.New("order lease expired during the order")
--- a/test/harness/deployment.go
+++ b/test/harness/deployment.go
@@ -219,6 +219,15 @@
 	if e.TokenDelay != "" {
 		args = append(args, "--token-delay", e.TokenDelay)
 	}
+	if e.LoadPerMiB != "" {
+		args = append(args, "--load-per-mib", e.LoadPerMiB)
+	}
+	if e.MemoryBytes > 0 {
+		args = append(args, "--memory-bytes", strconv.FormatInt(e.MemoryBytes, 10))
+	}
+	if e.CheckFence {
+		args = append(args, "--check-fence")
+	}
 	return args
 }
 
@@ -273,6 +282,18 @@
 	return WaitReady(ctx, startTimeout, n.Proc, n.Admin)
 }
 
+// Succeed starts a second agent for the VM of n, with addresses of its own and
+// the same target, while the first one may still exist.
+func (d *Deployment) Succeed(ctx context.Context, n *Node) (*Node, error) {
+	next := *n
+	next.Name, next.VM = n.Name+"-next", n.Name
+	next.Admin, next.RPC = d.Addr(), d.Addr()
+	if err := d.prepare(ctx, &next); err != nil {
+		return nil, err
+	}
+	return &next, d.StartNode(ctx, &next)
+}
+
 // RunNode starts the daemon of a node and does not wait.
 func (d *Deployment) RunNode(n *Node) (err error) {
 	binary := "masticwing-agent"
--- a/test/harness/node.go
+++ b/test/harness/node.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -10,6 +11,8 @@
 // Node is one entry or agent of a deployment with the stand-in beside it.
 type Node struct {
 	Name, Domain, Region string
+	// VM is the id in the settings if it is not the name.
+	VM string
 	// Service is the name of the plain service beside an agent, or empty.
 	Service string
 	// IsEntry tells entries from agents.
@@ -66,7 +69,7 @@
 // settingsOf returns the settings file of a node. The seeds are the entries.
 func (d *Deployment) settingsOf(n *Node) string {
 	s := sections{}
-	s.set("node", "id", n.Name)
+	s.set("node", "id", cmp.Or(n.VM, n.Name))
 	s.set("node", "admin", n.Admin)
 	s.set("node", "domain", n.Domain)
 	s.set("node", "region", n.Region)
--- a/test/harness/spec.go
+++ b/test/harness/spec.go
@@ -29,6 +29,8 @@
 	// Limits holds lines for the groups and services of Declare, such as
 	// "max_requests = 8".
 	Limits []string
+	// Overlap is the overlap of the group of Declare; empty leaves the default.
+	Overlap string
 }
 
 // DomainSpec describes one failure domain.
@@ -53,6 +55,12 @@
 type EngineSpec struct {
 	MaxRequests, ColdRequests int
 	TokenDelay                string
+	// LoadPerMiB is the time to load one MiB of weights.
+	LoadPerMiB string
+	// MemoryBytes bounds the weights that an engine holds at one time.
+	MemoryBytes int64
+	// CheckFence makes engines refuse old fencing numbers.
+	CheckFence bool
 	// OneProcess hosts all engines in one process, each with a state of its
 	// own. Large fleets need it to stay within a few hundred processes.
 	// Node.Target is then that process for every agent with an engine.
@@ -100,7 +108,11 @@
 	for _, name := range slices.Sorted(maps.Keys(versions)) {
 		fmt.Fprintf(&b, "version.%s = %s\n", name, versions[name])
 	}
-	fmt.Fprintf(&b, "\n[group %s]\nvms = pool=model\nlabels = tier=main\n%s\n", Group, s.limits())
+	fmt.Fprintf(&b, "\n[group %s]\nvms = pool=model\nlabels = tier=main\n%s", Group, s.limits())
+	if s.Overlap != "" {
+		fmt.Fprintf(&b, "overlap = %s\n", s.Overlap)
+	}
+	b.WriteString("\n")
 	fmt.Fprintf(&b, "[serve %s-main]\ngroups = tier=main\nmodels = family=demo\nversion = %s\n", Group, current)
 	for _, name := range s.serviceNames() {
 		fmt.Fprintf(&b, "\n[service %s]\nvms = pool=%s\n%scall.read = repeatable\ncall.log = once\n", name, name, s.limits())
--- a/test/proof/proof_test.go
+++ b/test/proof/proof_test.go
@@ -31,11 +31,6 @@
 	waitBound = 30 * time.Second
 )
 
-const (
-	weightBytes = 1 << 20
-	chunkBytes  = 64 << 10
-)
-
 var seedFlag = flag.Uint64("seed", 0, "seed of the random choices; 0 draws one")
 
 func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
@@ -106,7 +101,13 @@
 	w.t.Helper()
 	v, err := w.Publish(w.ctx, seed)
 	w.must(err)
-	b := origin.Version{Model: fleet.Model(w.Spec.Origin.Model), Bytes: weightBytes, ChunkBytes: chunkBytes, Seed: uint64(seed)}.Make()
+	var size, chunk int
+	for text, n := range map[string]*int{w.Spec.Origin.Size: &size, w.Spec.Origin.Chunk: &chunk} {
+		b, err := origin.ParseBytes(text)
+		w.must(err)
+		*n = int(b)
+	}
+	b := origin.Version{Model: fleet.Model(w.Spec.Origin.Model), Bytes: size, ChunkBytes: chunk, Seed: uint64(seed)}.Make()
 	w.versions[name], w.weights[v] = v, sha256.Sum256(b)
 	return v
 }
