--- a/internal/app/agent/confirm_test.go
+++ b/internal/app/agent/confirm_test.go
@@ -96,7 +96,8 @@
 	if checks {
 		e.CheckIdentity()
 	}
-	if err := e.Load(t.Context(), port.LoadOrder{Version: "v1", Fence: 1, Weights: &io.LimitedReader{}}); err != nil {
+	o := port.LoadOrder{Version: "v1", Fence: 1, Weights: &io.LimitedReader{}, Check: func() error { return nil }}
+	if err := e.Load(t.Context(), o); err != nil {
 		t.Fatal(err)
 	}
 	w := newWarmAgent(t, Deps{Engine: e}, "engine")
--- a/internal/app/entry/watch_test.go
+++ b/internal/app/entry/watch_test.go
@@ -49,7 +49,7 @@
 	var wg conc.WaitGroup
 	for range 3 {
 		wg.Go(func() {
-			a, err := e.Serve(ctx, generate())
+			a, err := e.Serve(ctx, generate(), func() error { return nil })
 			if err != nil {
 				t.Error(err)
 				return
--- a/internal/standin/engine/load.go
+++ b/internal/standin/engine/load.go
@@ -12,33 +12,53 @@
 
 // fenced applies the fencing number of an order and reports whether the order
 // may be carried out.
-func (s *Server) fenced(w http.ResponseWriter, r *http.Request) bool {
+func (s *Server) fenced(w http.ResponseWriter, r *http.Request) (*Order, bool) {
 	n, err := strconv.ParseInt(r.URL.Query().Get("fence"), 10, 64)
 	if err != nil {
 		http.Error(w, "bad fencing number", http.StatusBadRequest)
-		return false
+		return nil, false
 	}
-	if !s.raiseFence(n) {
-		s.counts.Add("stale_order")
-		http.Error(w, "old fencing number", http.StatusPreconditionFailed)
-		return false
+	o, ok := s.begin(r.URL.Path, r.URL.Query().Get("version"), n)
+	if !ok {
+		s.refuseStale(w)
 	}
-	return true
+	return o, ok
 }
 
-// raiseFence reports false for a number that the engine refuses.
-func (s *Server) raiseFence(n int64) bool {
+// begin records an order. It reports false for a number that the engine
+// refuses.
+func (s *Server) begin(kind, version string, fence int64) (*Order, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.o.CheckFence && n < s.fence {
-		return false
+	if s.stale(fence) {
+		return nil, false
 	}
-	s.fence = max(s.fence, n)
-	return true
+	s.fence = max(s.fence, fence)
+	o := &Order{Kind: kind, Version: version, Fence: fence, Began: s.tick()}
+	if len(s.orders) < maxHistory {
+		s.orders = append(s.orders, o)
+	}
+	return o, true
+}
+
+// stale reports whether the engine checks numbers and has seen a higher one.
+// The caller holds the lock.
+func (s *Server) stale(fence int64) bool { return s.o.CheckFence && fence < s.fence }
+
+func (s *Server) refuseStale(w http.ResponseWriter) {
+	s.counts.Add("stale_order")
+	http.Error(w, "old fencing number", http.StatusPreconditionFailed)
+}
+
+// tick numbers the events of the orders. The caller holds the lock.
+func (s *Server) tick() int {
+	s.ticks++
+	return s.ticks
 }
 
 func (s *Server) load(w http.ResponseWriter, r *http.Request) {
-	if !s.fenced(w, r) {
+	o, ok := s.fenced(w, r)
+	if !ok {
 		return
 	}
 	q := r.URL.Query()
@@ -71,6 +91,11 @@
 		http.Error(w, "engine restarted", http.StatusInternalServerError)
 		return
 	}
+	if s.stale(o.Fence) {
+		s.refuseStale(w)
+		return
+	}
+	o.Done = s.tick()
 	s.loaded[q.Get("version")] = model{digest: digest, bytes: n}
 	s.loadCount++
 	s.served = 0
@@ -97,10 +122,12 @@
 }
 
 func (s *Server) unload(w http.ResponseWriter, r *http.Request) {
-	if !s.fenced(w, r) {
+	o, ok := s.fenced(w, r)
+	if !ok {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	o.Done = s.tick()
 	delete(s.loaded, r.URL.Query().Get("version"))
 }
