membership: answer doubts of an older life, and pass on fewer news at a start

Cause: in a trial of 210 processes on a busy machine, 95% of the 16,000 records that an entry got were known to it, most in the start, and it held 29 processes for dead for at least 16 s. A process that had refuted an older suspicion no longer told its record to one that still held it.

Change: the answer to a message that doubts the answering process holds its record. A message holds at most 1 KiB of changes that are not urgent. New members are passed on at once only up to 64 members.

Test: TestDoubtIsAnswered; tests of core/membership and the convergence tests of app/directory pass.

--- a/internal/app/directory/exchange.go
+++ b/internal/app/directory/exchange.go
@@ -22,6 +22,10 @@
 	// maxComparisons bounds the comparisons of one exchange. More than one is
 	// made only while much of the budget is left, as after a start.
 	maxComparisons = 8
+	// smallFleet is the number of members up to which new members are passed on
+	// at once. At 210 processes that start together, 95% of the records that an
+	// entry got in this way were known to it.
+	smallFleet = 64
 	// announceGap is the least time between announcements. Changes within it
 	// share one.
 	announceGap = 50 * time.Millisecond
@@ -257,7 +261,8 @@
 }
 
 // learnt wakes those who pass on or use what an exchange changed. New members
-// are passed on at once only while much of the budget is left.
+// are passed on at once only in a small fleet and while much of the budget is
+// left.
 func (d *Directory) learnt(l membership.Learnt) {
 	d.deps.Metrics.Count("directory_records_total", int64(l.New), port.Attr{Key: "known", Value: "false"})
 	d.deps.Metrics.Count("directory_records_total", int64(l.Known), port.Attr{Key: "known", Value: "true"})
@@ -265,7 +270,7 @@
 		d.deps.Metrics.Count("directory_refutations_total", 1)
 		signal(d.announce)
 	}
-	if l.Moved || l.Changed && d.gossip.Budget.Full(d.deps.Clock.Now()) {
+	if l.Moved || l.Changed && d.table.Len() <= smallFleet && d.gossip.Budget.Full(d.deps.Clock.Now()) {
 		signal(d.relay)
 	}
 	if l.Changed {
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -9,6 +9,9 @@
 const (
 	// messageBytes bounds the records of one message.
 	messageBytes = 4 << 10
+	// newsBytes bounds the changes that are not urgent in one message. Digests
+	// find the rest, which nearly all members have when a fleet starts at once.
+	newsBytes = 1 << 10
 	// leastBytes is what an answer may hold even when the budget is used up, so
 	// that a process that starts finds its first neighbours.
 	leastBytes = 400
@@ -80,7 +83,7 @@
 
 func (g *Gossip[P]) news(partner string, now time.Time) []Seen[P] {
 	room, urgent := g.Budget.Room(now)
-	out := g.Table.Changed(min(urgent, messageBytes), min(room, messageBytes), g.Size, now)
+	out := g.Table.Changed(min(urgent, messageBytes), min(room, newsBytes), g.Size, now)
 	if p, ok := g.Table.Get(partner, now); ok && (p.State == Suspect || p.State == Dead) {
 		p.Record = bare(p.Record)
 		out = append(out, p)
@@ -132,6 +135,14 @@
 	case len(m.Want) > 0:
 		out.Records = g.wanted(m.Want, now)
 	}
+	// A partner that doubts an older life of this process needs the record.
+	for _, r := range m.Records {
+		if r.ID == g.Table.self && r.Bare {
+			own, _ := g.Table.Get(r.ID, now)
+			out.Records = append(out.Records, own)
+			g.Budget.TakeUrgent(g.Size(&own.Record), now)
+		}
+	}
 	out.From, out.Digest = g.Table.self, g.Table.Digest()
 	if m.Compare && out.Digest != m.Digest {
 		out.Digests = g.Table.GroupDigests()
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -276,6 +276,23 @@
 	}
 }
 
+// TestDoubtIsAnswered guards against a member that stays dead in a table because
+// it refuted an older life before and does not tell again.
+func TestDoubtIsAnswered(t *testing.T) {
+	one := func(*Record[string]) int { return 1 }
+	rec := Record[string]{ID: "m", Domain: "a", Incarnation: 6}
+	m := Gossip[string]{Table: NewTable(rec, t0), Budget: NewBudget(800, t0), Size: one}
+	tb := table(fleet.KindEntry, "a", 0)
+	tb.Merge(Record[string]{ID: "m", Domain: "a", Incarnation: 5, State: Dead}, 0, t0)
+	g := Gossip[string]{Table: tb, Budget: NewBudget(800, t0), Size: one}
+	now := t0.Add(2 * newsFor)
+	answer, _ := m.Answer(g.Open("m", now), now)
+	g.Absorb(answer, now)
+	if s := state(tb, "m", now); s != Alive {
+		t.Errorf("after the answer: %v, want alive", s)
+	}
+}
+
 // TestBareRecord guards against a state without a payload that replaces a
 // record or makes an unknown member.
 func TestBareRecord(t *testing.T) {
