membership, directory, httpapi: use the usual terms of the field

Cause: reading the exchange of members as a newcomer stopped at "news", "learnt", "doubted" and "dismissed". Change: they are updates, merged, suspected and answered now, and what takes a message's revision is observe. No change of behavior. Conclusion: names only.

--- a/internal/adapter/httpapi/conns.go
+++ b/internal/adapter/httpapi/conns.go
@@ -30,8 +30,8 @@
 type conn struct {
 	// idle is true while no request is in progress.
 	idle bool
-	// dismissed is true once the last answer is being written.
-	dismissed bool
+	// answered is true once the last answer is being written.
+	answered bool
 }
 
 func newConns() *conns {
@@ -55,10 +55,10 @@
 		v.idle = idle
 		return v, true
 	})
-	// The state is set before closing is read, and dismissIdle sets closing
+	// The state is set before closing is read, and closeIdle sets closing
 	// before it reads the states, so that one of the two meets the connection.
 	if idle && s.closing.Load() {
-		s.dismiss(c, time.Now().Add(lingerTime))
+		s.closeWithAnswer(c, time.Now().Add(lingerTime))
 	}
 }
 
@@ -73,9 +73,9 @@
 	return n
 }
 
-// dismissIdle ends the idle connections, and from now on each that becomes
+// closeIdle ends the idle connections, and from now on each that becomes
 // idle.
-func (s *conns) dismissIdle() {
+func (s *conns) closeIdle() {
 	s.closing.Store(true)
 	var idle []net.Conn
 	s.set.Range(func(c net.Conn, v conn) bool {
@@ -86,17 +86,17 @@
 	})
 	until := time.Now().Add(lingerTime)
 	for _, c := range idle {
-		s.dismiss(c, until)
+		s.closeWithAnswer(c, until)
 	}
 }
 
-// dismiss sends the last answer of an idle connection. The write usually takes
+// closeWithAnswer sends the last answer of an idle connection. The write usually takes
 // no time, since the caller has taken all answers before; until bounds it.
-func (s *conns) dismiss(c net.Conn, until time.Time) {
+func (s *conns) closeWithAnswer(c net.Conn, until time.Time) {
 	first := false
 	s.set.Update(c, func(v conn, ok bool) (conn, bool) {
-		first = ok && v.idle && !v.dismissed
-		v.dismissed = v.dismissed || first
+		first = ok && v.idle && !v.answered
+		v.answered = v.answered || first
 		return v, ok
 	})
 	if !first {
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -158,7 +158,7 @@
 	case <-a.served:
 	case <-ctx.Done():
 	}
-	a.conns.dismissIdle()
+	a.conns.closeIdle()
 	_ = a.gate.wait(ctx)
 	linger, cancel := context.WithTimeout(ctx, lingerTime)
 	defer cancel()
--- a/internal/app/directory/exchange.go
+++ b/internal/app/directory/exchange.go
@@ -79,7 +79,7 @@
 		out = d.appendTarget(out, ns[d.turn.Add(1)%uint64(len(ns))])
 	}
 	out = d.pick(out, d.table.Failing(), maxRetries)
-	out = d.pick(out, d.table.Doubted(now), maxChecks)
+	out = d.pick(out, d.table.Suspected(now), maxChecks)
 	out = d.pick(out, d.table.Troubled(now), maxRetries)
 	if len(out) == 0 {
 		out = d.seeds()
@@ -145,8 +145,8 @@
 const (
 	// headOnly tells the revision.
 	headOnly extent = iota
-	// newsOnly also passes on what changed lately.
-	newsOnly
+	// updatesOnly also passes on what changed lately.
+	updatesOnly
 	// compared also finds out where the tables differ.
 	compared
 )
@@ -174,16 +174,16 @@
 // exchangeClaimed is exchange for a caller that has claimed the address.
 func (d *Directory) exchangeClaimed(ctx context.Context, t target, e extent) bool {
 	before, known := d.table.Get(t.id, d.deps.Clock.Now())
-	doubted := known && (before.State == membership.Suspect || before.State == membership.Dead)
+	suspected := known && (before.State == membership.Suspect || before.State == membership.Dead)
 	// Tables that agree are compared by their digests alone, which keeps a quiet
 	// fleet quiet, also while records wait to be passed on once more.
-	if !doubted && e != newsOnly && (e == headOnly || d.agreed.Load() == d.table.Digest()) {
+	if !suspected && e != updatesOnly && (e == headOnly || d.agreed.Load() == d.table.Digest()) {
 		if _, _, ok := d.swap(ctx, t, d.gossip.Head()); !ok || e == headOnly || d.agreed.Load() != 0 {
 			return ok
 		}
 	}
-	if !doubted && e == newsOnly {
-		return d.tellNews(ctx, t)
+	if !suspected && e == updatesOnly {
+		return d.sendUpdates(ctx, t)
 	}
 	d.deps.Metrics.Count("directory_comparisons_total", 1)
 	refuted, ok := d.compare(ctx, t)
@@ -191,14 +191,14 @@
 		return false
 	}
 	// A side refutes only after it answered, so the facts are swapped again.
-	if refuted || doubted {
+	if refuted || suspected {
 		_, ok = d.compare(ctx, t)
 	}
 	return ok
 }
 
-// tellNews sends what changed lately, if anything.
-func (d *Directory) tellNews(ctx context.Context, t target) bool {
+// sendUpdates sends what changed lately, if anything.
+func (d *Directory) sendUpdates(ctx context.Context, t target) bool {
 	m := d.gossip.Open(t.id, d.deps.Clock.Now())
 	if len(m.Records) == 0 {
 		return true
@@ -208,7 +208,7 @@
 	return ok
 }
 
-// compare swaps news with t and then what else differs, in pieces.
+// compare exchanges updates with t and then what else differs, in pieces.
 func (d *Directory) compare(ctx context.Context, t target) (refuted, ok bool) {
 	for range maxComparisons {
 		reply, r, ok := d.swap(ctx, t, d.gossip.Open(t.id, d.deps.Clock.Now()))
@@ -250,8 +250,8 @@
 	d.deps.Metrics.Count("directory_exchanges_total", 1)
 	answer = d.toMessage(reply)
 	l := d.gossip.Absorb(answer, d.deps.Clock.Now())
-	d.learnt(l)
-	d.heard(reply, t.addr)
+	d.merged(l)
+	d.observe(reply, t.addr)
 	own := d.table.Digest()
 	if reply.Digest != own {
 		own = 0
@@ -260,10 +260,10 @@
 	return answer, l.Refuted, true
 }
 
-// learnt wakes those who pass on or use what an exchange changed. New members
+// merged wakes those who pass on or use what an exchange changed. New members
 // are passed on at once only in a small fleet and while much of the budget is
 // left.
-func (d *Directory) learnt(l membership.Learnt) {
+func (d *Directory) merged(l membership.Merged) {
 	d.deps.Metrics.Count("directory_records_total", int64(l.New), port.Attr{Key: "known", Value: "false"})
 	d.deps.Metrics.Count("directory_records_total", int64(l.Known), port.Attr{Key: "known", Value: "true"})
 	if l.Refuted {
@@ -278,9 +278,9 @@
 	}
 }
 
-// heard takes the revision of a message. from is the address of its sender if
+// observe takes the revision of a message. from is the address of its sender if
 // known.
-func (d *Directory) heard(m port.ExchangeMessage, from fleet.Address) {
+func (d *Directory) observe(m port.ExchangeMessage, from fleet.Address) {
 	now := d.deps.Clock.Now()
 	if s, ok := d.table.Get(m.From, now); ok && from == "" {
 		from = s.Address
@@ -303,7 +303,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	for {
-		gap, e := announceGap, newsOnly
+		gap, e := announceGap, updatesOnly
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/app/directory/handler.go
+++ b/internal/app/directory/handler.go
@@ -26,8 +26,8 @@
 		return d.ownFacts(), nil
 	}
 	out, l := d.gossip.Answer(d.toMessage(m), d.deps.Clock.Now())
-	d.learnt(l)
-	d.heard(m, "")
+	d.merged(l)
+	d.observe(m, "")
 	return d.fromMessage(out), nil
 }
 
--- a/internal/core/membership/gossip.go
+++ b/internal/core/membership/gossip.go
@@ -9,9 +9,9 @@
 const (
 	// messageBytes bounds the records of one message.
 	messageBytes = 4 << 10
-	// newsBytes bounds the changes that are not urgent in one message. Digests
+	// updateBytes bounds the changes that are not urgent in one message. Digests
 	// find the rest, which nearly all members have when a fleet starts at once.
-	newsBytes = 1 << 10
+	updateBytes = 1 << 10
 	// leastBytes is what an answer may hold even when the budget is used up, so
 	// that a process that starts finds its first neighbours.
 	leastBytes = 400
@@ -39,15 +39,15 @@
 	Want []string
 }
 
-// Learnt says what the records of a message changed.
-type Learnt struct {
+// Merged says what the records of a message changed.
+type Merged struct {
 	Refuted, Moved, Changed bool
 	// Known counts the records that changed nothing, New the others.
 	Known, New int
 }
 
 // Gossip decides what a process tells others of its table. Urgent facts and
-// news are passed on for a while; all else is found by comparing digests: of
+// updates are passed on for a while; all else is found by comparing digests: of
 // the tables, then of groups, then of the leaves of one group, then the members
 // of a few leaves. A record is so sent only to a process that lacks it.
 type Gossip[P any] struct {
@@ -77,13 +77,13 @@
 func (g *Gossip[P]) Open(partner string, now time.Time) Message[P] {
 	m := g.Head()
 	m.Compare = true
-	m.Records = g.news(partner, now)
+	m.Records = g.updates(partner, now)
 	return m
 }
 
-func (g *Gossip[P]) news(partner string, now time.Time) []Seen[P] {
+func (g *Gossip[P]) updates(partner string, now time.Time) []Seen[P] {
 	room, urgent := g.Budget.Room(now)
-	out := g.Table.Changed(min(urgent, messageBytes), min(room, newsBytes), g.Size, now)
+	out := g.Table.Changed(min(urgent, messageBytes), min(room, updateBytes), g.Size, now)
 	if p, ok := g.Table.Get(partner, now); ok && (p.State == Suspect || p.State == Dead) {
 		p.Record = bare(p.Record)
 		out = append(out, p)
@@ -97,8 +97,8 @@
 }
 
 // Absorb merges the records of a message.
-func (g *Gossip[P]) Absorb(m Message[P], now time.Time) Learnt {
-	var l Learnt
+func (g *Gossip[P]) Absorb(m Message[P], now time.Time) Merged {
+	var l Merged
 	for _, r := range m.Records {
 		switch g.Table.Merge(r.Record, r.Age, now) {
 		case Unchanged:
@@ -120,12 +120,12 @@
 	return l
 }
 
-// Answer merges a message and returns the answer to it. News are chosen before
+// Answer merges a message and returns the answer to it. Updates are chosen before
 // the merge, so that they are not sent back.
-func (g *Gossip[P]) Answer(m Message[P], now time.Time) (Message[P], Learnt) {
+func (g *Gossip[P]) Answer(m Message[P], now time.Time) (Message[P], Merged) {
 	var out Message[P]
 	if m.Compare {
-		out.Records = g.news(m.From, now)
+		out.Records = g.updates(m.From, now)
 	}
 	l := g.Absorb(m, now)
 	switch {
@@ -135,7 +135,8 @@
 	case len(m.Want) > 0:
 		out.Records = g.wanted(m.Want, now)
 	}
-	// A partner that doubts an older life of this process needs the record.
+	// A partner that suspects an earlier incarnation of this process needs the
+	// current record.
 	for _, r := range m.Records {
 		if r.ID == g.Table.self && r.Bare {
 			own, _ := g.Table.Get(r.ID, now)
--- a/internal/core/membership/membership_test.go
+++ b/internal/core/membership/membership_test.go
@@ -255,8 +255,8 @@
 		t.Error("changes are passed on without end")
 	}
 	late := table(fleet.KindEntry, "a", 100)
-	if rs := late.Changed(32, 32, one, t0.Add(newsFor)); len(rs) != 0 {
-		t.Errorf("%d records are passed on after %v", len(rs), newsFor)
+	if rs := late.Changed(32, 32, one, t0.Add(updateFor)); len(rs) != 0 {
+		t.Errorf("%d records are passed on after %v", len(rs), updateFor)
 	}
 }
 
@@ -276,16 +276,16 @@
 	}
 }
 
-// TestDoubtIsAnswered guards against a member that stays dead in a table because
+// TestSuspicionIsAnswered guards against a member that stays dead in a table because
 // it refuted an older life before and does not tell again.
-func TestDoubtIsAnswered(t *testing.T) {
+func TestSuspicionIsAnswered(t *testing.T) {
 	one := func(*Record[string]) int { return 1 }
 	rec := Record[string]{ID: "m", Domain: "a", Incarnation: 6}
 	m := Gossip[string]{Table: NewTable(rec, t0), Budget: NewBudget(800, t0), Size: one}
 	tb := table(fleet.KindEntry, "a", 0)
 	tb.Merge(Record[string]{ID: "m", Domain: "a", Incarnation: 5, State: Dead}, 0, t0)
 	g := Gossip[string]{Table: tb, Budget: NewBudget(800, t0), Size: one}
-	now := t0.Add(2 * newsFor)
+	now := t0.Add(2 * updateFor)
 	answer, _ := m.Answer(g.Open("m", now), now)
 	g.Absorb(answer, now)
 	if s := state(tb, "m", now); s != Alive {
--- a/internal/core/membership/parts.go
+++ b/internal/core/membership/parts.go
@@ -43,7 +43,7 @@
 }
 
 // Digest identifies the contents of the table. Tables with the same records
-// have the same digest, whatever the order in which they learnt them.
+// have the same digest, whatever the order in which they received them.
 func (t *Table[P]) Digest() uint64 {
 	var sum uint64
 	for i := range t.parts.leaf {
--- a/internal/core/membership/scale_test.go
+++ b/internal/core/membership/scale_test.go
@@ -75,7 +75,7 @@
 		n := &simNode{Gossip: &Gossip[string]{Table: NewTable(r, s.now), Budget: NewBudget(rate, s.now), Size: simSize, Pick: s.rnd.IntN}}
 		for j, o := range recs {
 			if i != j && (full || j < simSeeds) {
-				n.Table.Merge(o, newsFor, s.now)
+				n.Table.Merge(o, updateFor, s.now)
 			}
 		}
 		s.nodes, s.byID[r.ID] = append(s.nodes, n), n
--- a/internal/core/membership/spread.go
+++ b/internal/core/membership/spread.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// sendsUrgent and sendsNews are how often a process passes on a change. Of
+	// sendsUrgent and sendsUpdate are how often a process passes on a change. Of
 	// the urgent ones half go to members that have them already.
-	// What members do not hear of in this way they find by their digests.
+	// What members do not receive in this way they find by their digests.
 	sendsUrgent = 2 * (OwnNeighbours + OtherNeighbours)
-	sendsNews   = 3
-	// newsFor is the time for which a change is passed on. Without it, a fleet
+	sendsUpdate = 3
+	// updateFor is the time for which a change is passed on. Without it, a fleet
 	// that starts passes on each of its records for as long as the budget
 	// needs, to members that have them.
-	newsFor = 10 * time.Second
+	updateFor = 10 * time.Second
 )
 
 // changed makes a change something to pass on. One that follows an urgent one
@@ -24,7 +24,7 @@
 	if !urgent && e.urgent && e.pending(now) {
 		return e
 	}
-	e.news, e.sends, e.urgent = at(now), sendsNews, urgent
+	e.changedAt, e.sends, e.urgent = at(now), sendsUpdate, urgent
 	if urgent {
 		e.sends = sendsUrgent
 	}
@@ -32,7 +32,7 @@
 }
 
 func (e entry[P]) pending(now time.Time) bool {
-	return e.sends > 0 && e.news.until(now) < newsFor
+	return e.sends > 0 && e.changedAt.until(now) < updateFor
 }
 
 // Size estimates the bytes that a record takes in a message.
--- a/internal/core/membership/suspicion.go
+++ b/internal/core/membership/suspicion.go
@@ -107,9 +107,9 @@
 	return out
 }
 
-// Doubted returns the ids of members that others hold for suspect or dead and
+// Suspected returns the ids of members that others hold for suspect or dead and
 // that this process did not fail to reach. Contacting them lets them refute.
-func (t *Table[P]) Doubted(now time.Time) []string {
+func (t *Table[P]) Suspected(now time.Time) []string {
 	var out []string
 	t.m.Range(func(id string, e entry[P]) bool {
 		silent := e.rec.State == Suspect || e.rec.State == Dead
--- a/internal/core/membership/table.go
+++ b/internal/core/membership/table.go
@@ -104,10 +104,10 @@
 	// listed is the time until which a member that others report as dead is
 	// still used, so that it can refute.
 	listed instant
-	// news is when this process learnt of the last change, and sends counts how
+	// changedAt is when this process learned of the last change, and sends counts how
 	// often it is still to be passed on.
-	news  instant
-	sends uint16
+	changedAt instant
+	sends     uint16
 	// urgent means that the change is one of state or marks.
 	urgent bool
 }
@@ -191,7 +191,7 @@
 
 // The outcomes of Table.Merge.
 const (
-	// Unchanged means that nothing new was learnt.
+	// Unchanged means that nothing changed.
 	Unchanged Outcome = iota
 	// Updated means that the member is new or its record changed.
 	Updated
@@ -219,7 +219,7 @@
 			}
 			out = Updated
 			e = entry[P]{rec: r, heard: at(now.Add(-age)), since: at(now)}
-			if age < newsFor {
+			if age < updateFor {
 				e = e.changed(now, false)
 			}
 			return e, true
