rpc: return a chunk's connection to the pool before the next fetch

Cause: TestFetchChunkKeepsConnection failed now and then on a busy machine (3 connections for 20 fetches). The pool takes a connection back in a goroutine after the stream has ended, and a fetch that came first dialed a new one. Change: Close of a chunk that was read to its end waits until the stream is done, which is after the connection is back.

--- a/internal/adapter/rpc/peer_client.go
+++ b/internal/adapter/rpc/peer_client.go
@@ -171,6 +171,12 @@
 func (p *pieces) Close() error {
 	if p.ended || errors.Is(p.err, io.EOF) {
 		err := p.stream.Close()
+		// The connection is back in the pool once the stream is done. Without the
+		// wait, the next fetch may come first and dial a new one.
+		select {
+		case <-p.stream.Context().Done():
+		case <-p.ctx.Done():
+		}
 		p.sil.close()
 		return err
 	}
