routing: use the last place of a target within an entry's share

Cause: an entry's share of a target was cut to whole places (2 of 8 for three entries) and beyond it one place was left free. With one failure domain of three gone the rest runs at 90%, but one place in eight could hardly be used, so requests waited 100 ms for a probe of a target that seemed full. TestPartOfAPlace fails without the change.

--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -36,21 +36,22 @@
 	Probe bool
 }
 
-// spare reports whether a target seems to have room. This entry may use its
-// share of the limit whatever the report says of the others, so all entries
-// that keep to their shares fill a target without a refusal. Beyond its share
-// it leaves one place free, so that it gives a borrowed place back to an entry
-// that has less.
+// spare reports whether a target seems to have room. This entry may use the
+// whole places of its share of the limit whatever the report says of the
+// others, so all entries that keep to their shares fill a target without a
+// refusal. The part of a place that is left of its share lets it use one more
+// that seems free. Beyond that it leaves one place free, so that it gives a
+// borrowed place back to an entry that has less.
 func (q *Query) spare(v *target) bool {
-	share := 0
+	share := 0.0
 	if q.Watchers >= 1 {
-		share = int(float64(v.Limit) / q.Watchers)
+		share = float64(v.Limit) / q.Watchers
 	}
-	if v.own < share {
+	if v.own < int(share) {
 		return true
 	}
 	reserve := 0
-	if share > 0 && share < v.Limit {
+	if float64(v.own) >= share && int(share) > 0 && int(share) < v.Limit {
 		reserve = 1
 	}
 	return v.estimate() < v.Limit-reserve
--- a/internal/core/routing/routing_test.go
+++ b/internal/core/routing/routing_test.go
@@ -227,6 +227,31 @@
 	}
 }
 
+// TestPartOfAPlace guards against a last place that stays free in every target
+// although entries with less than their share wait, because shares are cut to
+// whole places.
+func TestPartOfAPlace(t *testing.T) {
+	tab := NewTable()
+	r := usable("x", "a", 5)
+	r.Limit = 8
+	tab.Report(r, start)
+	q := Query{Pool: pool, Version: "v", Watchers: 3}
+	for own := range 3 { // a share of 8/3 places
+		if _, out := tab.Choose(q, start, rand.IntN); out != Chosen || !tab.Start("x") {
+			t.Errorf("outcome %v with %d own and %d places free", out, own, 3-own)
+		}
+	}
+	tab = NewTable()
+	r.InFlight = 4
+	tab.Report(r, start)
+	for range 3 {
+		tab.Start("x")
+	}
+	if _, out := tab.Choose(q, start, rand.IntN); out != AllFull {
+		t.Errorf("outcome %v for the last place beyond the share", out)
+	}
+}
+
 // TestWaiters guards against a lower class that gets the room for which a
 // higher one waits, and against a change that wakes nobody because the one it
 // woke left or could not use it.
