--- /dev/null
+++ b/cmd/masticwing-gateway/main.go
@@ -0,0 +1,81 @@
+// Command masticwing-gateway serves callers on the users' platform.
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/gateway"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/platform"
+)
+
+func main() { os.Exit(daemon.Main(role(), os.Args, os.Stdout, os.Stderr)) }
+
+func role() daemon.Role {
+	set := &gateway.Settings{}
+	return daemon.Role{
+		Name:  "masticwing-gateway",
+		Usage: "serves callers of targets that register in the platform's store",
+		Settings: func(s *settings.Set) *daemon.Common {
+			set.Register(s)
+			return &set.Common
+		},
+		Memory: func() int64 { return set.Memory },
+		Run:    func(ctx context.Context, env daemon.Env) error { return run(ctx, *set, env) },
+	}
+}
+
+// headerTimeout bounds the time to read a request's header. Operators allow
+// callers a few seconds.
+const headerTimeout = 10 * time.Second
+
+func run(ctx context.Context, set gateway.Settings, env daemon.Env) error {
+	store := platform.NewStore(set.Platform)
+	store.Called = func(call, outcome string) {
+		env.Metrics.Count("store_calls_total", 1, port.Attr{Key: "call", Value: call}, port.Attr{Key: "outcome", Value: outcome})
+	}
+	g := gateway.New(set, gateway.Deps{
+		Store: store, Facts: platform.Facts{},
+		Targets: platform.NewTargets(func() { env.Metrics.Count("target_connections_total", 1) }),
+		Clock:   sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
+	})
+	callers, err := listen(set.Callers)
+	if err != nil {
+		return err
+	}
+	ready, err := listen(set.Ready)
+	if err != nil {
+		return err
+	}
+	front := &http.Server{Handler: platform.Ingress(g, g.Closing), ReadHeaderTimeout: headerTimeout}
+	checks := &http.Server{Handler: platform.Ready(g), ReadHeaderTimeout: headerTimeout}
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { g.Run(work) })
+	wg.Go(func() { _ = front.Serve(callers) })
+	wg.Go(func() { _ = checks.Serve(ready) })
+	env.Admin.Ready()
+	<-ctx.Done()
+	g.Stop()
+	_ = front.Close()
+	_ = checks.Close()
+	return nil
+}
+
+func listen(a fleet.Address) (net.Listener, error) {
+	l, err := net.Listen("tcp", string(a))
+	return l, errors.Wrap(err, "listening")
+}
--- /dev/null
+++ b/cmd/masticwing-loader/main.go
@@ -0,0 +1,48 @@
+// Command masticwing-loader runs beside a model engine on the users' platform.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/loader"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/platform"
+)
+
+func main() { os.Exit(daemon.Main(role(), os.Args, os.Stdout, os.Stderr)) }
+
+func role() daemon.Role {
+	set := &loader.Settings{}
+	return daemon.Role{
+		Name:  "masticwing-loader",
+		Usage: "keeps the model engine of a VM at the declared weights",
+		Settings: func(s *settings.Set) *daemon.Common {
+			set.Register(s)
+			return &set.Common
+		},
+		Memory: func() int64 { return set.Memory },
+		Run:    func(ctx context.Context, env daemon.Env) error { return run(ctx, *set, env) },
+	}
+}
+
+func run(ctx context.Context, set loader.Settings, env daemon.Env) error {
+	store := platform.NewStore(set.Platform)
+	store.Called = func(call, outcome string) {
+		env.Metrics.Count("store_calls_total", 1, port.Attr{Key: "call", Value: call}, port.Attr{Key: "outcome", Value: outcome})
+	}
+	peers := rpc.NewClient()
+	defer peers.Close()
+	l := loader.New(set, loader.Deps{
+		Store: store, Facts: platform.Facts{}, Engine: platform.NewEngine(set.Engine),
+		Origin: func(a fleet.Address) port.NumberedOrigin { return platform.NewOrigin(a) },
+		Peers:  peers, Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
+	})
+	env.Admin.Ready()
+	return l.Run(ctx)
+}
--- a/internal/adapter/logging/logging.go
+++ b/internal/adapter/logging/logging.go
@@ -53,6 +53,12 @@
 	write(l.l.Error().Err(err), msg, fields)
 }
 
+// Served logs a request that was served.
+func (l *Logger) Served(msg string, fields ...Field) { write(l.l.Info(), msg, fields) }
+
+// Failed logs a request that was not served.
+func (l *Logger) Failed(msg string, fields ...Field) { write(l.l.Warn(), msg, fields) }
+
 func write(e *log.Entry, msg string, fields []Field) {
 	for _, f := range fields {
 		e = e.Any(f.Key, f.Value)
--- a/internal/adapter/sysclock/sysclock.go
+++ b/internal/adapter/sysclock/sysclock.go
@@ -5,6 +5,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock is the system clock.
@@ -16,6 +18,16 @@
 // After returns a channel that receives once d has passed.
 func (Clock) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// SinceBoot returns the time since the machine started. It goes on while the
+// machine is suspended, unlike the monotonic reading of Now, and does not jump
+// with the time of day.
+func (Clock) SinceBoot() time.Duration {
+	var ts unix.Timespec
+	// The call fails only for a clock that the kernel does not have.
+	_ = unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts)
+	return time.Duration(ts.Nano())
+}
+
 // Rand is the runtime's random source, safe for concurrent use.
 type Rand struct{}
 
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -60,6 +60,9 @@
 	Usage string
 	// Settings registers the settings and returns the common part.
 	Settings func(*settings.Set) *Common
+	// Memory returns the most that the process may use, after Settings. It may
+	// be nil.
+	Memory func() int64
 	// Run runs until ctx ends, which happens on SIGTERM or SIGINT, and then
 	// finishes the work in progress.
 	Run func(ctx context.Context, env Env) error
@@ -78,8 +81,12 @@
 	return code
 }
 
+// configVariable names the settings file if no flag does.
+const configVariable = "MASTICWING_CONFIG"
+
 func command(r Role, out, errOut io.Writer, code *int) *cli.Command {
-	config := &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Required: true, Usage: "INI settings `FILE`"}
+	config := &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Required: true, Usage: "INI settings `FILE`",
+		Sources: cli.EnvVars(configVariable)}
 	usage := func(_ context.Context, _ *cli.Command, err error, _ bool) error {
 		*code = ExitSettings
 		return err
@@ -146,6 +153,9 @@
 		return nil
 	}
 	limitMemory()
+	if r.Memory != nil {
+		debug.SetMemoryLimit(int64(memoryShare * float64(r.Memory())))
+	}
 	metrics, err := otelmetrics.New()
 	if err != nil {
 		return err
@@ -165,6 +175,10 @@
 	}
 }
 
+// memoryShare is the part of the process's memory from which the collector runs
+// as often as needed. The rest is for the kernel's buffers.
+const memoryShare = 0.7
+
 // returnEvery is the time between two returns of unused memory. The first
 // seconds of a process in a large fleet, and later bursts, leave a heap that the
 // runtime gives back only over minutes. A collection of a daemon's heap takes
--- /dev/null
+++ b/internal/app/gateway/gateway.go
@@ -0,0 +1,235 @@
+// Package gateway serves pass-through requests: it finds the route and the
+// client account of a request, chooses a target, and copies the answer back.
+// It runs on the entry VMs of a deployment whose targets register themselves in
+// the platform's store.
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/adapter/loadcast"
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/app/enroll"
+	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/inflight"
+	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// Clock also gives a time that goes on while the machine is suspended.
+type Clock interface {
+	port.Clock
+	// SinceBoot returns the time since the machine started.
+	SinceBoot() time.Duration
+}
+
+// Deps are the ports that a gateway uses.
+type Deps struct {
+	Store   port.Store
+	Facts   port.FactReader
+	Targets port.Forwarder
+	Clock   Clock
+	Rand    port.Rand
+	Metrics port.Metrics
+	Log     *logging.Logger
+}
+
+// Gateway implements port.InboundHandler.
+type Gateway struct {
+	set     Settings
+	deps    Deps
+	targets *placement.Table
+	picture *picture
+	budgets *placement.Budgets
+	// confirmed is the time since boot at which the store last confirmed the
+	// operators' keys, in nanoseconds; zero before the first time.
+	confirmed atomic.Int64
+	closing   atomic.Bool
+	refusing  atomic.Bool
+	active    *inflight.Counter
+	operator  *follow.Follower
+}
+
+var _ port.InboundHandler = (*Gateway)(nil)
+
+// New returns a gateway that knows nothing yet. Run makes it follow the store.
+func New(s Settings, d Deps) *Gateway {
+	t := placement.NewTable()
+	g := &Gateway{
+		set: s, deps: d, targets: t,
+		picture: newPicture(d.Facts, t, s.Regions, d.Clock, d.Log),
+		budgets: placement.NewBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
+		active:  inflight.New(),
+	}
+	g.operator = g.follower(d.Facts.Prefixes().Operator, operatorPause)
+	return g
+}
+
+const (
+	// watchWait is the longest wait of a watch; each call is charged.
+	watchWait = 25 * time.Second
+	// operatorPause collects operators' changes that come together. Changes must
+	// be in force within 2 s.
+	operatorPause = 20 * time.Millisecond
+	// targetPause collects changes of targets. A leaving target must get no new
+	// work after 2 s.
+	targetPause = 150 * time.Millisecond
+	// memberPause collects changes of processes, which only set shares.
+	memberPause = time.Second
+)
+
+func (g *Gateway) follower(prefix string, pause time.Duration) *follow.Follower {
+	return follow.New(g.deps.Store, prefix, watchWait, pause, g.deps.Clock, g.deps.Log)
+}
+
+// Run follows the store and the load of targets until ctx ends.
+func (g *Gateway) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ps := g.deps.Facts.Prefixes()
+	wg.Go(func() {
+		g.operator.Run(ctx, func(e follow.Event) {
+			at := g.deps.Clock.SinceBoot()
+			g.picture.applyOperator(e)
+			if e.Reset && g.confirmed.Load() == 0 {
+				g.confirmed.Store(int64(at))
+			}
+		})
+	})
+	wg.Go(func() { g.follower(ps.Targets, targetPause).Run(ctx, g.picture.applyTargets) })
+	wg.Go(func() { g.follower(ps.Members, memberPause).Run(ctx, g.picture.applyMembers) })
+	wg.Go(func() { g.confirmLoop(ctx) })
+	wg.Go(func() { g.receiveLoads(ctx) })
+	self := port.StoredMember{
+		ID: g.set.ID, Kind: fleet.KindEntry.String(), Domain: g.set.Domain,
+		Region: g.set.Regions[g.set.Domain], Address: g.set.Internal,
+	}
+	e := enroll.Enrolment{Store: g.deps.Store, Prefix: ps.Members, Self: self, Clock: g.deps.Clock, Log: g.deps.Log}
+	wg.Go(func() { e.Run(ctx) })
+}
+
+// receiveLoads takes in the load of targets. A socket that fails is opened
+// again.
+func (g *Gateway) receiveLoads(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := loadcast.Receive(ctx, g.set.Internal, g.applyLoad); err != nil {
+			g.deps.Log.Fault("load reports", err)
+			g.sleep(ctx, time.Second)
+		}
+	}
+}
+
+func (g *Gateway) applyLoad(r loadcast.Report) {
+	if id, ok := g.targets.InstanceAt(r.Target); ok {
+		g.targets.Report(id, r.Load, g.deps.Clock.Now())
+	}
+}
+
+const (
+	// confirmEvery is the pause between two checks that the operators' keys are
+	// as this process knows them. Each is charged; a key that was taken away
+	// must be refused after 5 s.
+	confirmEvery = 1500 * time.Millisecond
+	// confirmRetry is the pause after a check without an answer.
+	confirmRetry = 300 * time.Millisecond
+)
+
+// confirmLoop checks the picture against the store. A watch that reports nothing
+// proves nothing while the store drops its history.
+func (g *Gateway) confirmLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := confirmRetry
+		if g.picture.table.Load() != nil {
+			pause = g.confirm(ctx)
+		}
+		g.sleep(ctx, pause)
+	}
+}
+
+func (g *Gateway) confirm(ctx context.Context) time.Duration {
+	expect := g.picture.expectations(g.deps.Facts.CordonKey)
+	at := g.deps.Clock.SinceBoot()
+	err := g.deps.Store.Commit(ctx, expect, nil)
+	switch {
+	case err == nil:
+		g.confirmed.Store(int64(at))
+		return confirmEvery
+	case errors.Is(err, port.ErrConflict):
+		// A change that is on its way makes a conflict as well; listing again
+		// is the same news.
+		g.deps.Log.State("operators' keys have changed", logging.F("known", len(expect)))
+		g.operator.Relist()
+	}
+	return confirmRetry
+}
+
+// pictureAge returns the time since the store confirmed the operators' keys.
+func (g *Gateway) pictureAge() time.Duration {
+	return g.deps.Clock.SinceBoot() - time.Duration(g.confirmed.Load())
+}
+
+// Ready implements port.InboundHandler.
+func (g *Gateway) Ready() (bool, string) {
+	switch {
+	case g.closing.Load():
+		return false, "shutting down"
+	case g.picture.table.Load() == nil:
+		return false, "no configuration"
+	case !g.picture.listed.Load():
+		return false, "no list of targets"
+	}
+	return true, ""
+}
+
+// Bounds implements port.InboundHandler.
+func (g *Gateway) Bounds() port.CallerBounds {
+	t := g.picture.table.Load()
+	if t == nil {
+		return port.CallerBounds{}
+	}
+	return port.CallerBounds{HeaderBytes: t.Limits.HeaderBytes, BodyBytes: t.Limits.BodyBytes, Idle: t.Limits.Idle}
+}
+
+// Closing reports whether connections are to be closed after the answer.
+func (g *Gateway) Closing() bool { return g.closing.Load() }
+
+const (
+	// leaveTime is the time for which a stopping gateway still serves requests
+	// on open connections. The platform takes it out of rotation within 2 s.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is left of the grace period for the end of the process.
+	stopMargin = 500 * time.Millisecond
+)
+
+// Stop takes the gateway out of service: it reports that it is not ready, serves
+// what still comes for a while, refuses new requests then, and waits for those
+// in progress.
+func (g *Gateway) Stop() {
+	start := g.deps.Clock.Now()
+	g.closing.Store(true)
+	g.deps.Log.State("stopping", logging.F("grace_ms", g.set.Grace.Milliseconds()))
+	<-g.deps.Clock.After(leaveTime)
+	g.refusing.Store(true)
+	deadline := g.deps.Clock.After(max(0, g.set.Grace-stopMargin-g.deps.Clock.Now().Sub(start)))
+	for !g.active.Idle() {
+		select {
+		case <-g.active.Left():
+		case <-deadline:
+			g.deps.Log.State("stopping with requests in progress")
+			return
+		}
+	}
+}
+
+func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-g.deps.Clock.After(d):
+	}
+}
--- /dev/null
+++ b/internal/app/loader/loader.go
@@ -0,0 +1,175 @@
+// Package loader runs beside a model engine. It brings the declared weights into
+// the engine's area, orders the engine to load them, and tells the gateways the
+// engine's load.
+package loader
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/adapter/loadcast"
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/app/enroll"
+	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/app/weights"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// Deps are the ports that a loader uses.
+type Deps struct {
+	Store  port.Store
+	Facts  port.FactReader
+	Engine port.StagedEngine
+	// Origin returns the client of the origin at an address.
+	Origin  func(fleet.Address) port.NumberedOrigin
+	Peers   port.PeerClient
+	Clock   port.Clock
+	Rand    port.Rand
+	Metrics port.Metrics
+	Log     *logging.Logger
+}
+
+// Loader keeps one engine at the declared weights.
+type Loader struct {
+	set     Settings
+	deps    Deps
+	view    *view
+	origin  *namedOrigin
+	weights *weights.Manager
+	// seen is the last report of the engine.
+	seen lastReport
+}
+
+// linkShare is the part of the VM's link that transfers of weights may use. The
+// rest carries the requests of the engine.
+const linkShare = 0.85
+
+// New returns a loader that knows nothing yet.
+func New(s Settings, d Deps) *Loader {
+	v := newView(s, d.Facts, d.Clock, d.Log)
+	o := &namedOrigin{view: v, open: d.Origin}
+	rate := int64(linkShare * float64(s.Link))
+	m := weights.New(weights.Settings{
+		VM: fleet.VM(s.ID), Region: s.Regions[s.Domain], InRate: rate, OutRate: rate, Memory: s.Memory / 2,
+	}, weights.Deps{
+		Directory: v, Peers: d.Peers, Origin: o, Clock: d.Clock, Rand: d.Rand, Metrics: d.Metrics,
+	})
+	return &Loader{set: s, deps: d, view: v, origin: o, weights: m}
+}
+
+const (
+	// watchWait is the longest wait of a watch; each call is charged.
+	watchWait = 25 * time.Second
+	// watchPause collects changes that come together.
+	watchPause = 50 * time.Millisecond
+)
+
+// Run works until ctx ends.
+func (l *Loader) Run(ctx context.Context) error {
+	lis, err := net.Listen("tcp", string(l.set.Internal))
+	if err != nil {
+		return errors.Wrap(err, "listening for other loaders")
+	}
+	srv, err := rpc.NewServer(rpc.Handlers{Peer: l.weights})
+	if err != nil {
+		return err
+	}
+	ip, err := netip.ParseAddrPort(string(l.set.Internal))
+	if err != nil {
+		return errors.Wrap(err, "internal address")
+	}
+	sender, err := loadcast.NewSender(ip.Addr())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = sender.Close() }()
+	ps := l.deps.Facts.Prefixes()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
+		if err := srv.Serve(ctx, lis); err != nil {
+			l.deps.Log.Fault("serving other loaders", err)
+		}
+	})
+	wg.Go(func() { l.weights.Run(ctx) })
+	wg.Go(func() { l.follower(ps.Operator).Run(ctx, l.view.applyOperator) })
+	wg.Go(func() { l.follower(ps.Members).Run(ctx, l.view.applyMembers) })
+	wg.Go(func() { l.reportLoad(ctx, sender) })
+	wg.Go(func() { l.converge(ctx) })
+	self := port.StoredMember{
+		ID: l.set.ID, Kind: fleet.KindAgent.String(), Domain: l.set.Domain, Region: l.set.Regions[l.set.Domain],
+		Address: l.set.Internal, Target: l.set.Engine, Service: l.set.Service,
+	}
+	e := enroll.Enrolment{Store: l.deps.Store, Prefix: ps.Members, Self: self, Clock: l.deps.Clock, Log: l.deps.Log}
+	wg.Go(func() { e.Run(ctx) })
+	return nil
+}
+
+func (l *Loader) follower(prefix string) *follow.Follower {
+	return follow.New(l.deps.Store, prefix, watchWait, watchPause, l.deps.Clock, l.deps.Log)
+}
+
+const (
+	// loadEvery is the pause between two reports. An engine starts and ends about
+	// one request in this time.
+	loadEvery = 100 * time.Millisecond
+	// loadRepeat is the longest time without a report to the gateways. It is well
+	// below the age from which a report no longer counts.
+	loadRepeat = 400 * time.Millisecond
+)
+
+// reportLoad asks the engine for its load and sends it to the gateways.
+func (l *Loader) reportLoad(ctx context.Context, sender *loadcast.Sender) {
+	var last loadcast.Report
+	var lastAt time.Time
+	lost := false
+	for ctx.Err() == nil {
+		r, err := l.deps.Engine.Report(ctx)
+		now := l.deps.Clock.Now()
+		switch {
+		case err != nil && !lost && ctx.Err() == nil:
+			lost = true
+			l.deps.Log.Fault("lost the engine", err)
+			l.seen.set(nil)
+		case err == nil:
+			if lost {
+				lost = false
+				l.deps.Log.State("regained the engine", logging.F("started", r.Started))
+			}
+			l.seen.set(&r)
+			report := l.loadReport(r)
+			if report != last || now.Sub(lastAt) >= loadRepeat {
+				last, lastAt = report, now
+				if err := sender.Send(report, l.view.gateways()); err != nil {
+					l.deps.Metrics.Count("loader_reports_unsent_total", 1)
+				}
+			}
+		}
+		l.sleep(ctx, loadEvery)
+	}
+}
+
+func (l *Loader) loadReport(r port.EngineReport) loadcast.Report {
+	out := loadcast.Report{Target: l.set.Engine, Started: r.Started, Load: placement.Load{
+		Running: r.Running, Waiting: r.Waiting, Places: l.view.places(), Loading: r.Busy,
+	}}
+	for _, h := range r.Held {
+		out.Weights = max(out.Weights, h.Number)
+	}
+	return out
+}
+
+func (l *Loader) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-l.deps.Clock.After(d):
+	}
+}
--- /dev/null
+++ b/internal/app/loader/view.go
@@ -0,0 +1,394 @@
+package loader
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/declare"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
+	"github.com/masticwing/masticwing/internal/core/routes"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// view is what a loader knows of the declarations and of the other processes. It
+// is also the directory of package weights, in which every loader of the service
+// works towards the same version.
+type view struct {
+	set   Settings
+	facts port.FactReader
+	clock port.Clock
+	log   *logging.Logger
+
+	mu       sync.Mutex // guards the following
+	config   *routes.Table
+	declared []declaredWeights
+	members  map[string]port.StoredMember
+	senders  []netip.AddrPort
+	// current is the digest that all loaders work towards.
+	current fleet.Version
+	subs    map[chan struct{}]bool
+	changed chan struct{}
+}
+
+// declaredWeights is a declaration and the time at which it was learned.
+type declaredWeights struct {
+	port.HeldWeights
+	since time.Time
+	// late is set if the declaration was found, not seen being made.
+	late bool
+}
+
+var _ port.Directory = (*view)(nil)
+
+func newView(s Settings, f port.FactReader, c port.Clock, l *logging.Logger) *view {
+	return &view{
+		set: s, facts: f, clock: c, log: l,
+		members: map[string]port.StoredMember{}, subs: map[chan struct{}]bool{}, changed: make(chan struct{}, 1),
+	}
+}
+
+// Declaration implements port.Directory. The platform's declarations name no
+// groups.
+func (v *view) Declaration() (*declare.Declaration, time.Duration) { return nil, -1 }
+
+// SetSelf implements port.Directory. The store holds no state of a loader.
+func (v *view) SetSelf(func(*port.MemberRecord)) {}
+
+// Members implements port.Directory.
+func (v *view) Members(k fleet.Kind) []port.MemberRecord {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var out []port.MemberRecord
+	for _, m := range v.members {
+		if m.Kind != k.String() || m.Service != v.set.Service {
+			continue
+		}
+		out = append(out, port.MemberRecord{
+			ID: m.ID, Kind: k, Domain: m.Domain, Region: m.Region, Address: m.Address,
+			Status: &port.AgentStatus{Progress: port.Progress{Target: v.current}},
+		})
+	}
+	return out
+}
+
+// Subscribe implements port.Directory.
+func (v *view) Subscribe() (<-chan struct{}, func()) {
+	c := make(chan struct{}, 1)
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.subs[c] = true
+	return c, func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		delete(v.subs, c)
+	}
+}
+
+// notify wakes everyone that waits for news. The caller holds mu; the channels
+// have room for one value, so that no send blocks.
+func (v *view) notify() {
+	for c := range v.subs {
+		signal(c)
+	}
+	signal(v.changed)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// workTowards sets the version that the loaders of the service exchange.
+func (v *view) workTowards(d fleet.Version) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.current != d {
+		v.current = d
+		v.notify()
+	}
+}
+
+func (v *view) applyOperator(e follow.Event) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	for _, c := range e.Changes {
+		if c.Removed {
+			continue
+		}
+		fact, err := v.facts.Read(c.Item)
+		if err != nil {
+			v.log.Fault("operator's item can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
+			continue
+		}
+		switch f := fact.(type) {
+		case port.ConfigFact:
+			if v.config == nil || f.Config.Version >= v.config.Version {
+				v.config = routes.Compile(f.Config)
+			}
+		case port.WeightsFact:
+			v.declare(declaredWeights{port.HeldWeights{Model: f.Model, Number: f.Number}, now, e.Reset}, c.Revision)
+		}
+	}
+	v.notify()
+}
+
+func (v *view) declare(d declaredWeights, revision int64) {
+	for _, old := range v.declared {
+		if old.Model == d.Model && old.Number >= d.Number {
+			return
+		}
+	}
+	const kept = 8 // more than are declared within the bound of one
+	v.declared = append(v.declared, d)
+	v.declared = v.declared[max(0, len(v.declared)-kept):]
+	v.log.State("weights declared", logging.F("model", string(d.Model)), logging.F("number", d.Number), logging.F("revision", revision))
+}
+
+func (v *view) applyMembers(e follow.Event) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if e.Reset {
+		clear(v.members)
+	}
+	for _, c := range e.Changes {
+		if c.Removed {
+			delete(v.members, c.Key)
+			continue
+		}
+		fact, err := v.facts.Read(c.Item)
+		if err != nil {
+			v.log.Fault("entry of a process can't be read", err, logging.F("key", c.Key))
+			continue
+		}
+		if f, ok := fact.(port.MemberFact); ok {
+			v.members[c.Key] = f.Member
+		}
+	}
+	v.senders = v.senders[:0:0]
+	for _, m := range v.members {
+		if a, err := netip.ParseAddrPort(string(m.Address)); err == nil && m.Kind == fleet.KindEntry.String() {
+			v.senders = append(v.senders, a)
+		}
+	}
+	v.notify()
+}
+
+// gateways returns the addresses that take load reports.
+func (v *view) gateways() []netip.AddrPort {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.senders
+}
+
+// service returns the service of the engine, or nil before it is known.
+func (v *view) service() *routes.Service {
+	if v.config == nil {
+		return nil
+	}
+	s, _ := v.config.Service(v.set.Service)
+	return s
+}
+
+// places returns the places of the engine, or 0 before they are known.
+func (v *view) places() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.service(); s != nil && s.Engine != nil {
+		return s.Engine.Places
+	}
+	return 0
+}
+
+// goal is what an engine has to hold.
+type goal struct {
+	port.HeldWeights
+	// since is the time of the oldest declaration above the weights held.
+	since time.Time
+	// now means that the engine must not wait for its turn.
+	now bool
+	// rank is the engine's turn among count.
+	rank, count int
+	fenced      bool
+}
+
+// firstNumber is the number of the weights before any declaration.
+const firstNumber = 1
+
+// goal returns what an engine that holds the given weights has to hold. It
+// returns false before a configuration is known.
+func (v *view) goal(held port.HeldWeights) (goal, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service()
+	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
+		return goal{}, false
+	}
+	g := goal{HeldWeights: port.HeldWeights{Model: s.Engine.Models[0], Number: firstNumber}, now: held.Number == 0, fenced: s.Engine.Fenced}
+	for _, d := range v.declared {
+		if d.Model != g.Model {
+			continue
+		}
+		if d.Number > held.Number && g.since.IsZero() {
+			g.since = d.since
+			g.now = g.now || d.late
+		}
+		g.Number = max(g.Number, d.Number)
+	}
+	g.rank, g.count = v.turn(g.Number)
+	return g, true
+}
+
+// turn returns the rank of this loader among those of the service. Failure
+// domains take turns, so that no domain loses all its engines at a time.
+func (v *view) turn(number int64) (rank, count int) {
+	byDomain := map[fleet.Domain][]string{}
+	for _, m := range v.members {
+		if m.Kind == fleet.KindAgent.String() && m.Service == v.set.Service {
+			byDomain[m.Domain] = append(byDomain[m.Domain], m.ID)
+			count++
+		}
+	}
+	mine := byDomain[v.set.Domain]
+	slices.Sort(mine)
+	at := max(0, slices.Index(mine, v.set.ID))
+	at = (at + int(number)) % max(1, len(mine))
+	for d, ids := range byDomain {
+		if d < v.set.Domain {
+			rank += min(len(ids), at+1)
+		} else {
+			rank += min(len(ids), at)
+		}
+	}
+	return rank, max(count, 1)
+}
+
+// originAddress returns the address of the origin, or an empty one.
+func (v *view) originAddress() fleet.Address {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.config == nil {
+		return ""
+	}
+	for i := range v.config.Services {
+		if a := v.config.Services[i].Origin; a != "" {
+			return a
+		}
+	}
+	return ""
+}
+
+// namedOrigin gives package weights, which knows versions by their digest, the
+// versions of an origin that numbers them.
+type namedOrigin struct {
+	view *view
+	open func(fleet.Address) port.NumberedOrigin
+
+	mu     sync.Mutex // guards the following
+	client port.NumberedOrigin
+	addr   fleet.Address
+	names  map[fleet.Version]namedVersion
+}
+
+type namedVersion struct {
+	port.HeldWeights
+	man manifest.Manifest
+}
+
+var _ port.Origin = (*namedOrigin)(nil)
+
+var errNoOrigin = errors.New("no origin is configured")
+
+func (o *namedOrigin) get() (port.NumberedOrigin, error) {
+	addr := o.view.originAddress()
+	if addr == "" {
+		return nil, errNoOrigin
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.client == nil || o.addr != addr {
+		o.client, o.addr = o.open(addr), addr
+	}
+	return o.client, nil
+}
+
+// resolve returns the manifest of numbered weights and remembers its name. The
+// origin may spoil an answer, so two answers have to agree.
+func (o *namedOrigin) resolve(ctx context.Context, w port.HeldWeights) (manifest.Manifest, error) {
+	c, err := o.get()
+	if err != nil {
+		return manifest.Manifest{}, err
+	}
+	seen := map[fleet.Version]bool{}
+	const tries = 4 // one spoilt answer in 25 leaves two that agree among these
+	for range tries {
+		man, e := c.Manifest(ctx, w)
+		if errors.Is(e, port.ErrVersionUnknown) {
+			return manifest.Manifest{}, e
+		}
+		if e != nil {
+			err = e
+			continue
+		}
+		id := man.Version()
+		if man.Check(id) == nil && seen[id] {
+			o.remember(id, namedVersion{w, man})
+			return man, nil
+		}
+		seen[id] = true
+	}
+	if err == nil {
+		err = errors.New("manifests of the origin differ")
+	}
+	return manifest.Manifest{}, err
+}
+
+func (o *namedOrigin) remember(id fleet.Version, n namedVersion) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	const kept = 4 // more than are fetched at a time
+	if o.names == nil || len(o.names) >= kept {
+		o.names = map[fleet.Version]namedVersion{}
+	}
+	o.names[id] = n
+}
+
+func (o *namedOrigin) named(id fleet.Version) (namedVersion, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	n, ok := o.names[id]
+	if !ok {
+		return n, port.ErrVersionUnknown
+	}
+	return n, nil
+}
+
+// Manifest implements port.Origin.
+func (o *namedOrigin) Manifest(_ context.Context, id fleet.Version) (manifest.Manifest, error) {
+	n, err := o.named(id)
+	return n.man, err
+}
+
+// Chunk implements port.Origin.
+func (o *namedOrigin) Chunk(ctx context.Context, id fleet.Version, i int) (io.ReadCloser, error) {
+	n, err := o.named(id)
+	if err != nil {
+		return nil, err
+	}
+	c, err := o.get()
+	if err != nil {
+		return nil, err
+	}
+	return c.Chunk(ctx, n.HeldWeights, i)
+}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -23,6 +23,8 @@
 	Version string
 	// Service is the name of a plain service beside the model engines.
 	Service string
+	// Instance names one run of a target; an address may be used by others.
+	Instance string
 	// RequestID identifies one request across all hops.
 	RequestID string
 )
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -78,6 +78,7 @@
 	CodeTargetError       Code = "target_error"
 	CodeShuttingDown      Code = "shutting_down"
 	CodeInternal          Code = "internal"
+	CodeStalePicture      Code = "configuration_stale"
 )
 
 // Error is a typed error with a verdict.
--- /dev/null
+++ b/internal/port/store.go
@@ -0,0 +1,150 @@
+package port
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/routes"
+)
+
+// ErrHistoryGone means that the store no longer has the changes after the
+// revision that was asked for. The prefix has to be listed again.
+var ErrHistoryGone = errors.New("history of the store is no longer available")
+
+// Item is a key of the platform's store.
+type Item struct {
+	Key   string
+	Value []byte
+	// Revision is the store's revision of the last write of the key.
+	Revision int64
+}
+
+// Change is one change of a key. Removed keys have no value.
+type Change struct {
+	Item
+	Removed bool
+}
+
+// Expectation is a condition of a write: the key is at the revision, or absent
+// if the revision is 0.
+type Expectation struct {
+	Key      string
+	Revision int64
+}
+
+// Write sets a key. The key disappears with the lease, if one is given.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// Store is the platform's metadata store: ordered revisions, prefixes, watches,
+// leases, and writes under conditions.
+type Store interface {
+	// List returns all items under a prefix and the revision from which changes
+	// have to be read. The items are not a snapshot: a change up to then may be
+	// seen again.
+	List(ctx context.Context, prefix string) (items []Item, at int64, err error)
+	// Changes waits for changes after a revision. It returns none if wait
+	// passes without one. at is the revision to go on from.
+	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []Change, at int64, err error)
+	// Commit makes all writes if all expectations hold, and none otherwise, with
+	// ErrConflict. Without writes it only checks the expectations.
+	Commit(ctx context.Context, expect []Expectation, writes []Write) error
+	// Grant creates a lease.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive extends a lease to its full time. It returns ErrNotFound for a
+	// lease that has ended.
+	KeepAlive(ctx context.Context, id LeaseID) error
+	// Revoke ends a lease.
+	Revoke(ctx context.Context, id LeaseID) error
+}
+
+// Prefixes of the keys that others write, and of those of the product.
+type Prefixes struct {
+	// Operator is the prefix of what operators declare.
+	Operator string
+	// Targets is the prefix under which targets register themselves.
+	Targets string
+	// Members is the prefix under which the product's processes register.
+	Members string
+}
+
+// Fact is what an item of the store says. It is one of the types below.
+type Fact interface{ fact() }
+
+// ConfigFact is the operators' configuration.
+type ConfigFact struct{ Config routes.Config }
+
+// CordonFact means that a failure domain takes no new work.
+type CordonFact struct{ Domain fleet.Domain }
+
+// WeightsFact declares the weights of a model.
+type WeightsFact struct {
+	Model fleet.Model
+	// Number is the operators' number of the version; it rises.
+	Number int64
+}
+
+// TargetFact is the entry of a target.
+type TargetFact struct{ Target TargetRecord }
+
+// MemberFact is the entry of a process of the product.
+type MemberFact struct{ Member StoredMember }
+
+func (ConfigFact) fact()  {}
+func (CordonFact) fact()  {}
+func (WeightsFact) fact() {}
+func (TargetFact) fact()  {}
+func (MemberFact) fact()  {}
+
+// TargetRecord is what a target says of itself.
+type TargetRecord struct {
+	Instance fleet.Instance
+	Service  fleet.Service
+	Address  fleet.Address
+	Domain   fleet.Domain
+	Places   int
+	Draining bool
+	// ColdLeft is the time for which the target still bears little load.
+	ColdLeft time.Duration
+	// Held lists the weights that the target can serve.
+	Held []HeldWeights
+	// Started identifies the start of the target, in Unix milliseconds.
+	Started int64
+}
+
+// HeldWeights are the weights of a model that a target holds.
+type HeldWeights struct {
+	Model  fleet.Model
+	Number int64
+}
+
+// StoredMember is a process of the product as it registers itself in the store.
+type StoredMember struct {
+	ID     string       `json:"id"`
+	Kind   string       `json:"kind"`
+	Domain fleet.Domain `json:"domain"`
+	Region fleet.Region `json:"region"`
+	// Address takes the product's own protocol.
+	Address fleet.Address `json:"address"`
+	// Target is the address of the target beside the process, or empty.
+	Target fleet.Address `json:"target,omitempty"`
+	// Service is that of the target, or empty.
+	Service fleet.Service `json:"service,omitempty"`
+}
+
+// FactReader decodes items of the store.
+type FactReader interface {
+	// Prefixes returns where the facts are stored.
+	Prefixes() Prefixes
+	// CordonKey returns the key that cordons a failure domain.
+	CordonKey(d fleet.Domain) string
+	// Read returns what an item says, or an error if it can't be read. It
+	// returns nil for a key that says nothing of interest.
+	Read(it Item) (Fact, error)
+}
