loader: fetch chunks along chains, and apart from loading

Cause: the spread of chunks draws up to four copies from the origin, whose link of 9.9 Mbit/s then takes 6 s; a version named meanwhile ended the fetch, and loaders that were loading did not serve the others.

Each chunk now leaves the origin once and crosses to each region once. The manifest is asked from the loader before in the chain. The newest complete weights are loaded at the engine's turn, also if newer ones are declared.

Ruled out: fewer parallel fetches (chunks that are not there yet took all of them, 11 to 15 s); a short wait at the peer (1,300 repeated questions).

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -72,8 +72,9 @@
 }
 
 const (
-	// watchWait is the longest wait of a watch; each call is charged.
-	watchWait = 25 * time.Second
+	// watchWait is the longest wait of a watch; each call is charged. The store
+	// keeps 20 s of history, which a longer wait without a change would pass.
+	watchWait = 15 * time.Second
 	// operatorPause collects operators' changes that come together. Changes must
 	// be in force within 2 s.
 	operatorPause = 20 * time.Millisecond
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"time"
 
@@ -11,7 +10,6 @@
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/loadturn"
-	"github.com/masticwing/masticwing/internal/core/manifest"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -53,166 +51,175 @@
 	return h
 }
 
-// converge brings the engine to the declared weights whenever it holds others.
+// fetchDeclared makes the fetcher work towards the newest weights as soon as they
+// are declared, also while the engine loads others: the other loaders fetch from
+// this one.
+func (l *Loader) fetchDeclared(ctx context.Context) {
+	var last port.HeldWeights
+	for ctx.Err() == nil {
+		r := l.seen.get()
+		if r == nil {
+			l.sleep(ctx, recheck)
+			continue
+		}
+		held := heldOf(r)
+		g, ok := l.view.goal(held)
+		if !ok || held.Number >= g.Number || g.HeldWeights == last {
+			l.wait(ctx, l.view.declaredNews, recheck)
+			continue
+		}
+		if err := l.want(ctx, g); err != nil {
+			l.deps.Log.Fault("version can't be resolved", err, logging.F("number", g.Number))
+			l.sleep(ctx, failPause)
+			continue
+		}
+		last = g.HeldWeights
+	}
+}
+
+// want resolves a version and starts to fetch it.
+func (l *Loader) want(ctx context.Context, g goal) error {
+	name := versionName(g.HeldWeights)
+	man, ok := l.chunks.Resolve(ctx, name)
+	if !ok {
+		var err error
+		if man, err = l.origin.resolve(ctx, g.HeldWeights); err != nil {
+			return err
+		}
+	}
+	id := man.Version()
+	l.origin.remember(namedVersion{g.HeldWeights, id, man})
+	l.chunks.Want(name, id, man)
+	if g.empty {
+		l.reuse(ctx, g, id)
+	}
+	l.deps.Log.State("fetching weights", logging.F("number", g.Number), logging.F("chunks", len(man.Chunks)), logging.F("from_origin", !ok))
+	return nil
+}
+
+// converge brings the engine to the newest complete weights, in its turn.
 func (l *Loader) converge(ctx context.Context) {
 	for ctx.Err() == nil {
 		r := l.seen.get()
 		if r == nil || r.Busy {
-			l.wait(ctx, recheck)
+			l.sleep(ctx, recheck)
+			continue
+		}
+		held := heldOf(r)
+		g, ok := l.view.goal(held)
+		if !ok || held.Number >= g.Number || !l.due(g) {
+			l.sleep(ctx, turnCheck)
 			continue
 		}
-		g, ok := l.view.goal(heldOf(r))
-		if !ok || heldOf(r).Number >= g.Number {
-			l.wait(ctx, recheck)
+		v, ok := l.origin.newest(g.Model, held.Number, l.complete)
+		if !ok {
+			l.sleep(ctx, turnCheck)
 			continue
 		}
-		if err := l.change(ctx, g); err != nil && ctx.Err() == nil {
-			l.deps.Log.Fault("weights are not loaded yet", err, logging.F("number", g.Number))
+		if err := l.load(ctx, g, v); err != nil && ctx.Err() == nil {
+			l.deps.Log.Fault("weights are not loaded yet", err, logging.F("number", v.Number))
 			l.sleep(ctx, failPause)
 		}
 	}
 }
 
-// wait returns after news or after d.
-func (l *Loader) wait(ctx context.Context, d time.Duration) {
+// turnCheck is the pause between two looks at the turn of the engine.
+const turnCheck = 100 * time.Millisecond
+
+// due reports whether it is the engine's turn to leave service.
+func (l *Loader) due(g goal) bool {
+	return g.now || !l.deps.Clock.Now().Before(loadturn.At(g.since, l.set.WeightsBound, g.rank, g.count))
+}
+
+// complete reports whether all chunks of a version are there.
+func (l *Loader) complete(id fleet.Version) bool {
 	select {
-	case <-ctx.Done():
-	case <-l.view.changed:
-	case <-l.deps.Clock.After(d):
+	case <-l.chunks.Complete(id):
+		return true
+	default:
+		return false
 	}
 }
 
-var errSuperseded = errors.New("newer weights were declared")
-
-// current returns an error if another goal has come up.
-func (l *Loader) current(g goal) error {
-	r := l.seen.get()
-	if r == nil {
-		return errors.New("engine is lost")
-	}
-	now, ok := l.view.goal(heldOf(r))
-	if ok && now.Number > g.Number {
-		return errSuperseded
+// wait returns after news or after d.
+func (l *Loader) wait(ctx context.Context, news <-chan struct{}, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-news:
+	case <-l.deps.Clock.After(d):
 	}
-	return nil
 }
 
-// change fetches, stages and loads the weights of a goal.
-func (l *Loader) change(ctx context.Context, g goal) error {
+// load stages a complete version and orders the engine to load it.
+func (l *Loader) load(ctx context.Context, g goal, v namedVersion) error {
 	start := l.deps.Clock.Now()
-	man, err := l.origin.resolve(ctx, g.HeldWeights)
-	if err != nil {
-		return errors.Wrap(err, "resolving the version")
-	}
-	id := man.Version()
-	l.view.workTowards(id)
-	l.weights.Want([]port.WeightsTarget{{Model: g.Model, Version: id}})
-	if err := l.fetched(ctx, g, id); err != nil {
-		return err
-	}
-	fetched := l.deps.Clock.Now()
-	chunks, err := l.chunks(id, man)
-	if err != nil {
-		return err
-	}
-	if err := l.stage(ctx, g, man, chunks); err != nil {
+	if err := l.stage(ctx, v); err != nil {
 		return err
 	}
-	staged := l.deps.Clock.Now()
-	if err := l.turn(ctx, g); err != nil {
+	if err := l.verify(ctx, v); err != nil {
 		return err
 	}
-	if err := l.verify(ctx, g, man, chunks); err != nil {
-		return err
-	}
-	l.deps.Log.State("ordering the engine to load", logging.F("model", string(g.Model)), logging.F("number", g.Number),
-		logging.F("fetch_ms", fetched.Sub(start).Milliseconds()), logging.F("stage_ms", staged.Sub(fetched).Milliseconds()),
-		logging.F("since_ms", l.deps.Clock.Now().Sub(g.since).Milliseconds()), logging.F("rank", g.rank), logging.F("of", g.count))
-	return l.order(ctx, g)
+	l.deps.Log.State("ordering the engine to load", logging.F("model", string(v.Model)), logging.F("number", v.Number),
+		logging.F("declared", g.Number), logging.F("stage_ms", l.deps.Clock.Now().Sub(start).Milliseconds()),
+		logging.F("since_ms", start.Sub(g.since).Milliseconds()), logging.F("rank", g.rank), logging.F("of", g.count))
+	return l.order(ctx, g, v)
 }
 
-// fetched waits until the version is complete.
-func (l *Loader) fetched(ctx context.Context, g goal, id fleet.Version) error {
-	for {
-		if _, _, ok := l.weights.Open(id); ok {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-l.weights.Changed():
-		case <-l.deps.Clock.After(recheck):
-			if err := l.current(g); err != nil {
-				return err
-			}
-		}
-	}
-}
-
-// chunks returns the verified chunks of a complete version.
-func (l *Loader) chunks(id fleet.Version, man manifest.Manifest) ([][]byte, error) {
-	rd, _, ok := l.weights.Open(id)
-	if !ok {
-		return nil, errors.New("version was released")
+// reuse takes the chunks that still lie in the area of an engine that started
+// again.
+func (l *Loader) reuse(ctx context.Context, g goal, id fleet.Version) {
+	staged, err := l.deps.Engine.Staged(ctx, g.Model)
+	if err != nil {
+		l.deps.Log.Fault("staged chunks can't be listed", err)
+		return
 	}
-	out := make([][]byte, len(man.Chunks))
-	for i, c := range man.Chunks {
-		out[i] = make([]byte, c.Bytes)
-		if _, err := io.ReadFull(rd, out[i]); err != nil {
-			return nil, errors.Wrap(err, "reading fetched chunks")
+	kept := 0
+	for _, i := range staged {
+		b, err := l.deps.Engine.ReadChunk(ctx, g.Model, i)
+		if err == nil && l.chunks.Add(id, i, b) {
+			kept++
 		}
 	}
-	return out, nil
+	l.deps.Log.State("staged chunks found", logging.F("number", g.Number), logging.F("staged", len(staged)), logging.F("intact", kept))
 }
 
-func (l *Loader) stage(ctx context.Context, g goal, man manifest.Manifest, chunks [][]byte) error {
-	for i := range man.Chunks {
-		if err := l.deps.Engine.WriteChunk(ctx, g.Model, i, chunks[i]); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+var errReleased = errors.New("version was released")
 
-// turn waits until the engine may leave service.
-func (l *Loader) turn(ctx context.Context, g goal) error {
-	if g.now {
-		return nil
-	}
-	at := loadturn.At(g.since, l.set.WeightsBound, g.rank, g.count)
-	for {
-		left := at.Sub(l.deps.Clock.Now())
-		if left <= 0 {
-			return nil
-		}
-		l.sleep(ctx, min(left, recheck))
-		if ctx.Err() != nil {
-			return ctx.Err()
+func (l *Loader) stage(ctx context.Context, v namedVersion) error {
+	for i := range v.man.Chunks {
+		b, ok := l.chunks.Chunk(v.id, i)
+		if !ok {
+			return errReleased
 		}
-		if err := l.current(g); err != nil {
+		if err := l.deps.Engine.WriteChunk(ctx, v.Model, i, b); err != nil {
 			return err
 		}
 	}
+	return nil
 }
 
 // verify reads the staged chunks back right before the order, since they may be
 // spoilt in the area, and writes those again.
-func (l *Loader) verify(ctx context.Context, g goal, man manifest.Manifest, chunks [][]byte) error {
-	for i := range man.Chunks {
+func (l *Loader) verify(ctx context.Context, v namedVersion) error {
+	for i := range v.man.Chunks {
 		const tries = 3
 		for n := 0; ; n++ {
-			b, err := l.deps.Engine.ReadChunk(ctx, g.Model, i)
+			b, err := l.deps.Engine.ReadChunk(ctx, v.Model, i)
 			if err != nil {
 				return err
 			}
-			if man.Verify(i, b) == nil {
+			if v.man.Verify(i, b) == nil {
 				break
 			}
 			if n == tries {
 				return errors.Errorf("staged chunk %d stays spoilt", i)
 			}
-			l.deps.Log.State("staged chunk is spoilt", logging.F("chunk", i), logging.F("number", g.Number))
-			if err := l.deps.Engine.WriteChunk(ctx, g.Model, i, chunks[i]); err != nil {
+			l.deps.Log.State("staged chunk is spoilt", logging.F("chunk", i), logging.F("number", v.Number))
+			data, ok := l.chunks.Chunk(v.id, i)
+			if !ok {
+				return errReleased
+			}
+			if err := l.deps.Engine.WriteChunk(ctx, v.Model, i, data); err != nil {
 				return err
 			}
 		}
@@ -222,15 +229,15 @@
 
 // order gives the order and waits until the engine has loaded. An order without
 // an answer may have been accepted, so the engine's report decides.
-func (l *Loader) order(ctx context.Context, g goal) error {
+func (l *Loader) order(ctx context.Context, g goal, v namedVersion) error {
 	r, err := l.deps.Engine.Report(ctx)
 	if err != nil {
 		return err
 	}
-	if heldOf(&r).Number >= g.Number {
+	if heldOf(&r).Number >= v.Number {
 		return nil
 	}
-	o := port.StartOrder{HeldWeights: g.HeldWeights, ExpectOrders: r.Orders}
+	o := port.StartOrder{HeldWeights: v.HeldWeights, ExpectOrders: r.Orders}
 	if g.fenced {
 		o.Fence = l.deps.Clock.Now().UnixMilli()
 	}
@@ -253,10 +260,10 @@
 		if now.Busy {
 			continue
 		}
-		if heldOf(&now).Number < g.Number {
+		if heldOf(&now).Number < v.Number {
 			return errors.New("engine did not load the weights")
 		}
-		l.deps.Log.State("engine holds the weights", logging.F("model", string(g.Model)), logging.F("number", g.Number))
+		l.deps.Log.State("engine holds the weights", logging.F("model", string(v.Model)), logging.F("number", v.Number))
 		return nil
 	}
 }
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -15,9 +15,10 @@
 	"github.com/masticwing/masticwing/internal/adapter/loadcast"
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/app/chunks"
 	"github.com/masticwing/masticwing/internal/app/enroll"
 	"github.com/masticwing/masticwing/internal/app/follow"
-	"github.com/masticwing/masticwing/internal/app/weights"
+	"github.com/masticwing/masticwing/internal/core/chain"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/port"
@@ -39,37 +40,42 @@
 
 // Loader keeps one engine at the declared weights.
 type Loader struct {
-	set     Settings
-	deps    Deps
-	view    *view
-	origin  *namedOrigin
-	weights *weights.Manager
+	set    Settings
+	deps   Deps
+	view   *view
+	origin *namedOrigin
+	chunks *chunks.Fetcher
 	// seen is the last report of the engine.
 	seen lastReport
 }
 
-// linkShare is the part of the VM's link that transfers of weights may use. The
-// rest carries the requests of the engine.
-const linkShare = 0.85
+// inShare and outShare are the parts of the VM's link that transfers of weights
+// may use. The rest carries the requests of the engine, about 10 KB/s, and its
+// events, about 30 KB/s.
+const (
+	inShare  = 0.95
+	outShare = 0.9
+)
 
 // New returns a loader that knows nothing yet.
 func New(s Settings, d Deps) *Loader {
 	v := newView(s, d.Facts, d.Clock, d.Log)
 	o := &namedOrigin{view: v, open: d.Origin}
-	rate := int64(linkShare * float64(s.Link))
-	m := weights.New(weights.Settings{
-		VM: fleet.VM(s.ID), Region: s.Regions[s.Domain], InRate: rate, OutRate: rate, Memory: s.Memory / 2,
-	}, weights.Deps{
-		Directory: v, Peers: d.Peers, Origin: o, Clock: d.Clock, Rand: d.Rand, Metrics: d.Metrics,
-	})
-	return &Loader{set: s, deps: d, view: v, origin: o, weights: m}
+	f := chunks.New(chunks.Settings{
+		Self:   chain.Member{VM: fleet.VM(s.ID), Region: s.Regions[s.Domain], Address: s.Internal},
+		InRate: int64(inShare * float64(s.Link)), OutRate: int64(outShare * float64(s.Link)),
+	}, chunks.Deps{Peers: d.Peers, Origin: o, Clock: d.Clock, Metrics: d.Metrics, Members: v.peers})
+	return &Loader{set: s, deps: d, view: v, origin: o, chunks: f}
 }
 
 const (
-	// watchWait is the longest wait of a watch; each call is charged.
-	watchWait = 25 * time.Second
-	// watchPause collects changes that come together.
-	watchPause = 50 * time.Millisecond
+	// watchWait is the longest wait of a watch; each call is charged. The store
+	// keeps 20 s of history, which a longer wait without a change would pass.
+	watchWait = 15 * time.Second
+	// operatorPause collects declarations that come together.
+	operatorPause = 50 * time.Millisecond
+	// memberPause collects changes of processes.
+	memberPause = time.Second
 )
 
 // Run works until ctx ends.
@@ -78,7 +84,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listening for other loaders")
 	}
-	srv, err := rpc.NewServer(rpc.Handlers{Peer: l.weights})
+	srv, err := rpc.NewServer(rpc.Handlers{Peer: l.chunks})
 	if err != nil {
 		return err
 	}
@@ -99,10 +105,11 @@
 			l.deps.Log.Fault("serving other loaders", err)
 		}
 	})
-	wg.Go(func() { l.weights.Run(ctx) })
-	wg.Go(func() { l.follower(ps.Operator).Run(ctx, l.view.applyOperator) })
-	wg.Go(func() { l.follower(ps.Members).Run(ctx, l.view.applyMembers) })
+	wg.Go(func() { l.chunks.Run(ctx) })
+	wg.Go(func() { l.follower(ps.Operator, operatorPause).Run(ctx, l.view.applyOperator) })
+	wg.Go(func() { l.follower(ps.Members, memberPause).Run(ctx, l.view.applyMembers) })
 	wg.Go(func() { l.reportLoad(ctx, sender) })
+	wg.Go(func() { l.fetchDeclared(ctx) })
 	wg.Go(func() { l.converge(ctx) })
 	self := port.StoredMember{
 		ID: l.set.ID, Kind: fleet.KindAgent.String(), Domain: l.set.Domain, Region: l.set.Regions[l.set.Domain],
@@ -113,8 +120,8 @@
 	return nil
 }
 
-func (l *Loader) follower(prefix string) *follow.Follower {
-	return follow.New(l.deps.Store, prefix, watchWait, watchPause, l.deps.Clock, l.deps.Log)
+func (l *Loader) follower(prefix string, pause time.Duration) *follow.Follower {
+	return follow.New(l.deps.Store, prefix, watchWait, pause, l.deps.Clock, l.deps.Log)
 }
 
 const (
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/netip"
 	"slices"
@@ -12,31 +13,26 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/follow"
-	"github.com/masticwing/masticwing/internal/core/declare"
+	"github.com/masticwing/masticwing/internal/core/chain"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/manifest"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// view is what a loader knows of the declarations and of the other processes. It
-// is also the directory of package weights, in which every loader of the service
-// works towards the same version.
+// view is what a loader knows of the declarations and of the other processes.
 type view struct {
 	set   Settings
 	facts port.FactReader
 	clock port.Clock
 	log   *logging.Logger
 
-	mu       sync.Mutex // guards the following
-	config   *routes.Table
-	declared []declaredWeights
-	members  map[string]port.StoredMember
-	senders  []netip.AddrPort
-	// current is the digest that all loaders work towards.
-	current fleet.Version
-	subs    map[chan struct{}]bool
-	changed chan struct{}
+	mu           sync.Mutex // guards the following
+	config       *routes.Table
+	declared     []declaredWeights
+	members      map[string]port.StoredMember
+	senders      []netip.AddrPort
+	declaredNews chan struct{}
 }
 
 // declaredWeights is a declaration and the time at which it was learned.
@@ -47,61 +43,27 @@
 	late bool
 }
 
-var _ port.Directory = (*view)(nil)
-
 func newView(s Settings, f port.FactReader, c port.Clock, l *logging.Logger) *view {
 	return &view{
 		set: s, facts: f, clock: c, log: l,
-		members: map[string]port.StoredMember{}, subs: map[chan struct{}]bool{}, changed: make(chan struct{}, 1),
+		members: map[string]port.StoredMember{}, declaredNews: make(chan struct{}, 1),
 	}
 }
 
-// Declaration implements port.Directory. The platform's declarations name no
-// groups.
-func (v *view) Declaration() (*declare.Declaration, time.Duration) { return nil, -1 }
-
-// SetSelf implements port.Directory. The store holds no state of a loader.
-func (v *view) SetSelf(func(*port.MemberRecord)) {}
-
-// Members implements port.Directory.
-func (v *view) Members(k fleet.Kind) []port.MemberRecord {
+// peers returns the loaders of the same service, which fetch the same
+// versions.
+func (v *view) peers() []chain.Member {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var out []port.MemberRecord
+	var out []chain.Member
 	for _, m := range v.members {
-		if m.Kind != k.String() || m.Service != v.set.Service {
-			continue
+		if m.Kind == fleet.KindAgent.String() && m.Service == v.set.Service {
+			out = append(out, chain.Member{VM: fleet.VM(m.ID), Region: m.Region, Address: m.Address})
 		}
-		out = append(out, port.MemberRecord{
-			ID: m.ID, Kind: k, Domain: m.Domain, Region: m.Region, Address: m.Address,
-			Status: &port.AgentStatus{Progress: port.Progress{Target: v.current}},
-		})
 	}
 	return out
 }
 
-// Subscribe implements port.Directory.
-func (v *view) Subscribe() (<-chan struct{}, func()) {
-	c := make(chan struct{}, 1)
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.subs[c] = true
-	return c, func() {
-		v.mu.Lock()
-		defer v.mu.Unlock()
-		delete(v.subs, c)
-	}
-}
-
-// notify wakes everyone that waits for news. The caller holds mu; the channels
-// have room for one value, so that no send blocks.
-func (v *view) notify() {
-	for c := range v.subs {
-		signal(c)
-	}
-	signal(v.changed)
-}
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -109,16 +71,6 @@
 	}
 }
 
-// workTowards sets the version that the loaders of the service exchange.
-func (v *view) workTowards(d fleet.Version) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.current != d {
-		v.current = d
-		v.notify()
-	}
-}
-
 func (v *view) applyOperator(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -141,7 +93,7 @@
 			v.declare(declaredWeights{port.HeldWeights{Model: f.Model, Number: f.Number}, now, e.Reset}, c.Revision)
 		}
 	}
-	v.notify()
+	signal(v.declaredNews)
 }
 
 func (v *view) declare(d declaredWeights, revision int64) {
@@ -182,7 +134,7 @@
 			v.senders = append(v.senders, a)
 		}
 	}
-	v.notify()
+	signal(v.declaredNews)
 }
 
 // gateways returns the addresses that take load reports.
@@ -216,6 +168,8 @@
 	port.HeldWeights
 	// since is the time of the oldest declaration above the weights held.
 	since time.Time
+	// empty means that the engine holds nothing.
+	empty bool
 	// now means that the engine must not wait for its turn.
 	now bool
 	// rank is the engine's turn among count.
@@ -235,7 +189,7 @@
 	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
 		return goal{}, false
 	}
-	g := goal{HeldWeights: port.HeldWeights{Model: s.Engine.Models[0], Number: firstNumber}, now: held.Number == 0, fenced: s.Engine.Fenced}
+	g := goal{HeldWeights: port.HeldWeights{Model: s.Engine.Models[0], Number: firstNumber}, empty: held.Number == 0, now: held.Number == 0, fenced: s.Engine.Fenced}
 	for _, d := range v.declared {
 		if d.Model != g.Model {
 			continue
@@ -289,7 +243,7 @@
 	return ""
 }
 
-// namedOrigin gives package weights, which knows versions by their digest, the
+// namedOrigin gives package chunks, which knows versions by their digest, the
 // versions of an origin that numbers them.
 type namedOrigin struct {
 	view *view
@@ -298,11 +252,12 @@
 	mu     sync.Mutex // guards the following
 	client port.NumberedOrigin
 	addr   fleet.Address
-	names  map[fleet.Version]namedVersion
+	names  []namedVersion
 }
 
 type namedVersion struct {
 	port.HeldWeights
+	id  fleet.Version
 	man manifest.Manifest
 }
 
@@ -323,8 +278,12 @@
 	return o.client, nil
 }
 
-// resolve returns the manifest of numbered weights and remembers its name. The
-// origin may spoil an answer, so two answers have to agree.
+// versionName is what loaders call numbered weights before they know the digest.
+func versionName(w port.HeldWeights) fleet.Version {
+	return fleet.Version(fmt.Sprintf("%s@%d", w.Model, w.Number))
+}
+
+// resolve returns the manifest of numbered weights. The origin may spoil an answer, so two answers have to agree.
 func (o *namedOrigin) resolve(ctx context.Context, w port.HeldWeights) (manifest.Manifest, error) {
 	c, err := o.get()
 	if err != nil {
@@ -343,7 +302,6 @@
 		}
 		id := man.Version()
 		if man.Check(id) == nil && seen[id] {
-			o.remember(id, namedVersion{w, man})
 			return man, nil
 		}
 		seen[id] = true
@@ -354,24 +312,36 @@
 	return manifest.Manifest{}, err
 }
 
-func (o *namedOrigin) remember(id fleet.Version, n namedVersion) {
+func (o *namedOrigin) remember(n namedVersion) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	const kept = 4 // more than are fetched at a time
-	if o.names == nil || len(o.names) >= kept {
-		o.names = map[fleet.Version]namedVersion{}
-	}
-	o.names[id] = n
+	o.names = append(o.names, n)
+	o.names = o.names[max(0, len(o.names)-kept):]
 }
 
 func (o *namedOrigin) named(id fleet.Version) (namedVersion, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	n, ok := o.names[id]
-	if !ok {
-		return n, port.ErrVersionUnknown
+	for _, n := range o.names {
+		if n.id == id {
+			return n, nil
+		}
+	}
+	return namedVersion{}, port.ErrVersionUnknown
+}
+
+// newest returns the newest complete version of a model above a number.
+func (o *namedOrigin) newest(m fleet.Model, above int64, complete func(fleet.Version) bool) (namedVersion, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var best namedVersion
+	for _, n := range o.names {
+		if n.Model == m && n.Number > max(above, best.Number) && complete(n.id) {
+			best = n
+		}
 	}
-	return n, nil
+	return best, best.Number > 0
 }
 
 // Manifest implements port.Origin.
--- /dev/null
+++ b/internal/core/chain/table.go
@@ -0,0 +1,194 @@
+package chain
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
+
+const (
+	// pendingPause is the pause before a member that does not have a chunk yet is
+	// asked again. The member keeps the question for a while before it says so.
+	pendingPause = 10 * time.Millisecond
+	// pendingPatience is the time after which a chunk that a member still does
+	// not have is asked for elsewhere.
+	pendingPatience = 1500 * time.Millisecond
+	// idlePause is the time for which a member that does not work towards the
+	// version is skipped.
+	idlePause = 3 * time.Second
+	// failedPause is the same for a member that failed or sent a spoilt chunk.
+	failedPause = 2 * time.Second
+	// originPause is the pause after the origin failed.
+	originPause = 150 * time.Millisecond
+	// originActive bounds the fetches from the origin that a member has in
+	// progress. All members share the origin's link.
+	originActive = 2
+)
+
+// Outcome is the result of one fetch.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Got means that the chunk arrived and is verified.
+	Got Outcome = iota
+	// Pending means that the source will have the chunk.
+	Pending
+	// Idle means that the source does not work towards the version.
+	Idle
+	// Failed means anything else, such as a lost or spoilt chunk.
+	Failed
+)
+
+// Fetch is one chunk to fetch from one source.
+type Fetch struct {
+	Chunk int
+	// Origin is set if the source is the origin; From is empty then.
+	Origin bool
+	From   Member
+}
+
+type chunkState struct {
+	held, active bool
+	notBefore    time.Time
+	// asked is the member that was asked last, since the time in since.
+	asked fleet.VM
+	since time.Time
+	// skip holds members that did not get the chunk in time.
+	skip map[fleet.VM]bool
+}
+
+// Table holds the progress of one version. One lock guards it: a version has
+// some dozens of chunks, and each decision looks at several of them.
+type Table struct {
+	mu       sync.Mutex
+	plan     *plan
+	chunks   []chunkState
+	order    []int
+	absent   map[fleet.VM]time.Time
+	missing  int
+	atOrigin int
+}
+
+// NewTable returns the table of a version of which nothing is held.
+func NewTable(chunks int, self Member, ms []Member) *Table {
+	t := &Table{chunks: make([]chunkState, chunks), absent: map[fleet.VM]time.Time{}, missing: chunks}
+	t.SetMembers(self, ms)
+	return t
+}
+
+// SetMembers replaces the members.
+func (t *Table) SetMembers(self Member, ms []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.plan = newPlan(self, ms)
+	t.order = t.order[:0]
+	length := map[int]int{}
+	for c := range t.chunks {
+		t.order = append(t.order, c)
+		length[c] = len(t.plan.sources(c))
+	}
+	// Chunks that others wait for come first. Members start the rest at
+	// different places, so that not all ask the same member at once.
+	ring := t.plan.rings[self.Region]
+	at := slices.IndexFunc(ring, func(m Member) bool { return m.VM == self.VM })
+	shift := at * len(t.chunks) / len(ring)
+	n := len(t.chunks)
+	slices.SortStableFunc(t.order, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(min(length[a], 1), min(length[b], 1)),
+			cmp.Compare((a+n-shift)%n, (b+n-shift)%n),
+		)
+	})
+}
+
+// Hold records a chunk that is there without a fetch.
+func (t *Table) Hold(c int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hold(c)
+}
+
+func (t *Table) hold(c int) {
+	if !t.chunks[c].held {
+		t.chunks[c].held = true
+		t.missing--
+	}
+}
+
+// Missing returns the number of chunks that are not held.
+func (t *Table) Missing() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.missing
+}
+
+// Next returns the fetch to start now. It returns false if there is none; a
+// later call may return one.
+func (t *Table) Next(now time.Time) (Fetch, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.order {
+		s := &t.chunks[c]
+		if s.held || s.active || now.Before(s.notBefore) {
+			continue
+		}
+		f := t.source(c, now)
+		if f.Origin {
+			if t.atOrigin >= originActive {
+				continue
+			}
+			t.atOrigin++
+		}
+		s.active = true
+		if s.asked != f.From.VM {
+			s.asked, s.since = f.From.VM, now
+		}
+		return f, true
+	}
+	return Fetch{}, false
+}
+
+func (t *Table) source(c int, now time.Time) Fetch {
+	for _, m := range t.plan.sources(c) {
+		if now.Before(t.absent[m.VM]) || t.chunks[c].skip[m.VM] {
+			continue
+		}
+		return Fetch{Chunk: c, From: m}
+	}
+	return Fetch{Chunk: c, Origin: true}
+}
+
+// Done records the outcome of a fetch.
+func (t *Table) Done(f Fetch, o Outcome, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := &t.chunks[f.Chunk]
+	s.active = false
+	if f.Origin {
+		t.atOrigin--
+	}
+	switch {
+	case o == Got:
+		t.hold(f.Chunk)
+	case f.Origin:
+		s.notBefore = now.Add(originPause)
+		// Members that were too slow before may have the chunk by now.
+		s.skip = nil
+	case o == Pending:
+		s.notBefore = now.Add(pendingPause)
+		if now.Sub(s.since) >= pendingPatience {
+			if s.skip == nil {
+				s.skip = map[fleet.VM]bool{}
+			}
+			s.skip[f.From.VM] = true
+		}
+	case o == Idle:
+		t.absent[f.From.VM] = now.Add(idlePause)
+	default:
+		t.absent[f.From.VM] = now.Add(failedPause)
+	}
+}
