--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -31,6 +31,7 @@
 			set.Register(s)
 			return &set.Common
 		},
+		Fresh:  role,
 		Memory: func() int64 { return set.Memory },
 		Run:    func(ctx context.Context, env daemon.Env) error { return run(ctx, *set, env) },
 	}
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -60,6 +60,8 @@
 	Usage string
 	// Settings registers the settings and returns the common part.
 	Settings func(*settings.Set) *Common
+	// Fresh returns the role once more, to check changed settings. It may be nil.
+	Fresh func() Role
 	// Memory returns the most that the process may use, after Settings. It may
 	// be nil.
 	Memory func() int64
@@ -161,6 +163,23 @@
 		return err
 	}
 	env := Env{Log: logging.New(errOut, r.Name, common.ID), Metrics: metrics, Admin: newAdmin(metrics.Handler())}
+	check := func() []error {
+		if r.Fresh == nil {
+			return nil
+		}
+		fresh := settings.New(r.Name)
+		r.Fresh().Settings(fresh)
+		var out []error
+		for _, f := range fresh.Load(path) {
+			out = append(out, f)
+		}
+		return out
+	}
+	hups, stopHups := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stopHups()
+	wg.Go(func() { watchReload(hups, path, check, env.Log) })
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return serve(ctx, common, env, r)
--- /dev/null
+++ b/internal/app/daemon/reload.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+)
+
+// watchReload handles SIGHUP until ctx ends. A daemon reads its settings at its
+// start; a change is checked and logged, and takes effect with the next start.
+func watchReload(ctx context.Context, path string, check func() []error, log *logging.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	old, err := readLines(path)
+	if err != nil {
+		log.Fault("settings can't be read", err)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		now, err := readLines(path)
+		if err != nil {
+			log.Fault("settings can't be read", err)
+			continue
+		}
+		for _, fault := range check() {
+			log.Fault("changed settings are not valid", fault)
+		}
+		log.State("reload", logging.F("changed", strings.Join(added(old, now), "; ")))
+		old = now
+	}
+}
+
+func readLines(path string) ([]string, error) {
+	b, err := os.ReadFile(path)
+	return strings.Split(string(b), "\n"), err
+}
+
+// added returns the lines of b that a does not have.
+func added(a, b []string) []string {
+	var out []string
+	for _, l := range b {
+		if !slices.Contains(a, l) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -24,8 +24,8 @@
 	// originPause is the pause after the origin failed.
 	originPause = 150 * time.Millisecond
 	// originActive bounds the fetches from the origin that a member has in
-	// progress. All members share the origin's link.
-	originActive = 2
+	// progress. All members share the origin's link and its few connections.
+	originActive = 1
 )
 
 // Outcome is the result of one fetch.
