loader: hold what the engine holds; gateway: avoid engines without reports

Cause: engines that are added had to fetch version 1 from the origin, since no loader had it in memory; with the origin down for 6 s they stayed empty until 22 s.

Loaders keep the weights of their engine, read from its area and verified. Late reports count against an engine. A request that may be sent again leaves a target that sends nothing for 1.3 s. Engines with old weights get no requests in the last 1.8 s of the bound.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -134,7 +134,9 @@
 	if c.account != nil {
 		f.Customer = c.account.Name
 	}
-	ans, err := c.g.deps.Targets.Forward(ctx, choice.Address, f)
+	sendCtx, watch := c.watchStall(ctx)
+	defer watch.end()
+	ans, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
 	if err != nil {
 		return c.sendFailed(ctx, choice, verdict.Of(err))
 	}
@@ -144,7 +146,7 @@
 		c.noteLoad(choice, ans.Load)
 	}
 	if c.route.Kind == routes.Streaming && ans.Status/100 == 2 {
-		return c.stream(ctx, choice, ans)
+		return c.stream(ctx, choice, ans, watch)
 	}
 	return c.whole(ctx, choice, ans)
 }
@@ -244,12 +246,13 @@
 
 // stream passes the events of a stream on as they come. Only whole events are
 // passed on, so that the stream can go on at another target.
-func (c *call) stream(ctx context.Context, choice placement.Choice, ans *port.ForwardAnswer) *verdict.Error {
+func (c *call) stream(ctx context.Context, choice placement.Choice, ans *port.ForwardAnswer, watch *stall) *verdict.Error {
 	c.relay.events.Discard()
 	buf := make([]byte, streamBytes)
 	for {
 		n, err := ans.Body.Read(buf)
 		if n > 0 {
+			watch.progress()
 			if e := c.pass(ans, buf[:n]); e != nil {
 				return e
 			}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -163,8 +163,9 @@
 	// so that the last one waits less than the shortest objective, 100 ms.
 	serviceBeyond = 12
 	// weightsMargin is the time before the bound from which targets with older
-	// weights get no requests: one may wait at the engine before it starts.
-	weightsMargin = time.Second
+	// weights get no requests: one may wait at a full engine for more than a
+	// second before it starts.
+	weightsMargin = 1800 * time.Millisecond
 )
 
 // query describes the target that the request needs now.
--- /dev/null
+++ b/internal/app/gateway/stall.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/routes"
+)
+
+const (
+	// stallFactor is the part of the objective after which a request that may be
+	// sent again is taken from a target that sends nothing, as a multiple.
+	stallFactor = 3.0
+	// stallLeast is the shortest such time; a full engine takes up to a second.
+	stallLeast = 300 * time.Millisecond
+	// streamStall is the same for streams. Callers leave after 3.2 s.
+	streamStall = 1300 * time.Millisecond
+)
+
+// stall ends an attempt at a target that sends nothing. Its context ends then,
+// while that of the request goes on.
+type stall struct {
+	after  time.Duration
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	timer *time.Timer
+}
+
+// watchStall returns the context of one attempt. Only requests that may be sent
+// again are watched, and only while they may.
+func (c *call) watchStall(ctx context.Context) (context.Context, *stall) {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &stall{cancel: cancel}
+	if !c.route.Repeatable() || c.runs+1 >= c.route.MaxAttempts {
+		return ctx, s
+	}
+	s.after = max(stallLeast, time.Duration(stallFactor*float64(c.route.Objective)))
+	if c.route.Kind == routes.Streaming {
+		s.after = streamStall
+	}
+	s.timer = time.AfterFunc(s.after, cancel)
+	return ctx, s
+}
+
+// progress starts the time anew.
+func (s *stall) progress() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer != nil {
+		s.timer.Reset(s.after)
+	}
+}
+
+// end stops the watch and ends the attempt.
+func (s *stall) end() {
+	s.mu.Lock()
+	if s.timer != nil {
+		s.timer.Stop()
+		s.timer = nil
+	}
+	s.mu.Unlock()
+	s.cancel()
+}
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -52,8 +52,8 @@
 }
 
 // fetchDeclared makes the fetcher work towards the newest weights as soon as they
-// are declared, also while the engine loads others: the other loaders fetch from
-// this one.
+// are declared, also if the engine holds them already or loads others: loaders of
+// engines that are added or start again fetch from this one, not from the origin.
 func (l *Loader) fetchDeclared(ctx context.Context) {
 	var last port.HeldWeights
 	for ctx.Err() == nil {
@@ -64,7 +64,7 @@
 		}
 		held := heldOf(r)
 		g, ok := l.view.goal(held)
-		if !ok || held.Number >= g.Number || g.HeldWeights == last {
+		if !ok || g.HeldWeights == last {
 			l.wait(ctx, l.view.declaredNews, recheck)
 			continue
 		}
@@ -90,7 +90,7 @@
 	id := man.Version()
 	l.origin.remember(namedVersion{g.HeldWeights, id, man})
 	l.chunks.Want(name, id, man)
-	if g.empty {
+	if g.staged {
 		l.reuse(ctx, g, id)
 	}
 	l.deps.Log.State("fetching weights", logging.F("number", g.Number), logging.F("chunks", len(man.Chunks)), logging.F("from_origin", !ok))
@@ -165,8 +165,7 @@
 	return l.order(ctx, g, v)
 }
 
-// reuse takes the chunks that still lie in the area of an engine that started
-// again.
+// reuse takes the chunks that lie in the area of the engine.
 func (l *Loader) reuse(ctx context.Context, g goal, id fleet.Version) {
 	staged, err := l.deps.Engine.Staged(ctx, g.Model)
 	if err != nil {
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -168,8 +168,9 @@
 	port.HeldWeights
 	// since is the time of the oldest declaration above the weights held.
 	since time.Time
-	// empty means that the engine holds nothing.
-	empty bool
+	// staged means that the chunks may lie in the engine's area: it holds them, or
+	// has started again.
+	staged bool
 	// now means that the engine must not wait for its turn.
 	now bool
 	// rank is the engine's turn among count.
@@ -189,7 +190,7 @@
 	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
 		return goal{}, false
 	}
-	g := goal{HeldWeights: port.HeldWeights{Model: s.Engine.Models[0], Number: firstNumber}, empty: held.Number == 0, now: held.Number == 0, fenced: s.Engine.Fenced}
+	g := goal{HeldWeights: port.HeldWeights{Model: s.Engine.Models[0], Number: firstNumber}, now: held.Number == 0, fenced: s.Engine.Fenced}
 	for _, d := range v.declared {
 		if d.Model != g.Model {
 			continue
@@ -200,6 +201,7 @@
 		}
 		g.Number = max(g.Number, d.Number)
 	}
+	g.staged = held.Number == 0 || held.Number == g.Number
 	g.rank, g.count = v.turn(g.Number)
 	return g, true
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -71,6 +71,12 @@
 	// otherDomainCost is the same for a target of another failure domain, for the
 	// longer way and the shared links between domains.
 	otherDomainCost = 6 * time.Millisecond
+	// staleAfter is the age from which a missing report makes an engine less
+	// welcome, by the time that it is late: its machine or the way to it is in
+	// trouble. Reports come at least every 400 ms.
+	staleAfter = 600 * time.Millisecond
+	// staleMost bounds that time, and is used for an engine that never reported.
+	staleMost = 3 * time.Second
 	// placeWait is the time after which a full engine has a free place.
 	placeWait = 100 * time.Millisecond
 )
@@ -118,6 +124,9 @@
 		if s.Domain != q.Own {
 			score += otherDomainCost
 		}
+		if q.NeedsWeights {
+			score += s.stale(now)
+		}
 		if len(all) == 0 || score < least {
 			all, least = append(all[:0], c), score
 		} else if score == least {
@@ -134,6 +143,14 @@
 	return Choice{}, NoTarget
 }
 
+// stale returns the time by which the report of an engine is late.
+func (s *state) stale(now time.Time) time.Duration {
+	if s.loadAt.IsZero() {
+		return staleMost
+	}
+	return min(max(0, now.Sub(s.loadAt)-staleAfter), staleMost)
+}
+
 func (s *state) matches(q *Query) bool {
 	switch {
 	case s.Service != q.Service, s.Draining, q.Tried[s.Instance]:
