--- /dev/null
+++ b/internal/core/chain/chain_test.go
@@ -0,0 +1,157 @@
+package chain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+// members returns n members in each region.
+func members(regions, n int) []Member {
+	var out []Member
+	for r := range regions {
+		for i := range n {
+			out = append(out, Member{VM: fleet.VM(fmt.Sprintf("r%d-%d", r, i)), Region: fleet.Region(fmt.Sprint(r))})
+		}
+	}
+	return out
+}
+
+// TestEachChunkLeavesTheOriginOnce guards against several members that fetch the
+// same chunk from the origin, and against a region into which a chunk comes more
+// than once.
+func TestEachChunkLeavesTheOriginOnce(t *testing.T) {
+	const chunks = 64
+	ms := members(3, 8)
+	origin, crossings, sent := map[int]int{}, map[string]int{}, map[fleet.VM]int{}
+	for _, self := range ms {
+		p := newPlan(self, ms)
+		for c := range chunks {
+			src := p.sources(c)
+			if len(src) == 0 {
+				origin[c]++
+				continue
+			}
+			sent[src[0].VM]++
+			if src[0].Region != self.Region {
+				crossings[fmt.Sprint(self.Region, c)]++
+			}
+		}
+	}
+	for c := range chunks {
+		if origin[c] != 1 {
+			t.Errorf("chunk %d leaves the origin %d times", c, origin[c])
+		}
+	}
+	for k, n := range crossings {
+		if n != 1 {
+			t.Errorf("chunk %s enters a region %d times", k, n)
+		}
+	}
+	for vm, n := range sent {
+		if n < 40 || n > 80 {
+			t.Errorf("%s sends %d chunks, the mean is 61", vm, n)
+		}
+	}
+}
+
+// play lets all members fetch in rounds until nothing is missing. A member that
+// works answers with a chunk that it holds, and with Pending otherwise.
+func play(t *testing.T, ms []Member, works map[fleet.VM]bool, chunks, rounds int) (fromOrigin int) {
+	t.Helper()
+	tables := map[fleet.VM]*Table{}
+	for _, m := range ms {
+		if works[m.VM] {
+			tables[m.VM] = NewTable(chunks, m, ms)
+		}
+	}
+	now := start
+	for range rounds {
+		left := 0
+		for _, tab := range tables {
+			f, ok := tab.Next(now)
+			if ok && f.Origin {
+				fromOrigin++
+				tab.Done(f, Got, now)
+			} else if ok {
+				tab.Done(f, answer(tables[f.From.VM], f.Chunk), now)
+			}
+			left += tab.Missing()
+		}
+		if left == 0 {
+			return fromOrigin
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	t.Fatalf("not complete after %d rounds", rounds)
+	return 0
+}
+
+func answer(source *Table, c int) Outcome {
+	switch {
+	case source == nil:
+		return Idle
+	case source.chunks[c].held:
+		return Got
+	default:
+		return Pending
+	}
+}
+
+// TestIdleMembersAreSkipped guards against members that wait for ones that do
+// not fetch the version, as when engines are added to others that hold it.
+func TestIdleMembersAreSkipped(t *testing.T) {
+	ms := members(3, 8)
+	works := map[fleet.VM]bool{}
+	for i, m := range ms {
+		works[m.VM] = i%3 == 0
+	}
+	if n := play(t, ms, works, 64, 2000); n > 2*64 {
+		t.Errorf("%d chunks left the origin", n)
+	}
+}
+
+// TestSlowMemberIsLeft guards against a member that never gets a chunk and keeps
+// the others waiting.
+func TestSlowMemberIsLeft(t *testing.T) {
+	ms := members(1, 3)
+	tab := NewTable(9, ms[2], ms)
+	now := start
+	for range 400 {
+		f, ok := tab.Next(now)
+		if ok {
+			out := Pending
+			if f.Origin {
+				out = Got
+			}
+			tab.Done(f, out, now)
+		}
+		now = now.Add(20 * time.Millisecond)
+	}
+	if n := tab.Missing(); n != 0 {
+		t.Errorf("%d chunks are missing after 8 s", n)
+	}
+}
+
+// TestFailedMemberPauses guards against a member that sends spoilt chunks and is
+// asked again at once.
+func TestFailedMemberPauses(t *testing.T) {
+	ms := members(1, 2)
+	tab := NewTable(2, ms[1], ms)
+	f, ok := tab.Next(start)
+	for ok && f.Origin {
+		tab.Done(f, Got, start)
+		f, ok = tab.Next(start)
+	}
+	if !ok || f.From.VM != ms[0].VM {
+		t.Fatalf("fetch %v, %v", f, ok)
+	}
+	tab.Done(f, Failed, start)
+	if next, ok := tab.Next(start); !ok || !next.Origin {
+		t.Errorf("after a spoilt chunk: %v, %v; want the origin", next, ok)
+	}
+}
--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -131,25 +131,36 @@
 func (t *Table) Next(now time.Time) (Fetch, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	best, found := Fetch{}, false
 	for _, c := range t.order {
 		s := &t.chunks[c]
 		if s.held || s.active || now.Before(s.notBefore) {
 			continue
 		}
-		f := t.source(c, now)
-		if f.Origin {
-			if t.atOrigin >= originActive {
-				continue
-			}
-			t.atOrigin++
+		// A chunk that was asked for longer ago goes first, so that some that are
+		// not there yet do not keep all others waiting.
+		if found && !s.notBefore.Before(t.chunks[best.Chunk].notBefore) {
+			continue
 		}
-		s.active = true
-		if s.asked != f.From.VM {
-			s.asked, s.since = f.From.VM, now
+		if f := t.source(c, now); !f.Origin || t.atOrigin < originActive {
+			best, found = f, true
 		}
-		return f, true
 	}
-	return Fetch{}, false
+	if found {
+		t.begin(best, now)
+	}
+	return best, found
+}
+
+func (t *Table) begin(f Fetch, now time.Time) {
+	s := &t.chunks[f.Chunk]
+	s.active = true
+	if f.Origin {
+		t.atOrigin++
+	}
+	if s.asked != f.From.VM {
+		s.asked, s.since = f.From.VM, now
+	}
 }
 
 func (t *Table) source(c int, now time.Time) Fetch {
--- /dev/null
+++ b/internal/core/eventstream/eventstream_test.go
@@ -0,0 +1,64 @@
+package eventstream
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestOnlyWholeEvents guards against a part of an event that reaches the caller
+// before the stream goes on elsewhere.
+func TestOnlyWholeEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sep := rapid.SampledFrom([]string{"\n", "\r\n"}).Draw(t, "line end")
+		var all strings.Builder
+		n := rapid.IntRange(0, 6).Draw(t, "events")
+		for i := range n {
+			all.WriteString("id: " + string(rune('a'+i)) + sep + "data: x" + sep + sep)
+		}
+		tail := rapid.SampledFrom([]string{"", "id: z", "id: z" + sep + "data"}).Draw(t, "tail")
+		in := all.String() + tail
+		var s Splitter
+		var out strings.Builder
+		for len(in) > 0 {
+			k := rapid.IntRange(1, len(in)).Draw(t, "piece")
+			b, ok := s.Add([]byte(in[:k]))
+			if !ok {
+				t.Fatal("events are too long")
+			}
+			out.Write(b)
+			in = in[k:]
+		}
+		if out.String() != all.String() || s.Rest() != len(tail) || s.Events() != n {
+			t.Fatalf("passed %q of %q, rest %d, %d events", out.String(), all.String(), s.Rest(), s.Events())
+		}
+		want := ""
+		if n > 0 {
+			want = string(rune('a' + n - 1))
+		}
+		if s.LastID() != want {
+			t.Fatalf("last id %q, want %q", s.LastID(), want)
+		}
+	})
+}
+
+// TestDiscard guards against the rest of a broken event that is joined with the
+// answer of another target.
+func TestDiscard(t *testing.T) {
+	var s Splitter
+	s.Add([]byte("id: 1\n\nid: 2\nda"))
+	s.Discard()
+	b, _ := s.Add([]byte("id: 2\n\n"))
+	if string(b) != "id: 2\n\n" || s.LastID() != "2" {
+		t.Errorf("passed %q, last id %q", b, s.LastID())
+	}
+}
+
+// TestLongEvent guards against a target that sends an event without end.
+func TestLongEvent(t *testing.T) {
+	var s Splitter
+	if _, ok := s.Add(make([]byte, MaxEventBytes+1)); ok {
+		t.Error("an event longer than the bound is kept")
+	}
+}
