--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -111,7 +111,7 @@
 		Commands: []*cli.Command{
 			{
 				Name: "run", Usage: "run until SIGTERM", Flags: []cli.Flag{config}, OnUsageError: usage,
-				Action: func(_ context.Context, c *cli.Command) error { return run(r, c.String("config"), errOut, code) },
+				Action: func(_ context.Context, c *cli.Command) error { return run(r, c.String("config"), out, errOut, code) },
 			},
 			{
 				Name: "check-config", Usage: "check the settings and exit", Flags: []cli.Flag{config}, OnUsageError: usage,
@@ -149,7 +149,7 @@
 	return c, true
 }
 
-func run(r Role, path string, errOut io.Writer, code *int) error {
+func run(r Role, path string, out, errOut io.Writer, code *int) error {
 	common, ok := load(r, path, errOut, code)
 	if !ok {
 		return nil
@@ -162,7 +162,9 @@
 	if err != nil {
 		return err
 	}
-	env := Env{Log: logging.New(errOut, r.Name, common.ID), Metrics: metrics, Admin: newAdmin(metrics.Handler())}
+	logger, flush := logging.NewBounded(out, r.Name, common.ID)
+	defer flush()
+	env := Env{Log: logger, Metrics: metrics, Admin: newAdmin(metrics.Handler())}
 	check := func() []error {
 		if r.Fresh == nil {
 			return nil
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -250,7 +250,7 @@
 func (g *Gateway) Stop() {
 	start := g.deps.Clock.Now()
 	g.closing.Store(true)
-	g.deps.Log.State("stopping", logging.F("grace_ms", g.set.Grace.Milliseconds()))
+	g.deps.Log.State("stopping", logging.Millis("grace_ms", g.set.Grace))
 	<-g.deps.Clock.After(leaveTime)
 	g.refusing.Store(true)
 	deadline := g.deps.Clock.After(max(0, g.set.Grace-stopMargin-g.deps.Clock.Now().Sub(start)))
--- a/internal/app/gateway/picture.go
+++ b/internal/app/gateway/picture.go
@@ -247,7 +247,7 @@
 	p.targets.Set(t)
 	p.log.State("target", logging.F("target", string(t.Instance)), logging.F("service", string(t.Service)),
 		logging.F("address", string(t.Address)), logging.F("domain", string(t.Domain)), logging.F("draining", t.Draining),
-		logging.F("cold_ms", r.ColdLeft.Milliseconds()), logging.F("weights", t.Weights), logging.F("revision", c.Revision))
+		logging.Millis("cold_ms", r.ColdLeft), logging.F("weights", t.Weights), logging.F("revision", c.Revision))
 }
 
 // applyMembers takes in news of the product's processes.
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -213,9 +213,9 @@
 	now := g.deps.Clock.Now()
 	fs := []logging.Field{
 		logging.F("request", string(c.in.ID)), logging.F("outcome", outcome),
-		logging.F("took_ms", now.Sub(c.in.Received).Milliseconds()),
+		logging.Millis("took_ms", now.Sub(c.in.Received)),
 		logging.F("sends", c.sends), logging.F("runs", c.runs),
-		logging.F("picture_age_ms", g.pictureAge().Milliseconds()),
+		logging.Millis("picture_age_ms", g.pictureAge()),
 	}
 	route, class := "", "unknown"
 	if c.route != nil {
@@ -227,11 +227,11 @@
 	}
 	if c.last.Instance != "" {
 		fs = append(fs, logging.F("target", string(c.last.Instance)), logging.F("target_domain", string(c.last.Domain)),
-			logging.F("target_load", c.last.Estimate), logging.F("predicted_first_ms", c.last.First.Milliseconds()), logging.F("load_age_ms", c.last.LoadAge.Milliseconds()))
+			logging.F("target_load", c.last.Estimate), logging.Millis("predicted_first_ms", c.last.First), logging.Millis("load_age_ms", c.last.LoadAge))
 	}
 	if n := c.relay.events.Events(); n > 0 {
-		fs = append(fs, logging.F("events", n), logging.F("first_ms", c.relay.first.Milliseconds()),
-			logging.F("longest_gap_ms", c.relay.gap.Milliseconds()), logging.F("objective_ms", c.route.Objective.Milliseconds()),
+		fs = append(fs, logging.F("events", n), logging.Millis("first_ms", c.relay.first),
+			logging.Millis("longest_gap_ms", c.relay.gap), logging.Millis("objective_ms", c.route.Objective),
 			logging.F("prompt_tokens", c.in.Work.PromptTokens), logging.F("expected_tokens", c.in.Work.ExpectedTokens))
 	}
 	if status != 0 {
@@ -239,7 +239,7 @@
 	}
 	if e != nil {
 		fs = append(fs, logging.F("code", string(e.Code)), logging.F("verdict", e.Verdict.String()),
-			logging.F("reason", e.Error()), logging.F("retry_after_ms", e.RetryAfter.Milliseconds()))
+			logging.F("reason", e.Error()), logging.Millis("retry_after_ms", e.RetryAfter))
 		g.deps.Log.Failed("request", fs...)
 	} else {
 		g.deps.Log.Served("request", fs...)
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -160,8 +160,8 @@
 		return err
 	}
 	l.deps.Log.State("ordering the engine to load", logging.F("model", string(v.Model)), logging.F("number", v.Number),
-		logging.F("declared", g.Number), logging.F("stage_ms", l.deps.Clock.Now().Sub(start).Milliseconds()),
-		logging.F("since_ms", start.Sub(g.since).Milliseconds()), logging.F("rank", g.rank), logging.F("of", g.count))
+		logging.F("declared", g.Number), logging.Millis("stage_ms", l.deps.Clock.Now().Sub(start)),
+		logging.Millis("since_ms", start.Sub(g.since)), logging.F("rank", g.rank), logging.F("of", g.count))
 	return l.order(ctx, g, v)
 }
 
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -51,9 +51,19 @@
 	}
 }
 
+// platformCommands wire the product to the users' platform.
+var platformCommands = map[string]bool{"cmd/masticwing-gateway": true, "cmd/masticwing-loader": true}
+
 func refuse(p, imp string) string {
 	own := strings.HasPrefix(imp, module)
+	if under(imp, "platform") && !under(p, "platform") && !platformCommands[strings.TrimPrefix(p, module)] {
+		return "only the commands for the users' platform import its translation"
+	}
 	switch {
+	case under(p, "platform"):
+		if own && !under(imp, "platform") && !under(imp, "internal/core") && !under(imp, "internal/port") && !under(imp, "internal/adapter") {
+			return "the translation imports core, ports and adapters only"
+		}
 	case under(p, "internal/core"):
 		return refuseCore(imp, own)
 	case under(p, "internal/port"):
@@ -116,6 +126,10 @@
 		{"internal/app/agent", module + "internal/standin/engine"},
 		{"cmd/masticwing-agent", module + "internal/standin/engine"},
 		{"internal/standin/engine", module + "internal/app/agent"},
+		{"internal/app/gateway", module + "platform"},
+		{"internal/core/placement", module + "platform"},
+		{"cmd/masticwing-entry", module + "platform"},
+		{"platform", module + "internal/app/gateway"},
 	}
 	for _, w := range wrong {
 		if refuse(module+w[0], w[1]) == "" {
--- a/test/docs/docs_test.go
+++ b/test/docs/docs_test.go
@@ -50,7 +50,7 @@
 	dirs := writeDeclarations(ctx, t, d)
 	t.Setenv("MASTICWING_PLATFORM", d.PlatformAddr)
 	t.Setenv("MASTICWING_PEER", d.Entries[0].RPC)
-	lines := commands(t, "operations.md")
+	lines := commands(t, "OPERATIONS.md")
 	if len(lines) < 10 {
 		t.Fatalf("the page shows %d commands, expected at least 10", len(lines))
 	}
