--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/idleconns"
 	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
@@ -41,6 +42,9 @@
 // callers a few seconds.
 const headerTimeout = 10 * time.Second
 
+// flushTime bounds the wait for the last answers to be written.
+const flushTime = 300 * time.Millisecond
+
 func run(ctx context.Context, set gateway.Settings, env daemon.Env) error {
 	store := platform.NewStore(set.Platform)
 	store.Called = func(call, outcome string) {
@@ -59,7 +63,8 @@
 	if err != nil {
 		return err
 	}
-	front := &http.Server{Handler: platform.Ingress(g, g.Closing), ReadHeaderTimeout: headerTimeout}
+	idle := idleconns.New(func() time.Duration { return g.Bounds().Idle })
+	front := &http.Server{Handler: platform.Ingress(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: idle.Follow}
 	checks := &http.Server{Handler: platform.Ready(g), ReadHeaderTimeout: headerTimeout}
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
@@ -71,6 +76,10 @@
 	env.Admin.Ready()
 	<-ctx.Done()
 	g.Stop()
+	// A handler returns before the end of its answer is written.
+	last, cancel := context.WithTimeout(work, flushTime)
+	defer cancel()
+	_ = front.Shutdown(last)
 	_ = front.Close()
 	_ = checks.Close()
 	return nil
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -238,7 +238,9 @@
 	}
 	o := port.StartOrder{HeldWeights: v.HeldWeights, ExpectOrders: r.Orders}
 	if g.fenced {
-		o.Fence = l.deps.Clock.Now().UnixMilli()
+		// Only this process orders its engine, whose count of orders rises until it
+		// starts again and forgets the tokens that it has seen.
+		o.Fence = r.Orders + 1
 	}
 	if err := l.deps.Engine.Start(ctx, o); err != nil {
 		return err
