chunks: fewer fetches on a narrow link; placement: learn from late first events; turns end later

A link with slow transfers far below its declared rate carries two fetches. First events that come over 0.25 s late make an engine less welcome for some seconds. The last engine changes at 80% of the bound; engines with old weights then take only requests that start at once.

--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -192,7 +192,7 @@
 func (f *Fetcher) fetch(ctx context.Context, v *version) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	free := make(chan struct{}, parallel)
+	free := newLimit(parallel)
 	members := f.deps.Clock.Now()
 	for ctx.Err() == nil {
 		if v.table.Missing() == 0 {
@@ -204,20 +204,18 @@
 			members = now
 			v.table.SetMembers(f.set.Self, f.deps.Members())
 		}
-		select {
-		case free <- struct{}{}:
-		case <-ctx.Done():
+		if !free.take(ctx) {
 			return
 		}
 		job, ok := v.table.Next(now)
 		if !ok {
-			<-free
+			free.give()
 			f.pause(ctx, v)
 			continue
 		}
 		wg.Go(func() {
-			defer func() { <-free }()
-			f.one(ctx, v, job)
+			defer free.give()
+			f.one(ctx, v, job, free)
 		})
 	}
 }
@@ -235,8 +233,8 @@
 }
 
 // one makes one fetch.
-func (f *Fetcher) one(ctx context.Context, v *version, job chain.Fetch) {
-	data, err := f.receive(ctx, v, job)
+func (f *Fetcher) one(ctx context.Context, v *version, job chain.Fetch, free *limit) {
+	data, err := f.receive(ctx, v, job, free)
 	outcome := chain.Failed
 	switch {
 	case err == nil && v.man.Verify(job.Chunk, data) == nil:
@@ -261,7 +259,7 @@
 
 var outcomes = map[chain.Outcome]string{chain.Got: "got", chain.Pending: "pending", chain.Idle: "idle", chain.Failed: "failed"}
 
-func (f *Fetcher) receive(ctx context.Context, v *version, job chain.Fetch) ([]byte, error) {
+func (f *Fetcher) receive(ctx context.Context, v *version, job chain.Fetch, free *limit) ([]byte, error) {
 	var rc io.ReadCloser
 	var err error
 	if job.Origin {
@@ -278,10 +276,18 @@
 		return nil, err
 	}
 	defer func() { _ = rc.Close() }()
-	data, err := io.ReadAll(io.LimitReader(rc, v.man.Chunks[job.Chunk].Bytes+1))
+	first := make([]byte, 1)
+	if _, err := io.ReadFull(rc, first); err != nil {
+		return nil, err
+	}
+	start := f.deps.Clock.Now()
+	rest, err := io.ReadAll(io.LimitReader(rc, v.man.Chunks[job.Chunk].Bytes))
 	if err != nil {
 		return nil, err
 	}
+	data := append(first, rest...)
+	now := f.deps.Clock.Now()
+	free.arrived(len(data), now.Sub(start), f.set.InRate, now)
 	return data, f.sleep(ctx, f.link.In.Reserve(f.deps.Clock.Now(), len(data)))
 }
 
--- /dev/null
+++ b/internal/app/chunks/limit.go
@@ -0,0 +1,97 @@
+package chunks
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// slowTransfer is the time of a transfer, from its first byte to its last, from
+	// which the link may be narrower than it is declared. On an idle link a chunk
+	// takes 35 ms, and with all others of a member at once 0.8 s.
+	slowTransfer = 250 * time.Millisecond
+	// slowShare is the part of the declared rate below which a link with slow
+	// transfers counts as narrow.
+	slowShare = 0.4
+	// leastParallel is the number of fetches on a narrow link. More of them delay
+	// the requests and events of the engine for seconds.
+	leastParallel = 2
+	// rateWindow is the time over which the rate of a link is measured.
+	rateWindow = 500 * time.Millisecond
+)
+
+// limit bounds the fetches in progress. It falls when the link is narrow, and
+// rises again one by one.
+type limit struct {
+	most int
+	wake chan struct{}
+
+	mu      sync.Mutex // guards the following
+	allowed int
+	used    int
+	// since is the start of the window in which bytes arrived.
+	since time.Time
+	bytes int
+}
+
+func newLimit(most int) *limit {
+	return &limit{most: most, allowed: most, wake: make(chan struct{}, 1)}
+}
+
+// take waits for a free place. It returns false when ctx ends.
+func (l *limit) take(ctx context.Context) bool {
+	for {
+		if l.try() {
+			return true
+		}
+		select {
+		case <-l.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+func (l *limit) try() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.used >= l.allowed {
+		return false
+	}
+	l.used++
+	return true
+}
+
+func (l *limit) give() {
+	l.mu.Lock()
+	l.used--
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// arrived records a chunk that took a time from its first byte to its last. rate
+// is the declared one in bytes per second; 0 means that it is not known.
+func (l *limit) arrived(n int, took time.Duration, rate int64, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) > 2*rateWindow {
+		l.since, l.bytes = now, 0
+		return
+	}
+	l.bytes += n
+	window := now.Sub(l.since)
+	if took < slowTransfer || rate <= 0 {
+		l.allowed = min(l.most, l.allowed+1)
+		return
+	}
+	if window >= rateWindow {
+		if float64(l.bytes) < slowShare*float64(rate)*window.Seconds() {
+			l.allowed = max(leastParallel, l.allowed/2)
+		}
+		l.since, l.bytes = now, 0
+	}
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -248,6 +248,7 @@
 // passed on, so that the stream can go on at another target.
 func (c *call) stream(ctx context.Context, choice placement.Choice, ans *port.ForwardAnswer, watch *stall) *verdict.Error {
 	c.relay.events.Discard()
+	first, before := true, c.relay.events.Events()
 	buf := make([]byte, streamBytes)
 	for {
 		n, err := ans.Body.Read(buf)
@@ -256,6 +257,11 @@
 			if e := c.pass(ans, buf[:n]); e != nil {
 				return e
 			}
+			if first && c.relay.events.Events() > before {
+				first = false
+				now := c.g.deps.Clock.Now()
+				c.g.targets.FirstEvent(choice.Instance, now.Sub(watch.start), choice.First, now)
+			}
 		}
 		if errors.Is(err, io.EOF) && c.relay.events.Rest() == 0 {
 			return c.finish(choice, ans)
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -163,9 +163,11 @@
 	// so that the last one waits less than the shortest objective, 100 ms.
 	serviceBeyond = 12
 	// weightsMargin is the time before the bound from which targets with older
-	// weights get no requests: one may wait at a full engine for more than a
-	// second before it starts.
-	weightsMargin = 1800 * time.Millisecond
+	// weights get no requests. A request for a free place starts within 0.4 s.
+	weightsMargin = 1200 * time.Millisecond
+	// fadeMargin is the same for requests that would wait at a full engine, which
+	// takes more than a second at times.
+	fadeMargin = 3 * time.Second
 )
 
 // query describes the target that the request needs now.
@@ -182,6 +184,7 @@
 		q.Read, q.Write = e.Pace.ReadTime(c.in.Work.PromptTokens), e.Pace.WriteTime()
 		q.NeedsWeights = true
 		q.MinWeights = d.oldest(c.in.Work.Model, c.g.set.WeightsBound-weightsMargin, now)
+		q.Fading = d.oldest(c.in.Work.Model, c.g.set.WeightsBound-fadeMargin, now)
 	} else {
 		q.Beyond = serviceBeyond
 	}
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -21,6 +21,8 @@
 // stall ends an attempt at a target that sends nothing. Its context ends then,
 // while that of the request goes on.
 type stall struct {
+	// start is the time at which the attempt began.
+	start  time.Time
 	after  time.Duration
 	cancel context.CancelFunc
 
@@ -32,7 +34,7 @@
 // again are watched, and only while they may.
 func (c *call) watchStall(ctx context.Context) (context.Context, *stall) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &stall{cancel: cancel}
+	s := &stall{start: c.g.deps.Clock.Now(), cancel: cancel}
 	if !c.route.Repeatable() || c.runs+1 >= c.route.MaxAttempts {
 		return ctx, s
 	}
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -90,7 +90,7 @@
 				v.config = routes.Compile(f.Config)
 			}
 		case port.WeightsFact:
-			v.declare(declaredWeights{port.HeldWeights{Model: f.Model, Number: f.Number}, now, e.Reset}, c.Revision)
+			v.declare(declaredWeights{port.HeldWeights(f), now, e.Reset}, c.Revision)
 		}
 	}
 	signal(v.declaredNews)
--- a/internal/core/loadturn/loadturn.go
+++ b/internal/core/loadturn/loadturn.go
@@ -11,8 +11,8 @@
 	fetchShare = 0.35
 	// lastShare is the part of the bound at which the last engine is ordered to
 	// change. From the order on it starts nothing on the old weights. Gateways send
-	// nothing to old weights in the last fifth of the bound.
-	lastShare = 0.72
+	// nothing to old weights in the last seventh of the bound.
+	lastShare = 0.8
 )
 
 // At returns the time from which the engine with the given rank among count may
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -23,8 +23,10 @@
 	// Processes is the number of processes that send to the same targets.
 	Processes float64
 	// Beyond is the number of requests that may wait at a target beyond its
-	// places.
+	// places. None may at one with weights older than Fading, which have to be out
+	// of use soon.
 	Beyond int
+	Fading int64
 	// Read is the time in which an engine reads the request's prompt, and Write
 	// that in which a pass writes. Both are zero for plain services.
 	Read, Write time.Duration
@@ -125,7 +127,7 @@
 			score += otherDomainCost
 		}
 		if q.NeedsWeights {
-			score += s.stale(now)
+			score += s.stale(now) + s.lagging(now)
 		}
 		if len(all) == 0 || score < least {
 			all, least = append(all[:0], c), score
@@ -168,7 +170,11 @@
 	if now.Before(s.pausedUntil) || s.load.Loading && now.Sub(s.loadAt) <= reportMaxAge {
 		return false
 	}
-	if s.estimate(now, q.Processes) >= float64(s.places()+q.Beyond) {
+	beyond := q.Beyond
+	if s.Weights < q.Fading {
+		beyond = 0
+	}
+	if s.estimate(now, q.Processes) >= float64(s.places()+beyond) {
 		return false
 	}
 	return !now.Before(s.ColdUntil) || s.coldRoom(q, now)
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -95,6 +95,22 @@
 	}
 }
 
+// TestFadingWeights guards against a request that waits at a full engine until its
+// weights are too old.
+func TestFadingWeights(t *testing.T) {
+	tab := NewTable()
+	tab.Set(engine("x", 1))
+	reported(tab, "x", Load{Running: 1}, start)
+	q := Query{Service: "llm", NeedsWeights: true, Processes: 1, Beyond: 2, Fading: 2}
+	if _, out := tab.Choose(q, start, rand.IntN); out != AllFull {
+		t.Errorf("a full engine with fading weights: %v", out)
+	}
+	q.Fading = 1
+	if _, out := tab.Choose(q, start, rand.IntN); out != Chosen {
+		t.Errorf("a full engine: %v", out)
+	}
+}
+
 // TestOthersRequestsCount guards against gateways that fill an engine together
 // because each sees the others' requests only in the next report.
 func TestOthersRequestsCount(t *testing.T) {
@@ -153,6 +169,29 @@
 	}
 }
 
+// TestSlowEngine guards against requests for an engine whose first events come
+// late although its reports look well, as with a slow engine or a narrow link,
+// and against one that is never tried again.
+func TestSlowEngine(t *testing.T) {
+	tab := NewTable()
+	tab.Set(engine("slow", 16))
+	tab.Set(engine("well", 16))
+	reported(tab, "slow", Load{}, start)
+	reported(tab, "well", Load{Running: 10}, start)
+	tab.FirstEvent("slow", time.Second, 100*time.Millisecond, start)
+	tab.FirstEvent("well", 130*time.Millisecond, 100*time.Millisecond, start)
+	q := Query{Service: "llm", NeedsWeights: true, Processes: 8, Beyond: 2}
+	if c, _ := tab.Choose(q, start, rand.IntN); c.Instance != "well" {
+		t.Errorf("chose %s", c.Instance)
+	}
+	later := start.Add(10 * time.Second)
+	reported(tab, "slow", Load{}, later)
+	reported(tab, "well", Load{Running: 10}, later)
+	if c, _ := tab.Choose(q, later, rand.IntN); c.Instance != "slow" {
+		t.Errorf("chose %s after 10 s", c.Instance)
+	}
+}
+
 // TestLoadingEngine guards against requests for an engine that takes none while
 // it changes its weights.
 func TestLoadingEngine(t *testing.T) {
--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -151,6 +151,12 @@
 	})
 }
 
+// FirstEvent records the time after which a target sent its first event, and the
+// one that was predicted.
+func (t *Table) FirstEvent(id fleet.Instance, after, predicted time.Duration, now time.Time) {
+	t.change(id, func(s *state) { s.learn(after-predicted, now) })
+}
+
 // Served records a request that was answered.
 func (t *Table) Served(id fleet.Instance) {
 	t.change(id, func(s *state) { s.failures = 0 })
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -8,6 +8,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -55,6 +56,9 @@
 	// readUntil is the time at which an engine has probably read all prompts that
 	// were sent to it.
 	readUntil time.Time
+	// lag is the time by which first events came later than predicted, at lagAt.
+	lag   time.Duration
+	lagAt time.Time
 	// pausedUntil is set after a failure or a refusal.
 	pausedUntil time.Time
 	failures    int
@@ -87,6 +91,36 @@
 	}
 }
 
+const (
+	// lagHalf is the time in which half of a lag is forgotten, so that an engine
+	// that was slow is tried again.
+	lagHalf = 1500 * time.Millisecond
+	// lagWeight is the weight of a new lag. A single late event may be chance.
+	lagWeight = 0.4
+	// lagUsual is the lateness that is no sign of trouble: the pass in progress,
+	// and requests that a notice has not told of yet.
+	lagUsual = 250 * time.Millisecond
+	// lagMost bounds a lag; a longer one is a lost request.
+	lagMost = 3 * time.Second
+)
+
+// lagging returns the time by which the next first event will probably come later
+// than predicted, as of a slow engine or a narrow link.
+func (s *state) lagging(now time.Time) time.Duration {
+	if s.lag == 0 {
+		return 0
+	}
+	half := now.Sub(s.lagAt).Seconds() / lagHalf.Seconds()
+	return time.Duration(float64(s.lag) * math.Exp2(-half))
+}
+
+func (s *state) learn(late time.Duration, now time.Time) {
+	old := s.lagging(now)
+	late = min(max(late-lagUsual, 0), lagMost)
+	s.lag = old + time.Duration(lagWeight*float64(late-old))
+	s.lagAt = now
+}
+
 // places returns the number of requests that the target works on at once.
 func (s *state) places() int {
 	if s.load.Places > 0 {
