follow: count the calls to a store that is down, not those that it answered

Cause: the test expected one answered call within 0.6 s, but the call before the end of the outage came at the same moment as its end, and the next one after the test.

--- a/internal/port/porttest/store.go
+++ b/internal/port/porttest/store.go
@@ -24,7 +24,7 @@
 	leases map[port.LeaseID]bool
 	owned  map[string]port.LeaseID
 	wake   chan struct{}
-	// lists counts the calls of List that were answered.
+	// lists counts the calls of List.
 	lists int
 }
 
@@ -77,7 +77,7 @@
 	return string(it.Value), ok
 }
 
-// Lists returns the number of calls of List that were answered.
+// Lists returns the number of calls of List, refused ones included.
 func (s *Store) Lists() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -126,10 +126,10 @@
 func (s *Store) List(_ context.Context, prefix string) ([]port.Item, int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	if s.down {
 		return nil, 0, port.ErrUnavailable
 	}
-	s.lists++
 	var out []port.Item
 	for k, it := range s.items {
 		if strings.HasPrefix(k, prefix) {
