--- a/internal/adapter/httpapi/errors.go
+++ b/internal/adapter/httpapi/errors.go
@@ -44,6 +44,7 @@
 	verdict.CodeSlowCaller:        http.StatusServiceUnavailable,
 	verdict.CodeTargetError:       http.StatusBadGateway,
 	verdict.CodeShuttingDown:      http.StatusServiceUnavailable,
+	verdict.CodeStalePicture:      http.StatusServiceUnavailable,
 }
 
 // Status returns the HTTP status of a code.
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -14,6 +14,11 @@
 )
 
 const (
+	// settleTime is the time after a listing in which changes are read soon: at the
+	// start of a deployment, and after a loss of power, many come together.
+	settleTime = 4 * time.Second
+	// settlePause is the longest pause between two calls within that time.
+	settlePause = 500 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call. The store
 	// counts refused calls as well.
 	retryMin = 100 * time.Millisecond
@@ -80,6 +85,7 @@
 // watch applies changes until the prefix has to be listed again.
 func (f *Follower) watch(ctx context.Context, at int64, apply func(Event)) {
 	pause := retryMin
+	listed := f.Clock.Now()
 	for ctx.Err() == nil {
 		changes, next, err := f.changes(ctx, at)
 		switch {
@@ -97,7 +103,11 @@
 		at = next
 		if len(changes) > 0 {
 			apply(Event{Changes: changes})
-			f.sleep(ctx, f.Pause)
+			if f.Clock.Now().Sub(listed) < settleTime {
+				f.sleep(ctx, min(f.Pause, settlePause))
+			} else {
+				f.sleep(ctx, f.Pause)
+			}
 		}
 	}
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -82,9 +82,10 @@
 	operatorPause = 20 * time.Millisecond
 	// targetPause collects changes of targets. A leaving target must get no new
 	// work after 2 s.
-	targetPause = 150 * time.Millisecond
-	// memberPause collects changes of processes, which only set shares.
-	memberPause = time.Second
+	targetPause = 400 * time.Millisecond
+	// memberPause collects changes of processes, which only set shares. Each call
+	// is charged, and a change wakes all processes.
+	memberPause = 4 * time.Second
 )
 
 func (g *Gateway) follower(prefix string, pause time.Duration) *follow.Follower {
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -74,8 +74,9 @@
 	watchWait = 15 * time.Second
 	// operatorPause collects declarations that come together.
 	operatorPause = 50 * time.Millisecond
-	// memberPause collects changes of processes.
-	memberPause = time.Second
+	// memberPause collects changes of processes. A process that starts again mostly
+	// has the address that it had, and a new loader knows the others at once.
+	memberPause = 5 * time.Second
 )
 
 // Run works until ctx ends.
