chunks: ask for chunks first, and fetch few at a time

Cause: with 24 fetches in progress a link that narrows to 0.95 Mbit/s holds 0.8 MB of chunks, 6.6 s.

A member is first asked to tell once it has a chunk, for 32 chunks at a time; data comes for 6 chunks at a time, 1 on a narrow link.

--- a/internal/adapter/rpc/peer_client.go
+++ b/internal/adapter/rpc/peer_client.go
@@ -92,6 +92,8 @@
 		Index:      uint32(r.Index),
 		From:       string(r.From),
 		FromRegion: string(r.FromRegion),
+
+		AnnounceOnly: r.AnnounceOnly,
 	}
 	err := sil.watch(func() (err error) {
 		p.stream, err = pb.NewDRPCPeerClient(c.conn(ctx, addr)).FetchChunk(ctx, req)
--- a/internal/adapter/rpc/peer_server.go
+++ b/internal/adapter/rpc/peer_server.go
@@ -40,6 +40,8 @@
 		Index:      int(in.GetIndex()),
 		From:       fleet.VM(in.GetFrom()),
 		FromRegion: fleet.Region(in.GetFromRegion()),
+
+		AnnounceOnly: in.GetAnnounceOnly(),
 	}
 	err := s.h.SendChunk(stream.Context(), r, pieceWriter{stream})
 	switch {
--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -20,9 +20,13 @@
 )
 
 const (
-	// parallel is the number of fetches in progress. Most of them wait at a member
-	// for a chunk that is on its way there, so that it is passed on at once.
-	parallel = 24
+	// asks is the number of chunks that other members are asked for at a time.
+	// Most of them are on their way there, and are told of as soon as they come.
+	asks = 32
+	// transfers is the number of chunks that arrive at a time. More of them fill a
+	// link that is narrower than declared for seconds; with fewer the link is idle
+	// between two chunks.
+	transfers = 6
 	// fetchTimeout bounds a fetch from a member. It covers holdTime, the wait for
 	// a slot and the transfer, and stays below the silence timeout of a stream.
 	fetchTimeout = 1800 * time.Millisecond
@@ -120,10 +124,7 @@
 	}
 	close(f.wanted)
 	f.wanted = make(chan struct{})
-	select {
-	case f.wake <- struct{}{}:
-	default:
-	}
+	signal(f.wake)
 }
 
 func (f *Fetcher) find(id fleet.Version) *version {
@@ -192,7 +193,7 @@
 func (f *Fetcher) fetch(ctx context.Context, v *version) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	free := newLimit(parallel)
+	run := &round{asks: newLimit(asks), transfers: newLimit(transfers), ended: make(chan struct{}, 1)}
 	members := f.deps.Clock.Now()
 	for ctx.Err() == nil {
 		if v.table.Missing() == 0 {
@@ -204,39 +205,58 @@
 			members = now
 			v.table.SetMembers(f.set.Self, f.deps.Members())
 		}
-		if !free.take(ctx) {
-			return
-		}
-		job, ok := v.table.Next(now)
+		job, ok := v.table.Next(chain.Room{Ask: run.asks.free(), Data: run.transfers.free()}, now)
 		if !ok {
-			free.give()
-			f.pause(ctx, v)
+			f.pause(ctx, v, run)
 			continue
 		}
+		limit := run.transfers
+		if job.Ask {
+			limit = run.asks
+		}
+		limit.take()
 		wg.Go(func() {
-			defer free.give()
-			f.one(ctx, v, job, free)
+			f.one(ctx, v, job, run)
+			limit.give()
+			signal(run.ended)
 		})
 	}
 }
 
+// round is the state of the fetches of one version.
+type round struct {
+	asks, transfers *limit
+	// ended receives after a fetch has ended.
+	ended chan struct{}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 // membersEvery is the time between two looks at the members.
 const membersEvery = 500 * time.Millisecond
 
-// pause waits for a chunk to arrive, or for pauses of the table to pass.
-func (f *Fetcher) pause(ctx context.Context, v *version) {
+// pause waits for a fetch to end, or for pauses of the table to pass.
+func (f *Fetcher) pause(ctx context.Context, v *version, run *round) {
 	select {
 	case <-ctx.Done():
+	case <-run.ended:
 	case <-v.next():
 	case <-f.deps.Clock.After(recheck):
 	}
 }
 
 // one makes one fetch.
-func (f *Fetcher) one(ctx context.Context, v *version, job chain.Fetch, free *limit) {
-	data, err := f.receive(ctx, v, job, free)
+func (f *Fetcher) one(ctx context.Context, v *version, job chain.Fetch, run *round) {
+	data, err := f.receive(ctx, v, job, run.transfers)
 	outcome := chain.Failed
 	switch {
+	case err == nil && job.Ask:
+		outcome = chain.Announced
 	case err == nil && v.man.Verify(job.Chunk, data) == nil:
 		outcome = chain.Got
 		v.store(job.Chunk, data)
@@ -257,9 +277,12 @@
 	v.table.Done(job, outcome, f.deps.Clock.Now())
 }
 
-var outcomes = map[chain.Outcome]string{chain.Got: "got", chain.Pending: "pending", chain.Idle: "idle", chain.Failed: "failed"}
+var outcomes = map[chain.Outcome]string{
+	chain.Got: "got", chain.Pending: "pending", chain.Idle: "idle",
+	chain.Announced: "announced", chain.Failed: "failed",
+}
 
-func (f *Fetcher) receive(ctx context.Context, v *version, job chain.Fetch, free *limit) ([]byte, error) {
+func (f *Fetcher) receive(ctx context.Context, v *version, job chain.Fetch, transfers *limit) ([]byte, error) {
 	var rc io.ReadCloser
 	var err error
 	if job.Origin {
@@ -269,7 +292,7 @@
 		ctx, cancel = context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
 		self := f.set.Self
-		r := port.ChunkRequest{Version: v.id, Index: job.Chunk, From: self.VM, FromRegion: self.Region}
+		r := port.ChunkRequest{Version: v.id, Index: job.Chunk, From: self.VM, FromRegion: self.Region, AnnounceOnly: job.Ask}
 		rc, err = f.deps.Peers.FetchChunk(ctx, job.From.Address, r)
 	}
 	if err != nil {
@@ -277,7 +300,11 @@
 	}
 	defer func() { _ = rc.Close() }()
 	first := make([]byte, 1)
-	if _, err := io.ReadFull(rc, first); err != nil {
+	_, err = io.ReadFull(rc, first)
+	if job.Ask && errors.Is(err, io.EOF) {
+		return nil, nil
+	}
+	if err != nil {
 		return nil, err
 	}
 	start := f.deps.Clock.Now()
@@ -287,7 +314,7 @@
 	}
 	data := append(first, rest...)
 	now := f.deps.Clock.Now()
-	free.arrived(len(data), now.Sub(start), f.set.InRate, now)
+	transfers.arrived(len(data), now.Sub(start), f.set.InRate, now)
 	return data, f.sleep(ctx, f.link.In.Reserve(f.deps.Clock.Now(), len(data)))
 }
 
@@ -369,6 +396,9 @@
 	if !ok {
 		return port.ErrPeerBusy
 	}
+	if r.AnnounceOnly {
+		return nil
+	}
 	select {
 	case f.slots <- struct{}{}:
 	case <-f.deps.Clock.After(slotTime):
--- a/internal/app/chunks/chunks_test.go
+++ b/internal/app/chunks/chunks_test.go
@@ -102,7 +102,7 @@
 		return nil, err
 	}
 	data := bytes.Clone(out.Bytes())
-	if b.spoilt.Add(-1) >= 0 {
+	if len(data) > 0 && b.spoilt.Add(-1) >= 0 {
 		data[0]++
 	}
 	return io.NopCloser(bytes.NewReader(data)), nil
--- a/internal/app/chunks/limit.go
+++ b/internal/app/chunks/limit.go
@@ -1,7 +1,6 @@
 package chunks
 
 import (
-	"context"
 	"sync"
 	"time"
 )
@@ -14,18 +13,17 @@
 	// slowShare is the part of the declared rate below which a link with slow
 	// transfers counts as narrow.
 	slowShare = 0.4
-	// leastParallel is the number of fetches on a narrow link. More of them delay
-	// the requests and events of the engine for seconds.
-	leastParallel = 2
+	// leastParallel is the number of transfers on a narrow link. More of them delay
+	// the requests and events of the engine.
+	leastParallel = 1
 	// rateWindow is the time over which the rate of a link is measured.
 	rateWindow = 500 * time.Millisecond
 )
 
 // limit bounds the fetches in progress. It falls when the link is narrow, and
-// rises again one by one.
+// rises again one by one. One goroutine takes places; any may give them back.
 type limit struct {
 	most int
-	wake chan struct{}
 
 	mu      sync.Mutex // guards the following
 	allowed int
@@ -35,42 +33,25 @@
 	bytes int
 }
 
-func newLimit(most int) *limit {
-	return &limit{most: most, allowed: most, wake: make(chan struct{}, 1)}
-}
+func newLimit(most int) *limit { return &limit{most: most, allowed: most} }
 
-// take waits for a free place. It returns false when ctx ends.
-func (l *limit) take(ctx context.Context) bool {
-	for {
-		if l.try() {
-			return true
-		}
-		select {
-		case <-l.wake:
-		case <-ctx.Done():
-			return false
-		}
-	}
+// free reports whether there is a place.
+func (l *limit) free() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used < l.allowed
 }
 
-func (l *limit) try() bool {
+func (l *limit) take() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.used >= l.allowed {
-		return false
-	}
 	l.used++
-	return true
 }
 
 func (l *limit) give() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.used--
-	l.mu.Unlock()
-	select {
-	case l.wake <- struct{}{}:
-	default:
-	}
 }
 
 // arrived records a chunk that took a time from its first byte to its last. rate
--- a/internal/core/chain/chain_test.go
+++ b/internal/core/chain/chain_test.go
@@ -8,7 +8,10 @@
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
-var start = time.Unix(1000, 0)
+var (
+	start = time.Unix(1000, 0)
+	both  = Room{Ask: true, Data: true}
+)
 
 // members returns n members in each region.
 func members(regions, n int) []Member {
@@ -73,12 +76,12 @@
 	for range rounds {
 		left := 0
 		for _, tab := range tables {
-			f, ok := tab.Next(now)
+			f, ok := tab.Next(both, now)
 			if ok && f.Origin {
 				fromOrigin++
 				tab.Done(f, Got, now)
 			} else if ok {
-				tab.Done(f, answer(tables[f.From.VM], f.Chunk), now)
+				tab.Done(f, answer(tables[f.From.VM], f), now)
 			}
 			left += tab.Missing()
 		}
@@ -91,11 +94,13 @@
 	return 0
 }
 
-func answer(source *Table, c int) Outcome {
+func answer(source *Table, f Fetch) Outcome {
 	switch {
 	case source == nil:
 		return Idle
-	case source.chunks[c].held:
+	case source.chunks[f.Chunk].held && f.Ask:
+		return Announced
+	case source.chunks[f.Chunk].held:
 		return Got
 	default:
 		return Pending
@@ -122,7 +127,7 @@
 	tab := NewTable(9, ms[2], ms)
 	now := start
 	for range 400 {
-		f, ok := tab.Next(now)
+		f, ok := tab.Next(both, now)
 		if ok {
 			out := Pending
 			if f.Origin {
@@ -137,21 +142,44 @@
 	}
 }
 
+// TestRoom guards against data that is asked for while enough is on its way, which
+// fills a narrow link, and against questions that wait for room for data.
+func TestRoom(t *testing.T) {
+	ms := members(1, 2)
+	tab := NewTable(4, ms[1], ms)
+	f, ok := tab.Next(Room{Ask: true}, start)
+	if !ok || !f.Ask || f.From.VM != ms[0].VM {
+		t.Fatalf("without room for data: %+v, %v", f, ok)
+	}
+	tab.Done(f, Announced, start)
+	if next, ok := tab.Next(Room{Ask: true}, start); ok && next.Chunk == f.Chunk {
+		t.Errorf("chunk %d is asked for again", f.Chunk)
+	}
+	next, ok := tab.Next(Room{Data: true}, start)
+	for ok && next.Origin {
+		tab.Done(next, Got, start)
+		next, ok = tab.Next(Room{Data: true}, start)
+	}
+	if !ok || next.Ask || next.Chunk != f.Chunk {
+		t.Errorf("after the announcement: %+v, %v", next, ok)
+	}
+}
+
 // TestFailedMemberPauses guards against a member that sends spoilt chunks and is
 // asked again at once.
 func TestFailedMemberPauses(t *testing.T) {
 	ms := members(1, 2)
 	tab := NewTable(2, ms[1], ms)
-	f, ok := tab.Next(start)
+	f, ok := tab.Next(both, start)
 	for ok && f.Origin {
 		tab.Done(f, Got, start)
-		f, ok = tab.Next(start)
+		f, ok = tab.Next(both, start)
 	}
 	if !ok || f.From.VM != ms[0].VM {
 		t.Fatalf("fetch %v, %v", f, ok)
 	}
 	tab.Done(f, Failed, start)
-	if next, ok := tab.Next(start); !ok || !next.Origin {
+	if next, ok := tab.Next(both, start); !ok || !next.Origin {
 		t.Errorf("after a spoilt chunk: %v, %v; want the origin", next, ok)
 	}
 }
--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -39,6 +39,8 @@
 	Pending
 	// Idle means that the source does not work towards the version.
 	Idle
+	// Announced means that the source has the chunk.
+	Announced
 	// Failed means anything else, such as a lost or spoilt chunk.
 	Failed
 )
@@ -49,14 +51,22 @@
 	// Origin is set if the source is the origin; From is empty then.
 	Origin bool
 	From   Member
+	// Ask only asks the source to tell once it has the chunk. Many chunks may be
+	// asked for at a time, but only few sent, which would fill a narrow link.
+	Ask bool
 }
 
+// Room says what may be started now.
+type Room struct{ Ask, Data bool }
+
 type chunkState struct {
 	held, active bool
 	notBefore    time.Time
 	// asked is the member that was asked last, since the time in since.
 	asked fleet.VM
 	since time.Time
+	// ready is the member that has the chunk, or empty.
+	ready fleet.VM
 	// skip holds members that did not get the chunk in time.
 	skip map[fleet.VM]bool
 }
@@ -126,9 +136,9 @@
 	return t.missing
 }
 
-// Next returns the fetch to start now. It returns false if there is none; a
-// later call may return one.
-func (t *Table) Next(now time.Time) (Fetch, bool) {
+// Next returns the fetch to start now, of those that there is room for. It returns
+// false if there is none; a later call may return one.
+func (t *Table) Next(room Room, now time.Time) (Fetch, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	best, found := Fetch{}, false
@@ -142,7 +152,7 @@
 		if found && !s.notBefore.Before(t.chunks[best.Chunk].notBefore) {
 			continue
 		}
-		if f := t.source(c, now); !f.Origin || t.atOrigin < originActive {
+		if f := t.source(c, now); t.fits(f, room) {
 			best, found = f, true
 		}
 	}
@@ -152,6 +162,17 @@
 	return best, found
 }
 
+func (t *Table) fits(f Fetch, room Room) bool {
+	switch {
+	case f.Ask:
+		return room.Ask
+	case f.Origin:
+		return room.Data && t.atOrigin < originActive
+	default:
+		return room.Data
+	}
+}
+
 func (t *Table) begin(f Fetch, now time.Time) {
 	s := &t.chunks[f.Chunk]
 	s.active = true
@@ -168,7 +189,7 @@
 		if now.Before(t.absent[m.VM]) || t.chunks[c].skip[m.VM] {
 			continue
 		}
-		return Fetch{Chunk: c, From: m}
+		return Fetch{Chunk: c, From: m, Ask: t.chunks[c].ready != m.VM}
 	}
 	return Fetch{Chunk: c, Origin: true}
 }
@@ -179,6 +200,9 @@
 	defer t.mu.Unlock()
 	s := &t.chunks[f.Chunk]
 	s.active = false
+	if o != Announced {
+		s.ready = ""
+	}
 	if f.Origin {
 		t.atOrigin--
 	}
@@ -189,6 +213,9 @@
 		s.notBefore = now.Add(originPause)
 		// Members that were too slow before may have the chunk by now.
 		s.skip = nil
+	case o == Announced:
+		s.ready = f.From.VM
+		s.notBefore = time.Time{}
 	case o == Pending:
 		s.notBefore = now.Add(pendingPause)
 		if now.Sub(s.since) >= pendingPatience {
--- a/internal/port/process.go
+++ b/internal/port/process.go
@@ -142,6 +142,8 @@
 	Index      int
 	From       fleet.VM
 	FromRegion fleet.Region
+	// AnnounceOnly asks for an empty answer once the peer has the chunk.
+	AnnounceOnly bool
 }
 
 // PeerClient is an agent's view of other agents.
