gateway: leave a silent target only if another one has room

The attempt goes on, and the others are looked at again every 0.2 s. The test failed before with no_target, may-have-run.

--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -122,6 +122,16 @@
 	}
 }
 
+// TestSilentTargetIsTheOnlyOne guards against a request that is taken from a
+// silent target although no other has room, and fails for that reason.
+func TestSilentTargetIsTheOnlyOne(t *testing.T) {
+	b := newBed(t, route, reply{status: 200, body: []string{"late"}, wait: 500 * time.Millisecond})
+	b.put("targets/b", 2, nil)
+	if out := b.ask(inbound()); out.status != 200 || out.body.String() != "late" {
+		t.Errorf("status %d, %v", out.status, out.refused)
+	}
+}
+
 // TestDeadline guards against more time for a target than the caller has left,
 // and against an answer that is held beyond the route's timeout.
 func TestDeadline(t *testing.T) {
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 )
 
@@ -42,10 +43,32 @@
 	if c.route.Kind == routes.Streaming {
 		s.after = streamStall
 	}
-	s.timer = time.AfterFunc(s.after, cancel)
+	q := c.query(s.start)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(s.after, func() { s.expire(c.g, q) })
 	return ctx, s
 }
 
+// stallRetry is the pause after which a silent target is looked at again if no
+// other target has room.
+const stallRetry = 200 * time.Millisecond
+
+// expire ends the attempt if another target would take the request. Otherwise the
+// silent one may still answer, and nothing is better.
+func (s *stall) expire(g *Gateway, q placement.Query) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.timer == nil {
+		return
+	}
+	if !g.targets.Room(q, g.deps.Clock.Now()) {
+		s.timer.Reset(stallRetry)
+		return
+	}
+	s.cancel()
+}
+
 // progress starts the time anew.
 func (s *stall) progress() {
 	s.mu.Lock()
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -105,6 +105,16 @@
 	}
 }
 
+// Room reports whether some target would take the request now.
+func (t *Table) Room(q Query, now time.Time) bool {
+	found := false
+	t.targets.Range(func(_ fleet.Instance, s *state) bool {
+		found = s.matches(&q) && s.room(&q, now)
+		return !found
+	})
+	return found
+}
+
 func (t *Table) best(q Query, now time.Time, intN func(int) int) (Choice, Outcome) {
 	var all []Choice
 	full := false
