--- /dev/null
+++ b/test/docs/log_test.go
@@ -0,0 +1,60 @@
+package docs
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/masticwing/masticwing/test/harness"
+)
+
+// loggedIn lists the packages whose lines and metrics the operators' page
+// describes in full.
+var loggedIn = []string{
+	"internal/app/gateway", "internal/app/loader", "internal/app/chunks", "internal/app/follow", "internal/app/enroll",
+	"internal/app/daemon", "cmd/masticwing-gateway", "cmd/masticwing-loader",
+}
+
+var (
+	logField   = regexp.MustCompile(`logging\.(?:F|Millis)\("([a-z_]+)"`)
+	logMessage = regexp.MustCompile(`[lL]og\.(?:State|Fault|Served|Failed)\("([^"]+)"`)
+	metricName = regexp.MustCompile(`\.(?:Count|Seconds|Gauge)\("([a-z_]+)"`)
+)
+
+// TestOperationsPageNamesLogsAndMetrics guards against a message, a field or a
+// metric that an engineer on call meets and the page does not explain.
+func TestOperationsPageNamesLogsAndMetrics(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join(harness.Root(), "docs", "OPERATIONS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for _, dir := range loggedIn {
+		files, err := filepath.Glob(filepath.Join(harness.Root(), dir, "*.go"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, f := range files {
+			if strings.HasSuffix(f, "_test.go") {
+				continue
+			}
+			src, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, re := range []*regexp.Regexp{logField, logMessage, metricName} {
+				for _, m := range re.FindAllStringSubmatch(string(src), -1) {
+					found++
+					if !strings.Contains(string(page), "`"+m[1]+"`") {
+						t.Errorf("%s: the page does not name %q", filepath.Base(f), m[1])
+					}
+				}
+			}
+		}
+	}
+	if found < 100 {
+		t.Errorf("found only %d names in the sources", found)
+	}
+}
