loader: fetch also while the engine is down; chunks: give up questions to lost members sooner

A loader without its engine fetches what is being declared. A question to another member ends after 0.8 s, not 1.8 s; members keep it for 0.3 s, not 0.6 s. Loaders log when the origin is lost and regained.

--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -27,14 +27,17 @@
 	// link that is narrower than declared for seconds; with fewer the link is idle
 	// between two chunks.
 	transfers = 6
-	// fetchTimeout bounds a fetch from a member. It covers holdTime, the wait for
-	// a slot and the transfer, and stays below the silence timeout of a stream.
-	fetchTimeout = 1800 * time.Millisecond
+	// askTimeout bounds a question, which a live member answers within twice
+	// holdTime. Others wait for the chunks of a member that is gone.
+	askTimeout = 800 * time.Millisecond
+	// fetchTimeout bounds the transfer of a chunk from a member. It covers slotTime,
+	// and the transfer over links that several share.
+	fetchTimeout = 1500 * time.Millisecond
 	// recheck bounds the time until a pause of the table has passed.
 	recheck = 20 * time.Millisecond
 	// holdTime is the time for which a member that asks for a chunk that is on
 	// its way is kept waiting.
-	holdTime = 600 * time.Millisecond
+	holdTime = 300 * time.Millisecond
 	// slotTime is the time for which it waits for a slot after that.
 	slotTime = 600 * time.Millisecond
 	// writeBytes is the most that is written before the link's budget is
@@ -289,7 +292,11 @@
 		rc, err = f.deps.Origin.Chunk(ctx, v.id, job.Chunk)
 	} else {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, fetchTimeout)
+		timeout := fetchTimeout
+		if job.Ask {
+			timeout = askTimeout
+		}
+		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 		self := f.set.Self
 		r := port.ChunkRequest{Version: v.id, Index: job.Chunk, From: self.VM, FromRegion: self.Region, AnnounceOnly: job.Ask}
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -57,14 +57,15 @@
 func (l *Loader) fetchDeclared(ctx context.Context) {
 	var last port.HeldWeights
 	for ctx.Err() == nil {
+		var held port.HeldWeights
 		r := l.seen.get()
-		if r == nil {
-			l.sleep(ctx, recheck)
-			continue
+		if r != nil {
+			held = heldOf(r)
 		}
-		held := heldOf(r)
 		g, ok := l.view.goal(held)
-		if !ok || g.HeldWeights == last {
+		// Without its engine a loader fetches only what is declared now, which
+		// others wait for. The rest may lie in the engine's area.
+		if !ok || g.HeldWeights == last || r == nil && !g.fresh {
 			l.wait(ctx, l.view.declaredNews, recheck)
 			continue
 		}
@@ -90,7 +91,7 @@
 	id := man.Version()
 	l.origin.remember(namedVersion{g.HeldWeights, id, man})
 	l.chunks.Want(name, id, man)
-	if g.staged {
+	if g.staged && l.seen.get() != nil {
 		l.reuse(ctx, g, id)
 	}
 	l.deps.Log.State("fetching weights", logging.F("number", g.Number), logging.F("chunks", len(man.Chunks)), logging.F("from_origin", !ok))
--- a/internal/app/loader/loader_test.go
+++ b/internal/app/loader/loader_test.go
@@ -231,6 +231,27 @@
 	e.check(t, 3)
 }
 
+// TestFetchWithoutEngine guards against a loader whose engine is down and that
+// fetches nothing: others of its chain wait for chunks that only it would draw
+// from the origin.
+func TestFetchWithoutEngine(t *testing.T) {
+	l := newLoader(newEngine(1), &origin{})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { l.chunks.Run(ctx) })
+	wg.Go(func() { l.fetchDeclared(ctx) })
+	l.declareForTest(2)
+	id := manifest.Split("m", weightsOf(2), chunkBytes).Version()
+	for !l.complete(id) {
+		if ctx.Err() != nil {
+			t.Fatal("nothing was fetched")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 // TestGoal guards against a turn that is counted from the newest declaration,
 // which would let old weights serve beyond the bound of the one before.
 func TestGoal(t *testing.T) {
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -171,6 +171,8 @@
 	// staged means that the chunks may lie in the engine's area: it holds them, or
 	// has started again.
 	staged bool
+	// fresh means that the newest declaration was seen being made.
+	fresh bool
 	// now means that the engine must not wait for its turn.
 	now bool
 	// rank is the engine's turn among count.
@@ -199,7 +201,9 @@
 			g.since = d.since
 			g.now = g.now || d.late
 		}
-		g.Number = max(g.Number, d.Number)
+		if d.Number > g.Number {
+			g.Number, g.fresh = d.Number, !d.late
+		}
 	}
 	g.staged = held.Number == 0 || held.Number == g.Number
 	g.rank, g.count = v.turn(g.Number)
@@ -255,6 +259,7 @@
 	client port.NumberedOrigin
 	addr   fleet.Address
 	names  []namedVersion
+	lost   bool
 }
 
 type namedVersion struct {
@@ -295,6 +300,7 @@
 	const tries = 4 // one spoilt answer in 25 leaves two that agree among these
 	for range tries {
 		man, e := c.Manifest(ctx, w)
+		o.note(ctx, e)
 		if errors.Is(e, port.ErrVersionUnknown) {
 			return manifest.Manifest{}, e
 		}
@@ -362,5 +368,25 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.Chunk(ctx, n.HeldWeights, i)
+	rc, err := c.Chunk(ctx, n.HeldWeights, i)
+	o.note(ctx, err)
+	return rc, err
+}
+
+// note logs when the origin stops to answer, and when it answers again.
+func (o *namedOrigin) note(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	failed := err != nil && !errors.Is(err, port.ErrVersionUnknown)
+	o.mu.Lock()
+	changed := failed != o.lost
+	o.lost = failed
+	o.mu.Unlock()
+	switch {
+	case changed && failed:
+		o.view.log.Fault("lost the origin", err)
+	case changed:
+		o.view.log.State("regained the origin")
+	}
 }
