gateway, loader: share settings, members and the counted store

The two programs had copies of the settings of a registered process, of the code that follows the other processes, and of the wiring of the store. One copy each is in enroll and platform.

--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -17,7 +17,6 @@
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/gateway"
 	"github.com/masticwing/masticwing/internal/core/fleet"
-	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/platform"
 )
 
@@ -46,12 +45,8 @@
 const flushTime = 300 * time.Millisecond
 
 func run(ctx context.Context, set gateway.Settings, env daemon.Env) error {
-	store := platform.NewStore(set.Platform)
-	store.Called = func(call, outcome string) {
-		env.Metrics.Count("store_calls_total", 1, port.Attr{Key: "call", Value: call}, port.Attr{Key: "outcome", Value: outcome})
-	}
 	g := gateway.New(set, gateway.Deps{
-		Store: store, Facts: platform.Facts{},
+		Store: platform.CountedStore(set.Platform, env.Metrics), Facts: platform.Facts{},
 		Targets: platform.NewTargets(func() { env.Metrics.Count("target_connections_total", 1) }),
 		Clock:   sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
 	})
--- a/cmd/masticwing-loader/main.go
+++ b/cmd/masticwing-loader/main.go
@@ -33,14 +33,10 @@
 }
 
 func run(ctx context.Context, set loader.Settings, env daemon.Env) error {
-	store := platform.NewStore(set.Platform)
-	store.Called = func(call, outcome string) {
-		env.Metrics.Count("store_calls_total", 1, port.Attr{Key: "call", Value: call}, port.Attr{Key: "outcome", Value: outcome})
-	}
 	peers := rpc.NewClient()
 	defer peers.Close()
 	l := loader.New(set, loader.Deps{
-		Store: store, Facts: platform.Facts{}, Engine: platform.NewEngine(set.Engine),
+		Store: platform.CountedStore(set.Platform, env.Metrics), Facts: platform.Facts{}, Engine: platform.NewEngine(set.Engine),
 		Origin: func(a fleet.Address) port.NumberedOrigin { return platform.NewOrigin(a) },
 		Peers:  peers, Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
 	})
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/enroll"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routes"
@@ -154,7 +155,7 @@
 	t.Helper()
 	b := &bed{target: &target{replies: replies}, clock: &clock{boot: time.Hour}, facts: facts{}, log: &bytes.Buffer{}}
 	set := Settings{
-		Domain: "a", Regions: map[fleet.Domain]fleet.Region{"a": "ra", "b": "rb"}, KeyBound: 5 * time.Second,
+		Settings: enroll.Settings{Domain: "a", Regions: map[fleet.Domain]fleet.Region{"a": "ra", "b": "rb"}}, KeyBound: 5 * time.Second,
 		WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
 	}
 	b.Gateway = New(set, Deps{
--- a/internal/app/gateway/picture.go
+++ b/internal/app/gateway/picture.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/app/enroll"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
@@ -38,7 +39,7 @@
 	mu sync.Mutex // guards the following
 	// revisions holds the store's revision of each operators' key.
 	revisions map[string]int64
-	members   map[string]port.StoredMember
+	members   enroll.Members
 	held      map[string]fleet.Instance // by key in the store
 }
 
@@ -57,7 +58,7 @@
 func newPicture(s Settings, d Deps, t *placement.Table) *picture {
 	p := &picture{
 		self: s.ID, facts: d.Facts, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log,
-		revisions: map[string]int64{}, members: map[string]port.StoredMember{}, held: map[string]fleet.Instance{},
+		revisions: map[string]int64{}, members: enroll.Members{}, held: map[string]fleet.Instance{},
 	}
 	p.others.Store(&[]netip.AddrPort{})
 	p.pace.Store(&routes.Pace{})
@@ -254,34 +255,9 @@
 func (p *picture) applyMembers(e follow.Event) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e.Reset {
-		clear(p.members)
-	}
-	for _, c := range e.Changes {
-		if c.Removed {
-			delete(p.members, c.Key)
-			continue
-		}
-		fact, err := p.facts.Read(c.Item)
-		if err != nil {
-			p.log.Fault("entry of a process can't be read", err, logging.F("key", c.Key))
-			continue
-		}
-		if f, ok := fact.(port.MemberFact); ok {
-			p.members[c.Key] = f.Member
-		}
-	}
-	n := int64(0)
-	others := []netip.AddrPort{}
-	for _, m := range p.members {
-		if m.Kind != fleet.KindEntry.String() {
-			continue
-		}
-		n++
-		if a, err := netip.ParseAddrPort(string(m.Address)); err == nil && m.ID != p.self {
-			others = append(others, a)
-		}
-	}
+	p.members.Apply(e, p.facts, p.log)
+	count, others := p.members.Gateways(p.self)
+	n := int64(count)
 	p.others.Store(&others)
 	if old := p.gateways.Swap(max(1, n)); old != max(1, n) {
 		p.log.State("gateways", logging.F("count", n))
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -5,20 +5,17 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/enroll"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
 // Settings are the settings of masticwing-gateway.
 type Settings struct {
 	daemon.Common
-	Domain fleet.Domain
-	// Regions maps each failure domain to its region.
-	Regions map[fleet.Domain]fleet.Region
+	enroll.Settings
 
-	Callers  fleet.Address
-	Ready    fleet.Address
-	Internal fleet.Address
-	Platform fleet.Address
+	Callers fleet.Address
+	Ready   fleet.Address
 
 	// Grace is the time from SIGTERM to the end of the process.
 	Grace time.Duration
@@ -42,13 +39,9 @@
 // Register registers all keys.
 func (c *Settings) Register(s *settings.Set) {
 	c.Common.Register(s)
-	s.Name("node", "domain", func(v string) { c.Domain = fleet.Domain(v) }, settings.Required, "Failure domain of this VM.")
-	labels := map[string]string{}
-	s.Labels("node", "regions", &labels, settings.Required, "Region of each failure domain, as domain=region.")
+	c.Settings.Register(s)
 	s.Address("listen", "callers", &c.Callers, settings.Required, "Address for callers.")
 	s.Address("listen", "ready", &c.Ready, settings.Required, "Address of the platform's readiness checks.")
-	s.Address("listen", "internal", &c.Internal, settings.Required, "Address for load reports, UDP.")
-	s.Address("platform", "address", &c.Platform, settings.Required, "The platform's metadata store.")
 	s.Duration("limits", "grace", &c.Grace, 8*time.Second, time.Second, time.Hour, "Time from SIGTERM to the end of the process.")
 	s.Duration("limits", "key_bound", &c.KeyBound, 5*time.Second, 100*time.Millisecond, time.Hour,
 		"Longest use of a key after it was taken away.")
@@ -58,14 +51,4 @@
 	s.Float("retries", "slack", &c.RetrySlack, 100, 0, 1e6, "Repeats that all gateways may send besides.")
 	s.Duration("retries", "window", &c.RetryWindow, 10*time.Second, 100*time.Millisecond, time.Hour, "Window of both.")
 	s.Bytes("limits", "memory", &c.Memory, 256*mib, 16*mib, 1024*gib, "Memory of the process.")
-	s.Check(func() []settings.Fault {
-		c.Regions = map[fleet.Domain]fleet.Region{}
-		for d, r := range labels {
-			c.Regions[fleet.Domain(d)] = fleet.Region(r)
-		}
-		if _, ok := c.Regions[c.Domain]; !ok {
-			return []settings.Fault{{Section: "node", Key: "domain", Value: string(c.Domain), Allowed: "a domain of [node] regions"}}
-		}
-		return nil
-	})
 }
--- a/internal/app/loader/loader_test.go
+++ b/internal/app/loader/loader_test.go
@@ -139,7 +139,8 @@
 // newLoader returns a loader of a service with one engine, whose bound for new
 // weights is short.
 func newLoader(e *engine, o *origin) *Loader {
-	set := Settings{Service: "s", WeightsBound: time.Second, Domain: "a", Regions: map[fleet.Domain]fleet.Region{"a": "r"}}
+	set := Settings{Service: "s", WeightsBound: time.Second}
+	set.Domain, set.Regions = "a", map[fleet.Domain]fleet.Region{"a": "r"}
 	set.ID = "vm"
 	l := New(set, Deps{
 		Engine: e, Origin: func(fleet.Address) port.NumberedOrigin { return o }, Peers: noPeers{}, Facts: noFacts{},
--- a/internal/app/loader/settings.go
+++ b/internal/app/loader/settings.go
@@ -5,19 +5,17 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/enroll"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
 // Settings are the settings of masticwing-loader.
 type Settings struct {
 	daemon.Common
-	Domain  fleet.Domain
-	Regions map[fleet.Domain]fleet.Region
+	enroll.Settings
 
-	Internal fleet.Address
-	Platform fleet.Address
-	Engine   fleet.Address
-	Service  fleet.Service
+	Engine  fleet.Address
+	Service fleet.Service
 
 	// WeightsBound is the time after which declared weights must be in use.
 	WeightsBound time.Duration
@@ -36,11 +34,7 @@
 // Register registers all keys.
 func (c *Settings) Register(s *settings.Set) {
 	c.Common.Register(s)
-	s.Name("node", "domain", func(v string) { c.Domain = fleet.Domain(v) }, settings.Required, "Failure domain of this VM.")
-	labels := map[string]string{}
-	s.Labels("node", "regions", &labels, settings.Required, "Region of each failure domain, as domain=region.")
-	s.Address("listen", "internal", &c.Internal, settings.Required, "Address for other loaders.")
-	s.Address("platform", "address", &c.Platform, settings.Required, "The platform's metadata store.")
+	c.Settings.Register(s)
 	s.Address("engine", "address", &c.Engine, settings.Required, "Model engine on this VM.")
 	s.Name("engine", "service", func(v string) { c.Service = fleet.Service(v) }, settings.Required, "Service of the engine.")
 	s.Duration("limits", "weights_bound", &c.WeightsBound, 8*time.Second, 100*time.Millisecond, time.Hour,
@@ -50,10 +44,6 @@
 	s.Bytes("limits", "memory", &c.Memory, 128*mib, 16*mib, 1024*gib, "Memory of the process.")
 	s.Check(func() []settings.Fault {
 		c.Link = int64(mbit * 1e6 / 8)
-		c.Regions = map[fleet.Domain]fleet.Region{}
-		for d, r := range labels {
-			c.Regions[fleet.Domain(d)] = fleet.Region(r)
-		}
 		return nil
 	})
 }
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/app/enroll"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/chain"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -30,7 +31,7 @@
 	mu           sync.Mutex // guards the following
 	config       *routes.Table
 	declared     []declaredWeights
-	members      map[string]port.StoredMember
+	members      enroll.Members
 	senders      []netip.AddrPort
 	declaredNews chan struct{}
 }
@@ -46,7 +47,7 @@
 func newView(s Settings, f port.FactReader, c port.Clock, l *logging.Logger) *view {
 	return &view{
 		set: s, facts: f, clock: c, log: l,
-		members: map[string]port.StoredMember{}, declaredNews: make(chan struct{}, 1),
+		members: enroll.Members{}, declaredNews: make(chan struct{}, 1),
 	}
 }
 
@@ -111,29 +112,8 @@
 func (v *view) applyMembers(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if e.Reset {
-		clear(v.members)
-	}
-	for _, c := range e.Changes {
-		if c.Removed {
-			delete(v.members, c.Key)
-			continue
-		}
-		fact, err := v.facts.Read(c.Item)
-		if err != nil {
-			v.log.Fault("entry of a process can't be read", err, logging.F("key", c.Key))
-			continue
-		}
-		if f, ok := fact.(port.MemberFact); ok {
-			v.members[c.Key] = f.Member
-		}
-	}
-	v.senders = v.senders[:0:0]
-	for _, m := range v.members {
-		if a, err := netip.ParseAddrPort(string(m.Address)); err == nil && m.Kind == fleet.KindEntry.String() {
-			v.senders = append(v.senders, a)
-		}
-	}
+	v.members.Apply(e, v.facts, v.log)
+	_, v.senders = v.members.Gateways(v.set.ID)
 	signal(v.declaredNews)
 }
 
--- a/test/docs/log_test.go
+++ b/test/docs/log_test.go
@@ -14,7 +14,7 @@
 // describes in full.
 var loggedIn = []string{
 	"internal/app/gateway", "internal/app/loader", "internal/app/chunks", "internal/app/follow", "internal/app/enroll",
-	"internal/app/daemon", "cmd/masticwing-gateway", "cmd/masticwing-loader",
+	"internal/app/daemon", "cmd/masticwing-gateway", "cmd/masticwing-loader", "platform",
 }
 
 var (
