--- /dev/null
+++ b/internal/adapter/loadcast/loadcast_test.go
@@ -0,0 +1,102 @@
+package loadcast
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/placement"
+)
+
+type handler struct {
+	reports chan Report
+	notices chan Notice
+}
+
+func (h handler) Reported(r Report) { h.reports <- r }
+func (h handler) Notified(n Notice) { h.notices <- n }
+
+// freeAddress returns an address at which nothing listens.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// TestArrives guards against a field that is lost or mixed up on the way, and
+// against datagrams of others that end the receiver or are taken for a report.
+func TestArrives(t *testing.T) {
+	to := freeAddress(t)
+	h := handler{make(chan Report, 1), make(chan Notice, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() {
+		if err := Receive(ctx, fleet.Address(to.String()), h); err != nil {
+			t.Errorf("receiving: %v", err)
+		}
+	})
+	s, err := NewSender(to.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	report := Report{
+		Target: "10.1.2.3:456", Started: 1767344219909, Weights: 7,
+		Load: placement.Load{Running: 12, Waiting: 3, Places: 16, Loading: true},
+	}
+	notice := Notice{Target: "10.1.2.3:456", PromptTokens: 70000}
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
+		for _, junk := range [][]byte{nil, {1}, make([]byte, reportBytes), make([]byte, 500)} {
+			_, _ = s.conn.WriteToUDPAddrPort(junk, to)
+		}
+		if err := s.Report(report, []netip.AddrPort{to}); err != nil {
+			continue // the receiver does not listen yet
+		}
+		if err := s.Notify(notice, []netip.AddrPort{to}); err != nil {
+			continue
+		}
+		select {
+		case r := <-h.reports:
+			if n := <-h.notices; r != report || n != notice {
+				t.Errorf("%+v, %+v", r, n)
+			}
+			cancel()
+			// Further datagrams may be on their way.
+			wg.Go(func() { drain(h) })
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+	t.Fatal("nothing arrived")
+}
+
+func drain(h handler) {
+	for {
+		select {
+		case <-h.reports:
+		case <-h.notices:
+		case <-time.After(50 * time.Millisecond):
+			return
+		}
+	}
+}
+
+// TestBadTarget guards against a report of a target that the format cannot name.
+func TestBadTarget(t *testing.T) {
+	for _, a := range []fleet.Address{"", "host:80", "[::1]:80"} {
+		if _, err := encodeReport(Report{Target: a}); err == nil {
+			t.Errorf("%q is encoded", a)
+		}
+	}
+}
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -181,7 +181,9 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer stopHups()
-	wg.Go(func() { watchReload(hups, path, check, env.Log) })
+	handled := make(chan struct{})
+	wg.Go(func() { watchReload(hups, path, check, env.Log, handled) })
+	<-handled
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return serve(ctx, common, env, r)
--- a/internal/app/daemon/reload.go
+++ b/internal/app/daemon/reload.go
@@ -13,7 +13,8 @@
 
 // watchReload handles SIGHUP until ctx ends. A daemon reads its settings at its
 // start; a change is checked and logged, and takes effect with the next start.
-func watchReload(ctx context.Context, path string, check func() []error, log *logging.Logger) {
+// ready is closed once the signal is handled.
+func watchReload(ctx context.Context, path string, check func() []error, log *logging.Logger, ready chan<- struct{}) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
@@ -21,6 +22,7 @@
 	if err != nil {
 		log.Fault("settings can't be read", err)
 	}
+	close(ready)
 	for {
 		select {
 		case <-ctx.Done():
--- /dev/null
+++ b/test/docs/deploy_test.go
@@ -0,0 +1,55 @@
+package docs
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/masticwing/masticwing/test/harness"
+)
+
+// deployValues are what the platform fills into the templates of deploy/.
+var deployValues = map[string]string{
+	"NodeName": "vm-1", "Ip": "10.1.0.40", "Zone": "a", "InternalPorts.0": "7700", "Listen.Front": "10.1.0.40:8005",
+	"Listen.Ready": "10.1.0.40:8002", "Platform.Address": "10.200.1.7:8007", "Bounds.GraceS": "8", "Bounds.RevokeMs": "5000",
+	"Bounds.version_ms": "8000", "Limits.MemoryMb": "284", "Limits.LinkMbps": "7.6", "Bounds.RetryRatio": "0.2",
+	"Bounds.RetrySlack": "104", "Bounds.RetryWindowS": "10", "app": "10.1.0.43:8001", "Service": "pool",
+}
+
+var (
+	zonesSection = regexp.MustCompile(`\{\{#Zones\}\}.*\{\{/Zones\}\}`)
+	placeholder  = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+)
+
+// TestDeployTemplates guards against a template that the program refuses, or that
+// names a field which this test does not know.
+func TestDeployTemplates(t *testing.T) {
+	h := harness.ForTest(t)
+	for template, binary := range map[string]string{"gateway.ini": "masticwing-gateway", "loader.ini": "masticwing-loader"} {
+		b, err := os.ReadFile(filepath.Join(harness.Root(), "deploy", template))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := zonesSection.ReplaceAllString(string(b), "a=ra,b=rb")
+		text = placeholder.ReplaceAllStringFunc(text, func(p string) string {
+			v, ok := deployValues[p[2:len(p)-2]]
+			if !ok {
+				t.Errorf("%s: unknown field %s", template, p)
+			}
+			return v
+		})
+		file := filepath.Join(t.TempDir(), template)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		p, err := h.Start(binary+" check-config", binary, "check-config", "--config", file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-p.Done()
+		if p.ExitCode() != 0 {
+			t.Errorf("%s: exit code %d\n%s", template, p.ExitCode(), p.Output())
+		}
+	}
+}
