--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -84,32 +84,6 @@
 	t.change(id, func(s *state) { s.own = max(0, s.own-1) })
 }
 
-// Count returns the number of targets of a service, and how many of them take
-// requests.
-func (t *Table) Count(service fleet.Service) (all, usable int) {
-	t.targets.Range(func(_ fleet.Instance, s *state) bool {
-		if s.Service != service {
-			return true
-		}
-		all++
-		if !s.Draining {
-			usable++
-		}
-		return true
-	})
-	return all, usable
-}
-
-// Loads returns the number of targets and the estimated requests at them.
-func (t *Table) Loads(now time.Time, shares float64) (targets int, requests float64) {
-	t.targets.Range(func(_ fleet.Instance, s *state) bool {
-		targets++
-		requests += s.estimate(now, shares)
-		return true
-	})
-	return targets, requests
-}
-
 func (t *Table) change(id fleet.Instance, f func(*state)) {
 	t.targets.Update(id, func(s *state, ok bool) (*state, bool) {
 		if ok {
