httpapi: count refused callers as ended in the test of slow callers

It waited for 50 answers that are opened and closed. A request that waits for memory for a second is refused before its answer is opened, so that only 49 were (held 1,003,540 of 1,048,576 bytes, 10 answers open, as wanted).

The test now counts the requests that have ended.

--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -84,12 +84,29 @@
 
 // listen serves an API on loopback and returns its address.
 func listen(t *testing.T, cfg Config, b Backend) (*API, string) {
+	t.Helper()
+	return listenCounted(t, cfg, b, noMetrics{})
+}
+
+// countEnds counts the requests that have ended, refused ones included.
+type countEnds struct {
+	noMetrics
+	ended *atomic.Int32
+}
+
+func (c countEnds) Count(name string, n int64, _ ...port.Attr) {
+	if name == "masticwing_entry_verdicts_total" {
+		c.ended.Add(int32(n))
+	}
+}
+
+func listenCounted(t *testing.T, cfg Config, b Backend, m port.Metrics) (*API, string) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := New(cfg, b, noMetrics{})
+	a := New(cfg, b, m)
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = a.Serve(lis) })
 	t.Cleanup(func() {
@@ -234,13 +251,15 @@
 // the entry's memory, and against healthy callers that suffer from them.
 func TestSlowCallersAreBounded(t *testing.T) {
 	const bound, slow = 1 << 20, 60
-	var closed atomic.Int32
-	api, addr := listen(t, Config{Memory: bound, MaxBody: 1 << 10}, endless(&closed))
+	var closed, ended atomic.Int32
+	api, addr := listenCounted(t, Config{Memory: bound, MaxBody: 1 << 10}, endless(&closed), countEnds{ended: &ended})
 	for range slow {
 		open(t, addr)
 	}
 	fits := bound / (openBytes + 2048)
-	until(t, "the slowest callers are ended", func() bool { return closed.Load() >= int32(slow-fits) })
+	// A caller that waits for memory for a second is refused before its answer is
+	// opened; all others that do not fit are cut.
+	until(t, "the callers that do not fit are ended", func() bool { return ended.Load() >= int32(slow-fits) })
 	if n := api.BytesHeld(); n > bound || n == 0 {
 		t.Errorf("%d bytes held, bound %d", n, bound)
 	}
