gateway: log how the events of a stream follow each other

Cause: the log of a request showed a status beside a number of events, but not at which event a later run went on, whether ids had gaps or went back, or how the response was delimited.

Change: the request line has last_event, event_gaps, event_repeats, ends_with_connection and, for resumed streams, resumes, resumed_after and resumed_with; gateway_stream_resumes_total and gateway_stream_order_total count the same. No decision changes.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -33,6 +33,23 @@
 	firstEventAfter time.Duration
 	lastEventAt     time.Time
 	longestGap      time.Duration
+	// resumes counts the later runs that continued the stream, and resumedAfter is the
+	// id of the last event before the newest of them.
+	resumes      int
+	resumedAfter string
+	// endsWithConnection is set if only the end of the connection delimits the response
+	// of the newest run.
+	endsWithConnection bool
+}
+
+// beginRun prepares for the events of another run.
+func (r *relay) beginRun(resp *port.ForwardResponse) {
+	r.events.BeginRun()
+	r.endsWithConnection = resp.EndsWithConnection
+	if r.headSent {
+		r.resumes++
+		r.resumedAfter = r.events.LastID()
+	}
 }
 
 // recordEvents updates the event times for events relayed at now.
@@ -254,7 +271,7 @@
 // relayStream sends the events of a stream to the caller as they arrive. It sends only
 // complete events, so that the stream can resume at another target.
 func (c *call) relayStream(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse, watch *stallWatch) *verdict.Error {
-	c.relay.events.DiscardPartial()
+	c.relay.beginRun(resp)
 	first, eventsBefore := true, c.relay.events.EventCount()
 	buf := make([]byte, streamReadBytes)
 	for {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -239,6 +239,7 @@
 			logging.F("target_load", c.lastChoice.EstimatedInFlight), logging.Millis("predicted_first_ms", c.lastChoice.TimeToFirstEvent), logging.Millis("load_age_ms", c.lastChoice.LoadAge))
 	}
 	if n := c.relay.events.EventCount(); n > 0 {
+		fs = append(fs, c.relay.orderFields()...)
 		fs = append(fs, logging.F("events", n), logging.Millis("first_ms", c.relay.firstEventAfter),
 			logging.Millis("longest_gap_ms", c.relay.longestGap), logging.Millis("objective_ms", c.route.LatencyObjective),
 			logging.F("prompt_tokens", c.in.WorkEstimate.PromptTokens), logging.F("expected_tokens", c.in.WorkEstimate.ExpectedTokens))
@@ -253,6 +254,36 @@
 	} else {
 		g.deps.Log.ServedRequest("request", fs...)
 	}
+	c.countStreamOrder(outcome)
 	g.deps.Metrics.Count("gateway_requests_total", 1, port.Attr{Key: "class", Value: class}, port.Attr{Key: "outcome", Value: outcome})
 	g.deps.Metrics.Seconds("gateway_request_seconds", now.Sub(c.in.ReceivedAt), port.Attr{Key: "class", Value: class})
 }
+
+// orderFields returns the log fields that show how the events of a stream follow each
+// other, within a run and where a later run continued the stream.
+func (r *relay) orderFields() []logging.Field {
+	o := r.events.Order()
+	fs := []logging.Field{
+		logging.F("last_event", r.events.LastID()), logging.F("event_gaps", o.Gaps), logging.F("event_repeats", o.Repeats),
+		logging.F("ends_with_connection", r.endsWithConnection),
+	}
+	if r.resumes > 0 {
+		fs = append(fs, logging.F("resumes", r.resumes), logging.F("resumed_after", r.resumedAfter), logging.F("resumed_with", r.events.FirstID()))
+	}
+	return fs
+}
+
+// countStreamOrder counts the later runs that continued a stream, by the outcome of the
+// request, and the events whose id does not follow the one before.
+func (c *call) countStreamOrder(outcome string) {
+	m, o := c.g.deps.Metrics, c.relay.events.Order()
+	if c.relay.resumes > 0 {
+		m.Count("gateway_stream_resumes_total", int64(c.relay.resumes), port.Attr{Key: "outcome", Value: outcome})
+	}
+	if o.Gaps > 0 {
+		m.Count("gateway_stream_order_total", int64(o.Gaps), port.Attr{Key: "kind", Value: "gap"})
+	}
+	if o.Repeats > 0 {
+		m.Count("gateway_stream_order_total", int64(o.Repeats), port.Attr{Key: "kind", Value: "repeat"})
+	}
+}
--- a/internal/core/eventstream/eventstream.go
+++ b/internal/core/eventstream/eventstream.go
@@ -3,7 +3,10 @@
 // in the middle of an event.
 package eventstream
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
 // MaxEventBytes bounds an incomplete event. Events of model engines are well
 // below 1 KiB.
@@ -14,7 +17,16 @@
 type Splitter struct {
 	pending []byte
 	lastID  string
+	// firstID is the id of the first event of the newest run.
+	firstID string
 	events  int
+	order   Order
+}
+
+// Order counts the events whose numeric id does not follow that of the event before.
+type Order struct {
+	// Gaps counts ids that skip others, and Repeats those that do not increase.
+	Gaps, Repeats int
 }
 
 // Push appends b and returns all events that are now complete. The result is
@@ -35,8 +47,13 @@
 // PartialBytes returns the number of buffered bytes of an incomplete event.
 func (s *Splitter) PartialBytes() int { return len(s.pending) }
 
-// DiscardPartial drops the buffered bytes of an incomplete event.
-func (s *Splitter) DiscardPartial() { s.pending = nil }
+// BeginRun prepares for the events of another run. It drops the buffered bytes of an
+// incomplete event.
+func (s *Splitter) BeginRun() { s.pending, s.firstID = nil, "" }
+
+// FirstID returns the id of the first event of the newest run that has one, or an
+// empty string.
+func (s *Splitter) FirstID() string { return s.firstID }
 
 // LastID returns the id of the last complete event that has one, or an empty
 // string.
@@ -45,6 +62,9 @@
 // EventCount returns the number of complete events so far.
 func (s *Splitter) EventCount() int { return s.events }
 
+// Order returns how the ids of the complete events so far follow each other.
+func (s *Splitter) Order() Order { return s.order }
+
 // lastEventEnd returns the offset after the last blank line, or 0.
 func lastEventEnd(b []byte) int {
 	return max(endOfLast(b, "\n\n"), endOfLast(b, "\r\n\r\n"))
@@ -70,7 +90,25 @@
 			continue
 		}
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			s.lastID = string(bytes.TrimSpace(id))
+			s.recordID(string(bytes.TrimSpace(id)))
 		}
 	}
 }
+
+// recordID sets the last id and compares it with the one before. Ids that are not
+// numbers are not compared.
+func (s *Splitter) recordID(id string) {
+	before, errBefore := strconv.ParseInt(s.lastID, 10, 64)
+	n, err := strconv.ParseInt(id, 10, 64)
+	s.lastID = id
+	if s.firstID == "" {
+		s.firstID = id
+	}
+	switch {
+	case errBefore != nil || err != nil:
+	case n <= before:
+		s.order.Repeats++
+	case n > before+1:
+		s.order.Gaps++
+	}
+}
--- a/internal/core/eventstream/eventstream_test.go
+++ b/internal/core/eventstream/eventstream_test.go
@@ -43,12 +43,12 @@
 	})
 }
 
-// TestDiscardPartial guards against joining the rest of an interrupted event to
+// TestBeginRun guards against joining the rest of an interrupted event to
 // the response of another target.
-func TestDiscardPartial(t *testing.T) {
+func TestBeginRun(t *testing.T) {
 	var s Splitter
 	s.Push([]byte("id: 1\n\nid: 2\nda"))
-	s.DiscardPartial()
+	s.BeginRun()
 	b, _ := s.Push([]byte("id: 2\n\n"))
 	if string(b) != "id: 2\n\n" || s.LastID() != "2" {
 		t.Errorf("returned %q, last id %q", b, s.LastID())
@@ -62,3 +62,14 @@
 		t.Error("an event longer than MaxEventBytes is accepted")
 	}
 }
+
+// TestOrder guards against events out of order that the log of a request does not show.
+func TestOrder(t *testing.T) {
+	var s Splitter
+	s.Push([]byte("id: 1\n\nid: 2\n\nid: 5\n\n"))
+	s.BeginRun()
+	s.Push([]byte("id: 5\n\nid: 4\n\nid: x\n\n"))
+	if got := s.Order(); got != (Order{Gaps: 1, Repeats: 2}) || s.FirstID() != "5" {
+		t.Errorf("order %+v, first id %q", got, s.FirstID())
+	}
+}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -115,6 +115,8 @@
 	Body   io.ReadCloser
 	// Load is nil if the target does not report its load.
 	Load *TargetLoad
+	// EndsWithConnection means that only the end of the connection delimits Body.
+	EndsWithConnection bool
 	// Leaving means that the target announced that it will close the connection.
 	Leaving bool
 }
