--- /dev/null
+++ b/internal/app/gateway/order_test.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+)
+
+// events returns a stream of events with the given ids.
+func events(ids ...string) string {
+	var b strings.Builder
+	for _, id := range ids {
+		b.WriteString("id: " + id + "\ndata: x\n\n")
+	}
+	return b.String()
+}
+
+// TestErrorPageIsNotAppendedToStream guards against a stream that continues with another target's error response.
+func TestErrorPageIsNotAppendedToStream(t *testing.T) {
+	for _, status := range []int{500, 404, 302} {
+		gw := newTestGateway(t, streamingRoute,
+			scriptedReply{status: 200, body: []string{events("1", "2")}, bodyErr: errBodyCut},
+			scriptedReply{status: status, body: []string{"broken"}})
+		out := gw.request(newInbound())
+		if out.status != 200 || out.header["X-Run"][0] != "1" || out.body.String() != events("1", "2") || !out.aborted {
+			t.Errorf("status %d: head %d %v, %q, aborted %v", status, out.status, out.header, out.body.String(), out.aborted)
+		}
+	}
+}
+
+// TestLaterRunContinuesAfterLastEvent guards against events of two runs that are joined into one stream.
+func TestLaterRunContinuesAfterLastEvent(t *testing.T) {
+	for name, ids := range map[string][]string{
+		"starts again": {"1", "2", "3"},
+		"repeats":      {"2", "3"},
+		"skips":        {"4"},
+		"no ids":       {""},
+	} {
+		gw := newTestGateway(t, streamingRoute,
+			scriptedReply{status: 200, body: []string{events("1", "2")}, bodyErr: errBodyCut},
+			scriptedReply{status: 200, body: []string{events(ids...)}})
+		if out := gw.request(newInbound()); out.body.String() != events("1", "2") || !out.aborted {
+			t.Errorf("%s: %q, aborted %v", name, out.body.String(), out.aborted)
+		}
+	}
+}
+
+// TestStreamWithMissingEventIsAborted guards against a stream that looks complete although the target left out an event.
+func TestStreamWithMissingEventIsAborted(t *testing.T) {
+	notResumable := streamingRoute
+	notResumable.Resumable = false
+	gw := newTestGateway(t, notResumable, scriptedReply{status: 200, body: []string{events("1", "5")}})
+	if out := gw.request(newInbound()); out.body.String() != events("1") || !out.aborted {
+		t.Errorf("%q, aborted %v", out.body.String(), out.aborted)
+	}
+}
