gateway: a stream does not continue with another response

Cause: once a stream had begun, a response without a 2xx status to the resumed request went the way of a first response: a second head, which net/http ignores, its body, and a regular end. The port accepted any number of heads, and a response counted as complete unless Abort was called.

Change: such a response is an error of the attempt; the stream resumes elsewhere or is aborted. port.ResponseWriter has End, and core/response decides what may follow: a second head, a refusal or data after the end are not sent and abort the response, and so does a response that is neither ended nor refused.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -168,10 +168,14 @@
 	if resp.Load != nil {
 		c.recordLoad(choice, resp.Load)
 	}
-	if c.route.Kind == routes.Streaming && resp.Status/100 == 2 {
+	switch {
+	case resp.Status/100 != 2 && c.relay.headSent:
+		return verdict.New(verdict.Ran, verdict.CodeTargetError, "target answered with status %d instead of continuing the stream", resp.Status)
+	case resp.Status/100 == 2 && c.route.Kind == routes.Streaming:
 		return c.relayStream(ctx, choice, resp, watch)
+	default:
+		return c.relayBuffered(ctx, choice, resp)
 	}
-	return c.relayBuffered(ctx, choice, resp)
 }
 
 // resumeAfter returns the id of the last event that the caller has received, or an empty
@@ -244,6 +248,9 @@
 	if err == nil && len(body) > 0 {
 		err = c.out.Data(body)
 	}
+	if err == nil {
+		err = c.out.End()
+	}
 	if err != nil {
 		c.logRequest("caller left", verdict.Wrap(err, verdict.Ran, verdict.CodeCanceled, "answer could not be delivered"), resp.Status)
 		return nil
@@ -328,7 +335,11 @@
 }
 
 func (c *call) finishStream(choice placement.Choice, resp *port.ForwardResponse) *verdict.Error {
-	if err := c.sendStreamHead(resp); err != nil {
+	err := c.sendStreamHead(resp)
+	if err == nil {
+		err = c.out.End()
+	}
+	if err != nil {
 		return verdict.Wrap(err, verdict.Ran, verdict.CodeCanceled, "caller left")
 	}
 	c.g.targets.RecordSuccess(choice.Instance)
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/response"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -96,25 +98,61 @@
 }
 func (p *bodyReader) Close() error { return nil }
 
-// callerRecorder is a port.ResponseWriter that records the response.
+// callerRecorder is a port.ResponseWriter that records the response. misuse is the first
+// call that did not fit the progress of the response.
 type callerRecorder struct {
-	status  int
-	header  port.Header
-	body    bytes.Buffer
-	refused *verdict.Error
-	aborted bool
+	status   int
+	header   port.Header
+	body     bytes.Buffer
+	refused  *verdict.Error
+	aborted  bool
+	progress response.Progress
+	misuse   error
+	// failAfter is the number of calls of Data after which the caller has disconnected;
+	// zero means never.
+	failAfter, dataCalls int
+}
+
+func (c *callerRecorder) check(err error) error {
+	if err != nil && c.misuse == nil {
+		c.misuse = err
+	}
+	return err
 }
 
 func (c *callerRecorder) Head(h port.ResponseHead) error {
+	if err := c.check(c.progress.Begin()); err != nil {
+		return err
+	}
 	c.status, c.header = h.Status, h.Header
 	return nil
 }
+
 func (c *callerRecorder) Data(b []byte) error {
+	if err := c.check(c.progress.Continue()); err != nil {
+		return err
+	}
+	if c.dataCalls++; c.failAfter > 0 && c.dataCalls > c.failAfter {
+		return errors.New("caller has disconnected")
+	}
 	c.body.Write(b)
 	return nil
 }
-func (c *callerRecorder) Refuse(e *verdict.Error) { c.refused = e }
-func (c *callerRecorder) Abort()                  { c.aborted = true }
+
+func (c *callerRecorder) End() error { return c.check(c.progress.End()) }
+
+func (c *callerRecorder) Refuse(e *verdict.Error) error {
+	if err := c.check(c.progress.Refuse()); err != nil {
+		return err
+	}
+	c.refused = e
+	return nil
+}
+
+func (c *callerRecorder) Abort() {
+	c.progress.Abort()
+	c.aborted = true
+}
 
 type noMetrics struct{}
 
@@ -145,6 +183,7 @@
 // domain b. It does not run; tests apply changes of the store directly.
 type testGateway struct {
 	*Gateway
+	t            *testing.T
 	forwarder    *forwarder
 	clock        *clock
 	decodedItems decodedItems
@@ -159,7 +198,7 @@
 // newTestGateway returns a gateway with route r whose targets answer with replies.
 func newTestGateway(t *testing.T, r routes.Route, replies ...scriptedReply) *testGateway {
 	t.Helper()
-	gw := &testGateway{forwarder: &forwarder{replies: replies}, clock: &clock{sinceBoot: time.Hour}, decodedItems: decodedItems{}, log: &bytes.Buffer{}}
+	gw := &testGateway{t: t, forwarder: &forwarder{replies: replies}, clock: &clock{sinceBoot: time.Hour}, decodedItems: decodedItems{}, log: &bytes.Buffer{}}
 	s := Settings{
 		Settings: registration.Settings{Domain: "a", Regions: map[fleet.Domain]fleet.Region{"a": "ra", "b": "rb"}}, KeyBound: 5 * time.Second,
 		WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
@@ -205,7 +244,16 @@
 }
 
 func (gw *testGateway) request(in *port.InboundRequest) *callerRecorder {
-	c := &callerRecorder{}
+	return gw.respond(in, &callerRecorder{})
+}
+
+// respond serves a request to c. It fails the test if a call does not fit the progress of the response.
+func (gw *testGateway) respond(in *port.InboundRequest, c *callerRecorder) *callerRecorder {
+	gw.t.Helper()
 	gw.Serve(context.Background(), in, c)
+	c.aborted = !c.progress.Complete()
+	if c.misuse != nil {
+		gw.t.Errorf("the gateway goes on with a response that does not allow it: %v", c.misuse)
+	}
 	return c
 }
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -211,7 +211,9 @@
 
 // refuse responds with an error and logs it.
 func (c *call) refuse(e *verdict.Error) {
-	c.out.Refuse(e)
+	if err := c.out.Refuse(e); err != nil {
+		e = verdict.Wrap(err, e.Verdict, e.Code, "%s; the refusal could not be delivered", e.Message).WithRetryAfter(e.RetryAfter)
+	}
 	c.logRequest("refused", e, 0)
 }
 
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -54,16 +54,20 @@
 	Stream bool
 }
 
-// ResponseWriter sends the response to a caller. Exactly one of Head and Refuse
-// is called first. Head and Data return an error once the caller has
-// disconnected.
+// ResponseWriter sends one response to a caller: a head, data and the end, or a refusal.
+// A second response, or data outside of one, is not sent: the method returns
+// response.ErrBegun or response.ErrNotOpen, and the response is aborted. So is one that
+// is neither ended nor refused when InboundHandler.Serve returns. Any other error means
+// that the caller has disconnected.
 type ResponseWriter interface {
 	Head(h ResponseHead) error
 	Data(b []byte) error
+	// End completes the response.
+	End() error
 	// Refuse sends an error response of the gateway itself.
-	Refuse(e *verdict.Error)
-	// Abort ends the response after Head in such a way that the caller can tell
-	// that it is incomplete.
+	Refuse(e *verdict.Error) error
+	// Abort ends the response in such a way that the caller can tell that it is
+	// incomplete.
 	Abort()
 }
 
