gateway: a stream holds the events of one run, each once

What callers could see: a resumed stream in which events come twice or are missing, since the next target started again or too late; a stream without one of its events that looked complete. A target that breaks its protocol is enough.

Cause: the gateway noted the id of the last event only to ask for the next one, and never compared what came.

Change: core/eventstream checks each event. Ids are consecutive in a stream that starts with 0 or 1 or with the id after the caller's last one; a skipped, repeated or unnumbered first event of a later run is an error of the attempt, which counts as a failure of the target. The protocol promises only that ids increase, so a stream with another numbering is passed on while they do, but no later run continues it, since nothing shows where it goes on. Such an attempt is not ended for silence either.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -27,7 +27,7 @@
 	// headSent is set just before the head is passed to the caller.
 	headSent bool
 	status   int
-	events   eventstream.Splitter
+	events   *eventstream.Splitter
 	// firstEventAfter is the time from the receipt of the request to the first event,
 	// and longestGap the longest time between two events.
 	firstEventAfter time.Duration
@@ -116,7 +116,7 @@
 // has taken one retry from the budget.
 func (c *call) shouldRetry(ctx context.Context, err *verdict.Error) bool {
 	switch {
-	case ctx.Err() != nil, c.sends >= maxSends:
+	case ctx.Err() != nil, c.sends >= maxSends, !c.relay.events.Resumable():
 		return false
 	case err.Verdict != verdict.NotRun && (!c.route.Retryable() || c.runs >= c.route.MaxAttempts):
 		return false
@@ -152,7 +152,7 @@
 	clock := c.g.deps.Clock
 	f := port.Forward{
 		Inbound: c.in, ExpectInstance: choice.Instance, Timeout: c.deadline.Sub(clock.Now()),
-		Urgency: c.urgency(), ResumeAfter: c.resumeAfter(),
+		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(),
 	}
 	if c.account != nil {
 		f.Customer = c.account.Name
@@ -178,15 +178,6 @@
 	}
 }
 
-// resumeAfter returns the id of the last event that the caller has received, or an empty
-// string.
-func (c *call) resumeAfter() string {
-	if id := c.relay.events.LastID(); id != "" {
-		return id
-	}
-	return c.in.ResumeAfter
-}
-
 // recordLoad records the load stated in the response of a plain service. Engines are left
 // out: their loaders report the load more often than responses do.
 func (c *call) recordLoad(choice placement.Choice, l *port.TargetLoad) {
@@ -285,9 +276,12 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			watch.reset()
-			if e := c.relayEvents(resp, buf[:n]); e != nil {
+			if e := c.relayEvents(choice, resp, buf[:n]); e != nil {
 				return e
 			}
+			if !c.relay.events.Resumable() {
+				watch.disarm()
+			}
 			if first && c.relay.events.EventCount() > eventsBefore {
 				first = false
 				now := c.g.deps.Clock.Now()
@@ -303,22 +297,23 @@
 	}
 }
 
-// relayEvents sends the events that b completes.
-func (c *call) relayEvents(resp *port.ForwardResponse, b []byte) *verdict.Error {
-	complete, ok := c.relay.events.Push(b)
-	if !ok {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "event is longer than %d bytes", eventstream.MaxEventBytes)
-	}
-	if len(complete) == 0 {
-		return nil
-	}
-	c.relay.recordEvents(c.g.deps.Clock.Now(), c.in.ReceivedAt)
-	err := c.sendStreamHead(resp)
-	if err == nil {
-		err = c.out.Data(complete)
+// relayEvents sends the events that b completes. A stream whose events do not follow each
+// other counts as a failure of the target.
+func (c *call) relayEvents(choice placement.Choice, resp *port.ForwardResponse, b []byte) *verdict.Error {
+	complete, splitErr := c.relay.events.Push(b)
+	if len(complete) > 0 {
+		c.relay.recordEvents(c.g.deps.Clock.Now(), c.in.ReceivedAt)
+		err := c.sendStreamHead(resp)
+		if err == nil {
+			err = c.out.Data(complete)
+		}
+		if err != nil {
+			return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "caller left")
+		}
 	}
-	if err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "caller left")
+	if splitErr != nil {
+		c.g.targets.RecordFailure(choice.Instance, c.g.deps.Clock.Now())
+		return verdict.Wrap(splitErr, verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer is not a usable stream")
 	}
 	return nil
 }
--- a/internal/app/gateway/order_test.go
+++ b/internal/app/gateway/order_test.go
@@ -44,6 +44,26 @@
 	}
 }
 
+// TestUncheckableStreamIsNotResumed guards against a later run whose first event cannot be checked.
+func TestUncheckableStreamIsNotResumed(t *testing.T) {
+	for name, body := range map[string]string{"other numbering": events("10", "20"), "no ids": "data: x\n\n"} {
+		gw := newTestGateway(t, streamingRoute, scriptedReply{status: 200, body: []string{body}, bodyErr: errBodyCut})
+		if out := gw.request(newInbound()); out.body.String() != body || !out.aborted || len(gw.forwarder.sent) != 1 {
+			t.Errorf("%s: %q, aborted %v, sent %d times", name, out.body.String(), out.aborted, len(gw.forwarder.sent))
+		}
+	}
+}
+
+// TestCallersResumeIsChecked guards against events before the one after which the caller continues.
+func TestCallersResumeIsChecked(t *testing.T) {
+	in := newInbound()
+	in.ResumeAfter = "12"
+	gw := newTestGateway(t, streamingRoute, scriptedReply{status: 200, body: []string{events("1", "2")}}, scriptedReply{status: 200, body: []string{events("13")}})
+	if out := gw.request(in); out.body.String() != events("13") || out.aborted || gw.forwarder.sent[1].ResumeAfter != "12" {
+		t.Errorf("%q, aborted %v", out.body.String(), out.aborted)
+	}
+}
+
 // TestStreamWithMissingEventIsAborted guards against a stream that looks complete although the target left out an event.
 func TestStreamWithMissingEventIsAborted(t *testing.T) {
 	notResumable := streamingRoute
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -5,7 +5,10 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/core/eventstream"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
@@ -41,7 +44,7 @@
 func (g *Gateway) Serve(ctx context.Context, in *port.InboundRequest, out port.ResponseWriter) {
 	g.active.Start()
 	defer g.active.Done()
-	c := &call{g: g, in: in, out: out, tried: map[fleet.Instance]bool{}}
+	c := &call{g: g, in: in, out: out, tried: map[fleet.Instance]bool{}, relay: relay{events: eventstream.New(in.ResumeAfter)}}
 	if e := c.resolve(); e != nil {
 		c.refuse(e)
 		return
@@ -256,7 +259,7 @@
 	} else {
 		g.deps.Log.ServedRequest("request", fs...)
 	}
-	c.countStreamOrder(outcome)
+	c.countStreamOrder(outcome, e)
 	g.deps.Metrics.Count("gateway_requests_total", 1, port.Attr{Key: "class", Value: class}, port.Attr{Key: "outcome", Value: outcome})
 	g.deps.Metrics.Seconds("gateway_request_seconds", now.Sub(c.in.ReceivedAt), port.Attr{Key: "class", Value: class})
 }
@@ -264,9 +267,8 @@
 // orderFields returns the log fields that show how the events of a stream follow each
 // other, within a run and where a later run continued the stream.
 func (r *relay) orderFields() []logging.Field {
-	o := r.events.Order()
 	fs := []logging.Field{
-		logging.F("last_event", r.events.LastID()), logging.F("event_gaps", o.Gaps), logging.F("event_repeats", o.Repeats),
+		logging.F("last_event", r.events.LastID()), logging.F("event_gaps", r.events.Gaps()),
 		logging.F("ends_with_connection", r.endsWithConnection),
 	}
 	if r.resumes > 0 {
@@ -276,16 +278,14 @@
 }
 
 // countStreamOrder counts the later runs that continued a stream, by the outcome of the
-// request, and the events whose id does not follow the one before.
-func (c *call) countStreamOrder(outcome string) {
-	m, o := c.g.deps.Metrics, c.relay.events.Order()
+// request, and the streams whose events do not follow each other.
+func (c *call) countStreamOrder(outcome string, e *verdict.Error) {
+	m := c.g.deps.Metrics
 	if c.relay.resumes > 0 {
 		m.Count("gateway_stream_resumes_total", int64(c.relay.resumes), port.Attr{Key: "outcome", Value: outcome})
 	}
-	if o.Gaps > 0 {
-		m.Count("gateway_stream_order_total", int64(o.Gaps), port.Attr{Key: "kind", Value: "gap"})
-	}
-	if o.Repeats > 0 {
-		m.Count("gateway_stream_order_total", int64(o.Repeats), port.Attr{Key: "kind", Value: "repeat"})
+	var order *eventstream.OrderError
+	if e != nil && errors.As(e, &order) {
+		m.Count("gateway_streams_out_of_order_total", 1)
 	}
 }
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -79,13 +79,18 @@
 	}
 }
 
-// stop stops the timer and cancels the context of the attempt.
-func (s *stallWatch) stop() {
+// disarm stops the timer. The attempt goes on.
+func (s *stallWatch) disarm() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.timer != nil {
 		s.timer.Stop()
 		s.timer = nil
 	}
-	s.mu.Unlock()
+}
+
+// stop stops the timer and cancels the context of the attempt.
+func (s *stallWatch) stop() {
+	s.disarm()
 	s.cancel()
 }
--- a/internal/core/eventstream/eventstream_test.go
+++ b/internal/core/eventstream/eventstream_test.go
@@ -1,6 +1,8 @@
 package eventstream
 
 import (
+	"bytes"
+	"errors"
 	"strings"
 	"testing"
 
@@ -15,17 +17,17 @@
 		var all strings.Builder
 		n := rapid.IntRange(0, 6).Draw(t, "events")
 		for i := range n {
-			all.WriteString("id: " + string(rune('a'+i)) + sep + "data: x" + sep + sep)
+			all.WriteString("id: " + string(rune('1'+i)) + sep + "data: x" + sep + sep)
 		}
 		tail := rapid.SampledFrom([]string{"", "id: z", "id: z" + sep + "data"}).Draw(t, "tail")
 		in := all.String() + tail
-		var s Splitter
+		s := New("")
 		var out strings.Builder
 		for len(in) > 0 {
 			k := rapid.IntRange(1, len(in)).Draw(t, "piece")
-			b, ok := s.Push([]byte(in[:k]))
-			if !ok {
-				t.Fatal("events are too long")
+			b, err := s.Push([]byte(in[:k]))
+			if err != nil {
+				t.Fatal(err)
 			}
 			out.Write(b)
 			in = in[k:]
@@ -35,7 +37,7 @@
 		}
 		want := ""
 		if n > 0 {
-			want = string(rune('a' + n - 1))
+			want = string(rune('1' + n - 1))
 		}
 		if s.LastID() != want {
 			t.Fatalf("last id %q, want %q", s.LastID(), want)
@@ -46,7 +48,7 @@
 // TestBeginRun guards against joining the rest of an interrupted event to
 // the response of another target.
 func TestBeginRun(t *testing.T) {
-	var s Splitter
+	s := New("")
 	s.Push([]byte("id: 1\n\nid: 2\nda"))
 	s.BeginRun()
 	b, _ := s.Push([]byte("id: 2\n\n"))
@@ -57,19 +59,17 @@
 
 // TestEventTooLong guards against a target that sends an endless event.
 func TestEventTooLong(t *testing.T) {
-	var s Splitter
-	if _, ok := s.Push(make([]byte, MaxEventBytes+1)); ok {
-		t.Error("an event longer than MaxEventBytes is accepted")
+	for name, b := range map[string][]byte{
+		"no end of the line": make([]byte, MaxEventBytes+1),
+		"no blank line":      bytes.Repeat([]byte("data: x\n"), MaxEventBytes/8+1),
+		"complete":           append(bytes.Repeat([]byte("data: x\n"), MaxEventBytes/8+1), '\n'),
+	} {
+		if _, err := New("").Push(b); !errors.Is(err, ErrEventTooLong) {
+			t.Errorf("%s: %v", name, err)
+		}
 	}
-}
-
-// TestOrder guards against events out of order that the log of a request does not show.
-func TestOrder(t *testing.T) {
-	var s Splitter
-	s.Push([]byte("id: 1\n\nid: 2\n\nid: 5\n\n"))
-	s.BeginRun()
-	s.Push([]byte("id: 5\n\nid: 4\n\nid: x\n\n"))
-	if got := s.Order(); got != (Order{Gaps: 1, Repeats: 2}) || s.FirstID() != "5" {
-		t.Errorf("order %+v, first id %q", got, s.FirstID())
+	s := New("")
+	if b, err := s.Push(append([]byte("id: 1\n\n"), make([]byte, MaxEventBytes+1)...)); !errors.Is(err, ErrEventTooLong) || string(b) != "id: 1\n\n" {
+		t.Errorf("after an event: %q, %v", b, err)
 	}
 }
