gateway: no later run after a write to the caller has failed

What callers could see: events of a later run behind a part of an event, on a connection that takes data again after a write has failed.

Cause: a failed write to the caller was an error of the attempt like any other, so that the stream resumed at another target. With net/http the write error also ends the context of the request, which prevented it; the decision relied on that.

Change: relay.callerLeft ends the request.

Measured: TestStreamEndsWithItsCaller fails before (sent twice) and passes after.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -26,8 +26,11 @@
 type relay struct {
 	// headSent is set just before the head is passed to the caller.
 	headSent bool
-	status   int
-	events   *eventstream.Splitter
+	// callerLeft is set once data could not be passed on: the caller may have a part of
+	// it, so nothing may follow.
+	callerLeft bool
+	status     int
+	events     *eventstream.Splitter
 	// firstEventAfter is the time from the receipt of the request to the first event,
 	// and longestGap the longest time between two events.
 	firstEventAfter time.Duration
@@ -116,7 +119,7 @@
 // has taken one retry from the budget.
 func (c *call) shouldRetry(ctx context.Context, err *verdict.Error) bool {
 	switch {
-	case ctx.Err() != nil, c.sends >= maxSends, !c.relay.events.Resumable():
+	case ctx.Err() != nil, c.relay.callerLeft, c.sends >= maxSends, !c.relay.events.Resumable():
 		return false
 	case err.Verdict != verdict.NotRun && (!c.route.Retryable() || c.runs >= c.route.MaxAttempts):
 		return false
@@ -308,6 +311,7 @@
 			err = c.out.Data(complete)
 		}
 		if err != nil {
+			c.relay.callerLeft = true
 			return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "caller left")
 		}
 	}
@@ -335,6 +339,7 @@
 		err = c.out.End()
 	}
 	if err != nil {
+		c.relay.callerLeft = true
 		return verdict.Wrap(err, verdict.Ran, verdict.CodeCanceled, "caller left")
 	}
 	c.g.targets.RecordSuccess(choice.Instance)
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -45,8 +45,9 @@
 	// stands for io.EOF.
 	body    []string
 	bodyErr error
-	// delay is the time before the response. It ends early with the request.
-	delay time.Duration
+	// delay is the time before the response, and interval the time before each read of
+	// the body. Both end early with the request.
+	delay, interval time.Duration
 }
 
 // forwarder is a port.Forwarder that returns replies in order, and then status 200. It
@@ -66,12 +67,8 @@
 		r = fw.replies[n-1]
 	}
 	fw.mu.Unlock()
-	if r.delay > 0 {
-		select {
-		case <-ctx.Done():
-			return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeTargetLost, "no response")
-		case <-time.After(r.delay):
-		}
+	if err := wait(ctx, r.delay); err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTargetLost, "no response")
 	}
 	if r.err != nil {
 		return nil, r.err
@@ -79,16 +76,34 @@
 	if r.bodyErr == nil {
 		r.bodyErr = io.EOF
 	}
-	return &port.ForwardResponse{Status: r.status, Header: port.Header{"X-Run": {fmt.Sprint(len(fw.sent))}}, Length: -1, Body: &bodyReader{r.body, r.bodyErr}}, nil
+	return &port.ForwardResponse{Status: r.status, Header: port.Header{"X-Run": {fmt.Sprint(len(fw.sent))}}, Length: -1, Body: &bodyReader{ctx, r.body, r.bodyErr, r.interval}}, nil
+}
+
+// wait waits for d or until ctx ends, and returns the error of ctx.
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
 }
 
 // bodyReader returns one segment per read, and err after the last one.
 type bodyReader struct {
+	ctx      context.Context
 	segments []string
 	err      error
+	interval time.Duration
 }
 
 func (p *bodyReader) Read(b []byte) (int, error) {
+	if err := wait(p.ctx, p.interval); err != nil {
+		return 0, err
+	}
 	if len(p.segments) == 0 {
 		return 0, p.err
 	}
--- a/internal/app/gateway/order_test.go
+++ b/internal/app/gateway/order_test.go
@@ -73,3 +73,12 @@
 		t.Errorf("%q, aborted %v", out.body.String(), out.aborted)
 	}
 }
+
+// TestStreamEndsWithItsCaller guards against a later run behind an event of which the caller received only a part.
+func TestStreamEndsWithItsCaller(t *testing.T) {
+	gw := newTestGateway(t, streamingRoute,
+		scriptedReply{status: 200, body: []string{events("1"), events("2")}}, scriptedReply{status: 200, body: []string{events("3")}})
+	if out := gw.respond(newInbound(), &callerRecorder{failAfter: 1}); len(gw.forwarder.sent) != 1 || !out.aborted {
+		t.Errorf("sent %d times, %q, aborted %v", len(gw.forwarder.sent), out.body.String(), out.aborted)
+	}
+}
