gateway: bytes that complete no event do not keep a stream alive

What callers saw: a stream without events until its deadline, while the target sent bytes that complete none, although another target could have continued it.

Cause: every read of the body restarted the timer of the stall watch.

Change: only complete events restart it.

Measured: TestBytesWithoutEventsAreSilence takes 3.1 s before and fails; it passes after.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -273,22 +273,17 @@
 // complete events, so that the stream can resume at another target.
 func (c *call) relayStream(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse, watch *stallWatch) *verdict.Error {
 	c.relay.beginRun(resp)
-	first, eventsBefore := true, c.relay.events.EventCount()
+	eventsBefore := c.relay.events.EventCount()
 	buf := make([]byte, streamReadBytes)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			watch.reset()
+			before := c.relay.events.EventCount()
 			if e := c.relayEvents(choice, resp, buf[:n]); e != nil {
 				return e
 			}
-			if !c.relay.events.Resumable() {
-				watch.disarm()
-			}
-			if first && c.relay.events.EventCount() > eventsBefore {
-				first = false
-				now := c.g.deps.Clock.Now()
-				c.g.targets.RecordFirstEvent(choice.Instance, now.Sub(watch.start), choice.TimeToFirstEvent, now)
+			if c.relay.events.EventCount() > before {
+				c.recordProgress(choice, watch, before == eventsBefore)
 			}
 		}
 		if errors.Is(err, io.EOF) && c.relay.events.PartialBytes() == 0 {
@@ -300,6 +295,19 @@
 	}
 }
 
+// recordProgress records that the target has sent events, and how long the first of this
+// run took. Bytes that complete no event are no progress.
+func (c *call) recordProgress(choice placement.Choice, watch *stallWatch, first bool) {
+	watch.reset()
+	if !c.relay.events.Resumable() {
+		watch.disarm()
+	}
+	if first {
+		now := c.g.deps.Clock.Now()
+		c.g.targets.RecordFirstEvent(choice.Instance, now.Sub(watch.start), choice.TimeToFirstEvent, now)
+	}
+}
+
 // relayEvents sends the events that b completes. A stream whose events do not follow each
 // other counts as a failure of the target.
 func (c *call) relayEvents(choice placement.Choice, resp *port.ForwardResponse, b []byte) *verdict.Error {
--- a/internal/app/gateway/order_test.go
+++ b/internal/app/gateway/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 // events returns a stream of events with the given ids.
@@ -82,3 +83,22 @@
 		t.Errorf("sent %d times, %q, aborted %v", len(gw.forwarder.sent), out.body.String(), out.aborted)
 	}
 }
+
+// TestBytesWithoutEventsAreSilence guards against a target that keeps a stream open with bytes that complete no event.
+func TestBytesWithoutEventsAreSilence(t *testing.T) {
+	slow := streamingRoute
+	slow.Timeout = 4 * time.Second
+	in := newInbound()
+	in.CallerTimeout = 4 * time.Second
+	drip := []string{events("1")}
+	for range 60 {
+		drip = append(drip, "x")
+	}
+	gw := newTestGateway(t, slow,
+		scriptedReply{status: 200, body: drip, interval: 50 * time.Millisecond}, scriptedReply{status: 200, body: []string{events("2")}})
+	start := time.Now()
+	out := gw.request(in)
+	if took := time.Since(start); out.body.String() != events("1", "2") || out.aborted || took > streamStallTimeout+600*time.Millisecond {
+		t.Errorf("%q after %v, aborted %v", out.body.String(), took, out.aborted)
+	}
+}
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -70,7 +70,7 @@
 	s.cancel()
 }
 
-// reset restarts the timer after the target has sent data.
+// reset restarts the timer after the target has sent an event.
 func (s *stallWatch) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
