test/harness: no free address while a process is being started

Cause: FreeAddr listens on the address and closes it again. A process that another harness of the same test binary starts in between has a copy of the socket until it executes its program, so that the address stays in use.

Change: FreeAddr keeps processes from being started while the socket is open.

--- a/test/harness/harness.go
+++ b/test/harness/harness.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"runtime"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -94,15 +95,24 @@
 	for {
 		addr := fmt.Sprintf("%s:%d", h.host, h.nextPort)
 		h.nextPort++
-		lis, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
+		if isFree(addr) {
+			return addr
 		}
-		_ = lis.Close()
-		return addr
 	}
 }
 
+// isFree reports whether addr can be listened on. No process is started meanwhile, since
+// it would have a copy of the socket until it executes its program.
+func isFree(addr string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false
+	}
+	return lis.Close() == nil
+}
+
 // WriteFile writes a file to the harness directory and returns its path.
 func (h *Harness) WriteFile(name, text string) (string, error) {
 	path := filepath.Join(h.dir, name)
--- a/test/harness/harness_test.go
+++ b/test/harness/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/standin/relay"
 )
@@ -188,3 +190,29 @@
 		t.Errorf("NewKey: version %v, %v", u.Version(), err)
 	}
 }
+
+// TestFreeAddrBesideForks guards against an address that a process which is just being started still listens on: until
+// it executes its program, it has a copy of each open socket.
+func TestFreeAddrBesideForks(t *testing.T) {
+	h := ForTest(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	var wg conc.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				_ = exec.Command("true").Run()
+			}
+		})
+	}
+	for ctx.Err() == nil {
+		lis, err := net.Listen("tcp", h.FreeAddr())
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		_ = lis.Close()
+	}
+	cancel()
+	wg.Wait()
+}
