gateway: buffered responses share an eighth of the memory

What callers could see: nothing, since the process would have been killed. Each response that is read before it is delivered may have 1 MiB, and there was no bound on all of them, while the smallest entry VM has 184 MB.

Cause: only a single response was bounded.

Change: core/memlimit holds a budget for all of them, an eighth of the memory of the settings. A response that does not fit ends its request as may-have-run; the target is not at fault.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -211,17 +211,53 @@
 	return err.WithRetryAfter(overloadRetryAfter)
 }
 
-// maxBufferedBytes bounds a response that is read completely before it is delivered.
-const maxBufferedBytes = 1 << 20
+const (
+	// maxBufferedBytes bounds a response that is read completely before it is delivered.
+	maxBufferedBytes = 1 << 20
+	// minReadBytes is the size of the first buffer for such a response.
+	minReadBytes = 4 << 10
+	// bufferedFraction is the fraction of the process's memory for all such responses.
+	bufferedFraction = 0.125
+)
+
+// errBuffersFull means that the responses that are read at once fill their share of the
+// memory.
+var errBuffersFull = errors.New("no memory is left for buffered responses")
+
+// readResponse reads a complete response. The memory stays reserved until the request
+// ends, since the response may be kept as the fallback.
+func (c *call) readResponse(r io.Reader) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			n := max(minReadBytes, cap(body))
+			if !c.g.buffers.TryReserve(int64(n)) {
+				return nil, errBuffersFull
+			}
+			c.reserved += int64(n)
+			body = append(make([]byte, 0, cap(body)+n), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > maxBufferedBytes:
+			return nil, errors.Errorf("response is longer than %d bytes", maxBufferedBytes)
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
 
 // relayBuffered reads the complete response before it delivers any of it, so that the
 // request can be retried if the response breaks off.
 func (c *call) relayBuffered(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse) *verdict.Error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err == nil && len(body) > maxBufferedBytes {
-		err = errors.Errorf("response is longer than %d bytes", maxBufferedBytes)
-	}
-	if err != nil {
+	body, err := c.readResponse(resp.Body)
+	switch {
+	case errors.Is(err, errBuffersFull):
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeOverloaded, "answer can't be read")
+	case err != nil:
 		return c.recordBrokenResponse(ctx, choice, err)
 	}
 	if resp.Status/100 == 5 && c.route.Kind == routes.Safe {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/masticwing/masticwing/internal/app/registration"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/inflight"
+	"github.com/masticwing/masticwing/internal/core/memlimit"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -41,6 +42,8 @@
 	targets  *placement.Table
 	view     *view
 	budgets  *placement.RetryBudgets
+	// buffers bounds the memory of all responses that are read before they are delivered.
+	buffers *memlimit.Budget
 	// confirmedAt is the time since boot, in nanoseconds, at which the store last
 	// confirmed that the view of the operator keys is current; zero if it never did.
 	confirmedAt atomic.Int64
@@ -67,6 +70,7 @@
 		settings: s, deps: d, targets: t,
 		view:    newView(s, d, t),
 		budgets: placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
+		buffers: memlimit.New(int64(bufferedFraction * float64(s.Memory))),
 		active:  inflight.New(),
 	}
 	ps := d.Decoder.Prefixes()
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -216,7 +216,7 @@
 	gw := &testGateway{t: t, forwarder: &forwarder{replies: replies}, clock: &clock{sinceBoot: time.Hour}, decodedItems: decodedItems{}, log: &bytes.Buffer{}}
 	s := Settings{
 		Settings: registration.Settings{Domain: "a", Regions: map[fleet.Domain]fleet.Region{"a": "ra", "b": "rb"}}, KeyBound: 5 * time.Second,
-		WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second,
+		WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, Memory: 64 * mib,
 	}
 	gw.Gateway = New(s, Deps{
 		Decoder: gw.decodedItems, Targets: gw.forwarder, Clock: gw.clock, Rand: sysclock.Rand{}, Metrics: noMetrics{},
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -38,6 +38,8 @@
 	// fallback is a target's response with a 5xx status. It is delivered if no retry
 	// succeeds.
 	fallback *bufferedResponse
+	// reserved is the memory taken from Gateway.buffers, in bytes.
+	reserved int64
 }
 
 // Serve answers a caller's request. It implements port.InboundHandler.
@@ -51,6 +53,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	defer func() { g.buffers.Release(c.reserved) }()
 	c.forward(ctx)
 }
 
