gateway: streams and buffered responses in files of their own

attempt.go held the choice of targets, buffered responses and streams. stream.go and buffered.go hold the latter two; the log fields of a stream move beside its state.

Measured: go test of the package passes.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/core/eventstream"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -21,57 +19,6 @@
 // overloadRetryAfter is the retry delay in responses when no target accepts the request.
 const overloadRetryAfter = time.Second
 
-// relay is the state of the response that is copied to the caller. It spans several
-// attempts if a stream resumes at another target.
-type relay struct {
-	// headSent is set just before the head is passed to the caller.
-	headSent bool
-	// callerLeft is set once data could not be passed on: the caller may have a part of
-	// it, so nothing may follow.
-	callerLeft bool
-	status     int
-	events     *eventstream.Splitter
-	// firstEventAfter is the time from the receipt of the request to the first event,
-	// and longestGap the longest time between two events.
-	firstEventAfter time.Duration
-	lastEventAt     time.Time
-	longestGap      time.Duration
-	// resumes counts the later runs that continued the stream, and resumedAfter is the
-	// id of the last event before the newest of them.
-	resumes      int
-	resumedAfter string
-	// endsWithConnection is set if only the end of the connection delimits the response
-	// of the newest run.
-	endsWithConnection bool
-}
-
-// beginRun prepares for the events of another run.
-func (r *relay) beginRun(resp *port.ForwardResponse) {
-	r.events.BeginRun()
-	r.endsWithConnection = resp.EndsWithConnection
-	if r.headSent {
-		r.resumes++
-		r.resumedAfter = r.events.LastID()
-	}
-}
-
-// recordEvents updates the event times for events relayed at now.
-func (r *relay) recordEvents(now, received time.Time) {
-	if r.lastEventAt.IsZero() {
-		r.firstEventAfter = now.Sub(received)
-	} else {
-		r.longestGap = max(r.longestGap, now.Sub(r.lastEventAt))
-	}
-	r.lastEventAt = now
-}
-
-// bufferedResponse is a target's complete response.
-type bufferedResponse struct {
-	choice placement.Choice
-	resp   *port.ForwardResponse
-	body   []byte
-}
-
 // forward sends the request to one target after another until one serves it or no further
 // retry is allowed.
 func (c *call) forward(ctx context.Context) {
@@ -211,84 +158,6 @@
 	return err.WithRetryAfter(overloadRetryAfter)
 }
 
-const (
-	// maxBufferedBytes bounds a response that is read completely before it is delivered.
-	maxBufferedBytes = 1 << 20
-	// minReadBytes is the size of the first buffer for such a response.
-	minReadBytes = 4 << 10
-	// bufferedFraction is the fraction of the process's memory for all such responses.
-	bufferedFraction = 0.125
-)
-
-// errBuffersFull means that the responses that are read at once fill their share of the
-// memory.
-var errBuffersFull = errors.New("no memory is left for buffered responses")
-
-// readResponse reads a complete response. The memory stays reserved until the request
-// ends, since the response may be kept as the fallback.
-func (c *call) readResponse(r io.Reader) ([]byte, error) {
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			n := max(minReadBytes, cap(body))
-			if !c.g.buffers.TryReserve(int64(n)) {
-				return nil, errBuffersFull
-			}
-			c.reserved += int64(n)
-			body = append(make([]byte, 0, cap(body)+n), body...)
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case len(body) > maxBufferedBytes:
-			return nil, errors.Errorf("response is longer than %d bytes", maxBufferedBytes)
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// relayBuffered reads the complete response before it delivers any of it, so that the
-// request can be retried if the response breaks off.
-func (c *call) relayBuffered(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse) *verdict.Error {
-	body, err := c.readResponse(resp.Body)
-	switch {
-	case errors.Is(err, errBuffersFull):
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeOverloaded, "answer can't be read")
-	case err != nil:
-		return c.recordBrokenResponse(ctx, choice, err)
-	}
-	if resp.Status/100 == 5 && c.route.Kind == routes.Safe {
-		// Keep the target's error; it is delivered if no other target succeeds.
-		c.fallback = &bufferedResponse{choice, resp, body}
-		return verdict.New(verdict.Ran, verdict.CodeTargetError, "target answered with status %d", resp.Status)
-	}
-	return c.deliver(choice, resp, body)
-}
-
-// deliver sends a complete response to the caller and logs the request. It always returns
-// nil.
-func (c *call) deliver(choice placement.Choice, resp *port.ForwardResponse, body []byte) *verdict.Error {
-	c.g.targets.RecordSuccess(choice.Instance)
-	c.relay.headSent, c.relay.status = true, resp.Status
-	h := port.ResponseHead{Status: resp.Status, Header: resp.Header, Length: int64(len(body))}
-	err := c.out.Head(h)
-	if err == nil && len(body) > 0 {
-		err = c.out.Data(body)
-	}
-	if err == nil {
-		err = c.out.End()
-	}
-	if err != nil {
-		c.logRequest("caller left", verdict.Wrap(err, verdict.Ran, verdict.CodeCanceled, "answer could not be delivered"), resp.Status)
-		return nil
-	}
-	c.logRequest("served", nil, resp.Status)
-	return nil
-}
-
 // recordBrokenResponse returns the error for a response that ended early. It counts as a
 // failure of the target unless the request's own context has ended.
 func (c *call) recordBrokenResponse(ctx context.Context, choice placement.Choice, err error) *verdict.Error {
@@ -301,92 +170,3 @@
 	c.g.targets.RecordFailure(choice.Instance, c.g.deps.Clock.Now())
 	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer ended early")
 }
-
-// streamReadBytes is the buffer size for reading a stream; an event has about 100 bytes.
-const streamReadBytes = 4 << 10
-
-// relayStream sends the events of a stream to the caller as they arrive. It sends only
-// complete events, so that the stream can resume at another target.
-func (c *call) relayStream(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse, watch *stallWatch) *verdict.Error {
-	c.relay.beginRun(resp)
-	eventsBefore := c.relay.events.EventCount()
-	buf := make([]byte, streamReadBytes)
-	for {
-		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			before := c.relay.events.EventCount()
-			if e := c.relayEvents(choice, resp, buf[:n]); e != nil {
-				return e
-			}
-			if c.relay.events.EventCount() > before {
-				c.recordProgress(choice, watch, before == eventsBefore)
-			}
-		}
-		if errors.Is(err, io.EOF) && c.relay.events.PartialBytes() == 0 {
-			return c.finishStream(choice, resp)
-		}
-		if err != nil {
-			return c.recordBrokenResponse(ctx, choice, err)
-		}
-	}
-}
-
-// recordProgress records that the target has sent events, and how long the first of this
-// run took. Bytes that complete no event are no progress.
-func (c *call) recordProgress(choice placement.Choice, watch *stallWatch, first bool) {
-	watch.reset()
-	if !c.relay.events.Resumable() {
-		watch.disarm()
-	}
-	if first {
-		now := c.g.deps.Clock.Now()
-		c.g.targets.RecordFirstEvent(choice.Instance, now.Sub(watch.start), choice.TimeToFirstEvent, now)
-	}
-}
-
-// relayEvents sends the events that b completes. A stream whose events do not follow each
-// other counts as a failure of the target.
-func (c *call) relayEvents(choice placement.Choice, resp *port.ForwardResponse, b []byte) *verdict.Error {
-	complete, splitErr := c.relay.events.Push(b)
-	if len(complete) > 0 {
-		c.relay.recordEvents(c.g.deps.Clock.Now(), c.in.ReceivedAt)
-		err := c.sendStreamHead(resp)
-		if err == nil {
-			err = c.out.Data(complete)
-		}
-		if err != nil {
-			c.relay.callerLeft = true
-			return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "caller left")
-		}
-	}
-	if splitErr != nil {
-		c.g.targets.RecordFailure(choice.Instance, c.g.deps.Clock.Now())
-		return verdict.Wrap(splitErr, verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer is not a usable stream")
-	}
-	return nil
-}
-
-// sendStreamHead sends the head of a stream unless it was already sent. A stream that
-// resumes at another target keeps the first target's head.
-func (c *call) sendStreamHead(resp *port.ForwardResponse) error {
-	if c.relay.headSent {
-		return nil
-	}
-	c.relay.headSent, c.relay.status = true, resp.Status
-	c.g.deps.Metrics.Seconds("gateway_first_event_seconds", c.relay.firstEventAfter)
-	return c.out.Head(port.ResponseHead{Status: resp.Status, Header: resp.Header, Length: -1, Stream: true})
-}
-
-func (c *call) finishStream(choice placement.Choice, resp *port.ForwardResponse) *verdict.Error {
-	err := c.sendStreamHead(resp)
-	if err == nil {
-		err = c.out.End()
-	}
-	if err != nil {
-		c.relay.callerLeft = true
-		return verdict.Wrap(err, verdict.Ran, verdict.CodeCanceled, "caller left")
-	}
-	c.g.targets.RecordSuccess(choice.Instance)
-	c.logRequest("served", nil, resp.Status)
-	return nil
-}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -5,8 +5,6 @@
 	"hash/fnv"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/eventstream"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -266,29 +264,3 @@
 	g.deps.Metrics.Count("gateway_requests_total", 1, port.Attr{Key: "class", Value: class}, port.Attr{Key: "outcome", Value: outcome})
 	g.deps.Metrics.Seconds("gateway_request_seconds", now.Sub(c.in.ReceivedAt), port.Attr{Key: "class", Value: class})
 }
-
-// orderFields returns the log fields that show how the events of a stream follow each
-// other, within a run and where a later run continued the stream.
-func (r *relay) orderFields() []logging.Field {
-	fs := []logging.Field{
-		logging.F("last_event", r.events.LastID()), logging.F("event_gaps", r.events.Gaps()),
-		logging.F("ends_with_connection", r.endsWithConnection),
-	}
-	if r.resumes > 0 {
-		fs = append(fs, logging.F("resumes", r.resumes), logging.F("resumed_after", r.resumedAfter), logging.F("resumed_with", r.events.FirstID()))
-	}
-	return fs
-}
-
-// countStreamOrder counts the later runs that continued a stream, by the outcome of the
-// request, and the streams whose events do not follow each other.
-func (c *call) countStreamOrder(outcome string, e *verdict.Error) {
-	m := c.g.deps.Metrics
-	if c.relay.resumes > 0 {
-		m.Count("gateway_stream_resumes_total", int64(c.relay.resumes), port.Attr{Key: "outcome", Value: outcome})
-	}
-	var order *eventstream.OrderError
-	if e != nil && errors.As(e, &order) {
-		m.Count("gateway_streams_out_of_order_total", 1)
-	}
-}
