placement: many processes keep to the rate of a cold target

Cause: each process takes an equal share of the rate, but at least one request per second. With 41 gateways and 17 requests per second, eight engines that came back at once got up to one request from every gateway in the first second.

Change: a share below one request per second becomes an interval between requests. A phase that each process draws at random spreads their first requests over one interval. Shares of one and more are unchanged.

Measured: TestColdRequestRateOfManyProcesses fails before (41 requests per second with a limit of 17) and passes after.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -44,6 +44,8 @@
 	budgets  *placement.RetryBudgets
 	// buffers bounds the memory of all responses that are read before they are delivered.
 	buffers *memlimit.Budget
+	// coldPhase is placement.Query.ColdPhase of this process.
+	coldPhase float64
 	// confirmedAt is the time since boot, in nanoseconds, at which the store last
 	// confirmed that the view of the operator keys is current; zero if it never did.
 	confirmedAt atomic.Int64
@@ -72,6 +74,8 @@
 		budgets: placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
 		buffers: memlimit.New(int64(bufferedFraction * float64(s.Memory))),
 		active:  inflight.New(),
+		// The 53 high bits fill the mantissa of a float64.
+		coldPhase: float64(d.Rand.Uint64()>>11) / (1 << 53),
 	}
 	ps := d.Decoder.Prefixes()
 	readers := func() []core.Member { return *g.view.readers.Load() }
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -185,7 +185,7 @@
 		Service: c.service.Name, OwnDomain: c.g.settings.Domain,
 		DomainCordoned: func(x fleet.Domain) bool { return d.cordons[x] },
 		RegionAllowed:  c.regionFilter(), Tried: c.tried,
-		Processes: c.g.view.processes(), ColdRequestsPerSecond: c.service.ColdRequestsPerSecond,
+		Processes: c.g.view.processes(), ColdRequestsPerSecond: c.service.ColdRequestsPerSecond, ColdPhase: c.g.coldPhase,
 	}
 	if e := c.service.Engine; e != nil {
 		q.MaxQueuedPerTarget = engineQueueLimit
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -267,7 +267,7 @@
 		Slots: r.Slots, Draining: r.Draining, Started: r.Started,
 	}
 	if r.WarmUpLeft > 0 {
-		t.ColdUntil = now.Add(r.WarmUpLeft)
+		t.ColdSince, t.ColdUntil = now, now.Add(r.WarmUpLeft)
 	}
 	for _, h := range r.Held {
 		t.WeightsVersion = max(t.WeightsVersion, h.Number)
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -39,6 +39,9 @@
 	// ColdRequestsPerSecond bounds the request rate of all processes together to a
 	// cold target; zero means no bound.
 	ColdRequestsPerSecond float64
+	// ColdPhase is a fraction below 1 that each process draws at random. It spreads
+	// the first requests of many processes to a target that has become cold.
+	ColdPhase float64
 }
 
 // Choice is the target selected for a request.
@@ -208,20 +211,26 @@
 const coldRateFraction = 0.8
 
 // coldRateAllows reports whether this process may send one more request to a cold
-// target. Each process limits itself to an equal share of the rate, but at least
-// one request per second, so that together they keep to the rate without
-// coordination.
+// target. Each process limits itself to an equal share of the rate, so that together
+// they keep to the rate without coordination. A share below one request per second
+// becomes an interval between requests, and the phase spreads the first ones.
 func (s *targetState) coldRateAllows(q *Query, now time.Time) bool {
 	if q.ColdRequestsPerSecond <= 0 {
 		return true
 	}
+	share := coldRateFraction * q.ColdRequestsPerSecond / max(q.Processes, 1)
+	if share < 1 {
+		interval := time.Duration(float64(time.Second) / share)
+		first := s.ColdSince.Add(time.Duration(q.ColdPhase * float64(interval)))
+		return !now.Before(first) && (len(s.coldRequests) == 0 || now.Sub(s.coldRequests[len(s.coldRequests)-1]) >= interval)
+	}
 	n := 0
 	for _, at := range s.coldRequests {
 		if now.Sub(at) < time.Second {
 			n++
 		}
 	}
-	return float64(n) < max(1, coldRateFraction*q.ColdRequestsPerSecond/max(q.Processes, 1))
+	return float64(n) < share
 }
 
 // reserve takes a slot, unless the target has become ineligible or full since it
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -227,6 +227,60 @@
 	}
 }
 
+// TestColdRequestRateOfManyProcesses guards against a request rate to a cold target that exceeds its limit because there
+// are more processes than requests per second, each of which sends its first request at once.
+func TestColdRequestRateOfManyProcesses(t *testing.T) {
+	const processes, rate, coldTime, step = 41, 17.0, 8 * time.Second, 5 * time.Millisecond
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		var sentAt [coldTime / step]int
+		for range processes {
+			sendWhileCold(sentAt[:], step, Query{
+				Service: "llm", Processes: processes, ColdRequestsPerSecond: rate, MaxQueuedPerTarget: 1000, ColdPhase: rng.Float64(),
+			})
+		}
+		total, most := countWindow(sentAt[:], int(time.Second/step))
+		if perSecond := float64(total) / coldTime.Seconds(); perSecond > rate || perSecond < rate/2 {
+			t.Errorf("seed %d: %.1f requests per second, limit %g", seed, perSecond, rate)
+		}
+		if float64(most) > 1.5*rate+5 {
+			t.Errorf("seed %d: %d requests within a second, limit %g", seed, most, rate)
+		}
+	}
+}
+
+// sendWhileCold adds to sentAt the requests that one process sends to a target that is cold from start on.
+func sendWhileCold(sentAt []int, step time.Duration, q Query) {
+	const updateInterval = 1200 * time.Millisecond
+	table := NewTable()
+	x := engine("x", 1000)
+	x.ColdUntil = start.Add(time.Duration(len(sentAt)) * step)
+	for i := range sentAt {
+		now := start.Add(time.Duration(i) * step)
+		if now.Sub(start)%updateInterval == 0 {
+			x.ColdSince = now
+			table.Set(x)
+		}
+		if _, outcome := table.Choose(q, now, rand.IntN); outcome == Chosen {
+			sentAt[i]++
+		}
+	}
+}
+
+// countWindow returns the sum of counts and the highest sum of window successive counts.
+func countWindow(counts []int, window int) (total, most int) {
+	inWindow := 0
+	for i, n := range counts {
+		total += n
+		inWindow += n
+		if i >= window {
+			inWindow -= counts[i-window]
+		}
+		most = max(most, inWindow)
+	}
+	return total, most
+}
+
 // TestRestartResetsLoad guards against a load that is kept after a restart of an
 // instance, and against an address that still resolves to the instance it belonged to before.
 func TestRestartResetsLoad(t *testing.T) {
--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -28,6 +28,9 @@
 			}
 			return &targetState{Target: x, ownInFlight: ownInFlight}, true
 		}
+		if s.ColdUntil.After(x.ColdSince) {
+			x.ColdSince = s.ColdSince
+		}
 		s.Target = x
 		return s, true
 	})
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -27,8 +27,9 @@
 	// Draining targets take no new requests.
 	Draining bool
 	// ColdUntil is the end of the warm-up, during which the target can take only
-	// a limited request rate.
-	ColdUntil time.Time
+	// a limited request rate, and ColdSince the time at which this process learned
+	// of it.
+	ColdSince, ColdUntil time.Time
 	// Started identifies one start of the instance; it changes on a restart.
 	Started int64
 	// WeightsVersion is the version of the weights that the target holds, or zero
@@ -70,7 +71,7 @@
 	// failures is the number of failures since the last success.
 	failures int
 	// coldRequests holds the times of the requests that this process sent to the
-	// target within the last second, while the target was cold.
+	// target while it was cold: the last one, and all within the second before it.
 	coldRequests []time.Time
 }
 
