platformtest: more faults of targets, and signatures that name the target

Cause: the targets of the soak only cut responses off or crash, and every target signs a response alike, so that a response joined from those of two targets was found only by its body.

Change: Target.SetFault replaces DropEveryNthResponse. Signatures and the bodies of plain services depend on the target. Executions hold the target and the status it answered with. The soak requires status, signature and body of a response to be those of one execution.

--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -96,10 +96,13 @@
 	return out
 }
 
-// expectedBody returns the complete body of the response to a request.
-func expectedBody(r result) string {
-	if !strings.HasPrefix(r.path, "/s/") {
-		return platformtest.ResponseBody(r.id)
+// expectedBody returns the complete body of the response of an execution to a request.
+func expectedBody(r result, e platformtest.Execution) string {
+	switch {
+	case e.Status == http.StatusInternalServerError:
+		return platformtest.ErrorBody(e.Target, r.id)
+	case !strings.HasPrefix(r.path, "/s/"):
+		return platformtest.ResponseBody(e.Target, r.id)
 	}
 	var b strings.Builder
 	for n := 1; n <= platformtest.EventsPerStream; n++ {
@@ -124,7 +127,7 @@
 				violations = append(violations, fmt.Sprintf("request %s of key %s ran as %q, key forwarded: %v", r.id, r.key, e.Tenant, e.KeyForwarded))
 			}
 		}
-		violations = append(violations, responseViolations(r, len(executions[r.id]))...)
+		violations = append(violations, responseViolations(r, executions[r.id])...)
 		if elapsed := r.sent.Sub(revoked); !revoked.IsZero() && elapsed > keyBound && len(executions[r.id]) > 0 {
 			violations = append(violations, fmt.Sprintf("request %s ran %v after its key was revoked", r.id, elapsed))
 		}
@@ -140,25 +143,48 @@
 	return violations
 }
 
-// responseViolations compares the response to a request with the number of its
-// executions, and returns descriptions of all violated guarantees.
-func responseViolations(r result, executions int) (violations []string) {
+// signedExecution returns the execution whose signature a response has.
+func signedExecution(r result, executions []platformtest.Execution) (platformtest.Execution, bool) {
+	for _, e := range executions {
+		if r.signature == platformtest.Signature(e.Target, r.id) && r.status == e.Status {
+			return e, true
+		}
+	}
+	return platformtest.Execution{}, false
+}
+
+// describe returns the targets of executions and the status that each answered with.
+func describe(executions []platformtest.Execution) string {
+	var out []string
+	for _, e := range executions {
+		out = append(out, fmt.Sprintf("%s %d", e.Target, e.Status))
+	}
+	return strings.Join(out, ", ")
+}
+
+// responseViolations compares the response to a request with its executions, and
+// returns descriptions of all violated guarantees. The status and the signature of a
+// response are those of one execution, its body is that execution's, and it looks
+// complete only if all of the body is there.
+func responseViolations(r result, executions []platformtest.Execution) (violations []string) {
 	addViolation := func(format string, args ...any) {
 		violations = append(violations, fmt.Sprintf("request %s to %s: ", r.id, r.path)+fmt.Sprintf(format, args...))
 	}
-	complete := expectedBody(r)
+	signed := r.signature != "" || r.status/100 == 2
+	e, found := signedExecution(r, executions)
+	complete := expectedBody(r, e)
 	switch {
-	case r.status == http.StatusOK && r.err == nil && (r.body != complete || r.signature != platformtest.Signature(r.id)):
-		addViolation("wrong response %q", r.body)
-	case r.status == http.StatusOK && !strings.HasPrefix(complete, r.body):
-		addViolation("wrong partial response %q", r.body)
-	case r.status == http.StatusOK && executions == 0:
-		addViolation("succeeded but did not run")
-	case (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && executions > 0:
-		addViolation("status %d guarantees that the request did not run, but it ran %d times", r.status, executions)
+	case signed && !found:
+		addViolation("no target answered with status %d and signature %q; executions: %s, body: %q", r.status, r.signature, describe(executions), r.body)
+	case signed && r.err == nil && r.body != complete:
+		addViolation("wrong response of %s with status %d: %q", e.Target, r.status, r.body)
+	case signed && !strings.HasPrefix(complete, r.body):
+		addViolation("wrong partial response of %s with status %d: %q", e.Target, r.status, r.body)
+	case (r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests) && len(executions) > 0:
+		addViolation("status %d guarantees that the request did not run, but it ran %d times", r.status, len(executions))
 	}
-	if strings.HasPrefix(r.path, "/w/") && executions > 1 {
-		addViolation("may run at most once but ran %d times", executions)
+	if strings.HasPrefix(r.path, "/w/") && len(executions) > 1 {
+		addViolation("may run at most once but ran %d times", len(executions))
 	}
 	return violations
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -242,7 +242,7 @@
 		f.store.DropHistory()
 	case 5:
 		x := pickRandom(inj, append(append([]*platformtest.Target{}, f.engines...), f.services...))
-		inj.injectFor("responses of "+x.ID, "responses lost at "+x.ID, func() { x.DropEveryNthResponse(3) }, func() { x.DropEveryNthResponse(0) })
+		inj.injectFor("responses of "+x.ID, "responses lost at "+x.ID, func() { x.SetFault(platformtest.TargetCutsOff, 3) }, func() { x.SetFault(platformtest.TargetHealthy, 1) })
 	case 6:
 		inj.crash(pickRandom(inj, f.engines))
 	case 7:
