--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -26,6 +26,9 @@
 	// declared weights must be in use.
 	keyBound     = 5 * time.Second
 	weightsBound = 8 * time.Second
+	// The memory limits are written to the settings of the processes.
+	gatewayMemoryMiB = 256
+	loaderMemoryMiB  = 128
 )
 
 var domains = []string{"a", "b"}
@@ -35,9 +38,16 @@
 	name, binary, config string
 	// store is the name of the relay's route from this process to the store.
 	store string
+	// memoryMiB is the memory limit in the settings.
+	memoryMiB int
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards the following
 	running *harness.Process
+	// endExpected is set from the moment at which the test ends the process until it is
+	// started again.
+	endExpected bool
+	// peakMiB is the highest memory use that was seen.
+	peakMiB int
 }
 
 // fleet is a deployment on the loopback interface.
@@ -113,6 +123,16 @@
 	}
 }
 
+// allTargets returns the engines and the plain services.
+func (f *fleet) allTargets() []*platformtest.Target {
+	return append(append([]*platformtest.Target{}, f.engines...), f.services...)
+}
+
+// processes returns the gateways and the loaders.
+func (f *fleet) processes() []*process {
+	return append(append([]*process{}, f.gateways...), f.loaders...)
+}
+
 // regions returns the regions of all domains in the format of the settings.
 func (f *fleet) regions() string {
 	var out []string
@@ -135,27 +155,27 @@
 	callerAddr := f.h.FreeAddr()
 	f.callerAddr = append(f.callerAddr, callerAddr)
 	text := fmt.Sprintf("[node]\nid = %s\nadmin = %s\ndomain = %s\nregions = %s\n[listen]\ncallers = %s\nready = %s\ninternal = %s\n"+
-		"[platform]\naddress = %s\n[limits]\ngrace = 8s\nkey_bound = %v\nweights_bound = %v\nmemory = 256MiB\n"+
+		"[platform]\naddress = %s\n[limits]\ngrace = 8s\nkey_bound = %v\nweights_bound = %v\nmemory = %dMiB\n"+
 		"[retries]\nratio = 0.2\nslack = 100\nwindow = 10s\n",
 		name, f.h.FreeAddr(), domain, f.regions(), callerAddr, f.h.FreeAddr(), f.h.FreeAddr(),
-		f.storeRoute(name, storeAddress), keyBound, weightsBound)
-	f.gateways = append(f.gateways, f.addProcess(name, "masticwing-gateway", text))
+		f.storeRoute(name, storeAddress), keyBound, weightsBound, gatewayMemoryMiB)
+	f.gateways = append(f.gateways, f.addProcess(name, "masticwing-gateway", text, gatewayMemoryMiB))
 }
 
 func (f *fleet) addLoader(name string, e *platformtest.Target, storeAddress string) {
 	text := fmt.Sprintf("[node]\nid = %s\nadmin = %s\ndomain = %s\nregions = %s\n[listen]\ninternal = %s\n[platform]\naddress = %s\n"+
-		"[engine]\naddress = %s\nservice = llm\n[limits]\nweights_bound = %v\nlink_mbit = 100\nmemory = 128MiB\n",
-		name, f.h.FreeAddr(), e.Zone, f.regions(), f.h.FreeAddr(), f.storeRoute(name, storeAddress), e.Address(), weightsBound)
-	f.loaders = append(f.loaders, f.addProcess(name, "masticwing-loader", text))
+		"[engine]\naddress = %s\nservice = llm\n[limits]\nweights_bound = %v\nlink_mbit = 100\nmemory = %dMiB\n",
+		name, f.h.FreeAddr(), e.Zone, f.regions(), f.h.FreeAddr(), f.storeRoute(name, storeAddress), e.Address(), weightsBound, loaderMemoryMiB)
+	f.loaders = append(f.loaders, f.addProcess(name, "masticwing-loader", text, loaderMemoryMiB))
 }
 
 // addProcess writes the settings of a process to a file and starts the process.
-func (f *fleet) addProcess(name, binary, text string) *process {
+func (f *fleet) addProcess(name, binary, text string, memoryMiB int) *process {
 	path, err := f.h.WriteFile(name+".ini", text)
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	p := &process{name: name, binary: binary, config: path, store: name}
+	p := &process{name: name, binary: binary, config: path, store: name, memoryMiB: memoryMiB}
 	if err := f.startProcess(p); err != nil {
 		f.t.Fatal(err)
 	}
@@ -170,7 +190,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.running = r
+	p.running, p.endExpected = r, false
 	return nil
 }
 
