gateway: an interim or invalid status is a broken response

What callers got: an empty response with status 200 and no signature, for a request that may have run, when a target sent an interim response (1xx). With the status 000 the handler panicked and the slot at the target stayed taken.

Cause: every status was passed on. net/http takes a status below 200 for an interim response and sends 200 at the end.

Change: a status outside 200 to 599 fails the attempt and counts as a failure of the target. The slot is released however an attempt ends.

Measured: TestStatusOutOfRange fails before for all six statuses (0 and 99 end in a panic or are passed on) and passes after.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -38,8 +38,7 @@
 		}
 		c.sends++
 		c.tried[choice.Instance] = true
-		err := c.attempt(ctx, choice)
-		c.g.targets.Release(choice.Instance)
+		err := c.attemptAndRelease(ctx, choice)
 		if err == nil {
 			return
 		}
@@ -96,6 +95,12 @@
 	c.refuse(err)
 }
 
+// attemptAndRelease releases the slot that was reserved for the attempt.
+func (c *call) attemptAndRelease(ctx context.Context, choice placement.Choice) *verdict.Error {
+	defer c.g.targets.Release(choice.Instance)
+	return c.attempt(ctx, choice)
+}
+
 // attempt sends the request once and copies the response. It returns nil once the request
 // has ended and is logged.
 func (c *call) attempt(ctx context.Context, choice placement.Choice) *verdict.Error {
@@ -119,6 +124,8 @@
 		c.recordLoad(choice, resp.Load)
 	}
 	switch {
+	case resp.Status < 200 || resp.Status > 599:
+		return c.recordBrokenResponse(ctx, choice, errors.Errorf("status %d", resp.Status))
 	case resp.Status/100 != 2 && c.relay.headSent:
 		return verdict.New(verdict.Ran, verdict.CodeTargetError, "target answered with status %d instead of continuing the stream", resp.Status)
 	case resp.Status/100 == 2 && c.route.Kind == routes.Streaming:
--- a/internal/app/gateway/order_test.go
+++ b/internal/app/gateway/order_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/masticwing/masticwing/internal/core/verdict"
 )
 
 // events returns a stream of events with the given ids.
@@ -45,6 +47,16 @@
 	}
 }
 
+// TestStatusOutOfRange guards against an interim or invalid status that is passed on as the response.
+func TestStatusOutOfRange(t *testing.T) {
+	for _, status := range []int{0, 99, 100, 101, 103, 600} {
+		gw := newTestGateway(t, unsafeRoute, scriptedReply{status: status})
+		if out := gw.request(newInbound()); out.status != 0 || out.refused == nil || out.refused.Verdict != verdict.MayHaveRun {
+			t.Errorf("status %d is passed on as %d, %v", status, out.status, out.refused)
+		}
+	}
+}
+
 // TestUncheckableStreamIsNotResumed guards against a later run whose first event cannot be checked.
 func TestUncheckableStreamIsNotResumed(t *testing.T) {
 	for name, body := range map[string]string{"other numbering": events("10", "20"), "no ids": "data: x\n\n"} {
