gateway: full buffers cause no other run

What callers could see: a safe request that ran at two targets and was refused all the same, because the gateway had no memory left for its response.

Cause: the error was retried like that of a target.

Change: it is not retried.

Measured: TestFullBuffersCauseNoRetry fails before (sent twice) and passes after.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -67,6 +67,9 @@
 	switch {
 	case ctx.Err() != nil, c.relay.callerLeft, c.sends >= maxSends, !c.relay.events.Resumable():
 		return false
+	case errors.Is(err, errBuffersFull):
+		// Another target's response would not fit either.
+		return false
 	case err.Verdict != verdict.NotRun && (!c.route.Retryable() || c.runs >= c.route.MaxAttempts):
 		return false
 	}
--- a/internal/app/gateway/buffered_test.go
+++ b/internal/app/gateway/buffered_test.go
@@ -9,6 +9,15 @@
 	"github.com/masticwing/masticwing/internal/core/verdict"
 )
 
+// TestFullBuffersCauseNoRetry guards against another run of a request whose response the gateway itself could not hold.
+func TestFullBuffersCauseNoRetry(t *testing.T) {
+	gw := newTestGateway(t, route)
+	gw.buffers = memlimit.New(0)
+	if out := gw.request(newInbound()); len(gw.forwarder.sent) != 1 || out.refused == nil {
+		t.Errorf("sent %d times, status %d", len(gw.forwarder.sent), out.status)
+	}
+}
+
 // TestBufferedResponsesAreBounded guards against targets whose long responses fill the memory of the gateway.
 func TestBufferedResponsesAreBounded(t *testing.T) {
 	kib := strings.Repeat("x", 1<<10)
