eventstream: comments are no events, and a later run needs one

Cause: the regular end of any later run completed the stream. Each block counted as an event, so that a comment before the first event left no id to continue from, and one at the start of a later run was an event without an id.

Change: Splitter.End fails a later run without an event. Blocks without an id and data are not events: they follow the events of their run, are held until the first event of the stream, and are dropped before the first event of a later run. The head is sent with the first event. A byte order mark does not hide the first id, the highest number does not wrap, and a name that comes twice is an error. Responses out of order are counted where they occur, also if another target completes the stream.

Measured: TestEmptyLaterRunDoesNotCompleteStream, TestCommentIsNotEvent, TestEnd and the new cases of TestSequence fail before and pass after.

--- a/internal/app/gateway/order_test.go
+++ b/internal/app/gateway/order_test.go
@@ -47,6 +47,37 @@
 	}
 }
 
+// TestEmptyLaterRunDoesNotCompleteStream guards against a stream that broke off and looks complete because another target
+// sent nothing.
+func TestEmptyLaterRunDoesNotCompleteStream(t *testing.T) {
+	for name, later := range map[string]scriptedReply{
+		"empty": {status: 200}, "no content": {status: 204}, "blank lines": {status: 200, body: []string{"\n\n"}},
+	} {
+		gw := newTestGateway(t, streamingRoute, scriptedReply{status: 200, body: []string{events("1", "2")}, bodyErr: errBodyCut}, later)
+		if out := gw.request(newInbound()); out.body.String() != events("1", "2") || !out.aborted {
+			t.Errorf("%s: %q, aborted %v", name, out.body.String(), out.aborted)
+		}
+	}
+}
+
+// TestCommentIsNotEvent guards against a stream that is cut, and a target that counts as failed, because of a comment.
+func TestCommentIsNotEvent(t *testing.T) {
+	const comment = ": ping\n\n"
+	for name, c := range map[string]struct {
+		first, second scriptedReply
+		body          string
+	}{
+		"before a break":        {scriptedReply{status: 200, body: []string{comment}, bodyErr: errBodyCut}, scriptedReply{status: 200, body: []string{events("1", "2")}}, events("1", "2")},
+		"start of a later run":  {scriptedReply{status: 200, body: []string{events("1")}, bodyErr: errBodyCut}, scriptedReply{status: 200, body: []string{comment + events("2")}}, events("1", "2")},
+		"behind the last event": {scriptedReply{status: 200, body: []string{events("1") + comment}}, scriptedReply{}, events("1") + comment},
+	} {
+		gw := newTestGateway(t, streamingRoute, c.first, c.second)
+		if out := gw.request(newInbound()); out.body.String() != c.body || out.aborted {
+			t.Errorf("%s: %q, aborted %v", name, out.body.String(), out.aborted)
+		}
+	}
+}
+
 // TestStatusOutOfRange guards against an interim or invalid status that is passed on as the response.
 func TestStatusOutOfRange(t *testing.T) {
 	for _, status := range []int{0, 99, 100, 101, 103, 600} {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -260,7 +260,7 @@
 	} else {
 		g.deps.Log.ServedRequest("request", fs...)
 	}
-	c.countStreamOrder(outcome, e)
+	c.countResumes(outcome)
 	g.deps.Metrics.Count("gateway_requests_total", 1, port.Attr{Key: "class", Value: class}, port.Attr{Key: "outcome", Value: outcome})
 	g.deps.Metrics.Seconds("gateway_request_seconds", now.Sub(c.in.ReceivedAt), port.Attr{Key: "class", Value: class})
 }
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -74,11 +74,9 @@
 			if e := c.relayEvents(choice, resp, buf[:n]); e != nil {
 				return e
 			}
-			if c.relay.events.EventCount() > before {
-				c.recordProgress(choice, watch, before == eventsBefore)
-			}
+			c.recordProgress(choice, watch, before, eventsBefore)
 		}
-		if err == io.EOF && c.relay.events.PartialBytes() == 0 {
+		if err == io.EOF {
 			return c.finishStream(choice, resp)
 		}
 		if err != nil {
@@ -87,14 +85,18 @@
 	}
 }
 
-// recordProgress records that the target has sent events, and how long the first of this
-// run took. Bytes that complete no event are no progress.
-func (c *call) recordProgress(choice placement.Choice, watch *stallWatch, first bool) {
-	watch.reset()
-	if !c.relay.events.Resumable() {
+// recordProgress restarts the stall watch after a read that completed an event, and records how long the first
+// event of this run took. before is the number of events before the read, and
+// beforeRun that before the run.
+func (c *call) recordProgress(choice placement.Choice, watch *stallWatch, before, beforeRun int) {
+	events := c.relay.events
+	if !events.Resumable() {
 		watch.disarm()
 	}
-	if first {
+	if events.EventCount() > before {
+		watch.reset()
+	}
+	if before == beforeRun && events.EventCount() > before {
 		now := c.g.deps.Clock.Now()
 		c.g.targets.RecordFirstEvent(choice.Instance, now.Sub(watch.start), choice.TimeToFirstEvent, now)
 	}
@@ -116,12 +118,22 @@
 		}
 	}
 	if splitErr != nil {
-		c.g.targets.RecordFailure(choice.Instance, c.g.deps.Clock.Now())
-		return verdict.Wrap(splitErr, verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer is not a usable stream")
+		return c.recordUnusableStream(choice, splitErr)
 	}
 	return nil
 }
 
+// recordUnusableStream returns the error for a stream that is too long, ends within an
+// event or is out of order. It counts as a failure of the target.
+func (c *call) recordUnusableStream(choice placement.Choice, err error) *verdict.Error {
+	c.g.targets.RecordFailure(choice.Instance, c.g.deps.Clock.Now())
+	var order *eventstream.OrderError
+	if errors.As(err, &order) {
+		c.g.deps.Metrics.Count("gateway_streams_out_of_order_total", 1)
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer is not a usable stream")
+}
+
 // sendStreamHead sends the head of a stream unless it was already sent. A stream that
 // resumes at another target keeps the first target's head.
 func (c *call) sendStreamHead(resp *port.ForwardResponse) error {
@@ -133,8 +145,16 @@
 	return c.out.Head(port.ResponseHead{Status: resp.Status, Header: resp.Header, Length: -1, Stream: true})
 }
 
+// finishStream ends the response after the regular end of the target's response.
 func (c *call) finishStream(choice placement.Choice, resp *port.ForwardResponse) *verdict.Error {
-	err := c.sendStreamHead(resp)
+	rest, err := c.relay.events.End()
+	if err != nil {
+		return c.recordUnusableStream(choice, err)
+	}
+	err = c.sendStreamHead(resp)
+	if err == nil && len(rest) > 0 {
+		err = c.out.Data(rest)
+	}
 	if err == nil {
 		err = c.out.End()
 	}
@@ -160,15 +180,10 @@
 	return fs
 }
 
-// countStreamOrder counts the later runs that continued a stream, by the outcome of the
-// request, and the streams whose events do not follow each other.
-func (c *call) countStreamOrder(outcome string, e *verdict.Error) {
-	m := c.g.deps.Metrics
-	if c.relay.resumes > 0 {
-		m.Count("gateway_stream_resumes_total", int64(c.relay.resumes), port.Attr{Key: "outcome", Value: outcome})
-	}
-	var order *eventstream.OrderError
-	if e != nil && errors.As(e, &order) {
-		m.Count("gateway_streams_out_of_order_total", 1)
+// countResumes counts the later runs that continued a stream, by the outcome of the
+// request.
+func (c *call) countResumes(outcome string) {
+	if n := c.relay.resumes; n > 0 {
+		c.g.deps.Metrics.Count("gateway_stream_resumes_total", int64(n), port.Attr{Key: "outcome", Value: outcome})
 	}
 }
--- a/internal/core/eventstream/eventstream.go
+++ b/internal/core/eventstream/eventstream.go
@@ -13,25 +13,36 @@
 // Events of model engines are well below 1 KiB.
 const MaxEventBytes = 64 << 10
 
-// ErrEventTooLong means that an event exceeds MaxEventBytes.
-var ErrEventTooLong = errors.Errorf("event is longer than %d bytes", MaxEventBytes)
+// Errors of a stream besides OrderError.
+var (
+	// ErrEventTooLong means that an event exceeds MaxEventBytes.
+	ErrEventTooLong = errors.Errorf("event is longer than %d bytes", MaxEventBytes)
+	// ErrPartialEvent means that a stream ends within an event.
+	ErrPartialEvent = errors.New("stream ends within an event")
+)
 
 // Splitter buffers the bytes of one stream and returns its complete events. The stream
-// may consist of several runs, each of which continues the one before.
+// may consist of several runs, each of which continues the one before. Blocks without an
+// id and data, such as comments, are returned with the events of their run: those before
+// the first event of the stream together with it, and those before the first event of a
+// later run not at all.
 type Splitter struct {
-	pending  []byte
-	sequence sequence
-	events   int
+	pending []byte
+	// held is the number of leading bytes of pending that are blocks before the first
+	// event.
+	held      int
+	sequence  sequence
+	events    int
+	runEvents int
 }
 
 // New returns a splitter for a stream that continues after the event with an id, or for
 // a whole stream if the id is empty.
 func New(after string) *Splitter { return &Splitter{sequence: newSequence(after)} }
 
-// BeginRun prepares for the events of another run. It drops the buffered bytes of an
-// incomplete event.
+// BeginRun prepares for the events of another run. It drops the buffered bytes.
 func (s *Splitter) BeginRun() {
-	s.pending = nil
+	s.pending, s.held, s.runEvents = nil, 0, 0
 	s.sequence.beginRun(s.events > 0)
 }
 
@@ -40,18 +51,32 @@
 // one at fault are returned with it.
 func (s *Splitter) Push(b []byte) ([]byte, error) {
 	s.pending = append(s.pending, b...)
-	end := 0
+	end, pos := 0, s.held
 	for {
-		n := eventEnd(s.pending[end:])
+		n := blockEnd(s.pending[pos:])
 		if n == 0 {
 			break
 		}
-		if err := s.accept(s.pending[end : end+n]); err != nil {
-			return s.take(end), err
+		block := s.pending[pos : pos+n]
+		id, isEvent := parseBlock(block)
+		switch {
+		case isEvent:
+			if err := s.accept(block, id); err != nil {
+				return s.take(end), err
+			}
+			pos += n
+			end = pos
+		case s.runEvents > 0:
+			pos += n
+			end = pos
+		case s.events == 0:
+			pos += n
+		default:
+			s.pending = append(s.pending[:pos], s.pending[pos+n:]...)
 		}
-		end += n
 	}
 	complete := s.take(end)
+	s.held = pos - end
 	if len(s.pending) > MaxEventBytes {
 		return complete, ErrEventTooLong
 	}
@@ -68,24 +93,33 @@
 	return out
 }
 
-// accept checks the order of one complete event and counts it. Blank lines between
-// events are not events.
-func (s *Splitter) accept(event []byte) error {
-	if len(bytes.TrimSpace(event)) == 0 {
-		return nil
-	}
+// accept checks the order of one complete event and counts it.
+func (s *Splitter) accept(event []byte, id string) error {
 	if len(event) > MaxEventBytes {
 		return ErrEventTooLong
 	}
-	if err := s.sequence.accept(eventID(event)); err != nil {
+	if err := s.sequence.accept(id); err != nil {
 		return err
 	}
 	s.events++
+	s.runEvents++
 	return nil
 }
 
+// End returns the blocks that are still held at the regular end of a run. It fails if
+// the run ends within an event, or if a later run had no event.
+func (s *Splitter) End() ([]byte, error) {
+	switch {
+	case len(s.pending) > s.held:
+		return nil, ErrPartialEvent
+	case s.events > 0 && s.runEvents == 0:
+		return nil, &OrderError{After: s.sequence.last}
+	}
+	return s.take(s.held), nil
+}
+
 // PartialBytes returns the number of buffered bytes of an incomplete event.
-func (s *Splitter) PartialBytes() int { return len(s.pending) }
+func (s *Splitter) PartialBytes() int { return len(s.pending) - s.held }
 
 // EventCount returns the number of complete events so far.
 func (s *Splitter) EventCount() int { return s.events }
@@ -107,8 +141,8 @@
 // consecutive anyway.
 func (s *Splitter) Gaps() int { return s.sequence.gaps }
 
-// eventEnd returns the offset after the first blank line, or 0.
-func eventEnd(b []byte) int {
+// blockEnd returns the offset after the first blank line, or 0.
+func blockEnd(b []byte) int {
 	for start := 0; ; {
 		n := bytes.IndexByte(b[start:], '\n')
 		if n < 0 {
@@ -122,13 +156,17 @@
 	}
 }
 
-// eventID returns the id of a complete event, or an empty string.
-func eventID(event []byte) string {
-	id := ""
-	for line := range bytes.Lines(event) {
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// parseBlock returns the id of a block, or an empty string, and whether the block is an
+// event.
+func parseBlock(block []byte) (id string, isEvent bool) {
+	for line := range bytes.Lines(bytes.TrimPrefix(block, byteOrderMark)) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(v))
+			id, isEvent = string(bytes.TrimSpace(v)), true
 		}
+		isEvent = isEvent || bytes.HasPrefix(line, []byte("data"))
 	}
-	return id
+	return id, isEvent
 }
--- a/internal/core/eventstream/sequence.go
+++ b/internal/core/eventstream/sequence.go
@@ -21,11 +21,14 @@
 
 // sequence checks the ids of a stream. Ids are consecutive in a whole stream that starts
 // with 0 or 1, and in one that starts with the id after that from which it continues. The
-// ids of other streams only have to increase, and no later run can continue them.
+// ids of other streams only have to increase, as far as they are numbers, and no later
+// run can continue them.
 type sequence struct {
-	// last is the id of the last event, and number its value.
-	last   string
-	number int64
+	// last is the id of the last event, or the one after which the stream continues, and
+	// number its value if isNumber is set.
+	last     string
+	number   int64
+	isNumber bool
 	// first is the id of the first event of the newest run.
 	first       string
 	started     bool
@@ -37,52 +40,50 @@
 
 func newSequence(after string) sequence {
 	n, err := strconv.ParseInt(after, 10, 64)
-	return sequence{last: after, number: n, consecutive: err == nil || after == ""}
+	return sequence{last: after, number: n, isNumber: err == nil, consecutive: err == nil || after == ""}
 }
 
 // beginRun prepares for another run, which continues the stream if continues is set.
 func (s *sequence) beginRun(continues bool) { s.first, s.laterRun = "", continues }
 
-// accept checks the id of the next event. Events without an id, such as comments, are
-// accepted within a run only.
+// accept checks the id of the next event. Events without an id are accepted within a run
+// only.
 func (s *sequence) accept(id string) error {
+	if id == "" && !s.laterRun {
+		return nil
+	}
 	n, err := strconv.ParseInt(id, 10, 64)
+	isNumber := err == nil
 	switch {
-	case id == "" && !s.laterRun:
-		return nil
-	case err != nil:
-		return s.acceptOther(id)
-	case s.consecutive && n == s.number+1, s.last == "" && n == 0:
-	case s.laterRun, s.started && s.consecutive, s.last != "" && n <= s.number:
+	case isNumber && s.isNext(n):
+	case s.mustBeNext(), s.isRepeat(id, n, isNumber):
 		return &OrderError{After: s.last, ID: id}
 	default:
-		s.countGap(n)
 		s.consecutive = false
+		if s.started && s.isNumber && isNumber {
+			s.gaps++
+		}
 	}
-	s.advance(id, n)
-	return nil
-}
-
-// acceptOther accepts an id that is not a number, in a run that does not have to
-// continue consecutive ids.
-func (s *sequence) acceptOther(id string) error {
-	if s.laterRun || s.started && s.consecutive {
-		return &OrderError{After: s.last, ID: id}
+	s.last, s.number, s.isNumber = id, n, isNumber
+	s.started, s.laterRun = true, false
+	if s.first == "" {
+		s.first = id
 	}
-	s.consecutive = false
-	s.advance(id, s.number)
 	return nil
 }
 
-func (s *sequence) countGap(n int64) {
-	if s.started && n > s.number+1 {
-		s.gaps++
+// isNext reports whether n follows the last event of a stream with consecutive ids.
+func (s *sequence) isNext(n int64) bool {
+	if s.last == "" && !s.started {
+		return n == 0 || n == 1
 	}
+	return s.consecutive && s.isNumber && n > s.number && n-s.number == 1
 }
 
-func (s *sequence) advance(id string, n int64) {
-	s.last, s.number, s.started, s.laterRun = id, n, true, false
-	if s.first == "" {
-		s.first = id
-	}
+// mustBeNext reports whether only the next consecutive id may follow.
+func (s *sequence) mustBeNext() bool { return s.laterRun || s.started && s.consecutive }
+
+// isRepeat reports whether an id is the last one again, or a number that is not above it.
+func (s *sequence) isRepeat(id string, n int64, isNumber bool) bool {
+	return id == s.last || isNumber && s.isNumber && n <= s.number
 }
--- a/internal/core/eventstream/sequence_test.go
+++ b/internal/core/eventstream/sequence_test.go
@@ -24,10 +24,13 @@
 		{"resumed", "", []string{"1 2", "3 4"}, 4, true},
 		{"resumed twice", "5", []string{"6", "7", "8"}, 3, true},
 		{"no event in a run", "", []string{"1 2", "", "3"}, 3, true},
-		{"comments", "", []string{"- 1 - 2 -"}, 5, true},
+		{"events without ids between others", "", []string{"- 1 - 2 -"}, 5, true},
 		{"no ids", "", []string{"- -"}, 2, true},
 		{"other numbering", "", []string{"10 20 30"}, 3, true},
 		{"names", "", []string{"a b"}, 2, true},
+		{"after a name", "x", []string{"0 1"}, 2, true},
+		{"name twice", "", []string{"a a"}, 1, false},
+		{"highest number", "9223372036854775806", []string{"9223372036854775807 -9223372036854775808"}, 1, false},
 		{"missing", "", []string{"1 2 4"}, 2, false},
 		{"twice", "", []string{"1 2 2"}, 2, false},
 		{"goes back", "", []string{"10 20 10"}, 2, false},
@@ -82,6 +85,62 @@
 	}
 }
 
+// TestBlocksWithoutEvents guards against a comment that counts as an event, that is lost from the stream of one target,
+// or that comes between the events of two runs.
+func TestBlocksWithoutEvents(t *testing.T) {
+	const comment, retry = ": ping\r\n\r\n", "retry: 10\n\n"
+	s := New("")
+	for _, step := range []struct{ in, out string }{
+		{comment + "\n", ""}, {"id: 1\n\n" + comment, comment + "\nid: 1\n\n" + comment}, {retry, retry}, {"id: 2\n\n", "id: 2\n\n"},
+	} {
+		if b, err := s.Push([]byte(step.in)); err != nil || string(b) != step.out {
+			t.Fatalf("pushed %q, got %q, %v", step.in, b, err)
+		}
+	}
+	s.BeginRun()
+	if b, err := s.Push([]byte(comment + retry + "id: 3\n\n" + comment)); err != nil || string(b) != "id: 3\n\n"+comment || s.EventCount() != 3 {
+		t.Errorf("later run: %q, %v, %d events", b, err, s.EventCount())
+	}
+	s = New("")
+	if _, err := s.Push([]byte(comment)); err != nil || !s.Resumable() {
+		t.Errorf("a comment alone: %v, resumable %v", err, s.Resumable())
+	}
+	if b, err := s.End(); err != nil || string(b) != comment {
+		t.Errorf("end after a comment: %q, %v", b, err)
+	}
+	s = New("")
+	if b, err := s.Push([]byte("\xef\xbb\xbfid: 1\n\nid: 3\n\n")); err == nil {
+		t.Errorf("byte order mark: %q", b)
+	}
+}
+
+// TestEnd guards against a stream that ends as complete within an event, or with a later run that sent no event.
+func TestEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		runs []string
+		ok   bool
+	}{
+		"events":                 {[]string{"id: 1\n\n"}, true},
+		"nothing":                {[]string{""}, true},
+		"within an event":        {[]string{"id: 1\n\nid: 2\n"}, false},
+		"later run":              {[]string{"id: 1\n\n", "id: 2\n\n"}, true},
+		"empty later run":        {[]string{"id: 1\n\n", ""}, false},
+		"later run of a comment": {[]string{"id: 1\n\n", ": x\n\n\n"}, false},
+		"run after an empty one": {[]string{"", "id: 1\n\n"}, true},
+	} {
+		s := New("")
+		for _, run := range c.runs {
+			s.BeginRun()
+			if _, err := s.Push([]byte(run)); err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+		}
+		if _, err := s.End(); (err == nil) != c.ok {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 // TestEventsBeforeFaultAreReturned guards against losing events that arrive in one read with the one at fault.
 func TestEventsBeforeFaultAreReturned(t *testing.T) {
 	s := New("")
