gateway: a silent target is left only for another run

A slow caller made its target look silent.

Cause: the watch ended the attempt as soon as another target had room, and only then the retry budget was asked. It ran on while data was written to the caller. A timer that fired during a restart still ended the attempt.

Change: the watch takes the retry from the budget before it ends the attempt, pauses while the caller is written to, and compares with the time of the last restart. Bytes without an event restart it again, but only up to twice the time.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -73,7 +73,7 @@
 	case err.Verdict != verdict.NotRun && (!c.route.Retryable() || c.runs >= c.route.MaxAttempts):
 		return false
 	}
-	return c.g.budgets.AllowRetry(c.service.Name, c.g.view.processes(), c.g.deps.Clock.Now())
+	return c.retryTaken || c.g.budgets.AllowRetry(c.service.Name, c.g.view.processes(), c.g.deps.Clock.Now())
 }
 
 // fail ends a request that no target served. It delivers the fallback if there is one. It
@@ -116,7 +116,7 @@
 		f.Customer = c.account.Name
 	}
 	sendCtx, watch := c.startStallWatch(ctx)
-	defer watch.stop()
+	defer func() { c.retryTaken = watch.stop() }()
 	resp, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
 	if err != nil {
 		return c.recordSendFailure(ctx, choice, verdict.FromError(err))
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -126,6 +126,8 @@
 	// failAfter is the number of calls of Data after which the caller has disconnected;
 	// zero means never.
 	failAfter, dataCalls int
+	// dataDelay is the time that each call of Data takes.
+	dataDelay time.Duration
 }
 
 func (c *callerRecorder) check(err error) error {
@@ -147,6 +149,7 @@
 	if err := c.check(c.progress.Continue()); err != nil {
 		return err
 	}
+	time.Sleep(c.dataDelay)
 	if c.dataCalls++; c.failAfter > 0 && c.dataCalls > c.failAfter {
 		return errors.New("caller has disconnected")
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -36,6 +36,9 @@
 	// fallback is a target's response with a 5xx status. It is delivered if no retry
 	// succeeds.
 	fallback *bufferedResponse
+	// retryTaken means that the stall watch of the last attempt has taken the retry from
+	// the budget.
+	retryTaken bool
 	// reserved is the memory taken from Gateway.buffers, in bytes.
 	reserved int64
 }
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 )
@@ -17,37 +18,48 @@
 	minStallTimeout = 300 * time.Millisecond
 	// streamStallTimeout is the fixed time for streams, whose callers give up after 3.2 s.
 	streamStallTimeout = 1300 * time.Millisecond
+	// eventStallFactor times that time is the longest time without a complete event for
+	// a target that sends something else meanwhile.
+	eventStallFactor = 2
 )
 
-// stallWatch cancels an attempt at a target that sends nothing. It cancels only the
-// context of the attempt, so that the request can be retried at another target.
+// stallWatch cancels an attempt at a target that is silent. It cancels only the context
+// of the attempt, and only once another target has capacity and the retry is taken from
+// the budget, so that the request continues there.
 type stallWatch struct {
 	// start is the time at which the attempt began.
 	start   time.Time
+	now     func() time.Time
 	timeout time.Duration
 	cancel  context.CancelFunc
 
+	// mu guards the following.
 	mu sync.Mutex
-	// timer is nil if the attempt is not watched or has ended; mu guards it.
+	// timer is nil if the attempt is not watched.
 	timer *time.Timer
+	// silentAt is the time at which the target counts as silent; zero while data is
+	// passed on to the caller. noEventAt bounds it.
+	silentAt, noEventAt time.Time
+	retryTaken          bool
 }
 
 // startStallWatch returns the context of one attempt and its watch. The watch has a
 // timer only if the request may be retried after this attempt.
 func (c *call) startStallWatch(ctx context.Context) (context.Context, *stallWatch) {
 	ctx, cancel := context.WithCancel(ctx)
-	s := &stallWatch{start: c.g.deps.Clock.Now(), cancel: cancel}
-	if !c.route.Retryable() || c.runs+1 >= c.route.MaxAttempts {
+	s := &stallWatch{start: c.g.deps.Clock.Now(), now: c.g.deps.Clock.Now, cancel: cancel}
+	if !c.route.Retryable() || c.runs+1 >= c.route.MaxAttempts || c.sends >= maxSends {
 		return ctx, s
 	}
 	s.timeout = max(minStallTimeout, time.Duration(stallObjectiveFactor*float64(c.route.LatencyObjective)))
 	if c.route.Kind == routes.Streaming {
 		s.timeout = streamStallTimeout
 	}
-	q := c.placementQuery(s.start)
+	q, service := c.placementQuery(s.start), c.service.Name
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(s.timeout, func() { s.expire(c.g, q) })
+	s.timer = time.AfterFunc(s.timeout, func() { s.expire(c.g, q, service) })
+	s.restart(true)
 	return ctx, s
 }
 
@@ -55,31 +67,57 @@
 // for the request of a stalled attempt.
 const stallRecheckDelay = 200 * time.Millisecond
 
-// expire cancels the attempt if another target has capacity for the request. Otherwise it
-// checks again later: the target may still respond, and a retry could not succeed.
-func (s *stallWatch) expire(g *Gateway, q placement.Query) {
+// expire cancels the attempt if the request can be retried now. Otherwise it checks again
+// later: the target may still respond.
+func (s *stallWatch) expire(g *Gateway, q placement.Query, service fleet.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.timer == nil {
-		return
-	}
-	if !g.targets.HasCapacity(q, g.deps.Clock.Now()) {
+	now := s.now()
+	switch {
+	case s.timer == nil, s.silentAt.IsZero():
+	case now.Before(s.silentAt):
+		// The timer fired while the watch was restarted.
+		s.timer.Reset(s.silentAt.Sub(now))
+	case g.targets.HasCapacity(q, now) && g.budgets.AllowRetry(service, q.Processes, now):
+		s.retryTaken = true
+		s.cancel()
+	default:
 		s.timer.Reset(stallRecheckDelay)
-		return
 	}
-	s.cancel()
 }
 
-// reset restarts the timer after the target has sent an event.
-func (s *stallWatch) reset() {
+// restart sets the time at which the target counts as silent. mu is held.
+func (s *stallWatch) restart(afterEvent bool) {
+	now := s.now()
+	if afterEvent {
+		s.noEventAt = now.Add(eventStallFactor * s.timeout)
+	}
+	s.silentAt = now.Add(s.timeout)
+	if s.noEventAt.Before(s.silentAt) {
+		s.silentAt = s.noEventAt
+	}
+	s.timer.Reset(s.silentAt.Sub(now))
+}
+
+// pause stops the watch while data is passed on to the caller, which may take as long as
+// the caller wants.
+func (s *stallWatch) pause() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silentAt = time.Time{}
+}
+
+// resume restarts the watch after the target has sent data. event is set if that
+// completed an event.
+func (s *stallWatch) resume(event bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.timer != nil {
-		s.timer.Reset(s.timeout)
+		s.restart(event)
 	}
 }
 
-// disarm stops the timer. The attempt goes on.
+// disarm ends the watch. The attempt goes on.
 func (s *stallWatch) disarm() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -89,8 +127,12 @@
 	}
 }
 
-// stop stops the timer and cancels the context of the attempt.
-func (s *stallWatch) stop() {
+// stop ends the watch, cancels the context of the attempt, and reports whether the watch
+// has taken a retry from the budget.
+func (s *stallWatch) stop() (retryTaken bool) {
 	s.disarm()
 	s.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryTaken
 }
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -71,6 +71,7 @@
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			before := c.relay.events.EventCount()
+			watch.pause()
 			if e := c.relayEvents(choice, resp, buf[:n]); e != nil {
 				return e
 			}
@@ -85,7 +86,7 @@
 	}
 }
 
-// recordProgress restarts the stall watch after a read that completed an event, and records how long the first
+// recordProgress restarts the stall watch after a read, and records how long the first
 // event of this run took. before is the number of events before the read, and
 // beforeRun that before the run.
 func (c *call) recordProgress(choice placement.Choice, watch *stallWatch, before, beforeRun int) {
@@ -93,9 +94,7 @@
 	if !events.Resumable() {
 		watch.disarm()
 	}
-	if events.EventCount() > before {
-		watch.reset()
-	}
+	watch.resume(events.EventCount() > before)
 	if before == beforeRun && events.EventCount() > before {
 		now := c.g.deps.Clock.Now()
 		c.g.targets.RecordFirstEvent(choice.Instance, now.Sub(watch.start), choice.TimeToFirstEvent, now)
