answers: a stream that is closed early is not complete

What callers could see: a response that ends early with the verdict ran and, for a group, an end line; for a keyed call of a service, a part of a response that is stored as the whole one.

Cause: an agent that closes its stream without the end of the answer gave an error whose cause is io.EOF, and all readers of answers took any error with io.EOF in its chain for the end of a complete answer.

Change: port.AnswerEnded compares with io.EOF itself, and the readers in httpapi, entry, agent and rpc use it. The rpc client keeps io.EOF out of the chain of such an error.

Measured: TestAnswerNeedsItsEnd (closed without an end) failed before with "has io.EOF in its chain". TestAnswerFormat failed before in its three new cases: trailer ran, for a group with an end line, and no error at the end of the body of a service. Both pass after.

--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -62,7 +59,7 @@
 // copyAnswer sends the answer to the caller, one frame at a time.
 func (x *exchange) copyAnswer(ctx context.Context, a port.Answer) {
 	frame, err := a.Next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err != nil && !port.AnswerEnded(err) {
 		x.failBeforeHead(err)
 		return
 	}
@@ -78,7 +75,7 @@
 		x.frames++
 		frame, err = a.Next()
 	}
-	if !errors.Is(err, io.EOF) {
+	if !port.AnswerEnded(err) {
 		x.failAfterHead(verdict.FromError(err))
 		return
 	}
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -149,6 +149,7 @@
 // verdict or version, or whether it is complete.
 func TestAnswerFormat(t *testing.T) {
 	lostError := verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "gone")
+	closedError := verdict.Wrap(io.EOF, verdict.MayHaveRun, verdict.CodeTargetLost, "closed")
 	for _, c := range []struct {
 		path      string
 		err       error
@@ -163,6 +164,9 @@
 		{groupPath, lostError, nil, 502, "{\"error\":{\"code\":\"target_lost\",", "", false},
 		{servicePath, io.EOF, []string{"a", "b"}, 201, "ab", "ran", false},
 		{servicePath, lostError, []string{"a"}, 201, "a", "", true},
+		{groupPath, closedError, []string{"a\n"}, 200, "a\n{\"error\":{\"code\":\"target_lost\",", "may-have-run", false},
+		{groupPath, closedError, nil, 502, "{\"error\":{\"code\":\"target_lost\",", "", false},
+		{servicePath, closedError, []string{"a"}, 201, "a", "", true},
 	} {
 		var closed atomic.Int32
 		_, addr := listen(t, defaultConfig, backend(&closed, c.err, c.pieces...))
--- a/internal/adapter/rpc/agent_client.go
+++ b/internal/adapter/rpc/agent_client.go
@@ -70,6 +70,10 @@
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeDeadline, "deadline passed")
 	case cause != nil:
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeCanceled, "request canceled")
+	case errors.Is(err, io.EOF):
+		// The agent has closed the stream without the end of the answer. io.EOF in the
+		// chain of the error would stand for a complete answer.
+		return verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeTargetLost, "agent closed the stream")
 	default:
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTargetLost, "connection to the agent lost")
 	}
@@ -178,7 +182,7 @@
 
 // Close implements port.Answer.
 func (a *answerStream) Close() error {
-	if errors.Is(a.finalErr, io.EOF) {
+	if port.AnswerEnded(a.finalErr) {
 		err := a.stream.Close()
 		a.watchdog.close()
 		return err
--- /dev/null
+++ b/internal/adapter/rpc/answer_test.go
@@ -0,0 +1,96 @@
+package rpc
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+)
+
+// scriptedAgent sends fixed messages to each request and then closes the stream.
+type scriptedAgent struct {
+	pb.DRPCAgentUnimplementedServer
+	replies []*pb.ServeReply
+}
+
+// Serve implements the generated interface.
+func (a *scriptedAgent) Serve(in *pb.ServeRequest, stream pb.DRPCAgent_ServeStream) error {
+	for _, m := range a.replies {
+		m.RequestId = in.GetRequestId()
+		if err := stream.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serveScript starts a server of a scriptedAgent.
+func serveScript(t *testing.T, replies ...*pb.ServeReply) fleet.Address {
+	t.Helper()
+	mux := drpcmux.New()
+	if err := pb.DRPCRegisterAgent(mux, &scriptedAgent{replies: replies}); err != nil {
+		t.Fatal(err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = drpcserver.New(mux).Serve(ctx, lis) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return fleet.Address(lis.Addr().String())
+}
+
+func headReply() *pb.ServeReply {
+	return &pb.ServeReply{Part: &pb.ServeReply_Head{Head: &pb.Head{Version: "v"}}}
+}
+
+func dataReply(seq uint64, text string) *pb.ServeReply {
+	return &pb.ServeReply{Part: &pb.ServeReply_Data{Data: &pb.Data{Seq: seq, Bytes: []byte(text)}}}
+}
+
+func endReply(e *pb.End) *pb.ServeReply { return &pb.ServeReply{Part: &pb.ServeReply_End{End: e}} }
+
+// TestAnswerNeedsItsEnd guards against an answer that counts as complete although its
+// end is missing or does not fit, and against parts of another answer behind it.
+func TestAnswerNeedsItsEnd(t *testing.T) {
+	refused := &pb.ServeReply{Part: &pb.ServeReply_Refused{Refused: &pb.Error{Verdict: pb.Verdict_VERDICT_NOT_RUN, Code: "target_full"}}}
+	for name, c := range map[string]struct {
+		replies []*pb.ServeReply
+		code    verdict.Code
+	}{
+		"closed without an end": {nil, verdict.CodeTargetLost},
+		"too few frames":        {[]*pb.ServeReply{endReply(&pb.End{Frames: 2, Version: "v"})}, verdict.CodeBrokenAnswer},
+		"other version":         {[]*pb.ServeReply{endReply(&pb.End{Frames: 1, Version: "w"})}, verdict.CodeVersionMismatch},
+		"second head":           {[]*pb.ServeReply{headReply(), endReply(&pb.End{Frames: 1, Version: "v"})}, verdict.CodeBrokenAnswer},
+		"refusal after head":    {[]*pb.ServeReply{refused}, verdict.CodeBrokenAnswer},
+		"repeated frame":        {[]*pb.ServeReply{dataReply(0, "one\n")}, verdict.CodeBrokenAnswer},
+		"skipped frame":         {[]*pb.ServeReply{dataReply(2, "three\n")}, verdict.CodeBrokenAnswer},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serveScript(t, append([]*pb.ServeReply{headReply(), dataReply(0, "one\n")}, c.replies...)...)
+			client := NewClient()
+			defer client.Close()
+			got, err := call(client, addr, "r")
+			if got != "one\n" || err == nil {
+				t.Fatalf("got %q, %v; want the first frame and an error", got, err)
+			}
+			if e := verdict.FromError(err); e.Code != c.code || e.Verdict == verdict.NotRun {
+				t.Errorf("error %v, want %s", err, c.code)
+			}
+			if errors.Is(err, io.EOF) {
+				t.Errorf("the error %q has io.EOF in its chain", err)
+			}
+		})
+	}
+}
--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -224,7 +223,7 @@
 	}
 	for {
 		b, err := ans.Next()
-		if errors.Is(err, io.EOF) {
+		if port.AnswerEnded(err) {
 			return nil
 		}
 		if err != nil {
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -4,9 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"io"
-
-	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -184,7 +181,7 @@
 func readStorable(ans port.Answer) (buffered []byte, complete bool, err error) {
 	for len(buffered) <= maxStoredBodyBytes {
 		b, err := ans.Next()
-		if errors.Is(err, io.EOF) {
+		if port.AnswerEnded(err) {
 			return buffered, true, nil
 		}
 		if err != nil {
@@ -204,7 +201,7 @@
 	}
 	for !complete {
 		b, err := ans.Next()
-		if errors.Is(err, io.EOF) {
+		if port.AnswerEnded(err) {
 			break
 		}
 		if err != nil {
--- a/internal/app/entry/answer.go
+++ b/internal/app/entry/answer.go
@@ -1,10 +1,6 @@
 package entry
 
 import (
-	"io"
-
-	"github.com/pkg/errors"
-
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -36,7 +32,7 @@
 	}
 	a.firstPiece, a.firstErr = a.src.Next()
 	a.hasFirst = true
-	if a.firstErr != nil && !errors.Is(a.firstErr, io.EOF) {
+	if a.firstErr != nil && !port.AnswerEnded(a.firstErr) {
 		return a.firstErr
 	}
 	return nil
--- a/internal/app/entry/resume.go
+++ b/internal/app/entry/resume.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
-
-	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routing"
@@ -39,7 +36,7 @@
 func (a *resumableAnswer) Next() ([]byte, error) {
 	for {
 		b, err := a.targetAnswer.Next()
-		if err == nil || errors.Is(err, io.EOF) {
+		if err == nil || port.AnswerEnded(err) {
 			a.countLines(b)
 			return b, err
 		}
--- a/internal/port/target.go
+++ b/internal/port/target.go
@@ -96,13 +96,18 @@
 	// Head returns the metadata that preceded the data.
 	Head() AnswerHead
 	// Next returns the next piece of the data, which is valid until the next call.
-	// It returns io.EOF only after the complete answer was received; any other end
-	// is an error with a verdict.
+	// It returns io.EOF itself only after the complete answer was received; any
+	// other end is an error with a verdict. AnswerEnded tells them apart.
 	Next() ([]byte, error)
 	// Close ends the stream and cancels the request if the answer is incomplete.
 	Close() error
 }
 
+// AnswerEnded reports whether err, as returned by Answer.Next, means that the answer
+// is complete. An error with a verdict whose cause is io.EOF, such as that of a closed
+// connection, does not.
+func AnswerEnded(err error) bool { return err == io.EOF }
+
 // Engine is a model engine.
 type Engine interface {
 	// Status returns the engine's status.
