rpc: one answer holds one head and ends as an error after a call that does not fit

What callers could see: nothing of a second answer, since the client of the entry rejects such messages. But the server sent them, counted the answer as complete if the application returned nil, and relied on the other process.

Cause: AnswerSink accepted calls in any order, and returning nil completed whatever had been sent.

Change: the sink uses core/response. A second head, and data without a head or after an error, are not sent; the method returns an error, and the answer ends as an error whatever the application returns.

Measured: TestSinkHoldsOneAnswer failed before (second head and data before head reached the client: "unexpected message in the answer", "answer does not start with a head") and passes after.

--- a/internal/adapter/rpc/agent_server.go
+++ b/internal/adapter/rpc/agent_server.go
@@ -8,7 +8,9 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/inflight"
+	"github.com/masticwing/masticwing/internal/core/response"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -34,15 +36,17 @@
 	return sink.sendEnd(err, s.h.Load())
 }
 
-// answerSink sends one answer. The mutex serializes data and heartbeats. It is
-// held during a send, so heartbeats wait while the entry applies back pressure.
+// answerSink sends one answer, in the order that progress allows. The mutex
+// serializes data and heartbeats. It is held during a send, so heartbeats wait while
+// the entry applies back pressure.
 type answerSink struct {
 	id     string
 	stream pb.DRPCAgent_ServeStream
 
 	mu       sync.Mutex
 	lastSend time.Time
-	head     *port.AnswerHead
+	progress response.Progress
+	version  fleet.Version
 	frames   uint64
 }
 
@@ -50,6 +54,9 @@
 	m.RequestId = s.id
 	err := s.stream.Send(m)
 	s.lastSend = time.Now()
+	if err != nil {
+		s.progress.Abort()
+	}
 	return err
 }
 
@@ -57,7 +64,10 @@
 func (s *answerSink) Head(h port.AnswerHead, l port.Load) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.head = &h
+	if err := s.progress.Begin(); err != nil {
+		return err
+	}
+	s.version = h.Version
 	return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_Head{Head: headToPB(h)}, Load: loadToPB(l)})
 }
 
@@ -81,6 +91,9 @@
 func (s *answerSink) sendFrame(b []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err := s.progress.Continue(); err != nil {
+		return err
+	}
 	d := &pb.Data{Seq: s.frames, Bytes: b}
 	s.frames++
 	return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_Data{Data: d}})
@@ -112,19 +125,20 @@
 }
 
 // sendEnd sends the last message: a refusal if the request did not run and no head
-// was sent, otherwise the end of the answer with its error, if any.
+// was sent, otherwise the end of the answer with its error, if any. An answer without
+// a head, or with a call of the sink that did not fit, ends with an error.
 func (s *answerSink) sendEnd(err error, l port.Load) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && s.head == nil {
-		err = verdict.New(verdict.MayHaveRun, verdict.CodeInternal, "no answer was produced")
-	}
 	if err == nil {
-		end := &pb.End{Frames: s.frames, Version: string(s.head.Version)}
-		return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_End{End: end}})
+		if err = s.progress.End(); err == nil {
+			end := &pb.End{Frames: s.frames, Version: string(s.version)}
+			return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_End{End: end}})
+		}
+		err = verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeInternal, "agent produced no complete answer")
 	}
 	e := verdict.FromError(err)
-	if s.head == nil && e.Verdict == verdict.NotRun {
+	if e.Verdict == verdict.NotRun && s.progress.Refuse() == nil {
 		return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_Refused{Refused: errorToPB(e)}, Load: loadToPB(l)})
 	}
 	end := &pb.End{Frames: s.frames, Error: errorToPB(e)}
--- a/internal/adapter/rpc/answer_test.go
+++ b/internal/adapter/rpc/answer_test.go
@@ -14,6 +14,7 @@
 	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 // scriptedAgent sends fixed messages to each request and then closes the stream.
@@ -94,3 +95,47 @@
 		})
 	}
 }
+
+// sinkAgent answers each request with serve.
+type sinkAgent struct {
+	port.AgentHandler
+	serve func(sink port.AnswerSink) error
+}
+
+func (a sinkAgent) Load() port.Load { return port.Load{} }
+
+func (a sinkAgent) Serve(_ context.Context, _ port.ServeRequest, sink port.AnswerSink) error {
+	return a.serve(sink)
+}
+
+// TestSinkHoldsOneAnswer guards against parts of two answers in one, against data
+// outside of an answer, and against an answer that looks complete after a call that
+// did not fit. The agents ignore the errors of the sink.
+func TestSinkHoldsOneAnswer(t *testing.T) {
+	head, other := port.AnswerHead{Version: "v"}, port.AnswerHead{Version: "w"}
+	for name, c := range map[string]struct {
+		serve func(s port.AnswerSink) error
+		body  string
+		code  verdict.Code
+	}{
+		"second head": {func(s port.AnswerSink) error {
+			_, _, _, _ = s.Head(head, port.Load{}), s.Data([]byte("one\n")), s.Head(other, port.Load{}), s.Data([]byte("two\n"))
+			return nil
+		}, "one\n", verdict.CodeInternal},
+		"data before head": {func(s port.AnswerSink) error {
+			_, _, _ = s.Data([]byte("one\n")), s.Head(head, port.Load{}), s.Data([]byte("two\n"))
+			return nil
+		}, "", verdict.CodeInternal},
+		"no answer": {func(port.AnswerSink) error { return nil }, "", verdict.CodeInternal},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, addr, _ := serveAgent(t, sinkAgent{serve: c.serve})
+			client := NewClient()
+			defer client.Close()
+			got, err := call(client, addr, "r")
+			if e := verdict.FromError(err); got != c.body || err == nil || e.Code != c.code || e.Verdict != verdict.MayHaveRun {
+				t.Errorf("got %q, %v; want %q and %s with may-have-run", got, err, c.body, c.code)
+			}
+		})
+	}
+}
--- a/internal/port/process.go
+++ b/internal/port/process.go
@@ -97,11 +97,13 @@
 	Close() error
 }
 
-// AnswerSink sends the answer of an agent's application to the entry. Its
-// methods return an error once the entry has disconnected or canceled.
+// AnswerSink sends one answer of an agent's application to the entry: a head and
+// data. A second head, or data without a head or after an error, is not sent: the
+// method returns response.ErrBegun or response.ErrNotOpen, and the answer ends with an
+// error whatever AgentHandler.Serve returns. Any other error means that the entry has
+// disconnected or canceled.
 type AnswerSink interface {
-	// Head sends the head of the answer and the target's load. It is called
-	// once, before Data.
+	// Head sends the head of the answer and the target's load.
 	Head(h AnswerHead, l Load) error
 	// Data sends a piece of the answer. It may block while the entry does not
 	// read.
@@ -110,9 +112,9 @@
 
 // AgentHandler is implemented by the agent's application.
 type AgentHandler interface {
-	// Serve runs a request and writes its answer to sink. An error with the verdict
-	// NotRun that is returned before Head was called reaches the entry as a
-	// refusal.
+	// Serve runs a request and writes its answer to sink. The answer is complete
+	// only if Serve returns nil. An error with the verdict NotRun that is returned
+	// before Head was called reaches the entry as a refusal.
 	Serve(ctx context.Context, r ServeRequest, sink AnswerSink) error
 	// Load returns the current load, which is sent with each refusal.
 	Load() Load
