rpc: only a refusal says that a request did not run

What callers could see: the verdict not-run behind a part of an answer; for a call that may run at most once, a second run at another target, since an entry sends such a call again after not-run.

Cause: the verdict of an application's error was passed on as it was, also in the end of an answer that had begun, and the client accepted not-run in any message. No path of the agent is known to return it after the head.

Change: verdict.Error.AfterStart turns not-run into may-have-run. The server uses it for an error after the head, the client for each end with an error, since the process at the other side may have an older build.

Measured: TestErrorIsNotRefusal and the three refusals of TestSinkHoldsOneAnswer failed before with not-run and pass after.

--- a/internal/adapter/rpc/agent_client.go
+++ b/internal/adapter/rpc/agent_client.go
@@ -126,7 +126,7 @@
 		return errorFromPB(m.GetRefused())
 	case m.GetEnd().GetError() != nil:
 		a.awaitClose()
-		return errorFromPB(m.GetEnd().GetError())
+		return endError(m.GetEnd())
 	case m.GetHead() == nil:
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer does not start with a head")
 	}
@@ -134,6 +134,12 @@
 	return nil
 }
 
+// endError returns the error with which an answer ended. Only a refusal shows that the
+// request did not run.
+func endError(end *pb.End) *verdict.Error {
+	return errorFromPB(end.GetError()).AfterStart()
+}
+
 // Head implements port.Answer.
 func (a *answerStream) Head() port.AnswerHead { return a.head }
 
@@ -170,7 +176,7 @@
 	case end == nil:
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "unexpected message in the answer")
 	case end.GetError() != nil:
-		return nil, errorFromPB(end.GetError())
+		return nil, endError(end)
 	case end.GetFrames() != a.frames:
 		return nil, verdict.New(verdict.Ran, verdict.CodeBrokenAnswer,
 			"answer has %d frames, received %d", end.GetFrames(), a.frames)
--- a/internal/adapter/rpc/agent_server.go
+++ b/internal/adapter/rpc/agent_server.go
@@ -141,7 +141,7 @@
 	if e.Verdict == verdict.NotRun && s.progress.Refuse() == nil {
 		return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_Refused{Refused: errorToPB(e)}, Load: loadToPB(l)})
 	}
-	end := &pb.End{Frames: s.frames, Error: errorToPB(e)}
+	end := &pb.End{Frames: s.frames, Error: errorToPB(e.AfterStart())}
 	return s.sendLocked(&pb.ServeReply{Part: &pb.ServeReply_End{End: end}, Load: loadToPB(l)})
 }
 
--- a/internal/adapter/rpc/answer_test.go
+++ b/internal/adapter/rpc/answer_test.go
@@ -113,6 +113,7 @@
 // did not fit. The agents ignore the errors of the sink.
 func TestSinkHoldsOneAnswer(t *testing.T) {
 	head, other := port.AnswerHead{Version: "v"}, port.AnswerHead{Version: "w"}
+	notRun := verdict.New(verdict.NotRun, verdict.CodeTargetFull, "full")
 	for name, c := range map[string]struct {
 		serve func(s port.AnswerSink) error
 		body  string
@@ -126,7 +127,16 @@
 			_, _, _ = s.Data([]byte("one\n")), s.Head(head, port.Load{}), s.Data([]byte("two\n"))
 			return nil
 		}, "", verdict.CodeInternal},
-		"no answer": {func(port.AnswerSink) error { return nil }, "", verdict.CodeInternal},
+		"data before head, then a refusal": {func(s port.AnswerSink) error {
+			_ = s.Data([]byte("one\n"))
+			return notRun
+		}, "", verdict.CodeTargetFull},
+		"no answer":          {func(port.AnswerSink) error { return nil }, "", verdict.CodeInternal},
+		"refusal after head": {func(s port.AnswerSink) error { _ = s.Head(head, port.Load{}); return notRun }, "", verdict.CodeTargetFull},
+		"refusal after data": {func(s port.AnswerSink) error {
+			_, _ = s.Head(head, port.Load{}), s.Data([]byte("one\n"))
+			return notRun
+		}, "one\n", verdict.CodeTargetFull},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, addr, _ := serveAgent(t, sinkAgent{serve: c.serve})
@@ -139,3 +149,24 @@
 		})
 	}
 }
+
+// TestErrorIsNotRefusal guards against the verdict not-run for a request whose answer
+// has begun, or that ended with an error instead of a refusal: such a call may run
+// twice if it is sent again.
+func TestErrorIsNotRefusal(t *testing.T) {
+	end := endReply(&pb.End{Error: &pb.Error{Verdict: pb.Verdict_VERDICT_NOT_RUN, Code: "target_error"}})
+	for name, replies := range map[string][]*pb.ServeReply{
+		"before head": {end},
+		"after head":  {headReply(), end},
+		"after data":  {headReply(), dataReply(0, "one\n"), end},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := NewClient()
+			defer client.Close()
+			_, err := call(client, serveScript(t, replies...), "r")
+			if e := verdict.FromError(err); e.Verdict != verdict.MayHaveRun || e.Code != verdict.CodeTargetError {
+				t.Errorf("got %v, want target_error with may-have-run", err)
+			}
+		})
+	}
+}
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -118,6 +118,15 @@
 	return &c
 }
 
+// AfterStart returns e as the error of a request that a target has accepted, which
+// no later error can show as not run: NotRun becomes MayHaveRun.
+func (e *Error) AfterStart() *Error {
+	if e.Verdict != NotRun {
+		return e
+	}
+	return e.WithVerdict(MayHaveRun)
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.cause != nil {
--- a/internal/core/verdict/verdict_test.go
+++ b/internal/core/verdict/verdict_test.go
@@ -31,3 +31,13 @@
 		}
 	}
 }
+
+// TestAfterStart guards against the verdict not-run for a request whose answer has
+// begun, and against a weaker verdict for one that ran.
+func TestAfterStart(t *testing.T) {
+	for before, want := range map[Verdict]Verdict{NotRun: MayHaveRun, MayHaveRun: MayHaveRun, Ran: Ran} {
+		if got := New(before, CodeTargetError, "x").AfterStart(); got.Verdict != want || got.Code != CodeTargetError {
+			t.Errorf("%v became %v, want %v", before, got, want)
+		}
+	}
+}
--- a/internal/port/process.go
+++ b/internal/port/process.go
@@ -114,7 +114,8 @@
 type AgentHandler interface {
 	// Serve runs a request and writes its answer to sink. The answer is complete
 	// only if Serve returns nil. An error with the verdict NotRun that is returned
-	// before Head was called reaches the entry as a refusal.
+	// before Head was called reaches the entry as a refusal, and later as an error
+	// with the verdict MayHaveRun.
 	Serve(ctx context.Context, r ServeRequest, sink AnswerSink) error
 	// Load returns the current load, which is sent with each refusal.
 	Load() Load
