entry, agent: no error page or stored answer in a stream

What callers could see: a stream of a model with status 200 that is, or ends with, the body of an answer with another status or of a stored answer, and looks complete. No engine adapter of the product produces such a head.

Cause: the entry and the agent compared the request id and the version of a head, each with its own code, and ignored the status and the mark of stored answers.

Change: response.Source decides which answer may begin or continue a stream; both sides use it.

Measured: TestResumedAnswerIsOneAnswer (error status, replayed answer), TestModelAnswerIsNotStored and TestEngineHeadIsChecked (error status, stored answer) failed before with complete answers and pass after. The other cases of these tests, TestResumedStreamIsOneStream and TestServiceAnswerIsOfOneTarget passed before, too.

--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -199,15 +199,17 @@
 	return v.Verdict == verdict.MayHaveRun && v.Code != verdict.CodeTargetError
 }
 
-// checkHead rejects a response that belongs to another request or comes from
-// another version than the pinned one. No part of it reaches the entry.
+// checkHead rejects a response that belongs to another request, is not the stream of
+// one run, or comes from another version than the pinned one. No part of it reaches
+// the entry.
 func (s *servedRequest) checkHead(h port.AnswerHead) error {
-	if h.ID != s.req.ID {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "engine answered request %q", h.ID)
-	}
-	if h.Version != s.permit.Version() {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch,
-			"engine answered from version %q, pinned is %q", h.Version, s.permit.Version())
+	source := h.Source()
+	for _, err := range []*verdict.Error{
+		source.CheckRequest(s.req.ID), source.CheckStream(), source.CheckVersion(s.permit.Version()),
+	} {
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/internal/app/entry/answer.go
+++ b/internal/app/entry/answer.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -20,15 +19,17 @@
 	releasePermit func()
 }
 
-// prefetch checks that the answer belongs to the request and receives the first
-// piece.
+// prefetch checks that the answer belongs to the request and, for a group, is the
+// stream of one run, and receives the first piece.
 func (a *targetAnswer) prefetch(req *port.ServeRequest) error {
-	h := a.src.Head()
-	if h.ID != req.ID {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer belongs to request %q", h.ID)
+	source := a.src.Head().Source()
+	if err := source.CheckRequest(req.ID); err != nil {
+		return err
 	}
-	if req.Group != "" && h.Version == "" {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer does not name its version")
+	if req.Group != "" {
+		if err := source.CheckStream(); err != nil {
+			return err
+		}
 	}
 	a.firstPiece, a.firstErr = a.src.Next()
 	a.hasFirst = true
--- a/internal/app/entry/resume.go
+++ b/internal/app/entry/resume.go
@@ -83,9 +83,9 @@
 	if err != nil {
 		return err
 	}
-	if next.Head().Version != a.head.Version {
+	if err := next.Head().Source().CheckVersion(a.head.Version); err != nil {
 		_ = next.Close()
-		return verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch, "resumed by another version")
+		return err
 	}
 	next.releasePermit, a.targetAnswer = a.releasePermit, next
 	return nil
--- a/internal/port/target.go
+++ b/internal/port/target.go
@@ -6,6 +6,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/manifest"
+	"github.com/masticwing/masticwing/internal/core/response"
 )
 
 // Origin is the origin server of weights.
@@ -91,6 +92,11 @@
 	Replayed bool
 }
 
+// Source returns what the head states about the origin of the answer.
+func (h AnswerHead) Source() response.Source {
+	return response.Source{Request: h.ID, Version: h.Version, Status: h.Status, Replayed: h.Replayed}
+}
+
 // Answer streams an answer.
 type Answer interface {
 	// Head returns the metadata that preceded the data.
