entry: a failed answer stays failed

What callers could see: lines of a further target behind the error of a stream, from a reader that reads on after an error. The HTTP interface does not.

Cause: after a failed resume, the next call of Next read the lost target's error again and resumed once more.

Change: resumableAnswer keeps its final error.

Measured: TestAnswerStaysFailed failed before (1 request after the answer had failed) and passes after.

--- a/internal/app/entry/resume.go
+++ b/internal/app/entry/resume.go
@@ -27,6 +27,8 @@
 	lines       uint64
 	partialLine bool
 	resumes     int
+	// finalErr is the end or the error of the answer. Nothing follows it.
+	finalErr error
 }
 
 // Head implements port.Answer.
@@ -34,6 +36,15 @@
 
 // Next implements port.Answer.
 func (a *resumableAnswer) Next() ([]byte, error) {
+	if a.finalErr != nil {
+		return nil, a.finalErr
+	}
+	b, err := a.nextPiece()
+	a.finalErr = err
+	return b, err
+}
+
+func (a *resumableAnswer) nextPiece() ([]byte, error) {
 	for {
 		b, err := a.targetAnswer.Next()
 		if err == nil || port.AnswerEnded(err) {
--- a/internal/app/entry/resume_test.go
+++ b/internal/app/entry/resume_test.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/pkg/errors"
+
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -101,6 +103,29 @@
 	}
 }
 
+// TestAnswerStaysFailed guards against an answer that goes on after it has failed.
+func TestAnswerStaysFailed(t *testing.T) {
+	h := newHarness(t, "model", 3)
+	h.breakAfterFirst(failWith(verdict.MayHaveRun, verdict.CodeBadRequest))
+	a, err := h.entry.Serve(t.Context(), generateRequest(), func() error { return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Close() }()
+	for err == nil {
+		_, err = a.Next()
+	}
+	requests := h.requestCount()
+	for range 3 {
+		if b, again := a.Next(); len(b) > 0 || !errors.Is(again, err) {
+			t.Errorf("after %v: %q, %v", err, b, again)
+		}
+	}
+	if n := h.requestCount(); n != requests {
+		t.Errorf("%d requests after the answer had failed", n-requests)
+	}
+}
+
 // TestServiceAnswerIsOfOneTarget guards against an answer of a service that another
 // target continues, also with a stored answer to the same key.
 func TestServiceAnswerIsOfOneTarget(t *testing.T) {
