httpapi: an incomplete answer resets the connection of a caller with HTTP/1.0

What callers saw: over HTTP/1.0, the first part of a service's answer, ended like a complete one, after the target was lost, the handler had failed, or the entry had closed its connections at the end of a drain.

Cause: without the chunked encoding the end of the connection is the end of the body. And a response counted as complete unless abort was called.

Change: while a response to a caller with HTTP/1.0 is incomplete, its socket has a linger time of 0, so that any close resets the connection, also that of a killed process; the end of the response lifts this. The exchange uses core/response: serve closes the connection unless the response was refused or ended, an error is not written behind a head, and a last line that cannot be written leaves the response incomplete.

--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/response"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -14,17 +15,21 @@
 // codeOK is the value of the metric attribute "code" for requests without an error.
 const codeOK verdict.Code = "ok"
 
-// exchange is one HTTP request and its response.
+// exchange is one HTTP request and its response. Only a response that was refused or has
+// come to its end, as progress tells, is complete; the connection of any other is closed.
 type exchange struct {
-	api       *API
-	w         http.ResponseWriter
-	rc        *http.ResponseController
-	r         *port.ServeRequest
-	caller    *caller
-	start     time.Time
-	admitted  bool  // the customer is known and may be named in metrics
-	bodyBytes int64 // memory reserved for the body
-	frames    int
+	api      *API
+	w        http.ResponseWriter
+	rc       *http.ResponseController
+	r        *port.ServeRequest
+	caller   *caller
+	start    time.Time
+	progress response.Progress
+	// closeGuard is in use from the head of the response to its end.
+	closeGuard closeGuard
+	admitted   bool  // the customer is known and may be named in metrics
+	bodyBytes  int64 // memory reserved for the body
+	frames     int
 	// endsWithNewline is true if the last byte sent is a newline.
 	endsWithNewline bool
 }
@@ -32,8 +37,12 @@
 // interrupt unblocks a write to the caller, which then fails.
 func (x *exchange) interrupt() { _ = x.rc.SetWriteDeadline(time.Now()) }
 
-// failBeforeHead sends an error as the response.
+// failBeforeHead sends an error as the response, or aborts it if it has already begun.
 func (x *exchange) failBeforeHead(err error) {
+	if begun := x.progress.Refuse(); begun != nil {
+		x.abort(begun)
+		return
+	}
 	e := verdict.FromError(err)
 	x.recordEnd(e.Verdict, e.Code)
 	if x.caller != nil && x.caller.refusedForMemory {
@@ -63,7 +72,10 @@
 		x.failBeforeHead(err)
 		return
 	}
-	x.writeHead(a.Head())
+	if herr := x.writeHead(a.Head()); herr != nil {
+		x.abort(herr)
+		return
+	}
 	for err == nil {
 		if x.frames == 0 {
 			x.recordSeconds("masticwing_entry_first_byte_seconds")
@@ -82,7 +94,15 @@
 	x.writeEnd(a.Head())
 }
 
-func (x *exchange) writeHead(h port.AnswerHead) {
+func (x *exchange) writeHead(h port.AnswerHead) error {
+	if err := x.progress.Begin(); err != nil {
+		return err
+	}
+	if x.closeGuard.active() {
+		if err := x.closeGuard.begin(); err != nil {
+			return x.writeFailure(err)
+		}
+	}
 	out := x.w.Header()
 	out.Set("Trailer", headerVerdict)
 	out.Set(headerRequest, string(x.r.ID))
@@ -101,10 +121,14 @@
 		}
 	}
 	x.w.WriteHeader(status)
+	return nil
 }
 
 // sendFrame writes one frame and returns once it is in the socket buffer.
 func (x *exchange) sendFrame(ctx context.Context, frame []byte) error {
+	if err := x.progress.Continue(); err != nil {
+		return err
+	}
 	if len(frame) == 0 {
 		return nil
 	}
@@ -129,12 +153,12 @@
 	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCanceled, "caller left")
 }
 
-// abort closes the connection in the middle of the response. No error can be sent,
-// since a part of a frame may have been written.
+// abort makes serve close the connection in the middle of the response. No error can be
+// sent, since a part of a frame may have been written.
 func (x *exchange) abort(err error) {
 	e := verdict.FromError(err)
 	x.recordEnd(e.Verdict, e.Code)
-	panic(http.ErrAbortHandler)
+	x.progress.Abort()
 }
 
 // failAfterHead ends a response after its head was sent. The answer of a group ends
@@ -143,10 +167,10 @@
 func (x *exchange) failAfterHead(e *verdict.Error) {
 	if x.r.Group == "" {
 		x.abort(e)
+		return
 	}
 	x.recordEnd(e.Verdict, e.Code)
-	x.writeLastLine(errorJSON(e, x.r.ID))
-	x.w.Header().Set(headerVerdict, e.Verdict.String())
+	x.end(e.Verdict, errorJSON(e, x.r.ID))
 }
 
 type endBody struct {
@@ -160,22 +184,40 @@
 	RequestID fleet.RequestID `json:"request_id"`
 }
 
+// writeEnd ends a complete answer, that of a group with an end line.
 func (x *exchange) writeEnd(h port.AnswerHead) {
-	x.recordEnd(verdict.Ran, codeOK)
+	var line []byte
 	if x.r.Group != "" {
 		b, err := json.Marshal(endBody{endDetail{verdict.Ran.String(), h.Version, x.frames, x.r.ID}})
-		if err == nil {
-			x.writeLastLine(append(b, '\n'))
+		if err != nil {
+			x.abort(verdict.Wrap(err, verdict.Ran, verdict.CodeInternal, "encoding the end of the answer"))
+			return
 		}
+		line = append(b, '\n')
+	}
+	x.recordEnd(verdict.Ran, codeOK)
+	x.end(verdict.Ran, line)
+}
+
+// end completes the response with its last line, which is empty for a service, and its
+// trailer. If the line cannot be written, the response stays incomplete.
+func (x *exchange) end(v verdict.Verdict, lastLine []byte) {
+	if x.writeLastLine(lastLine) != nil {
+		return
+	}
+	x.w.Header().Set(headerVerdict, v.String())
+	if x.closeGuard.active() && (x.rc.Flush() != nil || x.closeGuard.end() != nil) {
+		return
 	}
-	x.w.Header().Set(headerVerdict, verdict.Ran.String())
+	_ = x.progress.End()
 }
 
 // writeLastLine writes the last line of a stream, after a newline if the previous
 // frame did not end with one.
-func (x *exchange) writeLastLine(b []byte) {
-	if x.frames > 0 && !x.endsWithNewline {
-		_, _ = x.w.Write([]byte{'\n'})
+func (x *exchange) writeLastLine(b []byte) error {
+	if len(b) > 0 && x.frames > 0 && !x.endsWithNewline {
+		b = append([]byte{'\n'}, b...)
 	}
-	_, _ = x.w.Write(b)
+	_, err := x.w.Write(b)
+	return err
 }
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -86,19 +86,12 @@
 		WriteTimeout:      MaxTimeout + bodyTimeout + writeGrace,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       limitWriteBuffer,
+		ConnContext:       withConn,
 		ConnState:         a.connTracker.onStateChange,
 	}
 	return a
 }
 
-func limitWriteBuffer(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetWriteBuffer(socketBufferBytes)
-	}
-	return ctx
-}
-
 // Serve accepts connections until Close. It must be called once.
 func (a *API) Serve(lis net.Listener) error {
 	defer close(a.served)
@@ -221,10 +214,21 @@
 	}
 }
 
-// serve handles one request that the gate has admitted.
+// serve handles one request that the gate has admitted. It closes the connection unless
+// the response is complete.
 func (a *API) serve(w http.ResponseWriter, hr *http.Request, r *port.ServeRequest) {
-	start := time.Now()
-	x := &exchange{api: a, w: w, rc: http.NewResponseController(w), r: r, start: start}
+	x := &exchange{
+		api: a, w: w, rc: http.NewResponseController(w), r: r, start: time.Now(), closeGuard: newCloseGuard(hr),
+	}
+	x.respond(hr)
+	if !x.progress.Complete() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// respond sends the response to the request.
+func (x *exchange) respond(hr *http.Request) {
+	a, r, start := x.api, x.r, x.start
 	b, err := a.admit(hr.Header, r)
 	if err != nil {
 		x.failBeforeHead(err)
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -394,3 +394,152 @@
 		t.Errorf("%d answers to one request:\n%s", n, all)
 	}
 }
+
+// exchangeRaw sends a request of the protocol version and returns everything that the
+// entry sends on the connection.
+func exchangeRaw(t *testing.T, addr, path, protocol string) (string, error) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	_, err = fmt.Fprintf(c, "POST %s %s\r\nHost: x\r\nConnection: close\r\n%s: resort\r\nContent-Length: 2\r\n\r\n{}",
+		path, protocol, headerCustomer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, err := io.ReadAll(c)
+	return string(all), err
+}
+
+// TestIncompleteAnswerIsMarked guards against an incomplete answer that a caller takes
+// for a complete one. For a caller with HTTP/1.0 the end of the connection is the end of
+// the body, so only a reset connection tells that a service's answer is incomplete.
+func TestIncompleteAnswerIsMarked(t *testing.T) {
+	lostError := verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "gone")
+	var closed atomic.Int32
+	panicking := &fakeBackend{serve: func(context.Context, port.ServeRequest) (port.Answer, error) {
+		return &fakeAnswer{head: port.AnswerHead{Version: "v1"}, closed: &closed, next: func(i int) ([]byte, error) {
+			if i == 0 {
+				return []byte("one\n"), nil
+			}
+			panic(http.ErrAbortHandler)
+		}}, nil
+	}}
+	const chunkedEnd = "\r\n0\r\n"
+	for name, c := range map[string]struct {
+		backend  *fakeBackend
+		path     string
+		protocol string
+		complete bool
+		end      string // in the part that was received
+	}{
+		"group, complete":               {backend(&closed, io.EOF, "one\n"), groupPath, "HTTP/1.0", true, "{\"end\":"},
+		"group, failed":                 {backend(&closed, lostError, "one\n"), groupPath, "HTTP/1.0", true, "{\"error\":"},
+		"group, failed in a line":       {backend(&closed, lostError, "on"), groupPath, "HTTP/1.0", true, "on\n{\"error\":"},
+		"group, handler failed":         {panicking, groupPath, "HTTP/1.0", false, ""},
+		"service, complete":             {backend(&closed, io.EOF, "one\n"), servicePath, "HTTP/1.0", true, "one\n"},
+		"service, failed":               {backend(&closed, lostError, "one\n"), servicePath, "HTTP/1.0", false, ""},
+		"service, handler failed":       {panicking, servicePath, "HTTP/1.0", false, ""},
+		"service, failed, chunked":      {backend(&closed, lostError, "one\n"), servicePath, "HTTP/1.1", true, "one\n"},
+		"service, complete, chunked":    {backend(&closed, io.EOF, "one\n"), servicePath, "HTTP/1.1", true, chunkedEnd},
+		"service, failed before a byte": {backend(&closed, lostError), servicePath, "HTTP/1.0", true, "target_lost"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, addr := listen(t, defaultConfig, c.backend)
+			got, err := exchangeRaw(t, addr, c.path, c.protocol)
+			if (err == nil) != c.complete || !strings.Contains(got, c.end) {
+				t.Errorf("received %q, %v; want a regular end: %v, with %q", got, err, c.complete, c.end)
+			}
+			if strings.Contains(name, "failed, chunked") && strings.Contains(got, chunkedEnd) {
+				t.Errorf("the end of the body was sent: %q", got)
+			}
+		})
+	}
+}
+
+// TestFailedWriteEndsAnswer guards against an answer that is read on, and so continued at
+// another target, after a write to its caller has failed.
+func TestFailedWriteEndsAnswer(t *testing.T) {
+	var closed, readAfterFailure atomic.Int32
+	failed := make(chan struct{})
+	frame := []byte(strings.Repeat("x", 2047) + "\n")
+	var api *API
+	b := &fakeBackend{serve: func(context.Context, port.ServeRequest) (port.Answer, error) {
+		return &fakeAnswer{closed: &closed, next: func(int) ([]byte, error) {
+			select {
+			case <-failed:
+				readAfterFailure.Add(1)
+			default:
+			}
+			return frame, nil
+		}}, nil
+	}}
+	api, addr := listen(t, defaultConfig, b)
+	inner := api.server.Handler
+	api.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		inner.ServeHTTP(&failingWriter{ResponseWriter: w, failAt: 3, failed: failed}, r)
+	})
+	c := sendRequest(t, addr)
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	all, _ := io.ReadAll(c)
+	waitUntil(t, "the answer is closed", func() bool { return closed.Load() == 1 })
+	if n := readAfterFailure.Load(); n != 0 {
+		t.Errorf("%d frames read after the failed write", n)
+	}
+	if n := strings.Count(string(all), "x\n"); n > 2 || strings.Contains(string(all), "\r\n0\r\n") {
+		t.Errorf("%d frames received, and %d bytes with a regular end", n, len(all))
+	}
+}
+
+// failingWriter fails only the write with the number failAt, like a connection that takes
+// data again afterwards.
+type failingWriter struct {
+	http.ResponseWriter
+	writes, failAt int
+	failed         chan struct{}
+}
+
+// Write implements http.ResponseWriter.
+func (w *failingWriter) Write(b []byte) (int, error) {
+	if w.writes++; w.writes == w.failAt {
+		close(w.failed)
+		return 0, io.ErrShortWrite
+	}
+	return w.ResponseWriter.Write(b)
+}
+
+// Unwrap is used by http.ResponseController.
+func (w *failingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// TestClosedServerMarksIncompleteAnswer guards against an answer of a service that a caller
+// with HTTP/1.0 takes for complete because the entry has closed its connections, as at the
+// end of a drain or of the process.
+func TestClosedServerMarksIncompleteAnswer(t *testing.T) {
+	var closed atomic.Int32
+	sent, release := make(chan struct{}), make(chan struct{})
+	b := &fakeBackend{serve: func(context.Context, port.ServeRequest) (port.Answer, error) {
+		return &fakeAnswer{head: port.AnswerHead{Status: 200}, closed: &closed, next: func(i int) ([]byte, error) {
+			if i == 0 {
+				return []byte("one\n"), nil
+			}
+			close(sent)
+			<-release
+			return nil, io.EOF
+		}}, nil
+	}}
+	api, addr := listen(t, defaultConfig, b)
+	var wg conc.WaitGroup
+	var got string
+	var err error
+	wg.Go(func() { got, err = exchangeRaw(t, addr, servicePath, "HTTP/1.0") })
+	<-sent
+	_ = api.server.Close()
+	wg.Wait()
+	close(release)
+	if err == nil {
+		t.Errorf("the connection was closed regularly after %q", got)
+	}
+}
