agent: a call whose answer has begun is never recorded as not run

What callers could see: a second run of a call that may run at most once, and the verdict not-run for the first one. No adapter of a target is known to end an answer with this verdict.

Cause: an error with the verdict not-run in the middle of a target's answer was taken for a refusal, so the ledger released the key.

Change: startedAnswer turns not-run into may-have-run for all errors behind the head of a target.

--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -185,7 +185,20 @@
 	if err := s.checkHead(ans.Head()); err != nil {
 		return err
 	}
-	return s.forwardResponse(ctx, ans, func() { engineReq.Resume++ })
+	return s.forwardResponse(ctx, startedAnswer{ans}, func() { engineReq.Resume++ })
+}
+
+// startedAnswer is the answer of a target that has accepted the request: its errors
+// never say that the request did not run.
+type startedAnswer struct{ port.Answer }
+
+// Next implements port.Answer.
+func (a startedAnswer) Next() ([]byte, error) {
+	b, err := a.Answer.Next()
+	if err == nil || port.AnswerEnded(err) {
+		return b, err
+	}
+	return nil, verdict.FromError(err).AfterStart()
 }
 
 // mayStillRun reports whether the engine may still be working on a request that
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -42,7 +42,7 @@
 
 func (s *servedRequest) callTarget(ctx context.Context) (port.Answer, error) {
 	s.sentAt = s.a.deps.Clock.Now()
-	return s.a.deps.Service.Call(ctx, port.ServiceRequest{
+	ans, err := s.a.deps.Service.Call(ctx, port.ServiceRequest{
 		ID:             s.req.ID,
 		Service:        s.req.Service,
 		Call:           s.req.Call,
@@ -51,6 +51,10 @@
 		ContentType:    s.req.ContentType,
 		IdempotencyKey: s.req.IdempotencyKey,
 	})
+	if err != nil {
+		return nil, err
+	}
+	return startedAnswer{ans}, nil
 }
 
 // handleCallError resets admission to the cold limit if the connection was lost
