entry: failing test of a resumed answer that starts at another line

Cause: neither the head nor the frames of an answer say at which line it starts, so the entry cannot check it.

--- a/internal/app/entry/resume_test.go
+++ b/internal/app/entry/resume_test.go
@@ -140,3 +140,22 @@
 		}
 	}
 }
+
+// TestResumedAnswerStartsAtRequestedLine guards against repeated or missing lines in an
+// answer whose second target does not start at the requested line.
+func TestResumedAnswerStartsAtRequestedLine(t *testing.T) {
+	for name, lines := range map[string][]string{
+		"starts again":    {"0\n", "1\n", "2\n"},
+		"starts too late": {"3\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "model", 2)
+			h.breakAfterFirst(func(_ context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+				return send(sink, port.AnswerHead{ID: r.ID, Version: currentVersion, Status: 200}, nil, lines...)
+			})
+			if got, err := h.serveAndRead(generateRequest()); got != "0\n1\n" || err == nil {
+				t.Errorf("got %q, %v; want the lines of the first target and an error", got, err)
+			}
+		})
+	}
+}
