--- a/internal/adapter/rpc/agent_client.go
+++ b/internal/adapter/rpc/agent_client.go
@@ -70,6 +70,10 @@
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeDeadline, "deadline passed")
 	case cause != nil:
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeCanceled, "request canceled")
+	case errors.Is(err, io.EOF):
+		// The agent has closed the stream without the end of the answer. io.EOF in the
+		// chain of the error would stand for a complete answer.
+		return verdict.Wrap(io.ErrUnexpectedEOF, verdict.MayHaveRun, verdict.CodeTargetLost, "agent closed the stream")
 	default:
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTargetLost, "connection to the agent lost")
 	}
@@ -122,7 +126,7 @@
 		return errorFromPB(m.GetRefused())
 	case m.GetEnd().GetError() != nil:
 		a.awaitClose()
-		return errorFromPB(m.GetEnd().GetError())
+		return endError(m.GetEnd())
 	case m.GetHead() == nil:
 		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "answer does not start with a head")
 	}
@@ -130,6 +134,12 @@
 	return nil
 }
 
+// endError returns the error with which an answer ended. Only a refusal shows that the
+// request did not run.
+func endError(end *pb.End) *verdict.Error {
+	return errorFromPB(end.GetError()).AfterStart()
+}
+
 // Head implements port.Answer.
 func (a *answerStream) Head() port.AnswerHead { return a.head }
 
@@ -166,7 +176,7 @@
 	case end == nil:
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "unexpected message in the answer")
 	case end.GetError() != nil:
-		return nil, errorFromPB(end.GetError())
+		return nil, endError(end)
 	case end.GetFrames() != a.frames:
 		return nil, verdict.New(verdict.Ran, verdict.CodeBrokenAnswer,
 			"answer has %d frames, received %d", end.GetFrames(), a.frames)
@@ -178,7 +188,7 @@
 
 // Close implements port.Answer.
 func (a *answerStream) Close() error {
-	if errors.Is(a.finalErr, io.EOF) {
+	if port.AnswerEnded(a.finalErr) {
 		err := a.stream.Close()
 		a.watchdog.close()
 		return err
--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -186,7 +185,20 @@
 	if err := s.checkHead(ans.Head()); err != nil {
 		return err
 	}
-	return s.forwardResponse(ctx, ans, func() { engineReq.Resume++ })
+	return s.forwardResponse(ctx, startedAnswer{ans}, func() { engineReq.Resume++ })
+}
+
+// startedAnswer is the answer of a target that has accepted the request: its errors
+// never say that the request did not run.
+type startedAnswer struct{ port.Answer }
+
+// Next implements port.Answer.
+func (a startedAnswer) Next() ([]byte, error) {
+	b, err := a.Answer.Next()
+	if err == nil || port.AnswerEnded(err) {
+		return b, err
+	}
+	return nil, verdict.FromError(err).AfterStart()
 }
 
 // mayStillRun reports whether the engine may still be working on a request that
@@ -200,15 +212,17 @@
 	return v.Verdict == verdict.MayHaveRun && v.Code != verdict.CodeTargetError
 }
 
-// checkHead rejects a response that belongs to another request or comes from
-// another version than the pinned one. No part of it reaches the entry.
+// checkHead rejects a response that belongs to another request, is not the stream of
+// one run, or comes from another version than the pinned one. No part of it reaches
+// the entry.
 func (s *servedRequest) checkHead(h port.AnswerHead) error {
-	if h.ID != s.req.ID {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "engine answered request %q", h.ID)
-	}
-	if h.Version != s.permit.Version() {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch,
-			"engine answered from version %q, pinned is %q", h.Version, s.permit.Version())
+	source := h.Source()
+	for _, err := range []*verdict.Error{
+		source.CheckRequest(s.req.ID), source.CheckStream(), source.CheckVersion(s.permit.Version()),
+	} {
+		if err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -224,7 +238,7 @@
 	}
 	for {
 		b, err := ans.Next()
-		if errors.Is(err, io.EOF) {
+		if port.AnswerEnded(err) {
 			return nil
 		}
 		if err != nil {
--- a/internal/app/agent/service.go
+++ b/internal/app/agent/service.go
@@ -4,9 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
-	"io"
-
-	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -45,7 +42,7 @@
 
 func (s *servedRequest) callTarget(ctx context.Context) (port.Answer, error) {
 	s.sentAt = s.a.deps.Clock.Now()
-	return s.a.deps.Service.Call(ctx, port.ServiceRequest{
+	ans, err := s.a.deps.Service.Call(ctx, port.ServiceRequest{
 		ID:             s.req.ID,
 		Service:        s.req.Service,
 		Call:           s.req.Call,
@@ -54,6 +51,10 @@
 		ContentType:    s.req.ContentType,
 		IdempotencyKey: s.req.IdempotencyKey,
 	})
+	if err != nil {
+		return nil, err
+	}
+	return startedAnswer{ans}, nil
 }
 
 // handleCallError resets admission to the cold limit if the connection was lost
@@ -184,7 +185,7 @@
 func readStorable(ans port.Answer) (buffered []byte, complete bool, err error) {
 	for len(buffered) <= maxStoredBodyBytes {
 		b, err := ans.Next()
-		if errors.Is(err, io.EOF) {
+		if port.AnswerEnded(err) {
 			return buffered, true, nil
 		}
 		if err != nil {
@@ -204,7 +205,7 @@
 	}
 	for !complete {
 		b, err := ans.Next()
-		if errors.Is(err, io.EOF) {
+		if port.AnswerEnded(err) {
 			break
 		}
 		if err != nil {
--- a/internal/app/entry/resume.go
+++ b/internal/app/entry/resume.go
@@ -3,9 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
-
-	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routing"
@@ -30,6 +27,8 @@
 	lines       uint64
 	partialLine bool
 	resumes     int
+	// finalErr is the end or the error of the answer. Nothing follows it.
+	finalErr error
 }
 
 // Head implements port.Answer.
@@ -37,9 +36,18 @@
 
 // Next implements port.Answer.
 func (a *resumableAnswer) Next() ([]byte, error) {
+	if a.finalErr != nil {
+		return nil, a.finalErr
+	}
+	b, err := a.nextPiece()
+	a.finalErr = err
+	return b, err
+}
+
+func (a *resumableAnswer) nextPiece() ([]byte, error) {
 	for {
 		b, err := a.targetAnswer.Next()
-		if err == nil || errors.Is(err, io.EOF) {
+		if err == nil || port.AnswerEnded(err) {
 			a.countLines(b)
 			return b, err
 		}
@@ -86,9 +94,9 @@
 	if err != nil {
 		return err
 	}
-	if next.Head().Version != a.head.Version {
+	if err := next.Head().Source().CheckVersion(a.head.Version); err != nil {
 		_ = next.Close()
-		return verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch, "resumed by another version")
+		return err
 	}
 	next.releasePermit, a.targetAnswer = a.releasePermit, next
 	return nil
