targetconn: bound the head of a response

Bytes that are not a response were reported as a lost connection, with an error text that quotes all of them in the log. A status below 100, such as "+12", was passed on, for which net/http's server panics.

Cause: http.ReadResponse has no limit of its own, and nothing beneath it had one.

Change: the connection counts the bytes that are read for a head and fails after 16 KiB, beneath the buffer. The count is lifted for the body; a read allocates nothing.

--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,11 +38,27 @@
 	// request. Those to earlier requests are skipped.
 	maxResponsesRead = 3
 	bufferBytes      = 2 << 10
+	// maxHeadBytes limits the head of a response. Those of targets have a few hundred
+	// bytes; http.ReadResponse has no limit of its own.
+	maxHeadBytes = 16 << 10
+	// maxErrorBytes limits the text of an error, since those of net/http quote what
+	// the target sent.
+	maxErrorBytes = 200
+	// minStatus is the lowest status of a response. net/http reads lower ones, such as
+	// "000", but its server panics when it is to send them.
+	minStatus = 100
 )
 
 // ErrNotSent means that no part of the request was sent.
 var ErrNotSent = errors.New("no part of the request was sent")
 
+// ErrMalformedResponse means that the target sent bytes that are not a response to the
+// request, or exceed the limits of this package. The request may have run.
+var ErrMalformedResponse = errors.New("target sent no well-formed response")
+
+// errHeadTooLong ends a head that exceeds its limit.
+var errHeadTooLong = malformed(errors.Errorf("head of a response is longer than %d bytes", maxHeadBytes))
+
 // Pool sends requests and keeps idle connections by address.
 type Pool struct {
 	idle *shard.Map[fleet.Address, []*conn]
@@ -55,9 +72,19 @@
 // New returns a pool without connections.
 func New() *Pool { return &Pool{idle: shard.New[fleet.Address, []*conn](0)} }
 
+// conn is a connection to a target. It limits the bytes that are read for a part of a
+// response, beneath the buffer, so that no line or field is held before it is limited.
 type conn struct {
 	net.Conn
-	r         *bufio.Reader
+	r *bufio.Reader
+	// quota is the number of bytes that Read may still return before it fails with
+	// quotaErr. The buffer may hold bytes of the next part, so that a part can be
+	// longer than its limit by up to bufferBytes.
+	quota    int64
+	quotaErr error
+	// readErr is the last error of Read. It distinguishes a lost connection from bytes
+	// that are not a response.
+	readErr   error
 	expiresAt time.Time
 	// stopCancel unregisters the function that aborts the connection at the end of ctx.
 	stopCancel func() bool
@@ -81,7 +108,7 @@
 		return nil, errors.Wrap(err, "sending request")
 	}
 	for range maxResponsesRead {
-		res, err := http.ReadResponse(c.r, req)
+		res, err := c.readHead(req)
 		if err != nil {
 			c.discard()
 			return nil, errors.Wrap(err, "reading response")
@@ -119,7 +146,69 @@
 		p.OnOpen()
 	}
 	setUserTimeout(nc)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes)}, nil
+	c := &conn{Conn: nc}
+	c.r = bufio.NewReaderSize(c, bufferBytes)
+	return c, nil
+}
+
+// Read implements io.Reader within the quota. The bufio.Reader may report a line that
+// ends with an error as a complete one, so an exceeded quota stays exceeded.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.quota <= 0 {
+		c.readErr = c.quotaErr
+		return 0, c.readErr
+	}
+	if int64(len(b)) > c.quota {
+		b = b[:c.quota]
+	}
+	n, err := c.Conn.Read(b)
+	c.quota -= int64(n)
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err
+}
+
+// readHead reads the head of the next response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.quota, c.quotaErr = maxHeadBytes, errHeadTooLong
+	res, err := http.ReadResponse(c.r, req)
+	if err != nil {
+		return nil, c.responseError(err)
+	}
+	if res.StatusCode < minStatus {
+		return nil, malformed(errors.Errorf("response has the status %d", res.StatusCode))
+	}
+	c.quota = math.MaxInt64
+	return res, nil
+}
+
+// responseError returns the cause of an error of net/http while it read a response:
+// that of the connection if there is one, and otherwise the bytes received.
+func (c *conn) responseError(err error) error {
+	switch {
+	case c.readErr == nil:
+		return malformed(err)
+	case c.readErr == io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return c.readErr
+	}
+}
+
+// malformedError is an error that matches ErrMalformedResponse.
+type malformedError struct{ error }
+
+// Is implements the interface of errors.Is.
+func (malformedError) Is(target error) bool { return target == ErrMalformedResponse }
+
+// malformed returns an error that matches ErrMalformedResponse, with a bounded text.
+func malformed(err error) error {
+	text := err.Error()
+	if len(text) > maxErrorBytes {
+		text = text[:maxErrorBytes] + "..."
+	}
+	return malformedError{errors.New(text)}
 }
 
 // notSentError is an error that matches ErrNotSent.
