targetconn: skip interim responses

What callers could get: an interim response (1xx) of a target as the response to the request, and the response itself left on a pooled connection.

Cause: http.ReadResponse returns an interim response like any other, and its caller took it for the response.

Change: interim responses are skipped, at most 5 before a response, each within the bound of a head. 101 is an error, since no request asks for another protocol.

--- a/internal/adapter/targetconn/endless_test.go
+++ b/internal/adapter/targetconn/endless_test.go
@@ -159,6 +159,50 @@
 	}
 }
 
+// TestInterimResponsesAreSkipped guards against an interim response that is returned
+// as the response to the request.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	for _, interim := range []string{
+		"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 102 Processing\r\nRequest-Id: 1\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nRequest-Id: 1\r\nLink: </a>\r\n\r\n",
+		"HTTP/1.1 199 Other\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\n",
+		"HTTP/1.1 102 Processing\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+	} {
+		addr := startTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			for {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, interim+interim+response("1", "ok"))
+			}
+		})
+		p := newPool()
+		for range 2 {
+			if body, err := get(context.Background(), p, addr, "1"); err != nil || body != "ok" {
+				t.Errorf("%q: %q, %v", interim, body, err)
+			}
+		}
+	}
+}
+
+// TestSwitchedProtocol guards against a switch to another protocol, which no request
+// asks for, being returned as a response.
+func TestSwitchedProtocol(t *testing.T) {
+	checkFlood(t, "HTTP/1.1 101 Switching Protocols\r\nRequest-Id: 1\r\nUpgrade: x\r\n\r\n", "x", maxHeadBytes)
+}
+
+// TestInterimResponsesAreBounded guards against interim responses without end, and
+// against one whose head has no end.
+func TestInterimResponsesAreBounded(t *testing.T) {
+	one := "HTTP/1.1 102 Processing\r\nRequest-Id: 1\r\n"
+	for name, c := range map[string]struct{ begin, piece string }{
+		"many": {"", one + "\r\n"}, "long": {one + "\r\n" + one, "A: b\r\n"},
+		"chunked": {"", one + "Transfer-Encoding: chunked\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) { checkFlood(t, c.begin, c.piece, (maxInterimResponses+1)*maxHeadBytes) })
+	}
+}
+
 // endlessConn is a connection without end.
 type endlessConn struct{ net.Conn }
 
--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -41,6 +41,9 @@
 	// maxHeadBytes limits the head of a response. Those of targets have a few hundred
 	// bytes; http.ReadResponse has no limit of its own.
 	maxHeadBytes = 16 << 10
+	// maxInterimResponses limits the interim responses (1xx) that are skipped before a
+	// response. Servers send few of them; net/http's client had the same limit.
+	maxInterimResponses = 5
 	// maxErrorBytes limits the text of an error, since those of net/http quote what
 	// the target sent.
 	maxErrorBytes = 200
@@ -169,18 +172,24 @@
 	return n, err
 }
 
-// readHead reads the head of the next response.
+// readHead reads the head of the next response. It skips interim responses, which have
+// no body.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.quota, c.quotaErr = maxHeadBytes, errHeadTooLong
-	res, err := http.ReadResponse(c.r, req)
-	if err != nil {
-		return nil, c.responseError(err)
-	}
-	if res.StatusCode < minStatus {
-		return nil, malformed(errors.Errorf("response has the status %d", res.StatusCode))
+	for range maxInterimResponses + 1 {
+		c.quota, c.quotaErr = maxHeadBytes, errHeadTooLong
+		res, err := http.ReadResponse(c.r, req)
+		switch {
+		case err != nil:
+			return nil, c.responseError(err)
+		case res.StatusCode < minStatus || res.StatusCode == http.StatusSwitchingProtocols:
+			// No request asks for another protocol.
+			return nil, malformed(errors.Errorf("response has the status %d", res.StatusCode))
+		case res.StatusCode >= http.StatusOK:
+			c.quota = math.MaxInt64
+			return res, nil
+		}
 	}
-	c.quota = math.MaxInt64
-	return res, nil
+	return nil, malformed(errors.Errorf("more than %d interim responses", maxInterimResponses))
 }
 
 // responseError returns the cause of an error of net/http while it read a response:
