targetconn: bound responses to other requests

What callers saw: a request that waits until its deadline while a response to another request is read that has no end.

Cause: the body of a response that does not match the request was discarded without a limit, and its error was replaced by a text that counts as a lost connection.

Change: at most 1 MiB of each such body is read, with the bytes of its encoding; that is what the gateway accepts of a plain response. A longer body, malformed chunks and too many such responses match ErrMalformedResponse. The response to the request is not counted.

--- a/internal/adapter/targetconn/endless_test.go
+++ b/internal/adapter/targetconn/endless_test.go
@@ -203,6 +203,35 @@
 	}
 }
 
+// TestSkippedResponsesAreBounded guards against a response to another request that
+// has no end, which was read until the deadline.
+func TestSkippedResponsesAreBounded(t *testing.T) {
+	other := "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n"
+	for name, c := range map[string]struct{ begin, piece string }{
+		"length":     {other + "Content-Length: 99999999999\r\n\r\n", "x"},
+		"chunks":     {other + "Transfer-Encoding: chunked\r\n\r\n", "5\r\nhello\r\n"},
+		"connection": {other + "\r\n", "x"},
+		"many":       {"", other + "Content-Length: 2\r\n\r\nok"},
+		"trailer":    {other + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) { checkFlood(t, c.begin, c.piece, maxSkippedBytes+maxResponsesRead*maxHeadBytes) })
+	}
+}
+
+// TestLongResponseAfterSkippedOne guards against a bound on skipped responses that cuts
+// off the response of the request itself.
+func TestLongResponseAfterSkippedOne(t *testing.T) {
+	body := strings.Repeat("y", 2*maxSkippedBytes)
+	addr := startTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_, _ = http.ReadRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nConnection: close\r\n\r\n"+body)
+	})
+	if got, err := get(context.Background(), newPool(), addr, "1"); err != nil || got != body {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
+
 // endlessConn is a connection without end.
 type endlessConn struct{ net.Conn }
 
--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -37,7 +37,10 @@
 	// maxResponsesRead limits the responses that are read to find that of the
 	// request. Those to earlier requests are skipped.
 	maxResponsesRead = 3
-	bufferBytes      = 2 << 10
+	// maxSkippedBytes limits the body of such a response, with the bytes of its
+	// encoding. The gateway accepts plain responses of up to 1 MiB.
+	maxSkippedBytes = 1 << 20
+	bufferBytes     = 2 << 10
 	// maxHeadBytes limits the head of a response. Those of targets have a few hundred
 	// bytes; http.ReadResponse has no limit of its own.
 	maxHeadBytes = 16 << 10
@@ -62,6 +65,9 @@
 // errHeadTooLong ends a head that exceeds its limit.
 var errHeadTooLong = malformed(errors.Errorf("head of a response is longer than %d bytes", maxHeadBytes))
 
+// errSkippedTooLong ends a skipped response that exceeds its limit.
+var errSkippedTooLong = malformed(errors.Errorf("response to another request is longer than %d bytes", maxSkippedBytes))
+
 // Pool sends requests and keeps idle connections by address.
 type Pool struct {
 	idle *shard.Map[fleet.Address, []*conn]
@@ -110,22 +116,13 @@
 		c.discard()
 		return nil, errors.Wrap(err, "sending request")
 	}
-	for range maxResponsesRead {
-		res, err := c.readHead(req)
-		if err != nil {
-			c.discard()
-			return nil, errors.Wrap(err, "reading response")
-		}
-		if p.MatchesRequest == nil || p.MatchesRequest(req, res) {
-			res.Body = &responseBody{ReadCloser: res.Body, p: p, c: c, addr: addr, res: res}
-			return res, nil
-		}
-		if _, err = io.Copy(io.Discard, res.Body); err != nil {
-			break
-		}
+	res, err := c.readResponse(req, p.MatchesRequest)
+	if err != nil {
+		c.discard()
+		return nil, errors.Wrap(err, "reading response")
 	}
-	c.discard()
-	return nil, errors.New("responses belong to other requests")
+	res.Body = &responseBody{ReadCloser: res.Body, p: p, c: c, addr: addr, res: res}
+	return res, nil
 }
 
 // acquire returns a usable idle connection, or opens one.
@@ -172,6 +169,25 @@
 	return n, err
 }
 
+// readResponse reads the head of the response to req. It skips responses that do not
+// match, unless matches is nil.
+func (c *conn) readResponse(req *http.Request, matches func(*http.Request, *http.Response) bool) (*http.Response, error) {
+	for range maxResponsesRead {
+		res, err := c.readHead(req)
+		if err != nil {
+			return nil, err
+		}
+		if matches == nil || matches(req, res) {
+			return res, nil
+		}
+		c.quota, c.quotaErr = maxSkippedBytes, errSkippedTooLong
+		if _, err = io.Copy(io.Discard, res.Body); err != nil {
+			return nil, c.responseError(err)
+		}
+	}
+	return nil, malformed(errors.Errorf("%d responses to other requests", maxResponsesRead))
+}
+
 // readHead reads the head of the next response. It skips interim responses, which have
 // no body.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
