platform: a refusal does not wait for its body

What callers saw: a request that waits until its deadline at a target that has refused it, since the body of the refusal trickles or stays away; it was not sent to another target.

Cause: up to 64 KiB of the body were read before the refusal was returned, so that the connection can be used again, with no limit in time.

Change: targetconn.Drain reads the rest of a response within a limit of bytes and time and closes the connection if the body does not end within both. The body of a connection that closes anyway is not read.

Measured, with a deadline of 1 s: before, 8 of the 10 cases of TestRefusalDoesNotWaitForItsBody failed ("the refusal took 1.000651158s"); the two of a fast body without end passed. All pass after, in 0.01 s to 0.04 s each (5 runs with -race). TestRefusalKeepsConnection passed before and passes after; it fails if the time limit stays on the connection.

--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -68,6 +68,9 @@
 // errSkippedTooLong ends a skipped response that exceeds its limit.
 var errSkippedTooLong = malformed(errors.Errorf("response to another request is longer than %d bytes", maxSkippedBytes))
 
+// errDrainTooLong ends a body that exceeds the limit of Drain.
+var errDrainTooLong = malformed(errors.New("rest of a response is longer than its limit"))
+
 // Pool sends requests and keeps idle connections by address.
 type Pool struct {
 	idle *shard.Map[fleet.Address, []*conn]
@@ -208,6 +211,33 @@
 	return nil, malformed(errors.Errorf("more than %d interim responses", maxInterimResponses))
 }
 
+// Drain reads the rest of a response of Pool.Do and closes its body, so that the
+// connection can be used again. If the body does not end within maxBytes, with the bytes
+// of its encoding, and within the timeout, the connection is closed instead.
+func Drain(res *http.Response, maxBytes int64, timeout time.Duration) {
+	b, ok := res.Body.(*responseBody)
+	if !ok || b.closed || res.Close {
+		_ = res.Body.Close()
+		return
+	}
+	b.c.quota, b.c.quotaErr = maxBytes, errDrainTooLong
+	// If ctx ends at the same time, this replaces its deadline; Close then finds that
+	// ctx has ended and closes the connection.
+	err := b.c.SetReadDeadline(time.Now().Add(timeout))
+	if err == nil {
+		_, err = io.Copy(io.Discard, b)
+	}
+	if err == nil {
+		err = b.c.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		b.closed = true
+		b.c.discard()
+		return
+	}
+	_ = b.Close()
+}
+
 // responseError returns the cause of an error of net/http while it read a response:
 // that of the connection if there is one, and otherwise the bytes received.
 func (c *conn) responseError(err error) error {
