targetconn: malformed chunks match ErrMalformedResponse

Whether chunk sizes, chunk extensions and trailers without end are bounded was not known. They are, by net/http's reader: a line by the buffer of 2 KiB, extensions by 16 KiB beyond twice the data, trailers by the buffer. Their errors could not be told from a lost connection.

Change: an error of a body that is not one of the connection matches ErrMalformedResponse, as for heads. A test holds the bounds, which are those of net/http.

Measured: before, the 8 cases of TestChunkFramingIsBounded failed only in the type of the error ("header line too long", "chunked encoding contains too much non-data", "malformed chunked encoding", and 4 times "suspiciously long trailer after chunked body"); bytes and pooling were within the bounds. All pass after.

--- a/internal/adapter/targetconn/endless_test.go
+++ b/internal/adapter/targetconn/endless_test.go
@@ -232,6 +232,24 @@
 	}
 }
 
+// TestChunkFramingIsBounded guards against bytes between the chunks of a body that
+// have no end: the reader of a body cannot bound what it never gets.
+func TestChunkFramingIsBounded(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct{ begin, piece string }{
+		"size":           {head, "0"},
+		"extension":      {head + "5;", "x"},
+		"extensions":     {head, "1;" + strings.Repeat("x", 200) + "\r\nx\r\n"},
+		"no line end":    {head + "5\r\nhello", "x"},
+		"trailer line":   {head + "0\r\nA: ", "x"},
+		"trailer lines":  {head + "0\r\n", "A: b\r\n"},
+		"trailer spaces": {head + "0\r\nA: b\r\n", " "},
+		"continued":      {head + "0\r\nA: b\r\n", " x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) { checkFlood(t, c.begin, c.piece, maxHeadBytes) })
+	}
+}
+
 // endlessConn is a connection without end.
 type endlessConn struct{ net.Conn }
 
--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -375,10 +375,16 @@
 	closed bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It has no limit of bytes, but net/http's reader limits those
+// between the chunks of a body. A malformed body matches ErrMalformedResponse.
 func (b *responseBody) Read(x []byte) (int, error) {
 	n, err := b.ReadCloser.Read(x)
-	b.complete = b.complete || err == io.EOF
+	switch {
+	case err == io.EOF:
+		b.complete = true
+	case err != nil:
+		err = b.c.responseError(err)
+	}
 	return n, err
 }
 
