--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -36,12 +37,40 @@
 	// maxResponsesRead limits the responses that are read to find that of the
 	// request. Those to earlier requests are skipped.
 	maxResponsesRead = 3
-	bufferBytes      = 2 << 10
+	// maxSkippedBytes limits the body of such a response, with the bytes of its
+	// encoding. The gateway accepts plain responses of up to 1 MiB.
+	maxSkippedBytes = 1 << 20
+	bufferBytes     = 2 << 10
+	// maxHeadBytes limits the head of a response. Those of targets have a few hundred
+	// bytes; http.ReadResponse has no limit of its own.
+	maxHeadBytes = 16 << 10
+	// maxInterimResponses limits the interim responses (1xx) that are skipped before a
+	// response. Servers send few of them; net/http's client had the same limit.
+	maxInterimResponses = 5
+	// maxErrorBytes limits the text of an error, since those of net/http quote what
+	// the target sent.
+	maxErrorBytes = 200
+	// minStatus is the lowest status of a response. net/http reads lower ones, such as
+	// "000", but its server panics when it is to send them.
+	minStatus = 100
 )
 
 // ErrNotSent means that no part of the request was sent.
 var ErrNotSent = errors.New("no part of the request was sent")
 
+// ErrMalformedResponse means that the target sent bytes that are not a response to the
+// request, or exceed the limits of this package. The request may have run.
+var ErrMalformedResponse = errors.New("target sent no well-formed response")
+
+// errHeadTooLong ends a head that exceeds its limit.
+var errHeadTooLong = malformed(errors.Errorf("head of a response is longer than %d bytes", maxHeadBytes))
+
+// errSkippedTooLong ends a skipped response that exceeds its limit.
+var errSkippedTooLong = malformed(errors.Errorf("response to another request is longer than %d bytes", maxSkippedBytes))
+
+// errDrainTooLong ends a body that exceeds the limit of Drain.
+var errDrainTooLong = malformed(errors.New("rest of a response is longer than its limit"))
+
 // Pool sends requests and keeps idle connections by address.
 type Pool struct {
 	idle *shard.Map[fleet.Address, []*conn]
@@ -55,9 +84,19 @@
 // New returns a pool without connections.
 func New() *Pool { return &Pool{idle: shard.New[fleet.Address, []*conn](0)} }
 
+// conn is a connection to a target. It limits the bytes that are read for a part of a
+// response, beneath the buffer, so that no line or field is held before it is limited.
 type conn struct {
 	net.Conn
-	r         *bufio.Reader
+	r *bufio.Reader
+	// quota is the number of bytes that Read may still return before it fails with
+	// quotaErr. The buffer may hold bytes of the next part, so that a part can be
+	// longer than its limit by up to bufferBytes.
+	quota    int64
+	quotaErr error
+	// readErr is the last error of Read. It distinguishes a lost connection from bytes
+	// that are not a response.
+	readErr   error
 	expiresAt time.Time
 	// stopCancel unregisters the function that aborts the connection at the end of ctx.
 	stopCancel func() bool
@@ -80,22 +119,13 @@
 		c.discard()
 		return nil, errors.Wrap(err, "sending request")
 	}
-	for range maxResponsesRead {
-		res, err := http.ReadResponse(c.r, req)
-		if err != nil {
-			c.discard()
-			return nil, errors.Wrap(err, "reading response")
-		}
-		if p.MatchesRequest == nil || p.MatchesRequest(req, res) {
-			res.Body = &responseBody{ReadCloser: res.Body, p: p, c: c, addr: addr, res: res}
-			return res, nil
-		}
-		if _, err = io.Copy(io.Discard, res.Body); err != nil {
-			break
-		}
+	res, err := c.readResponse(req, p.MatchesRequest)
+	if err != nil {
+		c.discard()
+		return nil, errors.Wrap(err, "reading response")
 	}
-	c.discard()
-	return nil, errors.New("responses belong to other requests")
+	res.Body = &responseBody{ReadCloser: res.Body, p: p, c: c, addr: addr, res: res}
+	return res, nil
 }
 
 // acquire returns a usable idle connection, or opens one.
@@ -119,7 +149,121 @@
 		p.OnOpen()
 	}
 	setUserTimeout(nc)
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, bufferBytes)}, nil
+	c := &conn{Conn: nc}
+	c.r = bufio.NewReaderSize(c, bufferBytes)
+	return c, nil
+}
+
+// Read implements io.Reader within the quota. The bufio.Reader may report a line that
+// ends with an error as a complete one, so an exceeded quota stays exceeded.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.quota <= 0 {
+		c.readErr = c.quotaErr
+		return 0, c.readErr
+	}
+	if int64(len(b)) > c.quota {
+		b = b[:c.quota]
+	}
+	n, err := c.Conn.Read(b)
+	c.quota -= int64(n)
+	if err != nil {
+		c.readErr = err
+	}
+	return n, err
+}
+
+// readResponse reads the head of the response to req. It skips responses that do not
+// match, unless matches is nil.
+func (c *conn) readResponse(req *http.Request, matches func(*http.Request, *http.Response) bool) (*http.Response, error) {
+	for range maxResponsesRead {
+		res, err := c.readHead(req)
+		if err != nil {
+			return nil, err
+		}
+		if matches == nil || matches(req, res) {
+			return res, nil
+		}
+		c.quota, c.quotaErr = maxSkippedBytes, errSkippedTooLong
+		if _, err = io.Copy(io.Discard, res.Body); err != nil {
+			return nil, c.responseError(err)
+		}
+	}
+	return nil, malformed(errors.Errorf("%d responses to other requests", maxResponsesRead))
+}
+
+// readHead reads the head of the next response. It skips interim responses, which have
+// no body.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
+		c.quota, c.quotaErr = maxHeadBytes, errHeadTooLong
+		res, err := http.ReadResponse(c.r, req)
+		switch {
+		case err != nil:
+			return nil, c.responseError(err)
+		case res.StatusCode < minStatus || res.StatusCode == http.StatusSwitchingProtocols:
+			// No request asks for another protocol.
+			return nil, malformed(errors.Errorf("response has the status %d", res.StatusCode))
+		case res.StatusCode >= http.StatusOK:
+			c.quota = math.MaxInt64
+			return res, nil
+		}
+	}
+	return nil, malformed(errors.Errorf("more than %d interim responses", maxInterimResponses))
+}
+
+// Drain reads the rest of a response of Pool.Do and closes its body, so that the
+// connection can be used again. If the body does not end within maxBytes, with the bytes
+// of its encoding, and within the timeout, the connection is closed instead.
+func Drain(res *http.Response, maxBytes int64, timeout time.Duration) {
+	b, ok := res.Body.(*responseBody)
+	if !ok || b.closed || res.Close {
+		_ = res.Body.Close()
+		return
+	}
+	b.c.quota, b.c.quotaErr = maxBytes, errDrainTooLong
+	// If ctx ends at the same time, this replaces its deadline; Close then finds that
+	// ctx has ended and closes the connection.
+	err := b.c.SetReadDeadline(time.Now().Add(timeout))
+	if err == nil {
+		_, err = io.Copy(io.Discard, b)
+	}
+	if err == nil {
+		err = b.c.SetReadDeadline(time.Time{})
+	}
+	if err != nil {
+		b.closed = true
+		b.c.discard()
+		return
+	}
+	_ = b.Close()
+}
+
+// responseError returns the cause of an error of net/http while it read a response:
+// that of the connection if there is one, and otherwise the bytes received.
+func (c *conn) responseError(err error) error {
+	switch {
+	case c.readErr == nil:
+		return malformed(err)
+	case c.readErr == io.EOF:
+		return io.ErrUnexpectedEOF
+	default:
+		return c.readErr
+	}
+}
+
+// malformedError is an error that matches ErrMalformedResponse.
+type malformedError struct{ error }
+
+// Is implements the interface of errors.Is.
+func (malformedError) Is(target error) bool { return target == ErrMalformedResponse }
+
+// malformed returns an error that matches ErrMalformedResponse, with a bounded text.
+func malformed(err error) error {
+	text := err.Error()
+	if len(text) > maxErrorBytes {
+		text = text[:maxErrorBytes] + "..."
+	}
+	return malformedError{errors.New(text)}
 }
 
 // notSentError is an error that matches ErrNotSent.
@@ -231,10 +375,16 @@
 	closed bool
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It has no limit of bytes, but net/http's reader limits those
+// between the chunks of a body. A malformed body matches ErrMalformedResponse.
 func (b *responseBody) Read(x []byte) (int, error) {
 	n, err := b.ReadCloser.Read(x)
-	b.complete = b.complete || err == io.EOF
+	switch {
+	case err == io.EOF:
+		b.complete = true
+	case err != nil:
+		err = b.c.responseError(err)
+	}
 	return n, err
 }
 
