boundedhttp: HTTP clients bound response headers

Seen: a store, platform, engine, service or origin whose response header has 1 MiB was accepted by every client, and up to 10 MiB would have been. A few such responses at a time take most of the 152 MB of a side machine.

Cause: no transport set MaxResponseHeaderBytes, whose default is 10 MiB.

Change: all transports are created by boundedhttp.NewTransport, which sets the bound to 64 KiB. net/http counts interim responses towards it. An exceeded bound is the existing error of a call without a response: unavailable for reads, unknown outcome for writes, may-have-run for requests.

--- /dev/null
+++ b/internal/adapter/boundedhttp/boundedhttp.go
@@ -0,0 +1,20 @@
+// Package boundedhttp bounds what HTTP clients accept in a response, so that a peer
+// that sends without end fills neither the memory nor the time of a process.
+package boundedhttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// MaxHeaderBytes bounds the status line and header of a response, together with its
+// interim (1xx) responses. net/http accepts 10 MiB by default; with a few responses
+// at a time that is most of the 152 MB of a side machine.
+const MaxHeaderBytes = 64 << 10
+
+// NewTransport returns a transport that opens connections with dial and bounds
+// response headers. All transports of the product are created here.
+func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: MaxHeaderBytes}
+}
--- /dev/null
+++ b/internal/adapter/enginehttp/bounds_test.go
@@ -0,0 +1,41 @@
+package enginehttp
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+func startServer(t *testing.T, h http.HandlerFunc) *Client {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return New(fleet.Address(srv.Listener.Addr().String()))
+}
+
+// TestHeaderBytesAreBounded guards against an engine that fills the memory with a
+// response header. The header sent here is a tenth of what net/http accepts by
+// default.
+func TestHeaderBytesAreBounded(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Padding", strings.Repeat("a", 1<<20))
+		_, _ = w.Write([]byte(`{"head":{"request_id":"r"}}` + "\n"))
+	})
+	ctx := context.Background()
+	if _, err := c.Status(ctx); err == nil {
+		t.Error("the header of a status was accepted")
+	}
+	if err := c.Unload(ctx, port.UnloadOrder{Version: "v", Check: neverExpires}); err == nil {
+		t.Error("the header of the response to an order was accepted")
+	}
+	_, err := c.Generate(ctx, port.EngineRequest{ID: "r"})
+	if err == nil || verdict.FromError(err).Verdict != verdict.MayHaveRun {
+		t.Errorf("answer: %v", err)
+	}
+}
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/adapter/targethttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -136,17 +137,14 @@
 // sendOrder sends an order on a new connection, which checks before each write that
 // the order is still allowed.
 func (c *Client) sendOrder(ctx context.Context, path string, q url.Values, body io.Reader, check port.OrderCheck) error {
-	t := &http.Transport{
-		DisableKeepAlives:     true,
-		ExpectContinueTimeout: continueTimeout,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return orderConn{conn, check}, nil
-		},
-	}
+	t := boundedhttp.NewTransport(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return orderConn{conn, check}, nil
+	})
+	t.DisableKeepAlives, t.ExpectContinueTimeout = true, continueTimeout
 	defer t.CloseIdleConnections()
 	resp, err := c.do(ctx, &http.Client{Transport: t}, http.MethodPost, path, q, body)
 	if err != nil {
--- a/internal/adapter/kvhttp/kvhttp.go
+++ b/internal/adapter/kvhttp/kvhttp.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -47,7 +48,9 @@
 // New returns a client of the platform at addr.
 func New(addr fleet.Address) *Client {
 	c := &Client{baseURL: "http://" + string(addr), bytesIn: &atomic.Int64{}, bytesOut: &atomic.Int64{}}
-	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DialContext: c.dial}}
+	t := boundedhttp.NewTransport(c.dial)
+	t.MaxIdleConnsPerHost = 4
+	c.http = &http.Client{Transport: t}
 	return c
 }
 
--- a/internal/adapter/originhttp/originhttp.go
+++ b/internal/adapter/originhttp/originhttp.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/manifest"
 	"github.com/masticwing/masticwing/internal/port"
@@ -44,7 +45,8 @@
 // New returns a client of the origin at addr. It sends vm as the requester.
 func New(addr fleet.Address, vm fleet.VM) *Client {
 	d := net.Dialer{Timeout: dialTimeout}
-	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: 4}
+	t := boundedhttp.NewTransport(d.DialContext)
+	t.MaxIdleConnsPerHost = 4
 	return &Client{baseURL: "http://" + string(addr), vm: vm, http: &http.Client{Transport: t}}
 }
 
--- a/internal/adapter/originhttp/originhttp_test.go
+++ b/internal/adapter/originhttp/originhttp_test.go
@@ -67,3 +67,15 @@
 	}
 	_ = rc.Close()
 }
+
+// TestHeaderBytesAreBounded guards against an origin that fills the memory with a
+// response header. The header sent here is a tenth of what net/http accepts by
+// default.
+func TestHeaderBytesAreBounded(t *testing.T) {
+	c := newTestClient(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Padding", strings.Repeat("a", 1<<20))
+	})
+	if _, err := c.Chunk(context.Background(), "v", 0); err == nil {
+		t.Error("the header was accepted")
+	}
+}
--- a/internal/adapter/targethttp/targethttp.go
+++ b/internal/adapter/targethttp/targethttp.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 )
 
@@ -29,16 +30,15 @@
 // failures to connect from other failures.
 func NewTransport() *http.Transport {
 	d := net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConns,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, dialError{err}
-			}
-			return c, nil
-		},
-	}
+	t := boundedhttp.NewTransport(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, dialError{err}
+		}
+		return c, nil
+	})
+	t.MaxIdleConnsPerHost = maxIdleConns
+	return t
 }
 
 // SendError returns the error of a request that failed with err before a complete
