platform: a store response longer than its bound is an error

Seen: a listing whose response went on after 8 MiB was returned as complete, with the revision from which changes are read, and a commit with such a response as done. Whether a cut response failed depended on where the cut was in its JSON.

Cause: io.LimitReader ends a longer body like a complete one, and the length was not compared.

Change: boundedhttp.ReadAll returns ErrTooLong for a longer body.

--- a/internal/adapter/boundedhttp/boundedhttp.go
+++ b/internal/adapter/boundedhttp/boundedhttp.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+
+	"github.com/pkg/errors"
 )
 
 // MaxHeaderBytes bounds the status line and header of a response, together with its
@@ -18,3 +21,19 @@
 func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: MaxHeaderBytes}
 }
+
+// ErrTooLong means that a response body is longer than its bound.
+var ErrTooLong = errors.New("response body is too long")
+
+// ReadAll returns all bytes of a response body. If there are more than limit, it
+// returns ErrTooLong. It never returns a part of the body.
+func ReadAll(body io.Reader, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "reading response body")
+	}
+	if int64(len(b)) > limit {
+		return nil, errors.Wrapf(ErrTooLong, "more than %d bytes", limit)
+	}
+	return b, nil
+}
