follow: pause between listings without changes in between

Seen: a store that lists a prefix but never returns the changes after it (410, or a response longer than its bound) was listed again at once and without end. Each listing transfers the whole prefix and counts towards the rate limits of the store.

Cause: the pause after a failed call does not apply to a listing, and ErrHistoryGone ends the watch without one.

Change: unless a call for changes has succeeded since the last listing, the follower pauses before the next one, doubling up to a second. Relist still lists at once.

Result: TestPausesBetweenListings failed before with "67090 listings within 400ms"; it passes after, with at most 4.

--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -81,20 +81,27 @@
 			pause = min(2*pause, retryMax)
 			continue
 		}
-		pause = retryMin
 		f.markRegained(revision)
 		e := Event{Reset: true, At: revision}
 		for _, it := range items {
 			e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
 		}
 		apply(e)
-		f.watch(ctx, revision, apply)
+		if f.watch(ctx, revision, apply) {
+			pause = retryMin
+			continue
+		}
+		// A store that lists but has no changes would be listed without end.
+		f.sleep(ctx, pause)
+		pause = min(2*pause, retryMax)
 	}
 }
 
 // watch applies the changes after a listing at the given revision, until the prefix
-// has to be listed again.
-func (f *Follower) watch(ctx context.Context, revision int64, apply func(Event)) {
+// has to be listed again. It returns whether a call for changes has succeeded or
+// Relist asked for the listing.
+func (f *Follower) watch(ctx context.Context, revision int64, apply func(Event)) bool {
+	succeeded := false
 	pause := retryMin
 	listed := f.Clock.Now()
 	for ctx.Err() == nil {
@@ -102,14 +109,14 @@
 		switch {
 		case errors.Is(err, port.ErrHistoryGone), errors.Is(err, errRelist):
 			f.Log.StateChange("listing again", logging.F("prefix", f.Prefix), logging.F("after", revision), logging.F("reason", err.Error()))
-			return
+			return succeeded || errors.Is(err, errRelist)
 		case err != nil:
 			f.markLost(ctx, err)
 			f.sleep(ctx, pause)
 			pause = min(2*pause, retryMax)
 			continue
 		}
-		pause = retryMin
+		pause, succeeded = retryMin, true
 		f.markRegained(next)
 		revision = next
 		if len(changes) > 0 {
@@ -126,6 +133,7 @@
 			f.sleep(ctx, pause)
 		}
 	}
+	return succeeded
 }
 
 var errRelist = errors.New("view differs from the store")
--- a/internal/app/follow/follow_test.go
+++ b/internal/app/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/port/porttest"
 )
 
@@ -92,3 +94,33 @@
 		t.Errorf("the prefix was listed %d times", n)
 	}
 }
+
+// noHistoryStore lists items, but never has the changes that follow.
+type noHistoryStore struct {
+	port.Store
+	listings atomic.Int64
+}
+
+// List implements port.Store.
+func (s *noHistoryStore) List(context.Context, string) ([]port.StoreItem, int64, error) {
+	s.listings.Add(1)
+	return nil, 1, nil
+}
+
+// Changes implements port.Store.
+func (s *noHistoryStore) Changes(context.Context, string, int64, time.Duration) ([]port.StoreChange, int64, error) {
+	return nil, 0, port.ErrHistoryGone
+}
+
+// TestPausesBetweenListings guards against listing without a pause from a store that
+// never returns the changes after a listing.
+func TestPausesBetweenListings(t *testing.T) {
+	s := &noHistoryStore{}
+	f := New(s, "p/", time.Second, func() time.Duration { return 0 }, sysclock.Clock{}, logging.New(io.Discard, "x", "1"))
+	ctx, cancel := context.WithTimeout(context.Background(), 4*retryMin)
+	defer cancel()
+	f.Run(ctx, func(Event) {})
+	if n := s.listings.Load(); n < 2 || n > 4 {
+		t.Errorf("%d listings within %v", n, 4*retryMin)
+	}
+}
