platform: engine and origin responses fit their calls

Seen: each call to the engine or the origin accepted a body of 8 MiB and one byte, and cut longer ones without an error. A loader receives up to six chunks at a time, so bodies without end from an origin come to 48 MiB of the 152 MB of a side machine.

Cause: one bound for all calls; the body was read up to one byte more, but its length was not compared.

The time of all calls was bounded before, from the request to the end of the body.

--- a/internal/app/loader/loader_test.go
+++ b/internal/app/loader/loader_test.go
@@ -129,7 +129,7 @@
 	return man, nil
 }
 
-func (o *fakeOrigin) Chunk(_ context.Context, w port.ModelWeights, i int) (io.ReadCloser, error) {
+func (o *fakeOrigin) Chunk(_ context.Context, w port.ModelWeights, i int, _ int64) (io.ReadCloser, error) {
 	return io.NopCloser(bytes.NewReader(weightsData(w.Number)[i*chunkBytes : (i+1)*chunkBytes])), nil
 }
 
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -384,7 +384,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rc, err := c.Chunk(ctx, v.ModelWeights, i)
+	rc, err := c.Chunk(ctx, v.ModelWeights, i, v.man.Chunks[i].Bytes)
 	o.logReachability(ctx, err)
 	return rc, err
 }
--- a/internal/port/stage.go
+++ b/internal/port/stage.go
@@ -64,6 +64,7 @@
 	// origin no longer has the version. The manifest is not verified and may have
 	// been corrupted in transit.
 	Manifest(ctx context.Context, w ModelWeights) (manifest.Manifest, error)
-	// Chunk streams a chunk. The bytes are not verified.
-	Chunk(ctx context.Context, w ModelWeights, i int) (io.ReadCloser, error)
+	// Chunk streams a chunk of the given size. The bytes are not verified; a response
+	// that is longer is an error.
+	Chunk(ctx context.Context, w ModelWeights, i int, size int64) (io.ReadCloser, error)
 }
