kvhttp: a value longer than its bound is an error

Seen: a value of more than 1 MiB was cut after 1 MiB and one byte and returned as if it were complete, from reads and watches, and so was the ID of a lease.

Cause: io.LimitReader ends a longer body like a complete one, and the length was not compared.

Change: such a read is unavailable. A write keeps the outcome that its status states; with status 200 it is unknown. The time of calls was bounded before: TestTrickleEndsCall passes without the change.

Result: TestLongValueIsNotCut failed before with "read: 1048577 bytes, <nil>", "watch: 1048577 bytes, <nil>" and "grant: ID of 1048577 bytes, <nil>", and passes after.

--- a/internal/adapter/kvhttp/bounds_test.go
+++ b/internal/adapter/kvhttp/bounds_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
@@ -33,3 +35,55 @@
 		t.Errorf("write: %v", err)
 	}
 }
+
+// TestLongValueIsNotCut guards against a value that is cut at the bound and read as
+// if it were complete, and against a lease ID from a cut response.
+func TestLongValueIsNotCut(t *testing.T) {
+	var length, status atomic.Int64
+	c := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(revisionHeader, "7")
+		w.WriteHeader(int(status.Load()))
+		_, _ = w.Write(make([]byte, length.Load()))
+	})
+	ctx := context.Background()
+	status.Store(http.StatusOK)
+	length.Store(maxValueBytes)
+	if e, err := c.Get(ctx, "k"); err != nil || len(e.Value) != maxValueBytes {
+		t.Errorf("longest value: %d bytes, %v", len(e.Value), err)
+	}
+	length.Store(2 * maxValueBytes)
+	if e, err := c.Get(ctx, "k"); !errors.Is(err, port.ErrUnavailable) {
+		t.Errorf("read: %d bytes, %v", len(e.Value), err)
+	}
+	if e, err := c.Watch(ctx, "k", 1, time.Second); !errors.Is(err, port.ErrUnavailable) {
+		t.Errorf("watch: %d bytes, %v", len(e.Value), err)
+	}
+	if id, err := c.Grant(ctx, time.Second); !errors.Is(err, port.ErrUnknownOutcome) {
+		t.Errorf("grant: ID of %d bytes, %v", len(id), err)
+	}
+	for s, want := range map[int64]error{
+		http.StatusConflict: port.ErrConflict, http.StatusNotFound: port.ErrNotFound,
+		http.StatusServiceUnavailable: port.ErrUnavailable, http.StatusBadGateway: port.ErrUnknownOutcome,
+	} {
+		status.Store(s)
+		if err := c.Delete(ctx, "k", 1); !errors.Is(err, want) {
+			t.Errorf("write with status %d: %v", s, err)
+		}
+	}
+}
+
+// TestTrickleEndsCall guards against a call that lasts as long as bytes arrive.
+func TestTrickleEndsCall(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			_, _ = w.Write([]byte(" "))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	start := time.Now()
+	_, err := c.call(context.Background(), 200*time.Millisecond, http.MethodGet, keyPath("k"), nil, nil)
+	if d := time.Since(start); err == nil || d > time.Second {
+		t.Errorf("%v after %v", err, d)
+	}
+}
--- a/internal/adapter/kvhttp/kvhttp.go
+++ b/internal/adapter/kvhttp/kvhttp.go
@@ -6,7 +6,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -84,13 +83,15 @@
 	return n, err
 }
 
+// response is a response of the platform. If its body was not received completely,
+// it has only the status and the revision.
 type response struct {
 	status int
 	rev    int64
 	body   []byte
 }
 
-// call sends one request. An error means that the outcome is unknown. After a
+// call sends one request. An error means that no complete response was received. After a
 // timeout it closes all idle connections: the connection used may be dead without
 // having been closed, and the idle ones may be dead as well, so that each of them
 // would cost another call its timeout.
@@ -116,12 +117,9 @@
 		return response{}, errors.Wrap(err, "calling platform")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
-	if err != nil {
-		return response{}, errors.Wrap(err, "reading platform answer")
-	}
 	rev, _ := strconv.ParseInt(resp.Header.Get(revisionHeader), 10, 64)
-	return response{resp.StatusCode, rev, b}, nil
+	b, err := boundedhttp.ReadAll(resp.Body, maxValueBytes)
+	return response{resp.StatusCode, rev, b}, errors.Wrap(err, "calling platform")
 }
 
 // readResult maps the result of a call without side effects to an error of port.KV.
@@ -146,10 +144,11 @@
 	switch {
 	case errors.As(err, &op) && op.Op == "dial":
 		return r, errors.Wrap(port.ErrUnavailable, err.Error())
-	case err != nil:
+	case err != nil && (r.status == 0 || r.status == http.StatusOK):
 		return r, errors.Wrap(port.ErrUnknownOutcome, err.Error())
 	case r.status == http.StatusOK:
 		return r, nil
+	// The other statuses say what has happened also without a complete body.
 	case r.status == http.StatusConflict:
 		return r, port.ErrConflict
 	case r.status == http.StatusNotFound:
