kvhttp: a response without a length is incomplete

Seen: a value whose response states no length and whose connection ended in the middle was returned as if it were complete, and so was the ID of a lease.

Cause: the end of the connection is the regular end of such a response, and neither values nor lease IDs have an end mark of their own.

Change: a response that is neither chunked nor states its length is incomplete: unavailable for a read, unknown outcome for a write with status 200. Responses of HTTP/1.1 servers have one or the other.

Result: TestValueWithoutLength failed before with "read: "half of the val", <nil>", "write: <nil>" and "grant: "half of the val", <nil>", and passes after.

--- a/internal/adapter/boundedhttp/boundedhttp.go
+++ b/internal/adapter/boundedhttp/boundedhttp.go
@@ -37,3 +37,9 @@
 	}
 	return b, nil
 }
+
+// EndsWithConnection reports whether only the end of its connection ends the body of
+// a response. Such a body may be cut without an error.
+func EndsWithConnection(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
+}
--- a/internal/adapter/kvhttp/bounds_test.go
+++ b/internal/adapter/kvhttp/bounds_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -10,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -72,6 +76,39 @@
 	}
 }
 
+// TestValueWithoutLength guards against a value that is read as complete although
+// nothing tells the end of its response from a lost connection.
+func TestValueWithoutLength(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer func() { _ = lis.Close() }()
+	wg.Go(func() {
+		for {
+			conn, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4096))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Rev: 3\r\n\r\nhalf of the val")
+			_ = conn.Close()
+		}
+	})
+	c := New(fleet.Address(lis.Addr().String()))
+	if e, err := c.Get(context.Background(), "k"); !errors.Is(err, port.ErrUnavailable) {
+		t.Errorf("read: %q, %v", e.Value, err)
+	}
+	if _, err := c.CompareAndSwap(context.Background(), "k", 1, nil, port.NoLease); !errors.Is(err, port.ErrUnknownOutcome) {
+		t.Errorf("write: %v", err)
+	}
+	if id, err := c.Grant(context.Background(), time.Second); !errors.Is(err, port.ErrUnknownOutcome) {
+		t.Errorf("grant: %q, %v", id, err)
+	}
+}
+
 // TestTrickleEndsCall guards against a call that lasts as long as bytes arrive.
 func TestTrickleEndsCall(t *testing.T) {
 	c := startServer(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/adapter/kvhttp/kvhttp.go
+++ b/internal/adapter/kvhttp/kvhttp.go
@@ -83,6 +83,10 @@
 	return n, err
 }
 
+// errNoLength means that a response is neither chunked nor states its length. A value
+// has no end mark of its own, so a lost connection would cut it without an error.
+var errNoLength = errors.New("platform's response has no length")
+
 // response is a response of the platform. If its body was not received completely,
 // it has only the status and the revision.
 type response struct {
@@ -118,6 +122,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	rev, _ := strconv.ParseInt(resp.Header.Get(revisionHeader), 10, 64)
+	if boundedhttp.EndsWithConnection(resp) {
+		return response{status: resp.StatusCode, rev: rev}, errNoLength
+	}
 	b, err := boundedhttp.ReadAll(resp.Body, maxValueBytes)
 	return response{resp.StatusCode, rev, b}, errors.Wrap(err, "calling platform")
 }
