enginehttp: bound the bytes of a status

Seen: a status with a boot ID of 4 MiB was accepted. A status without end would have been read into memory for its whole second.

Cause: the body was decoded without a limit.

Change: a status has at most 64 KiB. Bytes after its JSON value are an error as well.

Result: TestStatusBytesAreBounded failed before with "boot ID of 4194304 bytes, <nil>", and passes after.

--- a/internal/adapter/enginehttp/bounds_test.go
+++ b/internal/adapter/enginehttp/bounds_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -39,3 +42,14 @@
 		t.Errorf("answer: %v", err)
 	}
 }
+
+// TestStatusBytesAreBounded guards against a status without end that fills the
+// memory.
+func TestStatusBytesAreBounded(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"boot_id":"`+strings.Repeat("b", 4<<20)+`"}`)
+	})
+	if st, err := c.Status(context.Background()); !errors.Is(err, boundedhttp.ErrTooLong) {
+		t.Errorf("boot ID of %d bytes, %v", len(st.BootID), err)
+	}
+}
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -30,6 +30,8 @@
 	// it sends the weights. No weights are sent if the engine refuses the order.
 	continueTimeout   = time.Second
 	maxErrorTextBytes = 4 << 10
+	// maxStatusBytes bounds a status, which lists the loaded versions.
+	maxStatusBytes = 64 << 10
 )
 
 // ErrStaleFence means that the engine has seen a higher fencing number.
@@ -83,8 +85,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return port.EngineStatus{}, errors.Errorf("engine status: %s", statusText(resp))
 	}
+	body, err := boundedhttp.ReadAll(resp.Body, maxStatusBytes)
+	if err != nil {
+		return port.EngineStatus{}, errors.Wrap(err, "asking engine for its status")
+	}
 	var b statusBody
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+	if err := json.Unmarshal(body, &b); err != nil {
 		return port.EngineStatus{}, errors.Wrap(err, "decoding engine status")
 	}
 	id := fleet.EngineIdentity{BootID: b.BootID, LoadCount: b.LoadCount}
