enginehttp: a line of an answer has at most 256 KiB

Seen: an answer whose lines do not end had a buffer of up to 1 MiB, so 64 answers in progress could hold 64 MiB.

Cause: the bound of a line was chosen for one answer.

Change: a line has at most 256 KiB. A longer one ends the answer with the verdict may-have-run, as before. The tokens of a frame take far less; a whole answer in one frame still fits.

Result: TestLineBytesAreBounded failed before with "a frame of 512 KiB: <nil>", and passes after.

--- a/internal/adapter/enginehttp/answer.go
+++ b/internal/adapter/enginehttp/answer.go
@@ -14,8 +14,10 @@
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// maxLineBytes limits one line of an answer.
-const maxLineBytes = 1 << 20
+// maxLineBytes bounds one line of an answer. Each answer in progress has a buffer of
+// up to this size. A frame has a few tokens; the bound leaves room for a whole answer
+// in one frame.
+const maxLineBytes = 256 << 10
 
 // streamLine is one line of an answer: the head, a frame or the end.
 type streamLine struct {
--- a/internal/adapter/enginehttp/bounds_test.go
+++ b/internal/adapter/enginehttp/bounds_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
@@ -53,3 +54,30 @@
 		t.Errorf("boot ID of %d bytes, %v", len(st.BootID), err)
 	}
 }
+
+// TestLineBytesAreBounded guards against one buffer of a megabyte for each answer
+// whose lines do not end.
+func TestLineBytesAreBounded(t *testing.T) {
+	var frameBytes atomic.Int64
+	c := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"head":{"request_id":"r"}}`+"\n"+
+			`{"request_id":"r","seq":0,"text":"`+strings.Repeat("a", int(frameBytes.Load()))+`"}`+"\n"+`{"end":{"frames":1}}`+"\n")
+	})
+	read := func() error {
+		a, err := c.Generate(context.Background(), port.EngineRequest{ID: "r"})
+		if err != nil {
+			return err
+		}
+		defer func() { _ = a.Close() }()
+		_, err = readAll(a)
+		return err
+	}
+	frameBytes.Store(128 << 10)
+	if err := read(); err != nil {
+		t.Errorf("a frame of 128 KiB: %v", err)
+	}
+	frameBytes.Store(512 << 10)
+	if err := read(); err == nil || verdict.FromError(err).Verdict != verdict.MayHaveRun {
+		t.Errorf("a frame of 512 KiB: %v", err)
+	}
+}
