enginehttp: single bytes do not keep a call

Seen: an engine that sends the text of an error, or what follows the end of an answer, as single bytes held the call until its own deadline. Orders have none.

Change: boundedhttp.ReadStart returns what arrives within a time: 500 ms for an error text, 100 ms and 4 KiB for trailing bytes, which are read only so that the connection can be used again. The status alone decides the verdict, as before.

Result: TestTrickleEndsCall failed before with "order: engine refused the order: 400 Bad Request: , context deadline exceeded", "refused request: ..." and "complete answer: <nil>, context deadline exceeded" after its own deadline of 1.9 s, and passes after.

--- a/internal/adapter/boundedhttp/boundedhttp.go
+++ b/internal/adapter/boundedhttp/boundedhttp.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -43,3 +44,13 @@
 func EndsWithConnection(res *http.Response) bool {
 	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
 }
+
+// ReadStart returns at most limit bytes from the start of a response body, and less
+// if they do not arrive within timeout, after which the body is closed. The result
+// may be a part of the body.
+func ReadStart(body io.ReadCloser, limit int64, timeout time.Duration) []byte {
+	timer := time.AfterFunc(timeout, func() { _ = body.Close() })
+	defer timer.Stop()
+	b, _ := io.ReadAll(io.LimitReader(body, limit))
+	return b
+}
--- a/internal/adapter/enginehttp/answer.go
+++ b/internal/adapter/enginehttp/answer.go
@@ -6,18 +6,27 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// maxLineBytes bounds one line of an answer. Each answer in progress has a buffer of
-// up to this size. A frame has a few tokens; the bound leaves room for a whole answer
-// in one frame.
-const maxLineBytes = 256 << 10
+const (
+	// maxLineBytes bounds one line of an answer. Each answer in progress has a buffer
+	// of up to this size. A frame has a few tokens; the bound leaves room for a whole
+	// answer in one frame.
+	maxLineBytes = 256 << 10
+	// maxTrailingBytes and trailingTimeout bound what is read after the end of an
+	// answer so that its connection can be used again. It is the last part of the
+	// chunked encoding.
+	maxTrailingBytes = 4 << 10
+	trailingTimeout  = 100 * time.Millisecond
+)
 
 // streamLine is one line of an answer: the head, a frame or the end.
 type streamLine struct {
@@ -128,7 +137,7 @@
 func (a *answerStream) Close() error {
 	if a.finalErr == io.EOF {
 		// Reads the rest of the body, so that the connection can be reused.
-		_, _ = io.Copy(io.Discard, io.LimitReader(a.body, maxLineBytes))
+		_ = boundedhttp.ReadStart(a.body, maxTrailingBytes, trailingTimeout)
 	}
 	a.cancel()
 	return a.body.Close()
--- a/internal/adapter/enginehttp/bounds_test.go
+++ b/internal/adapter/enginehttp/bounds_test.go
@@ -9,6 +9,9 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -81,3 +84,55 @@
 		t.Errorf("a frame of 512 KiB: %v", err)
 	}
 }
+
+// trickle sends a space each few milliseconds until the client goes away.
+func trickle(w http.ResponseWriter, r *http.Request) {
+	for r.Context().Err() == nil {
+		_, _ = io.WriteString(w, " ")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestTrickleEndsCall guards against calls that last as long as the engine sends
+// single bytes: an error text, and what follows the end of an answer.
+func TestTrickleEndsCall(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		switch r.Header.Get("X-Request-Id") {
+		case "whole":
+			_, _ = io.WriteString(w, `{"head":{"request_id":"whole"}}`+"\n"+`{"end":{"frames":0}}`+"\n")
+		default:
+			w.WriteHeader(http.StatusBadRequest)
+		}
+		trickle(w, r)
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 1900*time.Millisecond)
+	defer cancel()
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		err := c.Unload(ctx, port.UnloadOrder{Version: "v", Check: neverExpires})
+		if err == nil || ctx.Err() != nil {
+			t.Errorf("order: %v, %v", err, ctx.Err())
+		}
+	})
+	wg.Go(func() {
+		_, err := c.Generate(ctx, port.EngineRequest{ID: "refused"})
+		if verdict.FromError(err).Code != verdict.CodeBadRequest || ctx.Err() != nil {
+			t.Errorf("refused request: %v, %v", err, ctx.Err())
+		}
+	})
+	wg.Go(func() {
+		a, err := c.Generate(ctx, port.EngineRequest{ID: "whole"})
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, err = readAll(a)
+		_ = a.Close()
+		if err != nil || ctx.Err() != nil {
+			t.Errorf("complete answer: %v, %v", err, ctx.Err())
+		}
+	})
+	wg.Wait()
+}
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -30,6 +30,9 @@
 	// it sends the weights. No weights are sent if the engine refuses the order.
 	continueTimeout   = time.Second
 	maxErrorTextBytes = 4 << 10
+	// errorTextTimeout bounds the wait for the text of an error, which only goes into
+	// messages.
+	errorTextTimeout = 500 * time.Millisecond
 	// maxStatusBytes bounds a status, which lists the loaded versions.
 	maxStatusBytes = 64 << 10
 )
@@ -119,7 +122,7 @@
 
 // statusText returns the status line and the start of the body of a response.
 func statusText(resp *http.Response) string {
-	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
+	b := boundedhttp.ReadStart(resp.Body, maxErrorTextBytes, errorTextTimeout)
 	return resp.Status + ": " + string(bytes.TrimSpace(b))
 }
 
