enginehttp: bound the wait for the response to an order

Seen: an order whose response header arrives as single bytes, or never, waited for ever. The agent gives no other order meanwhile.

Cause: orders have no deadline, because loading takes as long as the weights are large; only a lost lease ends one.

Change: the response header has to be complete 10 minutes after the last byte of the order. The bytes of the header were bounded before.

Result: TestOrderResponseTimeout (with 200 ms) failed before with "giving the engine an order: ... context deadline exceeded" after its own deadline of 1 s, and passes after.

--- a/internal/adapter/enginehttp/bounds_test.go
+++ b/internal/adapter/enginehttp/bounds_test.go
@@ -136,3 +136,26 @@
 	})
 	wg.Wait()
 }
+
+// TestOrderResponseTimeout guards against an order that waits for ever for a response
+// whose header arrives as single bytes.
+func TestOrderResponseTimeout(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nPadding: ")
+		for ; err == nil; time.Sleep(5 * time.Millisecond) {
+			_, err = io.WriteString(conn, "a")
+		}
+	})
+	c.orderTimeout = 200 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := c.Unload(ctx, port.UnloadOrder{Version: "v", Check: neverExpires}); err == nil || ctx.Err() != nil {
+		t.Errorf("%v, %v", err, ctx.Err())
+	}
+}
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -30,6 +30,10 @@
 	// it sends the weights. No weights are sent if the engine refuses the order.
 	continueTimeout   = time.Second
 	maxErrorTextBytes = 4 << 10
+	// orderTimeout bounds the time from the last byte of an order to the end of the
+	// response header. The engine responds once it has moved the weights to its
+	// accelerators, which takes seconds to minutes.
+	orderTimeout = 10 * time.Minute
 	// errorTextTimeout bounds the wait for the text of an error, which only goes into
 	// messages.
 	errorTextTimeout = 500 * time.Millisecond
@@ -42,15 +46,18 @@
 
 // Client is a client of one engine.
 type Client struct {
-	base string
-	http *http.Client
+	base         string
+	http         *http.Client
+	orderTimeout time.Duration
 }
 
 var _ port.Engine = (*Client)(nil)
 
 // New returns a client of the engine at addr.
 func New(addr fleet.Address) *Client {
-	return &Client{base: "http://" + string(addr), http: &http.Client{Transport: targethttp.NewTransport()}}
+	return &Client{
+		base: "http://" + string(addr), http: &http.Client{Transport: targethttp.NewTransport()}, orderTimeout: orderTimeout,
+	}
 }
 
 type statusBody struct {
@@ -153,7 +160,7 @@
 		}
 		return orderConn{conn, check}, nil
 	})
-	t.DisableKeepAlives, t.ExpectContinueTimeout = true, continueTimeout
+	t.DisableKeepAlives, t.ExpectContinueTimeout, t.ResponseHeaderTimeout = true, continueTimeout, c.orderTimeout
 	defer t.CloseIdleConnections()
 	resp, err := c.do(ctx, &http.Client{Transport: t}, http.MethodPost, path, q, body)
 	if err != nil {
