originhttp: a body that trickles ends its fetch

Seen: a manifest or chunk that arrives as single bytes held its fetch, and one of the few places for fetches from the origin, as long as the bytes came.

Cause: each read restarts the timer for stalls, and neither the client nor the manager of the weights bounds a fetch as a whole.

Change: all reads of a body together may block for 10 s and a second for each 16 KiB, nine minutes for the largest chunk. The time in which the reader waits for its rate limit does not count. The bytes were bounded before: by maxManifestBytes, and by the manager, which reads a chunk's size and one byte more.

Result: TestTrickleEndsCall (with a shorter bound) failed before with "manifest: decoding manifest: context deadline exceeded" after its own deadline of 1.5 s, and passes after.

--- a/internal/adapter/originhttp/originhttp.go
+++ b/internal/adapter/originhttp/originhttp.go
@@ -25,7 +25,12 @@
 const (
 	// stallTimeout cancels a call that has received no data for this long.
 	stallTimeout = 2 * time.Second
-	dialTimeout  = time.Second
+	// bodyGrace and minBytesPerSecond bound the time that reads of a body may block in
+	// total. When all VMs fetch at once, a chunk gets a small part of the origin's link;
+	// at this rate a chunk of 8 MiB takes nine minutes.
+	bodyGrace         = 10 * time.Second
+	minBytesPerSecond = 16 << 10
+	dialTimeout       = time.Second
 	// maxManifestBytes limits the JSON form of a manifest. A chunk takes about
 	// 100 bytes there.
 	maxManifestBytes = 128 * manifest.MaxChunks
@@ -38,6 +43,8 @@
 	baseURL string
 	vm      fleet.VM
 	http    *http.Client
+	// grace is the time that an empty body may take.
+	grace time.Duration
 }
 
 var _ port.Origin = (*Client)(nil)
@@ -47,7 +54,7 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	t := boundedhttp.NewTransport(d.DialContext)
 	t.MaxIdleConnsPerHost = 4
-	return &Client{baseURL: "http://" + string(addr), vm: vm, http: &http.Client{Transport: t}}
+	return &Client{baseURL: "http://" + string(addr), vm: vm, http: &http.Client{Transport: t}, grace: bodyGrace}
 }
 
 type manifestJSON struct {
@@ -118,23 +125,29 @@
 		_ = resp.Body.Close()
 		return fail(errors.Errorf("origin answered with status %d", resp.StatusCode))
 	}
-	return &stallReader{resp.Body, timer, cancel}, nil
+	return &stallReader{ReadCloser: resp.Body, timer: timer, cancel: cancel, left: c.grace}, nil
 }
 
 // stallReader is a response body that cancels its call when a read blocks for
-// stallTimeout. The time between reads does not count, so that a rate-limited reader
-// is not mistaken for a stalled origin.
+// stallTimeout, or when all reads together block longer than the bytes received
+// allow. The time between reads does not count, so that a rate-limited reader is not
+// mistaken for a stalled origin.
 type stallReader struct {
 	io.ReadCloser
 	timer  *time.Timer
 	cancel context.CancelFunc
+	// left is the time for which further reads may block. Each byte adds to it.
+	left time.Duration
 }
 
 // Read implements io.Reader.
 func (b *stallReader) Read(p []byte) (int, error) {
-	b.timer.Reset(stallTimeout)
+	start := time.Now()
+	b.timer.Reset(max(0, min(stallTimeout, b.left)))
 	defer b.timer.Stop()
-	return b.ReadCloser.Read(p)
+	n, err := b.ReadCloser.Read(p)
+	b.left += time.Duration(n)*time.Second/minBytesPerSecond - time.Since(start)
+	return n, err
 }
 
 // Close implements io.Closer.
--- a/internal/adapter/originhttp/originhttp_test.go
+++ b/internal/adapter/originhttp/originhttp_test.go
@@ -79,3 +79,34 @@
 		t.Error("the header was accepted")
 	}
 }
+
+// TestTrickleEndsCall guards against a fetch that lasts for hours because each byte
+// restarts the timer for stalls, and against a bound that counts the time in which
+// the reader waits for its rate limit.
+func TestTrickleEndsCall(t *testing.T) {
+	c := newTestClient(t, func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			_, _ = io.WriteString(w, " ")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	c.grace = 300 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	if _, err := c.Manifest(ctx, "v"); err == nil || ctx.Err() != nil {
+		t.Errorf("manifest: %v, %v", err, ctx.Err())
+	}
+	rc, err := c.Chunk(ctx, "v", 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = rc.Close() }()
+	time.Sleep(2 * c.grace)
+	if _, err := rc.Read(make([]byte, 1)); err != nil {
+		t.Errorf("first byte after a pause of the reader: %v", err)
+	}
+	if _, err := io.Copy(io.Discard, rc); err == nil || ctx.Err() != nil {
+		t.Errorf("chunk: %v, %v", err, ctx.Err())
+	}
+}
