rpc: bound the decompressed values of a feed reply together

Seen: a reply with 16 compressed values of 1 MiB was accepted. A message of 4 MiB may have hundreds of values, each of which was decompressed to up to 8 MiB.

Cause: the bound applied to each value.

Change: the compressed values of a reply have at most 8 MiB together after decompression.

Result: TestFeedBytesAreBounded failed before with "16 values of 1 MiB: 16 changes, <nil>", and passes after.

--- a/internal/adapter/rpc/feed.go
+++ b/internal/adapter/rpc/feed.go
@@ -42,10 +42,13 @@
 		return port.FeedReply{}, errors.Wrap(err, "requesting store changes")
 	}
 	out := port.FeedReply{At: in.GetAt(), Age: time.Duration(in.GetAgeMs()) * time.Millisecond}
+	left := maxReplyBytes
 	for _, x := range in.GetChanges() {
 		value := x.GetValue()
 		if x.GetCompressed() {
-			if value, err = decompress(value); err != nil {
+			value, err = decompress(value, left)
+			left -= len(value)
+			if err != nil {
 				return port.FeedReply{}, errors.Wrapf(err, "requesting store changes: key %s", x.GetKey())
 			}
 		}
@@ -59,17 +62,21 @@
 	// configuration of 100 KB goes to all processes of a domain over the link of
 	// one process, which also carries answers to callers.
 	minCompressBytes = 4 << 10
-	// maxValueBytes limits a value after decompression. The store accepts values
-	// of up to 1 MB.
-	maxValueBytes = 8 << 20
+	// maxReplyBytes bounds the compressed values of a reply after decompression, all
+	// together. The store accepts values of up to 1 MB, and few keys have large ones.
+	maxReplyBytes = 8 << 20
 )
 
-func decompress(b []byte) ([]byte, error) {
-	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), maxValueBytes+1))
-	if err == nil && len(out) > maxValueBytes {
-		err = errors.Errorf("value is longer than %d bytes", maxValueBytes)
+// decompress returns a decompressed value of at most maxBytes.
+func decompress(b []byte, maxBytes int) ([]byte, error) {
+	out, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(b)), int64(maxBytes)+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompressing a value")
+	}
+	if len(out) > maxBytes {
+		return nil, errors.Errorf("values of a reply are longer than %d bytes", maxReplyBytes)
 	}
-	return out, errors.Wrap(err, "decompressing a value")
+	return out, nil
 }
 
 // compressedValue is the compressed value of a key at a revision.
--- a/internal/adapter/rpc/feed_test.go
+++ b/internal/adapter/rpc/feed_test.go
@@ -91,3 +91,25 @@
 		t.Errorf("%q, compressed %v", b, compressed)
 	}
 }
+
+// TestFeedBytesAreBounded guards against a reply of a few kilobytes whose values
+// together fill the memory once they are decompressed.
+func TestFeedBytesAreBounded(t *testing.T) {
+	var values atomic.Int64
+	addr := startServer(t, Handlers{Feed: feedHandlerFunc(func(context.Context, port.FeedRequest) (port.FeedReply, error) {
+		var r port.FeedReply
+		for i := range values.Load() {
+			r.Changes = append(r.Changes, feed.Change{Key: fmt.Sprintf("p/%d", i), Value: make([]byte, 1<<20), Revision: i + 1})
+		}
+		return r, nil
+	})})
+	c := NewClient()
+	defer c.Close()
+	for n, ok := range map[int64]bool{4: true, 16: false} {
+		values.Store(n)
+		r, err := c.Feed(t.Context(), addr, port.FeedRequest{Prefix: "p/", Wait: time.Second})
+		if (err == nil) != ok {
+			t.Errorf("%d values of 1 MiB: %d changes, %v", n, len(r.Changes), err)
+		}
+	}
+}
