rpc: a chunk that trickles ends its fetch

Seen: a peer that sends a chunk as single bytes, or pieces without bytes, held the fetch and its place among the fetches of the version as long as the pieces came.

Cause: each message restarts the timer for silence.

Change: a fetch may wait for its peer for 10 s and a second for each 4 KiB in total. Peers send pieces of 16 KiB, each of which has to arrive within two seconds, so no fetch at a rate that works today ends. The time between reads does not count.

--- a/internal/adapter/rpc/peer_client.go
+++ b/internal/adapter/rpc/peer_client.go
@@ -19,8 +19,15 @@
 	_ port.MemberClient = (*Client)(nil)
 )
 
-// callTimeout limits a unary call between processes.
-const callTimeout = 2 * time.Second
+const (
+	// callTimeout limits a unary call between processes.
+	callTimeout = 2 * time.Second
+	// fetchGrace and minFetchBytesPerSecond bound the time for which a fetch of a
+	// chunk may wait for the peer in total. A peer sends pieces of 16 KiB, each of
+	// which has to arrive within HeartbeatTimeout, which takes twice this rate.
+	fetchGrace             = 10 * time.Second
+	minFetchBytesPerSecond = 4 << 10
+)
 
 // Manifest implements port.PeerClient.
 func (c *Client) Manifest(ctx context.Context, addr fleet.Address, v fleet.Version) (manifest.Manifest, error) {
@@ -90,7 +97,7 @@
 // FetchChunk implements port.PeerClient.
 func (c *Client) FetchChunk(ctx context.Context, addr fleet.Address, r port.ChunkRequest) (io.ReadCloser, error) {
 	ctx, watchdog := newRecvWatchdog(ctx)
-	p := &chunkReader{ctx: ctx, watchdog: watchdog, closeIdle: func() { c.CloseIdle(addr) }}
+	p := &chunkReader{ctx: ctx, watchdog: watchdog, closeIdle: func() { c.CloseIdle(addr) }, left: c.fetchGrace}
 	req := &pb.FetchChunkRequest{
 		Version:    string(r.Version),
 		Index:      uint32(r.Index),
@@ -122,7 +129,10 @@
 	closeIdle func()
 	stream    pb.DRPCPeer_FetchChunkClient
 	unread    []byte
-	err       error
+	// left is the time for which the reader may wait for further pieces. Each byte adds
+	// to it.
+	left time.Duration
+	err  error
 	// streamEnded is set if the peer closed the stream after a refusal.
 	streamEnded bool
 }
@@ -133,10 +143,12 @@
 		return p.err
 	}
 	var m *pb.ChunkPiece
-	err := p.watchdog.run(func() (err error) {
+	start := time.Now()
+	err := p.watchdog.runFor(max(0, min(HeartbeatTimeout, p.left)), func() (err error) {
 		m, err = p.stream.Recv()
 		return err
 	})
+	p.left += time.Duration(len(m.GetBytes()))*time.Second/minFetchBytesPerSecond - time.Since(start)
 	switch {
 	case err != nil:
 		closeIdleOnHeartbeatTimeout(p.ctx, p.closeIdle)
--- a/internal/adapter/rpc/peer_client_test.go
+++ b/internal/adapter/rpc/peer_client_test.go
@@ -6,10 +6,12 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -140,3 +142,43 @@
 	}
 	_ = rc.Close()
 }
+
+// tricklingPeer sends a chunk as single bytes, or as pieces without bytes, for as
+// long as its caller reads.
+type tricklingPeer struct {
+	port.PeerHandler
+	pieceBytes int
+}
+
+func (p *tricklingPeer) SendChunk(ctx context.Context, _ port.ChunkRequest, w io.Writer) error {
+	for ctx.Err() == nil {
+		stream := w.(pieceWriter).stream
+		if err := stream.Send(&pb.ChunkPiece{Bytes: make([]byte, p.pieceBytes)}); err != nil {
+			return err
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+// TestTrickleEndsFetch guards against a fetch that lasts for hours because each
+// message restarts the timer for silence.
+func TestTrickleEndsFetch(t *testing.T) {
+	for _, n := range []int{0, 1} {
+		addr := startServer(t, Handlers{Peer: &tricklingPeer{pieceBytes: n}})
+		c := NewClient()
+		defer c.Close()
+		c.fetchGrace = 200 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer cancel()
+		rc, err := c.FetchChunk(ctx, addr, port.ChunkRequest{Version: "v"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = io.Copy(io.Discard, rc)
+		_ = rc.Close()
+		if err == nil || ctx.Err() != nil {
+			t.Errorf("pieces of %d bytes: %v, %v", n, err, ctx.Err())
+		}
+	}
+}
--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -45,6 +45,8 @@
 // separately.
 type Client struct {
 	pools *shard.Map[fleet.Address, *addressPool]
+	// fetchGrace is the time that an empty chunk may take.
+	fetchGrace time.Duration
 	// Source is the local address of connections. It must be set before the first
 	// call; the zero value leaves the choice to the system.
 	Source netip.Addr
@@ -54,7 +56,7 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{pools: shard.New[fleet.Address, *addressPool](0), Meter: &Meter{}}
+	return &Client{pools: shard.New[fleet.Address, *addressPool](0), fetchGrace: fetchGrace, Meter: &Meter{}}
 }
 
 // dialError is a failure to connect: nothing of the request was sent.
@@ -151,7 +153,12 @@
 
 // run calls receive with the timer running.
 func (w *recvWatchdog) run(receive func() error) error {
-	w.timer.Reset(HeartbeatTimeout)
+	return w.runFor(HeartbeatTimeout, receive)
+}
+
+// runFor is like run, with another timeout.
+func (w *recvWatchdog) runFor(timeout time.Duration, receive func() error) error {
+	w.timer.Reset(timeout)
 	err := receive()
 	w.timer.Stop()
 	return err
