rpc: set the longest message explicitly

Seen: nothing fails. The longest message that a process accepts was drpc's default of 4 MiB, which another release of drpc may change.

Change: clients and servers set the bound to the same 4 MiB.

--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
@@ -85,9 +86,19 @@
 	maxKeptBytes     = 4 << 10
 )
 
+// maxMessageBytes bounds a message that a process receives. The longest are a
+// manifest of manifest.MaxChunks chunks and a request with its body. A connection
+// whose peer sends more is closed.
+const maxMessageBytes = 4 << 20
+
+func readerOptions() drpcwire.ReaderOptions {
+	return drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}
+}
+
 func connOptions() drpcconn.Options {
 	return drpcconn.Options{Manager: drpcmanager.Options{
 		WriterBufferSize: writeBufferBytes,
+		Reader:           readerOptions(),
 		Stream:           drpcstream.Options{SplitSize: frameBytes, MaximumBufferSize: maxKeptBytes},
 	}}
 }
--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -5,6 +5,7 @@
 	"net"
 
 	"github.com/pkg/errors"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -80,7 +81,8 @@
 
 // Serve accepts connections until ctx ends.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
-	err := drpcserver.New(meteredHandler{s.mux, s.meter}).Serve(ctx, countedListener{lis, &s.meter.connections})
+	o := drpcserver.Options{Manager: drpcmanager.Options{Reader: readerOptions()}}
+	err := drpcserver.NewWithOptions(meteredHandler{s.mux, s.meter}, o).Serve(ctx, countedListener{lis, &s.meter.connections})
 	if ctx.Err() != nil {
 		return nil
 	}
