rpc: bound the fields of a message

Seen: in a trial, messages of 4 MiB whose elements are empty took 172 MB (manifest), 205 MB (feed reply) and 396 MB (member list, exchange) once decoded. A side machine has 152 MB.

Cause: the bound of a message applies to its encoded form. An empty element of a repeated field takes two bytes there and up to 200 decoded.

Change: clients and servers count the fields of a message before they decode it, and refuse it from manifest.MaxChunks + 64 on. Manifests have the most elements.

Result: TestMessageFieldsAreBounded and TestRequestFieldsAreBounded failed before with "131072 empty changes: got 131072, <nil>" and "a message with 131072 fields was accepted", and pass after.

--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -115,7 +115,7 @@
 		p = old
 		return old, true
 	})
-	return meteredConn{p.Get(ctx, addr, c.dial), c.Meter}
+	return boundedConn{meteredConn{p.Get(ctx, addr, c.dial), c.Meter}}
 }
 
 // CloseIdle closes the idle connections to an address. It is called after a
--- a/internal/adapter/rpc/server.go
+++ b/internal/adapter/rpc/server.go
@@ -82,7 +82,7 @@
 // Serve accepts connections until ctx ends.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
 	o := drpcserver.Options{Manager: drpcmanager.Options{Reader: readerOptions()}}
-	err := drpcserver.NewWithOptions(meteredHandler{s.mux, s.meter}, o).Serve(ctx, countedListener{lis, &s.meter.connections})
+	err := drpcserver.NewWithOptions(meteredHandler{boundedHandler{s.mux}, s.meter}, o).Serve(ctx, countedListener{lis, &s.meter.connections})
 	if ctx.Err() != nil {
 		return nil
 	}
