--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/adapter/targethttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -29,6 +30,15 @@
 	// it sends the weights. No weights are sent if the engine refuses the order.
 	continueTimeout   = time.Second
 	maxErrorTextBytes = 4 << 10
+	// orderTimeout bounds the time from the last byte of an order to the end of the
+	// response header. The engine responds once it has moved the weights to its
+	// accelerators, which takes seconds to minutes.
+	orderTimeout = 10 * time.Minute
+	// errorTextTimeout bounds the wait for the text of an error, which only goes into
+	// messages.
+	errorTextTimeout = 500 * time.Millisecond
+	// maxStatusBytes bounds a status, which lists the loaded versions.
+	maxStatusBytes = 64 << 10
 )
 
 // ErrStaleFence means that the engine has seen a higher fencing number.
@@ -36,15 +46,18 @@
 
 // Client is a client of one engine.
 type Client struct {
-	base string
-	http *http.Client
+	base         string
+	http         *http.Client
+	orderTimeout time.Duration
 }
 
 var _ port.Engine = (*Client)(nil)
 
 // New returns a client of the engine at addr.
 func New(addr fleet.Address) *Client {
-	return &Client{base: "http://" + string(addr), http: &http.Client{Transport: targethttp.NewTransport()}}
+	return &Client{
+		base: "http://" + string(addr), http: &http.Client{Transport: targethttp.NewTransport()}, orderTimeout: orderTimeout,
+	}
 }
 
 type statusBody struct {
@@ -82,8 +95,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return port.EngineStatus{}, errors.Errorf("engine status: %s", statusText(resp))
 	}
+	body, err := boundedhttp.ReadAll(resp.Body, maxStatusBytes)
+	if err != nil {
+		return port.EngineStatus{}, errors.Wrap(err, "asking engine for its status")
+	}
 	var b statusBody
-	if err := json.NewDecoder(resp.Body).Decode(&b); err != nil {
+	if err := json.Unmarshal(body, &b); err != nil {
 		return port.EngineStatus{}, errors.Wrap(err, "decoding engine status")
 	}
 	id := fleet.EngineIdentity{BootID: b.BootID, LoadCount: b.LoadCount}
@@ -112,7 +129,7 @@
 
 // statusText returns the status line and the start of the body of a response.
 func statusText(resp *http.Response) string {
-	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorTextBytes))
+	b := boundedhttp.ReadStart(resp.Body, maxErrorTextBytes, errorTextTimeout)
 	return resp.Status + ": " + string(bytes.TrimSpace(b))
 }
 
@@ -136,17 +153,14 @@
 // sendOrder sends an order on a new connection, which checks before each write that
 // the order is still allowed.
 func (c *Client) sendOrder(ctx context.Context, path string, q url.Values, body io.Reader, check port.OrderCheck) error {
-	t := &http.Transport{
-		DisableKeepAlives:     true,
-		ExpectContinueTimeout: continueTimeout,
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			return orderConn{conn, check}, nil
-		},
-	}
+	t := boundedhttp.NewTransport(func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return orderConn{conn, check}, nil
+	})
+	t.DisableKeepAlives, t.ExpectContinueTimeout, t.ResponseHeaderTimeout = true, continueTimeout, c.orderTimeout
 	defer t.CloseIdleConnections()
 	resp, err := c.do(ctx, &http.Client{Transport: t}, http.MethodPost, path, q, body)
 	if err != nil {
--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcstream"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
@@ -45,6 +46,8 @@
 // separately.
 type Client struct {
 	pools *shard.Map[fleet.Address, *addressPool]
+	// fetchGrace is the time that an empty chunk may take.
+	fetchGrace time.Duration
 	// Source is the local address of connections. It must be set before the first
 	// call; the zero value leaves the choice to the system.
 	Source netip.Addr
@@ -54,7 +57,7 @@
 
 // NewClient returns a client without connections.
 func NewClient() *Client {
-	return &Client{pools: shard.New[fleet.Address, *addressPool](0), Meter: &Meter{}}
+	return &Client{pools: shard.New[fleet.Address, *addressPool](0), fetchGrace: fetchGrace, Meter: &Meter{}}
 }
 
 // dialError is a failure to connect: nothing of the request was sent.
@@ -83,9 +86,19 @@
 	maxKeptBytes     = 4 << 10
 )
 
+// maxMessageBytes bounds a message that a process receives. The longest are a
+// manifest of manifest.MaxChunks chunks and a request with its body. A connection
+// whose peer sends more is closed.
+const maxMessageBytes = 4 << 20
+
+func readerOptions() drpcwire.ReaderOptions {
+	return drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}
+}
+
 func connOptions() drpcconn.Options {
 	return drpcconn.Options{Manager: drpcmanager.Options{
 		WriterBufferSize: writeBufferBytes,
+		Reader:           readerOptions(),
 		Stream:           drpcstream.Options{SplitSize: frameBytes, MaximumBufferSize: maxKeptBytes},
 	}}
 }
@@ -102,7 +115,7 @@
 		p = old
 		return old, true
 	})
-	return meteredConn{p.Get(ctx, addr, c.dial), c.Meter}
+	return boundedConn{meteredConn{p.Get(ctx, addr, c.dial), c.Meter}}
 }
 
 // CloseIdle closes the idle connections to an address. It is called after a
@@ -151,7 +164,12 @@
 
 // run calls receive with the timer running.
 func (w *recvWatchdog) run(receive func() error) error {
-	w.timer.Reset(HeartbeatTimeout)
+	return w.runFor(HeartbeatTimeout, receive)
+}
+
+// runFor is like run, with another timeout.
+func (w *recvWatchdog) runFor(timeout time.Duration, receive func() error) error {
+	w.timer.Reset(timeout)
 	err := receive()
 	w.timer.Stop()
 	return err
