gateway, loader: log what decides which weights a request may use

A gateway that had restarted could not be told from one whose view was late.

"weights declared" has declared_ago_ms and picture_age_ms at gateways and from_listing at loaders; a request's line has target_weights and weights_required.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -24,12 +24,13 @@
 func (c *call) forward(ctx context.Context) {
 	for {
 		now := c.g.deps.Clock.Now()
-		choice, out := c.g.targets.Choose(c.placementQuery(now), now, c.g.deps.Rand.IntN)
+		q := c.placementQuery(now)
+		choice, out := c.g.targets.Choose(q, now, c.g.deps.Rand.IntN)
 		if out != placement.Chosen {
 			c.fail(ctx, c.noTargetError(out))
 			return
 		}
-		c.lastChoice = choice
+		c.lastChoice, c.weightsRequired = choice, q.MinWeightsVersion
 		if c.sends == 0 {
 			c.g.budgets.RecordRequest(c.service.Name, now)
 		}
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -194,6 +194,15 @@
 	return g.deps.Clock.SinceBoot() - time.Duration(g.confirmedAt.Load())
 }
 
+// viewAgeOrNever returns viewAge, or a negative time if the store has never confirmed
+// the operator keys.
+func (g *Gateway) viewAgeOrNever() time.Duration {
+	if g.confirmedAt.Load() == 0 {
+		return -time.Millisecond
+	}
+	return g.viewAge()
+}
+
 const (
 	// usualConfirmationAge is the age of the last confirmation when a change arrives in
 	// normal operation. weightsMargin covers it.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -88,7 +88,7 @@
 	g.operatorFollower = g.newFollower(ps.Operator, operatorBatchDelay)
 	g.applyOperatorKeys = g.publishThenApply(g.operatorFollower, func(e follow.Event) {
 		at := d.Clock.SinceBoot()
-		g.view.applyOperatorKeys(e, g.earliestDeclaration())
+		g.view.applyOperatorKeys(e, g.earliestDeclaration(), g.viewAgeOrNever())
 		if e.Reset && g.confirmedAt.Load() == 0 {
 			g.confirmedAt.Store(int64(at))
 		}
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -248,7 +248,7 @@
 	gw.decodedItems[key] = item
 	e := follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: key, Revision: revision}}}}
 	if strings.HasPrefix(key, "op/") {
-		gw.view.applyOperatorKeys(e, gw.clock.Now())
+		gw.view.applyOperatorKeys(e, gw.clock.Now(), 0)
 	} else {
 		gw.view.applyTargets(e)
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -32,7 +32,9 @@
 	sends, runs int
 	tried       map[fleet.Instance]bool
 	lastChoice  placement.Choice
-	relay       relay
+	// weightsRequired is the oldest version of the weights that lastChoice could have had.
+	weightsRequired int64
+	relay           relay
 	// fallback is a target's response with a 5xx status. It is delivered if no retry
 	// succeeds.
 	fallback *bufferedResponse
@@ -246,6 +248,9 @@
 	if c.lastChoice.Instance != "" {
 		fs = append(fs, logging.F("target", string(c.lastChoice.Instance)), logging.F("target_domain", string(c.lastChoice.Domain)),
 			logging.F("target_load", c.lastChoice.EstimatedInFlight), logging.Millis("predicted_first_ms", c.lastChoice.TimeToFirstEvent), logging.Millis("load_age_ms", c.lastChoice.LoadAge))
+		if c.service.Engine != nil {
+			fs = append(fs, logging.F("target_weights", c.lastChoice.WeightsVersion), logging.F("weights_required", c.weightsRequired))
+		}
 	}
 	if n := c.relay.events.EventCount(); n > 0 {
 		fs = append(fs, c.relay.orderFields()...)
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -240,7 +240,7 @@
 			t.Errorf("sent to %s", to)
 		}
 	}
-	gw.view.applyOperatorKeys(follow.Event{Reset: true}, gw.clock.Now())
+	gw.view.applyOperatorKeys(follow.Event{Reset: true}, gw.clock.Now(), 0)
 	gw.forwarder.to = nil
 	for range 8 {
 		gw.request(newInbound())
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -114,8 +114,9 @@
 }
 
 // applyOperatorKeys applies an event of the operator keys. earliest is the earliest time
-// at which declarations in it may have been made.
-func (v *view) applyOperatorKeys(e follow.Event, earliest time.Time) {
+// at which declarations in it may have been made, and viewAge the time since the store
+// confirmed the view, or negative if it never did.
+func (v *view) applyOperatorKeys(e follow.Event, earliest time.Time, viewAge time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if e.Reset {
@@ -138,12 +139,12 @@
 			v.log.Failure("operator's item can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
 			continue
 		}
-		v.applyItem(item, c, next, earliest)
+		v.applyItem(item, c, next, earliest, viewAge)
 	}
 	v.declarations.Store(next)
 }
 
-func (v *view) applyItem(item port.DecodedItem, c port.StoreChange, next *declarations, earliest time.Time) {
+func (v *view) applyItem(item port.DecodedItem, c port.StoreChange, next *declarations, earliest time.Time, viewAge time.Duration) {
 	switch f := item.(type) {
 	case port.ConfigItem:
 		v.applyConfig(f.Config, c)
@@ -156,7 +157,8 @@
 		v.log.StateChange("cordon", logging.F("domain", string(f.Domain)), logging.F("cordoned", !c.Removed), logging.F("revision", c.Revision))
 	case port.WeightsItem:
 		next.weights[f.Model] = appendDeclaration(next.weights[f.Model], weightsDeclaration{f.Number, earliest})
-		v.log.StateChange("weights declared", logging.F("model", string(f.Model)), logging.F("number", f.Number), logging.F("revision", c.Revision))
+		v.log.StateChange("weights declared", logging.F("model", string(f.Model)), logging.F("number", f.Number), logging.F("revision", c.Revision),
+			logging.Millis("declared_ago_ms", v.clock.Now().Sub(earliest)), logging.Millis("picture_age_ms", viewAge))
 	}
 }
 
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -115,7 +115,8 @@
 	const maxKept = 8 // more than are declared within one WeightsBound
 	v.declarations = append(v.declarations, d)
 	v.declarations = v.declarations[max(0, len(v.declarations)-maxKept):]
-	v.log.StateChange("weights declared", logging.F("model", string(d.Model)), logging.F("number", d.Number), logging.F("revision", revision))
+	v.log.StateChange("weights declared", logging.F("model", string(d.Model)), logging.F("number", d.Number), logging.F("revision", revision),
+		logging.F("from_listing", d.fromListing))
 }
 
 func (v *view) applyMembers(e follow.Event) {
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -49,6 +49,8 @@
 	Instance fleet.Instance
 	Address  fleet.Address
 	Domain   fleet.Domain
+	// WeightsVersion is the registered version of the target's weights.
+	WeightsVersion int64
 	// EstimatedInFlight is the estimated number of requests in the target before
 	// this one.
 	EstimatedInFlight float64
@@ -140,7 +142,7 @@
 			full = true
 			return true
 		}
-		c := Choice{Instance: id, Address: s.Address, Domain: s.Domain, EstimatedInFlight: s.estimatedInFlight(now, q.Processes), LoadAge: -1}
+		c := Choice{Instance: id, Address: s.Address, Domain: s.Domain, WeightsVersion: s.WeightsVersion, EstimatedInFlight: s.estimatedInFlight(now, q.Processes), LoadAge: -1}
 		if !s.reportedAt.IsZero() {
 			c.LoadAge = now.Sub(s.reportedAt)
 		}
