gateway: date a declaration by a confirmation that covers its key

Cause: a gateway counts the bound of declared weights from the last confirmation of its view. The confirmation compares the revisions of the keys that the view knows and of absent cordons. The key of a model whose weights were never declared is none of them, so a check passed between the first declaration and its late arrival, and the bound began at the arrival.

Change: core/confirmation records which keys a confirmation covers and since when. Checks include the absent keys of all configured models, and a declaration is dated by the newest confirmation that covers its key (core/weightsbound), in time that also advances while the machine is suspended. A listing counts from its start, not from its end. Checks of more than 32 keys are split, since the store refuses larger ones. Several declarations within one bound no longer push out the oldest one.

--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -39,8 +39,9 @@
 // that follow it. It implements port.FeedHandler.
 type Server struct {
 	clock port.Clock
-	// confirmationAge returns the time since the store confirmed the process's view.
-	confirmationAge func() time.Duration
+	// confirmationAge returns the time since the store confirmed the process's view, or
+	// false if it never did.
+	confirmationAge func() (time.Duration, bool)
 	logs            []*prefixLog
 	// lastRequest is the time of the last request in Unix nanoseconds.
 	lastRequest atomic.Int64
@@ -56,8 +57,8 @@
 }
 
 // NewServer returns a server without prefixes. confirmationAge returns the time
-// since the store confirmed the process's view.
-func NewServer(clock port.Clock, confirmationAge func() time.Duration) *Server {
+// since the store confirmed the process's view, or false if it never did.
+func NewServer(clock port.Clock, confirmationAge func() (time.Duration, bool)) *Server {
 	return &Server{clock: clock, confirmationAge: confirmationAge}
 }
 
@@ -114,8 +115,8 @@
 		}
 		// The age is read before the changes, so that the changes are at least as new
 		// as the view that was confirmed.
-		confirmationAge := s.confirmationAge()
-		if confirmationAge > maxConfirmationAge {
+		confirmationAge, confirmed := s.confirmationAge()
+		if !confirmed || confirmationAge > maxConfirmationAge {
 			return port.FeedReply{}, ErrStale
 		}
 		changes, revision, known, next := p.log.Since(r.Prefix, r.After)
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -48,20 +48,12 @@
 	PreferReaders bool
 }
 
-// Clock is a port.Clock with a second time source that also advances while the
-// machine is suspended.
-type Clock interface {
-	port.Clock
-	// SinceBoot returns the time since the machine started.
-	SinceBoot() time.Duration
-}
-
 // Source is a store whose changes are read from other processes where possible and
 // otherwise from the underlying store. All other calls go to the underlying store.
 type Source struct {
 	port.Store
 	client port.FeedClient
-	clock  Clock
+	clock  port.BootClock
 	log    *logging.Logger
 	// readers returns the processes to ask, in order.
 	readers func() []core.Member
@@ -82,7 +74,7 @@
 
 // NewSource returns a source that reads from the given readers before it reads from
 // store s. readers must not block.
-func NewSource(s port.Store, c port.FeedClient, clock Clock, log *logging.Logger, readers func() []core.Member, prefixes map[string]PrefixOptions) *Source {
+func NewSource(s port.Store, c port.FeedClient, clock port.BootClock, log *logging.Logger, readers func() []core.Member, prefixes map[string]PrefixOptions) *Source {
 	return &Source{
 		Store: s, client: c, clock: clock, log: log, readers: readers,
 		state: shard.New[string, prefixState](0), skipUntil: shard.New[fleet.Address, time.Time](0), prefixes: prefixes,
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -32,8 +32,10 @@
 type Event struct {
 	Reset   bool
 	Changes []port.StoreChange
-	// At is the revision of the listing if Reset is set.
-	At int64
+	// At is the revision of the listing if Reset is set, and ReadAt the time since boot
+	// at which it began: the listing has everything that was in the store then.
+	At     int64
+	ReadAt time.Duration
 }
 
 // Follower reads the changes under one prefix.
@@ -49,7 +51,7 @@
 	// held no changes, with the revision up to which all changes are known. It may be
 	// nil.
 	OnRevision func(revision int64)
-	Clock      port.Clock
+	Clock      port.BootClock
 	Log        *logging.Logger
 
 	relist    chan struct{}
@@ -57,7 +59,7 @@
 }
 
 // New returns a follower of a prefix. See the fields of Follower for the parameters.
-func New(s port.Store, prefix string, wait time.Duration, batchDelay func() time.Duration, c port.Clock, l *logging.Logger) *Follower {
+func New(s port.Store, prefix string, wait time.Duration, batchDelay func() time.Duration, c port.BootClock, l *logging.Logger) *Follower {
 	return &Follower{Store: s, Prefix: prefix, Wait: wait, BatchDelay: batchDelay, Clock: c, Log: l, relist: make(chan struct{}, 1)}
 }
 
@@ -74,6 +76,7 @@
 func (f *Follower) Run(ctx context.Context, apply func(Event)) {
 	pause := retryMin
 	for ctx.Err() == nil {
+		readAt := f.Clock.SinceBoot()
 		items, revision, err := f.Store.List(ctx, f.Prefix)
 		if err != nil {
 			f.markLost(ctx, err)
@@ -82,7 +85,7 @@
 			continue
 		}
 		f.markRegained(revision)
-		e := Event{Reset: true, At: revision}
+		e := Event{Reset: true, At: revision, ReadAt: readAt}
 		for _, it := range items {
 			e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
 		}
--- a/internal/app/follow/follow_test.go
+++ b/internal/app/follow/follow_test.go
@@ -124,3 +124,29 @@
 		t.Errorf("%d listings within %v", n, 4*retryMin)
 	}
 }
+
+// slowListing is a store whose listings take a while.
+type slowListing struct {
+	*porttest.Store
+	took time.Duration
+}
+
+func (s slowListing) List(ctx context.Context, prefix string) ([]port.StoreItem, int64, error) {
+	items, at, err := s.Store.List(ctx, prefix)
+	time.Sleep(s.took)
+	return items, at, err
+}
+
+// TestListingIsDatedAtItsStart guards against a listing that counts as a confirmation from its
+// end, although the store may have changed since its start.
+func TestListingIsDatedAtItsStart(t *testing.T) {
+	const took = 100 * time.Millisecond
+	f := New(slowListing{porttest.NewStore(), took}, "p/", time.Second, func() time.Duration { return time.Millisecond }, sysclock.Clock{}, logging.New(io.Discard, "x", "1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	f.Run(ctx, func(e Event) {
+		if age := (sysclock.Clock{}).SinceBoot() - e.ReadAt; !e.Reset || age < took {
+			t.Errorf("a listing that took %v is dated %v ago", took, age)
+		}
+		cancel()
+	})
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -23,8 +23,7 @@
 // retry is allowed.
 func (c *call) forward(ctx context.Context) {
 	for {
-		now := c.g.deps.Clock.Now()
-		q := c.placementQuery(now)
+		now, q := c.g.deps.Clock.Now(), c.placementQuery()
 		choice, out := c.g.targets.Choose(q, now, c.g.deps.Rand.IntN)
 		if out != placement.Chosen {
 			c.fail(ctx, c.noTargetError(out))
--- a/internal/app/gateway/declared_test.go
+++ b/internal/app/gateway/declared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -16,6 +17,15 @@
 
 const weightsKey = "op/weights/m"
 
+// confirmationSlack is how much later than in truth a declaration may be dated in normal
+// operation; weightsMargin covers it.
+const confirmationSlack = 700 * time.Millisecond
+
+// engineConfig is a configuration with engines of model m.
+var engineConfig = port.ConfigItem{Config: routes.Config{Version: 2, Routes: []routes.Route{route}, Services: []routes.Service{
+	{Name: "s", Engine: &routes.Engine{Slots: 4, Models: []fleet.Model{"m"}}},
+}}}
+
 // WeightsKey returns the key under which the version of a model's weights is declared.
 func (decodedItems) WeightsKey(m fleet.Model) string { return "op/weights/" + string(m) }
 
@@ -30,9 +40,7 @@
 	if _, _, err := gw.source.List(context.Background(), "op/"); err != nil {
 		t.Fatal(err)
 	}
-	gw.decodedItems["op/config"] = port.ConfigItem{Config: routes.Config{Version: 2, Routes: []routes.Route{route}, Services: []routes.Service{
-		{Name: "s", Engine: &routes.Engine{Slots: 4, Models: []fleet.Model{"m"}}},
-	}}}
+	gw.decodedItems["op/config"] = engineConfig
 	gw.decodedItems[weightsKey] = port.WeightsItem{Model: "m", Number: 2}
 	gw.applyOperatorKeys(follow.Event{Reset: true, At: 1, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "op/config", Revision: 1}}}})
 	gw.confirmView(context.Background())
@@ -44,7 +52,7 @@
 
 // requiredAfter returns the oldest weights of model m that may serve requests d from now.
 func (gw *testGateway) requiredAfter(d time.Duration) int64 {
-	return gw.view.declarations.Load().minWeightsVersion("m", gw.settings.WeightsBound-weightsMargin, gw.clock.Now().Add(d))
+	return gw.view.declarations.Load().weights["m"].Required(gw.settings.WeightsBound-weightsMargin, gw.clock.SinceBoot()+d)
 }
 
 // TestFirstDeclarationIsNotDatedByLaterCheck guards against old weights that are used after
@@ -57,7 +65,7 @@
 	gw.clock.advance(late)
 	gw.confirmView(context.Background())
 	gw.applyOperatorKeys(lateDeclaration)
-	if n := gw.requiredAfter(gw.settings.WeightsBound - weightsMargin - late + usualConfirmationAge); n != 2 {
+	if n := gw.requiredAfter(gw.settings.WeightsBound - weightsMargin - late + confirmationSlack); n != 2 {
 		t.Errorf("version %d may serve requests at the end of the bound, want 2", n)
 	}
 }
@@ -77,3 +85,44 @@
 		t.Errorf("the reader confirms %v ago a view without the declaration made 1 s ago", reply.Age)
 	}
 }
+
+// boundedCommits is a store that refuses commits with too many preconditions, as the
+// platform's store does.
+type boundedCommits struct {
+	*porttest.Store
+	t       *testing.T
+	checked int
+}
+
+func (s *boundedCommits) Commit(ctx context.Context, expect []port.Precondition, writes []port.StoreWrite) error {
+	if s.checked += len(expect); len(expect) > maxPreconditions {
+		s.t.Errorf("a commit has %d preconditions, %d are allowed", len(expect), maxPreconditions)
+	}
+	return s.Store.Commit(ctx, expect, writes)
+}
+
+// TestManyModelsAreConfirmed guards against a view that is never confirmed because it has more
+// keys than one commit may check, and against one that is confirmed by a part of them.
+func TestManyModelsAreConfirmed(t *testing.T) {
+	gw, store := newEngineGateway(t)
+	commits := &boundedCommits{Store: store, t: t}
+	gw.deps.Store = commits
+	many := engineConfig
+	many.Config.Services = nil
+	for i := range 3 * maxPreconditions {
+		m := fleet.Model(fmt.Sprint("m", i))
+		many.Config.Services = append(many.Config.Services, routes.Service{Name: fleet.Service(m), Engine: &routes.Engine{Models: []fleet.Model{m}}})
+	}
+	gw.applyItem("op/config", 1, many)
+	gw.clock.advance(time.Second)
+	gw.confirmView(context.Background())
+	if age, _ := gw.viewAge(); age != 0 || commits.checked < 3*maxPreconditions {
+		t.Errorf("confirmed %v ago after a check of %d keys", age, commits.checked)
+	}
+	store.Put("op/weights/m70", "")
+	gw.clock.advance(time.Second)
+	gw.confirmView(context.Background())
+	if age, _ := gw.viewAge(); age != time.Second {
+		t.Errorf("confirmed %v ago although a declaration is missing", age)
+	}
+}
--- a/internal/app/gateway/feed_test.go
+++ b/internal/app/gateway/feed_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/feed"
-	"github.com/masticwing/masticwing/internal/app/follow"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routes"
@@ -40,14 +39,14 @@
 		gw.adoptReaderConfirmation()
 	}
 	adopt(time.Second)
-	if age := gw.viewAge(); age != time.Second {
+	if age, ok := gw.viewAge(); !ok || age != time.Second {
 		t.Errorf("confirmed %v ago, want 1 s", age)
 	}
 	if c := gw.request(newInbound()); c.status != 200 {
 		t.Errorf("refused: %v", c.refused)
 	}
 	adopt(3 * time.Second)
-	if age := gw.viewAge(); age != time.Second {
+	if age, ok := gw.viewAge(); !ok || age != time.Second {
 		t.Errorf("confirmed %v ago after an older confirmation, want 1 s", age)
 	}
 }
@@ -118,23 +117,22 @@
 		oldAllowed   time.Duration // time for which old weights may still be used
 	}{
 		"in time":      {300 * time.Millisecond, 8*time.Second - weightsMargin},
-		"after 3 s":    {3 * time.Second, 8*time.Second - weightsMargin - 3*time.Second + usualConfirmationAge},
+		"after 3 s":    {3 * time.Second, 8*time.Second - weightsMargin - 3*time.Second + confirmationSlack},
 		"at the start": {0, startupWeightsGrace},
 	} {
-		gw := newTestGateway(t, route)
-		gw.confirmedAt.Store(0)
+		gw := newUnconfirmedGateway(t, route)
+		gw.applyItem("op/config", 2, engineConfig)
 		if c.confirmedAgo > 0 {
-			gw.confirmedAt.Store(int64(gw.clock.SinceBoot() - c.confirmedAgo))
+			gw.view.confirmations.Check(gw.clock.SinceBoot())
+			gw.clock.advance(c.confirmedAgo)
 		}
-		gw.decodedItems["op/weights"] = port.WeightsItem{Model: "m", Number: 2}
-		gw.applyOperatorKeys(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "op/weights", Revision: 9}}}})
-		now := gw.clock.Now()
-		d := gw.view.declarations.Load()
+		gw.decodedItems[weightsKey] = port.WeightsItem{Model: "m", Number: 2}
+		gw.applyOperatorKeys(lateDeclaration)
 		const tolerance = 200 * time.Millisecond
-		if n := d.minWeightsVersion("m", gw.settings.WeightsBound-weightsMargin, now.Add(c.oldAllowed-tolerance)); n != 0 {
+		if n := gw.requiredAfter(c.oldAllowed - tolerance); n != 0 {
 			t.Errorf("%s: old weights are refused before %v", name, c.oldAllowed)
 		}
-		if n := d.minWeightsVersion("m", gw.settings.WeightsBound-weightsMargin, now.Add(c.oldAllowed+tolerance)); n != 2 {
+		if n := gw.requiredAfter(c.oldAllowed + tolerance); n != 2 {
 			t.Errorf("%s: old weights are still used after %v", name, c.oldAllowed)
 		}
 	}
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -140,32 +141,41 @@
 	if g.feedServer.HasFollowers() {
 		interval = readerConfirmInterval
 	}
-	return interval - g.viewAge()
+	age, ok := g.viewAge()
+	if !ok {
+		return 0
+	}
+	return interval - age
 }
 
 // adoptReaderConfirmation adopts the confirmation of the gateway that this one follows,
 // if it is newer than its own.
 func (g *Gateway) adoptReaderConfirmation() {
-	at, fromReader := g.source.FromReader(g.operatorFollower.Prefix)
-	if old := g.confirmedAt.Load(); fromReader && int64(at) > old {
-		g.confirmedAt.CompareAndSwap(old, int64(at))
+	if at, fromReader := g.source.FromReader(g.operatorFollower.Prefix); fromReader {
+		g.view.confirmations.Check(at)
 	}
 }
 
-// confirmView checks the revisions of the operator keys with a commit without writes. It
+// maxPreconditions is the largest number of preconditions of one commit; the store refuses
+// more.
+const maxPreconditions = 32
+
+// confirmView checks the revisions of the operator keys with commits without writes. It
 // returns the pause before the next check.
 func (g *Gateway) confirmView(ctx context.Context) time.Duration {
-	expect := g.view.expectedRevisions(g.deps.Decoder.CordonKey)
 	at := g.deps.Clock.SinceBoot()
-	err := g.deps.Store.Commit(ctx, expect, nil)
-	switch {
-	case err == nil:
-		g.confirmedAt.Store(int64(at))
-		return g.untilNextConfirm()
-	case errors.Is(err, port.ErrConflict):
-		g.handleConflict(expect, err)
+	for expect := range slices.Chunk(g.view.expectedRevisions(), maxPreconditions) {
+		err := g.deps.Store.Commit(ctx, expect, nil)
+		switch {
+		case errors.Is(err, port.ErrConflict):
+			g.handleConflict(expect, err)
+			return confirmRetryDelay
+		case err != nil:
+			return confirmRetryDelay
+		}
 	}
-	return confirmRetryDelay
+	g.view.confirmations.Check(at)
+	return g.untilNextConfirm()
 }
 
 // handleConflict updates the view after the store found other revisions of the operator
@@ -188,38 +198,9 @@
 	g.deps.Log.StateChange("operators' keys have changed", logging.F("known", len(expect)), logging.F("told", known))
 }
 
-// viewAge returns the time since the store last confirmed the operator keys. It is
-// meaningful only if confirmedAt is set.
-func (g *Gateway) viewAge() time.Duration {
-	return g.deps.Clock.SinceBoot() - time.Duration(g.confirmedAt.Load())
-}
-
-// viewAgeOrNever returns viewAge, or a negative time if the store has never confirmed
-// the operator keys.
-func (g *Gateway) viewAgeOrNever() time.Duration {
-	if g.confirmedAt.Load() == 0 {
-		return -time.Millisecond
-	}
-	return g.viewAge()
-}
-
-const (
-	// usualConfirmationAge is the age of the last confirmation when a change arrives in
-	// normal operation. weightsMargin covers it.
-	usualConfirmationAge = 700 * time.Millisecond
-	// startupWeightsGrace is the time for which a gateway that has just started still
-	// uses weights older than the declared ones. It does not know when those were
-	// declared; other gateways serve requests in the meantime.
-	startupWeightsGrace = 2 * time.Second
-)
-
-// earliestDeclaration returns the earliest time at which a declaration that this gateway
-// learns of now may have been made: it is later than the last confirmation of the view,
-// which did not contain it. A gateway that has just started has no confirmation.
-func (g *Gateway) earliestDeclaration() time.Time {
-	now := g.deps.Clock.Now()
-	if g.confirmedAt.Load() == 0 {
-		return now.Add(startupWeightsGrace - (g.settings.WeightsBound - weightsMargin))
-	}
-	return now.Add(-max(0, g.viewAge()-usualConfirmationAge))
+// viewAge returns the time since the store last confirmed the operator keys, or false if it
+// never did.
+func (g *Gateway) viewAge() (time.Duration, bool) {
+	at, ok := g.view.confirmations.Newest()
+	return g.deps.Clock.SinceBoot() - at, ok
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -29,7 +29,7 @@
 	Feed    port.FeedClient
 	Decoder port.ItemDecoder
 	Targets port.Forwarder
-	Clock   feed.Clock
+	Clock   port.BootClock
 	Rand    port.Rand
 	Metrics port.Metrics
 	Log     *logging.Logger
@@ -46,9 +46,6 @@
 	buffers *memlimit.Budget
 	// coldPhase is placement.Query.ColdPhase of this process.
 	coldPhase float64
-	// confirmedAt is the time since boot, in nanoseconds, at which the store last
-	// confirmed that the view of the operator keys is current; zero if it never did.
-	confirmedAt atomic.Int64
 	// closing is set when Stop begins, refusing once new requests are refused.
 	closing          atomic.Bool
 	refusing         atomic.Bool
@@ -86,13 +83,7 @@
 	})
 	g.feedServer = feed.NewServer(d.Clock, g.viewAge)
 	g.operatorFollower = g.newFollower(ps.Operator, operatorBatchDelay)
-	g.applyOperatorKeys = g.publishThenApply(g.operatorFollower, func(e follow.Event) {
-		at := d.Clock.SinceBoot()
-		g.view.applyOperatorKeys(e, g.earliestDeclaration(), g.viewAgeOrNever())
-		if e.Reset && g.confirmedAt.Load() == 0 {
-			g.confirmedAt.Store(int64(at))
-		}
-	})
+	g.applyOperatorKeys = g.publishThenApply(g.operatorFollower, g.view.applyOperatorKeys)
 	return g
 }
 
--- a/internal/app/gateway/gauges.go
+++ b/internal/app/gateway/gauges.go
@@ -28,8 +28,8 @@
 		following = 1
 	}
 	m.Gauge("gateway_follows_reader", following)
-	if g.confirmedAt.Load() > 0 {
-		m.Gauge("gateway_picture_age_seconds", g.viewAge().Seconds())
+	if age, ok := g.viewAge(); ok {
+		m.Gauge("gateway_picture_age_seconds", age.Seconds())
 	}
 	if t := g.view.routeTable.Load(); t != nil {
 		m.Gauge("gateway_config_version", float64(t.Version))
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -213,8 +213,17 @@
 	MaxAttempts: 2, Shares: []routes.Share{{Service: "s", Weight: 1}},
 }
 
-// newTestGateway returns a gateway with route r whose targets answer with replies.
+// newTestGateway returns a gateway with route r whose view is confirmed and whose targets
+// answer with replies.
 func newTestGateway(t *testing.T, r routes.Route, replies ...scriptedReply) *testGateway {
+	t.Helper()
+	gw := newUnconfirmedGateway(t, r, replies...)
+	gw.view.confirmations.Check(gw.clock.SinceBoot())
+	return gw
+}
+
+// newUnconfirmedGateway is newTestGateway with a view that was never confirmed.
+func newUnconfirmedGateway(t *testing.T, r routes.Route, replies ...scriptedReply) *testGateway {
 	t.Helper()
 	gw := &testGateway{t: t, forwarder: &forwarder{replies: replies}, clock: &clock{sinceBoot: time.Hour}, decodedItems: decodedItems{}, log: &bytes.Buffer{}}
 	s := Settings{
@@ -232,7 +241,6 @@
 			Instance: fleet.Instance(id), Service: "s", Address: fleet.Address(id), Domain: fleet.Domain(id), Slots: 4,
 		}})
 	}
-	gw.confirmedAt.Store(int64(gw.clock.SinceBoot()))
 	return gw
 }
 
@@ -248,7 +256,7 @@
 	gw.decodedItems[key] = item
 	e := follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: key, Revision: revision}}}}
 	if strings.HasPrefix(key, "op/") {
-		gw.view.applyOperatorKeys(e, gw.clock.Now(), 0)
+		gw.view.applyOperatorKeys(e)
 	} else {
 		gw.view.applyTargets(e)
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -110,7 +110,7 @@
 	if !c.routeTable.RequiresKey() || c.route.Anonymous {
 		return nil
 	}
-	if age := c.g.viewAge(); c.g.confirmedAt.Load() == 0 || age > c.g.settings.KeyBound-keyBoundMargin {
+	if age, ok := c.g.viewAge(); !ok || age > c.g.settings.KeyBound-keyBoundMargin {
 		return verdict.New(verdict.NotRun, verdict.CodeStaleConfiguration, "keys were last confirmed %v ago", age.Round(time.Millisecond)).
 			WithRetryAfter(localRetryAfter)
 	}
@@ -183,8 +183,8 @@
 	queuedWeightsMargin = 3 * time.Second
 )
 
-// placementQuery returns the conditions for choosing a target at now.
-func (c *call) placementQuery(now time.Time) placement.Query {
+// placementQuery returns the conditions for choosing a target now.
+func (c *call) placementQuery() placement.Query {
 	d := c.g.view.declarations.Load()
 	q := placement.Query{
 		Service: c.service.Name, OwnDomain: c.g.settings.Domain,
@@ -196,8 +196,9 @@
 		q.MaxQueuedPerTarget = engineQueueLimit
 		q.Prefill, q.Decode = e.Timing.PrefillTime(c.in.WorkEstimate.PromptTokens), e.Timing.DecodeTime()
 		q.NeedsWeights = true
-		q.MinWeightsVersion = d.minWeightsVersion(c.in.WorkEstimate.Model, c.g.settings.WeightsBound-weightsMargin, now)
-		q.MinQueueWeightsVersion = d.minWeightsVersion(c.in.WorkEstimate.Model, c.g.settings.WeightsBound-queuedWeightsMargin, now)
+		declared, sinceBoot := d.weights[c.in.WorkEstimate.Model], c.g.deps.Clock.SinceBoot()
+		q.MinWeightsVersion = declared.Required(c.g.settings.WeightsBound-weightsMargin, sinceBoot)
+		q.MinQueueWeightsVersion = declared.Required(c.g.settings.WeightsBound-queuedWeightsMargin, sinceBoot)
 	} else {
 		q.MaxQueuedPerTarget = serviceQueueLimit
 	}
@@ -235,7 +236,7 @@
 		logging.F("request", string(c.in.ID)), logging.F("outcome", outcome),
 		logging.Millis("took_ms", now.Sub(c.in.ReceivedAt)),
 		logging.F("sends", c.sends), logging.F("runs", c.runs),
-		logging.Millis("picture_age_ms", g.viewAge()),
+		logging.Millis("picture_age_ms", g.view.ageOrNegative()),
 	}
 	route, class := "", "unknown"
 	if c.route != nil {
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/app/follow"
-	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -240,7 +239,7 @@
 			t.Errorf("sent to %s", to)
 		}
 	}
-	gw.view.applyOperatorKeys(follow.Event{Reset: true}, gw.clock.Now(), 0)
+	gw.view.applyOperatorKeys(follow.Event{Reset: true})
 	gw.forwarder.to = nil
 	for range 8 {
 		gw.request(newInbound())
@@ -276,10 +275,14 @@
 // TestMinWeights guards against a request that starts on old weights after newer ones
 // must be in use.
 func TestMinWeights(t *testing.T) {
-	now := time.Now()
-	d := &declarations{weights: map[fleet.Model][]weightsDeclaration{"m": appendDeclaration(appendDeclaration(nil, weightsDeclaration{2, now.Add(-7 * time.Second)}), weightsDeclaration{3, now})}}
-	for age, want := range map[time.Duration]int64{0: 0, 2 * time.Second: 2, 9 * time.Second: 3} {
-		if got := d.minWeightsVersion("m", 8*time.Second, now.Add(age)); got != want {
+	gw, _ := newEngineGateway(t)
+	gw.applyOperatorKeys(lateDeclaration)
+	gw.clock.advance(7 * time.Second)
+	gw.view.confirmations.Check(gw.clock.SinceBoot())
+	gw.applyItem(weightsKey, 3, port.WeightsItem{Model: "m", Number: 3})
+	bound := gw.settings.WeightsBound - weightsMargin
+	for age, want := range map[time.Duration]int64{bound - 7*time.Second - 1: 0, 2 * time.Second: 2, 9 * time.Second: 3} {
+		if got := gw.requiredAfter(age); got != want {
 			t.Errorf("after %v: oldest %d, want %d", age, got, want)
 		}
 	}
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -55,7 +55,7 @@
 	if c.route.Kind == routes.Streaming {
 		s.timeout = streamStallTimeout
 	}
-	q, service := c.placementQuery(s.start), c.service.Name
+	q, service := c.placementQuery(), c.service.Name
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.timer = time.AfterFunc(s.timeout, func() { s.expire(c.g, q, service) })
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -9,10 +9,12 @@
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -23,11 +25,16 @@
 	decoder port.ItemDecoder
 	targets *placement.Table
 	regions map[fleet.Domain]fleet.Region
-	clock   port.Clock
+	clock   port.BootClock
 	log     *logging.Logger
+	// weightsBound is Settings.WeightsBound, and unknownAge the assumed age of a declaration
+	// that no confirmation dates.
+	weightsBound, unknownAge time.Duration
 
-	routeTable   atomic.Pointer[routes.Table]
-	declarations atomic.Pointer[declarations]
+	// confirmations holds when the store confirmed the operator keys.
+	confirmations confirmation.Record
+	routeTable    atomic.Pointer[routes.Table]
+	declarations  atomic.Pointer[declarations]
 	// gatewayCount is the number of gateways registered in the store, at least 1.
 	gatewayCount atomic.Int64
 	// otherGateways holds the addresses to which notices are sent.
@@ -51,43 +58,57 @@
 // once it is stored in the view.
 type declarations struct {
 	cordons map[fleet.Domain]bool
-	weights map[fleet.Model][]weightsDeclaration
+	weights map[fleet.Model]weightsbound.Declarations
 }
 
-// weightsDeclaration is a declared version of a model's weights.
-type weightsDeclaration struct {
-	version int64
-	// earliest is the earliest time at which the operators may have declared it.
-	earliest time.Time
-}
+// startupWeightsGrace is the time for which a gateway that has just started still uses weights
+// older than the declared ones. It does not know when those were declared; other gateways
+// serve requests in the meantime.
+const startupWeightsGrace = 2 * time.Second
 
 func newView(s Settings, d Deps, t *placement.Table) *view {
 	v := &view{
 		self: s.storedMember(), decoder: d.Decoder, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log,
+		weightsBound: s.WeightsBound, unknownAge: s.WeightsBound - weightsMargin - startupWeightsGrace,
 		operatorRevisions: map[string]int64{}, members: registration.Members{}, instanceByKey: map[string]fleet.Instance{},
 	}
 	v.otherGateways.Store(&[]netip.AddrPort{})
 	v.readers.Store(&[]feed.Member{})
 	v.engineTiming.Store(&routes.Timing{})
 	v.gatewayCount.Store(1)
-	v.declarations.Store(&declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model][]weightsDeclaration{}})
+	v.declarations.Store(&declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model]weightsbound.Declarations{}})
 	return v
 }
 
 // processes returns the number of gateways that send requests to the same targets.
 func (v *view) processes() float64 { return float64(max(1, v.gatewayCount.Load())) }
 
-// expectedRevisions returns the revisions of the operator keys in this view. The
-// cordon key of a domain that is not cordoned has revision 0, which means absent.
-func (v *view) expectedRevisions(cordonKey func(fleet.Domain) string) []port.Precondition {
+// expectedRevisions returns the revisions of the operator keys in this view.
+func (v *view) expectedRevisions() []port.Precondition {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.preconditions()
+}
+
+// preconditions returns the revisions of the known operator keys, and revision 0 for the keys
+// that operators may write but have not: those of domains that are not cordoned, and of
+// configured models whose weights were never declared. The caller holds mu.
+func (v *view) preconditions() []port.Precondition {
 	var out []port.Precondition
 	for k, rev := range v.operatorRevisions {
 		out = append(out, port.Precondition{Key: k, Revision: rev})
 	}
+	absent := map[string]bool{}
 	for d := range v.regions {
-		if k := cordonKey(d); v.operatorRevisions[k] == 0 {
+		absent[v.decoder.CordonKey(d)] = true
+	}
+	if t := v.routeTable.Load(); t != nil {
+		for _, m := range t.Models() {
+			absent[v.decoder.WeightsKey(m)] = true
+		}
+	}
+	for k := range absent {
+		if v.operatorRevisions[k] == 0 {
 			out = append(out, port.Precondition{Key: k})
 		}
 	}
@@ -113,10 +134,9 @@
 	return differs
 }
 
-// applyOperatorKeys applies an event of the operator keys. earliest is the earliest time
-// at which declarations in it may have been made, and viewAge the time since the store
-// confirmed the view, or negative if it never did.
-func (v *view) applyOperatorKeys(e follow.Event, earliest time.Time, viewAge time.Duration) {
+// applyOperatorKeys applies an event of the operator keys, and records which keys the next
+// checks of the view cover.
+func (v *view) applyOperatorKeys(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if e.Reset {
@@ -139,12 +159,26 @@
 			v.log.Failure("operator's item can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
 			continue
 		}
-		v.applyItem(item, c, next, earliest, viewAge)
+		v.applyItem(item, c, next)
 	}
 	v.declarations.Store(next)
+	v.recordCoverage(e)
 }
 
-func (v *view) applyItem(item port.DecodedItem, c port.StoreChange, next *declarations, earliest time.Time, viewAge time.Duration) {
+// recordCoverage records which keys the next checks cover, and a listing as a confirmation.
+// The caller holds mu, so that a check covers exactly the keys of expectedRevisions.
+func (v *view) recordCoverage(e follow.Event) {
+	var keys []string
+	for _, p := range v.preconditions() {
+		keys = append(keys, p.Key)
+	}
+	v.confirmations.SetChecked(keys, v.clock.SinceBoot())
+	if e.Reset {
+		v.confirmations.List(e.ReadAt)
+	}
+}
+
+func (v *view) applyItem(item port.DecodedItem, c port.StoreChange, next *declarations) {
 	switch f := item.(type) {
 	case port.ConfigItem:
 		v.applyConfig(f.Config, c)
@@ -156,12 +190,30 @@
 		}
 		v.log.StateChange("cordon", logging.F("domain", string(f.Domain)), logging.F("cordoned", !c.Removed), logging.F("revision", c.Revision))
 	case port.WeightsItem:
-		next.weights[f.Model] = appendDeclaration(next.weights[f.Model], weightsDeclaration{f.Number, earliest})
-		v.log.StateChange("weights declared", logging.F("model", string(f.Model)), logging.F("number", f.Number), logging.F("revision", c.Revision),
-			logging.Millis("declared_ago_ms", v.clock.Now().Sub(earliest)), logging.Millis("picture_age_ms", viewAge))
+		v.applyWeights(f, c, next)
 	}
 }
 
+func (v *view) applyWeights(w port.WeightsItem, c port.StoreChange, next *declarations) {
+	now := v.clock.SinceBoot()
+	l := weightsbound.Learned{Now: now}
+	l.Confirmed, l.HasConfirmation = v.confirmations.NewestOf(c.Key)
+	at := weightsbound.DeclaredAt(l, v.unknownAge)
+	next.weights[w.Model] = next.weights[w.Model].Add(weightsbound.Declaration{Version: w.Number, At: at}, v.weightsBound, now)
+	v.log.StateChange("weights declared", logging.F("model", string(w.Model)), logging.F("number", w.Number), logging.F("revision", c.Revision),
+		logging.Millis("declared_ago_ms", now-at), logging.Millis("picture_age_ms", v.ageOrNegative()))
+}
+
+// ageOrNegative returns the time since the store last confirmed the view, or a negative time
+// if it never did.
+func (v *view) ageOrNegative() time.Duration {
+	at, ok := v.confirmations.Newest()
+	if !ok {
+		return -time.Millisecond
+	}
+	return v.clock.SinceBoot() - at
+}
+
 func (v *view) applyConfig(c routes.Config, from port.StoreChange) {
 	if from.Removed {
 		return
@@ -185,7 +237,7 @@
 // copy returns a copy that can be changed. With reset, after a new listing of the
 // operator keys, it has no cordons: the listing contains all that exist.
 func (d *declarations) copy(reset bool) *declarations {
-	next := &declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model][]weightsDeclaration{}}
+	next := &declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model]weightsbound.Declarations{}}
 	if !reset {
 		for k, v := range d.cordons {
 			next.cordons[k] = v
@@ -197,30 +249,6 @@
 	return next
 }
 
-// appendDeclaration returns ds with d appended, unless ds already has that version or a
-// newer one.
-func appendDeclaration(ds []weightsDeclaration, d weightsDeclaration) []weightsDeclaration {
-	if len(ds) > 0 && ds[len(ds)-1].version >= d.version {
-		return ds
-	}
-	const maxDeclarations = 8 // more than operators declare within WeightsBound
-	out := append([]weightsDeclaration(nil), ds...)
-	out = append(out, d)
-	return out[max(0, len(out)-maxDeclarations):]
-}
-
-// minWeightsVersion returns the oldest version of a model's weights that may serve
-// requests at now, or zero for any. Declared weights must be in use after bound.
-func (d *declarations) minWeightsVersion(m fleet.Model, bound time.Duration, now time.Time) int64 {
-	oldest := int64(0)
-	for _, w := range d.weights[m] {
-		if now.Sub(w.earliest) >= bound {
-			oldest = w.version
-		}
-	}
-	return oldest
-}
-
 // applyTargets updates the table of targets from an event.
 func (v *view) applyTargets(e follow.Event) {
 	now := v.clock.Now()
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -34,7 +34,7 @@
 	// Origin returns a client for the origin at an address.
 	Origin  func(fleet.Address) port.NumberedOrigin
 	Peers   port.PeerClient
-	Clock   feed.Clock
+	Clock   port.BootClock
 	Rand    port.Rand
 	Metrics port.Metrics
 	Log     *logging.Logger
--- /dev/null
+++ b/internal/core/confirmation/confirmation_test.go
@@ -0,0 +1,84 @@
+package confirmation
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestCheckCoversOnlyItsKeys guards against a check that is taken to show the absence of a
+// key that it did not cover, or not yet.
+func TestCheckCoversOnlyItsKeys(t *testing.T) {
+	var r Record
+	if _, ok := r.NewestOf("a"); ok {
+		t.Error("an empty record confirms a key")
+	}
+	r.SetChecked([]string{"a"}, 10)
+	r.Check(20)
+	r.SetChecked([]string{"a", "b"}, 30)
+	r.Check(25) // passed on by another process after b was added
+	if at, ok := r.NewestOf("a"); !ok || at != 25 {
+		t.Errorf("a is confirmed at %v, want 25", at)
+	}
+	if at, ok := r.NewestOf("b"); ok {
+		t.Errorf("b is confirmed at %v by a check that did not cover it", at)
+	}
+	if at, ok := r.Newest(); !ok || at != 25 {
+		t.Errorf("the view is confirmed at %v, want 25", at)
+	}
+	r.Check(30)
+	if at, _ := r.NewestOf("b"); at != 30 {
+		t.Errorf("b is confirmed at %v, want 30", at)
+	}
+	r.List(40)
+	if at, _ := r.NewestOf("c"); at != 40 {
+		t.Errorf("c is confirmed at %v, want 40, the time of a listing", at)
+	}
+}
+
+// TestConfirmedKeysAreCurrent guards against a confirmation of a key that is newer than a
+// change which is not in the view, for any order of changes, checks and listings.
+func TestConfirmedKeysAreCurrent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r Record
+		keys := []string{"a", "b", "c"}
+		checked := map[string]bool{}
+		// missed is the time of the oldest change of a key that is not in the view.
+		missed := map[string]time.Duration{}
+		for now := time.Duration(1); now < 40; now++ {
+			key := rapid.SampledFrom(keys).Draw(t, "key")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0: // the key changes, and the view does not learn of it
+				if missed[key] == 0 {
+					missed[key] = now
+				}
+			case 1:
+				checked[key] = !checked[key]
+				var set []string
+				for k, ok := range checked {
+					if ok {
+						set = append(set, k)
+					}
+				}
+				r.SetChecked(set, now)
+			case 2: // a check fails if a covered key differs
+				ok := true
+				for k, c := range checked {
+					ok = ok && (!c || missed[k] == 0)
+				}
+				if ok {
+					r.Check(now)
+				}
+			case 3:
+				clear(missed)
+				r.List(now)
+			}
+			for _, k := range keys {
+				if at, ok := r.NewestOf(k); ok && missed[k] > 0 && at > missed[k] {
+					t.Fatalf("%s is confirmed at %d, but changed at %d", k, at, missed[k])
+				}
+			}
+		}
+	})
+}
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -239,6 +239,17 @@
 // account is configured.
 func (t *Table) RequiresKey() bool { return len(t.Accounts) > 0 }
 
+// Models returns the models of all engines, in the order of the configuration.
+func (t *Table) Models() []fleet.Model {
+	var out []fleet.Model
+	for i := range t.Services {
+		if e := t.Services[i].Engine; e != nil {
+			out = append(out, e.Models...)
+		}
+	}
+	return out
+}
+
 // Service returns the service with the given name.
 func (t *Table) Service(name fleet.Service) (*Service, bool) {
 	s, ok := t.servicesByName[name]
--- /dev/null
+++ b/internal/core/weightsbound/weightsbound.go
@@ -0,0 +1,77 @@
+// Package weightsbound decides which versions of a model's weights may serve requests.
+// Declared weights must be in use within a bound that counts from the declaration. A process
+// learns of a declaration later and has to estimate when it was made.
+//
+// All times are times since the machine booted.
+package weightsbound
+
+import (
+	"slices"
+	"time"
+)
+
+// Declaration is a declared version of a model's weights.
+type Declaration struct {
+	Version int64
+	// At is the earliest time at which it may have been made.
+	At time.Duration
+}
+
+// Declarations holds the declarations of one model by increasing version. It is immutable.
+type Declarations []Declaration
+
+// Add returns ds with d, unless ds has a newer version. Of one version, the earlier time
+// holds. Declarations that a later one has replaced for longer than bound are left out.
+func (ds Declarations) Add(d Declaration, bound, now time.Duration) Declarations {
+	out := slices.Clone(ds)
+	switch n := len(out); {
+	case n == 0 || out[n-1].Version < d.Version:
+		out = append(out, d)
+	case out[n-1].Version == d.Version:
+		out[n-1].At = min(out[n-1].At, d.At)
+	}
+	for i := len(out) - 1; i > 0; i-- {
+		if now-out[i].At >= bound {
+			return out[i:]
+		}
+	}
+	return out
+}
+
+// Required returns the oldest version that may serve requests at now, or zero for any.
+func (ds Declarations) Required(bound, now time.Duration) int64 {
+	required := int64(0)
+	for _, d := range ds {
+		if now-d.At >= bound {
+			required = max(required, d.Version)
+		}
+	}
+	return required
+}
+
+// Learned is what a process knows when it learns of a declaration.
+type Learned struct {
+	Now time.Duration
+	// Confirmed is the time at which the store last confirmed that the declaration did not
+	// exist; it is only meaningful if HasConfirmation is set.
+	Confirmed       time.Duration
+	HasConfirmation bool
+	// Age is the time since the declaration may have been made according to the process
+	// from which this one learned of it, or zero.
+	Age time.Duration
+}
+
+// usualConfirmationAge is the age of the last confirmation when a declaration arrives in
+// normal operation. Callers cover this time with a margin.
+const usualConfirmationAge = 700 * time.Millisecond
+
+// DeclaredAt returns the earliest time at which the declaration may have been made, with
+// an error of at most usualConfirmationAge. Without a confirmation it returns the time
+// unknown before now.
+func DeclaredAt(l Learned, unknown time.Duration) time.Duration {
+	at := l.Now - max(0, l.Age)
+	if !l.HasConfirmation {
+		return min(at, l.Now-unknown)
+	}
+	return min(at, l.Now-max(0, l.Now-l.Confirmed-usualConfirmationAge))
+}
--- a/internal/port/platform.go
+++ b/internal/port/platform.go
@@ -94,6 +94,14 @@
 	After(d time.Duration) <-chan time.Time
 }
 
+// BootClock is a Clock with a second time source that also advances while the machine is
+// suspended.
+type BootClock interface {
+	Clock
+	// SinceBoot returns the time since the machine started.
+	SinceBoot() time.Duration
+}
+
 // Rand is a source of uniformly distributed random numbers.
 type Rand interface {
 	// IntN returns a number from 0 to n-1; n must be positive.
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -203,6 +203,8 @@
 	Prefixes() Prefixes
 	// CordonKey returns the key whose presence cordons a failure domain.
 	CordonKey(d fleet.Domain) string
+	// WeightsKey returns the key under which the version of a model's weights is declared.
+	WeightsKey(m fleet.Model) string
 	// Decode decodes an item. It returns nil, without an error, for a key that is
 	// not used.
 	Decode(item StoreItem) (DecodedItem, error)
