tools: generate the protocol code without protoc

Changes of the protocol needed protoc, which cannot be installed with Go's own package manager. genproto compiles the .proto files with protocompile, a library, and runs the same generator plugins.

--- a/Makefile
+++ b/Makefile
@@ -24,12 +24,11 @@
 	$(GO) test -race -count=1 -run '^($(KNOWN_RED))$$' ./...
 
 # Regenerates the protocol code; the result is committed.
+GENERATORS := $(CURDIR)/$(BIN)/protoc-gen-go $(CURDIR)/$(BIN)/protoc-gen-go-drpc
 generate:
-	$(GO) build -C tools -o ../$(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
-	cd internal/adapter/rpc/pb && PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=paths=source_relative \
-		--go-drpc_out=. --go-drpc_opt=paths=source_relative masticwing.proto
-	cd internal/adapter/ledgerdoc/pb && PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=paths=source_relative \
-		ledger.proto
+	$(GO) build -C tools -o ../$(BIN)/ ./genproto google.golang.org/protobuf/cmd/protoc-gen-go storj.io/drpc/cmd/protoc-gen-go-drpc
+	cd internal/adapter/rpc/pb && $(CURDIR)/$(BIN)/genproto masticwing.proto $(GENERATORS)
+	cd internal/adapter/ledgerdoc/pb && $(CURDIR)/$(BIN)/genproto ledger.proto $(CURDIR)/$(BIN)/protoc-gen-go
 
 lint:
 	@test -z "$$(gofmt -l cmd internal platform test)" || { gofmt -l cmd internal platform test; echo "run gofmt -w on these files"; exit 1; }
