feed: state the age of a change to those who read it from another process

Cause: the time at which a process learned of a declaration stood for the time at which it was made. A loader that learned late counted its engine's turn from the arrival, so the engine kept its old weights after gateways had left them, and a gateway that followed a reader had only its own confirmations to date the change.

Change: a change carries its age from process to process (feed.Change.Age, age_ms on the wire). Readers state it from their confirmations, the log of a reader counts it up, and a call that took longer than its wait adds the excess. Loaders count an engine's turn, and gateways the bound, from the earlier time.

TestTurnCountsFromDeclaration, TestLateReplyAgesItsChanges and TestAgeGrowsInTheLog need the field and do not compile before it. Packages gateway, feed, loader, core/feed, core/weightsbound and adapter/rpc pass with the race detector.

--- a/internal/adapter/rpc/feed.go
+++ b/internal/adapter/rpc/feed.go
@@ -52,7 +52,10 @@
 				return port.FeedReply{}, errors.Wrapf(err, "requesting store changes: key %s", x.GetKey())
 			}
 		}
-		out.Changes = append(out.Changes, feed.Change{Key: x.GetKey(), Value: value, Revision: x.GetRevision(), Removed: x.GetRemoved()})
+		out.Changes = append(out.Changes, feed.Change{
+			Key: x.GetKey(), Value: value, Revision: x.GetRevision(), Removed: x.GetRemoved(),
+			Age: time.Duration(x.GetAgeMs()) * time.Millisecond,
+		})
 	}
 	return out, nil
 }
@@ -123,12 +126,13 @@
 	if err != nil {
 		return nil, err
 	}
-	// The age is rounded up, so that the receiver never sees a smaller age.
+	// Ages are rounded up, so that the receiver never sees a smaller one.
 	out := &pb.FeedReply{At: reply.At, AgeMs: reply.Age.Milliseconds() + 1}
 	for _, x := range reply.Changes {
 		value, compressed := s.compress(x)
 		out.Changes = append(out.Changes, &pb.FeedChange{
 			Key: x.Key, Value: value, Revision: x.Revision, Removed: x.Removed, Compressed: compressed,
+			AgeMs: (x.Age + time.Millisecond - 1).Milliseconds(),
 		})
 	}
 	return out, nil
--- a/internal/adapter/rpc/feed_test.go
+++ b/internal/adapter/rpc/feed_test.go
@@ -26,7 +26,7 @@
 // against an age that gets smaller.
 func TestFeedRoundTrip(t *testing.T) {
 	want := port.FeedReply{At: 9, Age: 1500 * time.Microsecond, Changes: []feed.Change{
-		{Key: "p/a", Value: []byte("1"), Revision: 7}, {Key: "p/b", Revision: 8, Removed: true},
+		{Key: "p/a", Value: []byte("1"), Revision: 7}, {Key: "p/b", Revision: 8, Removed: true, Age: 2 * time.Second},
 	}}
 	addr := startServer(t, Handlers{Feed: feedHandlerFunc(func(_ context.Context, r port.FeedRequest) (port.FeedReply, error) {
 		if r != (port.FeedRequest{Prefix: "p/", After: 5, Wait: 20 * time.Millisecond}) {
--- a/internal/app/feed/feed_test.go
+++ b/internal/app/feed/feed_test.go
@@ -205,6 +205,26 @@
 	}
 }
 
+// lateReply is a port.FeedClient whose replies arrive late.
+type lateReply time.Duration
+
+func (l lateReply) Feed(_ context.Context, _ fleet.Address, r port.FeedRequest) (port.FeedReply, error) {
+	time.Sleep(r.Wait + time.Duration(l))
+	return port.FeedReply{At: 2, Changes: []core.Change{{Key: "p/k", Revision: 2, Age: time.Second}}}, nil
+}
+
+// TestLateReplyAgesItsChanges guards against a change that counts as new because this process,
+// or its connection, stood still while the reply was on its way.
+func TestLateReplyAgesItsChanges(t *testing.T) {
+	const late = 100 * time.Millisecond
+	readers := func() []core.Member { return []core.Member{{ID: "r", Address: "r"}} }
+	s := NewSource(nil, lateReply(late), sysclock.Clock{}, logging.New(io.Discard, "x", "1"), readers, nil)
+	changes, _, err := s.Changes(context.Background(), "p/", 1, 10*time.Millisecond)
+	if err != nil || len(changes) != 1 || changes[0].Age < time.Second+late {
+		t.Errorf("got %+v, %v; want a change with an age of at least %v", changes, err, time.Second+late)
+	}
+}
+
 // TestMissingHistory guards against a follower that takes changes for complete
 // although the reader does not know those right after the follower's revision, and
 // against a reply for a prefix that the reader does not serve.
--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -38,7 +38,7 @@
 // Server serves the changes that a process has read from the store to the processes
 // that follow it. It implements port.FeedHandler.
 type Server struct {
-	clock port.Clock
+	clock port.BootClock
 	// confirmationAge returns the time since the store confirmed the process's view, or
 	// false if it never did.
 	confirmationAge func() (time.Duration, bool)
@@ -52,13 +52,14 @@
 type prefixLog struct {
 	prefix string
 	log    *core.Log
+	clock  port.BootClock
 	// fromStore reports whether the prefix is read from the store.
 	fromStore func() bool
 }
 
 // NewServer returns a server without prefixes. confirmationAge returns the time
 // since the store confirmed the process's view, or false if it never did.
-func NewServer(clock port.Clock, confirmationAge func() (time.Duration, bool)) *Server {
+func NewServer(clock port.BootClock, confirmationAge func() (time.Duration, bool)) *Server {
 	return &Server{clock: clock, confirmationAge: confirmationAge}
 }
 
@@ -66,7 +67,7 @@
 // called before the server is used. The caller passes each event of the prefix to
 // apply, and the revision up to which all changes are known to advance.
 func (s *Server) AddPrefix(prefix string, fromStore func() bool) (apply func(follow.Event), advance func(revision int64)) {
-	p := &prefixLog{prefix, core.NewLog(), fromStore}
+	p := &prefixLog{prefix, core.NewLog(), s.clock, fromStore}
 	s.logs = append(s.logs, p)
 	return p.apply, p.log.AdvanceTo
 }
@@ -74,12 +75,13 @@
 func (p *prefixLog) apply(e follow.Event) {
 	cs := make([]core.Change, 0, len(e.Changes))
 	for _, c := range e.Changes {
-		cs = append(cs, core.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Removed: c.Removed})
+		cs = append(cs, core.Change{Key: c.Key, Value: c.Value, Revision: c.Revision, Removed: c.Removed, Age: c.Age})
 	}
+	now := p.clock.SinceBoot()
 	if e.Reset {
-		p.log.ApplyListing(cs, e.At)
+		p.log.ApplyListing(cs, e.At, now)
 	} else {
-		p.log.ApplyChanges(cs)
+		p.log.ApplyChanges(cs, now)
 	}
 }
 
@@ -119,7 +121,7 @@
 		if !confirmed || confirmationAge > maxConfirmationAge {
 			return port.FeedReply{}, ErrStale
 		}
-		changes, revision, known, next := p.log.Since(r.Prefix, r.After)
+		changes, revision, known, next := p.log.Since(r.Prefix, r.After, s.clock.SinceBoot())
 		switch {
 		case !known:
 			return port.FeedReply{}, ErrGap
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -146,7 +146,18 @@
 	// From here on other processes may follow this one: its state is complete, and
 	// the next change comes from the store.
 	s.state.Put(prefix, prefixState{})
-	return s.Store.Changes(ctx, prefix, after, wait)
+	start := s.clock.SinceBoot()
+	changes, at, err := s.Store.Changes(ctx, prefix, after, wait)
+	for i := range changes {
+		changes[i].Age = s.delay(start, wait)
+	}
+	return changes, at, err
+}
+
+// delay returns by how much a call that began at start took longer than it was asked to
+// wait for changes. Its response may have been late by that time.
+func (s *Source) delay(start, wait time.Duration) time.Duration {
+	return max(0, s.clock.SinceBoot()-start-wait)
 }
 
 // askRepeatedly asks the readers until one replies, for at most preferReadersTime.
@@ -173,6 +184,9 @@
 		}
 		if err == nil {
 			s.recordReply(r.Prefix, m, start-reply.Age)
+			for i := range reply.Changes {
+				reply.Changes[i].Age += s.delay(start, r.Wait)
+			}
 			return reply, true
 		}
 		s.recordFailure(r.Prefix, m, err)
@@ -211,7 +225,7 @@
 	out := make([]port.StoreChange, 0, len(r.Changes))
 	for _, c := range r.Changes {
 		it := port.StoreItem{Key: c.Key, Value: c.Value, Revision: c.Revision}
-		out = append(out, port.StoreChange{StoreItem: it, Removed: c.Removed})
+		out = append(out, port.StoreChange{StoreItem: it, Removed: c.Removed, Age: c.Age})
 	}
 	return out
 }
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -83,7 +83,8 @@
 	})
 	g.feedServer = feed.NewServer(d.Clock, g.viewAge)
 	g.operatorFollower = g.newFollower(ps.Operator, operatorBatchDelay)
-	g.applyOperatorKeys = g.publishThenApply(g.operatorFollower, g.view.applyOperatorKeys)
+	publishThenApply := g.publishThenApply(g.operatorFollower, g.view.applyOperatorKeys)
+	g.applyOperatorKeys = func(e follow.Event) { publishThenApply(g.view.dated(e)) }
 	return g
 }
 
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,15 +196,30 @@
 }
 
 func (v *view) applyWeights(w port.WeightsItem, c port.StoreChange, next *declarations) {
-	now := v.clock.SinceBoot()
-	l := weightsbound.Learned{Now: now}
-	l.Confirmed, l.HasConfirmation = v.confirmations.NewestOf(c.Key)
-	at := weightsbound.DeclaredAt(l, v.unknownAge)
+	l := v.learned(c)
+	now, at := l.Now, l.DeclaredAt(v.unknownAge)
 	next.weights[w.Model] = next.weights[w.Model].Add(weightsbound.Declaration{Version: w.Number, At: at}, v.weightsBound, now)
 	v.log.StateChange("weights declared", logging.F("model", string(w.Model)), logging.F("number", w.Number), logging.F("revision", c.Revision),
 		logging.Millis("declared_ago_ms", now-at), logging.Millis("picture_age_ms", v.ageOrNegative()))
 }
 
+// learned returns what this gateway knows of the time of a change.
+func (v *view) learned(c port.StoreChange) weightsbound.Learned {
+	l := weightsbound.Learned{Now: v.clock.SinceBoot(), StatedAge: c.Age}
+	l.Confirmed, l.HasConfirmation = v.confirmations.NewestOf(c.Key)
+	return l
+}
+
+// dated returns the event with the ages that this gateway knows, for the processes that
+// follow it.
+func (v *view) dated(e follow.Event) follow.Event {
+	e.Changes = slices.Clone(e.Changes)
+	for i, c := range e.Changes {
+		e.Changes[i].Age = v.learned(c).Age()
+	}
+	return e
+}
+
 // ageOrNegative returns the time since the store last confirmed the view, or a negative time
 // if it never did.
 func (v *view) ageOrNegative() time.Duration {
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -132,7 +132,7 @@
 
 // turnReached reports whether the engine may leave service to load weights.
 func (l *Loader) turnReached(g goal) bool {
-	return g.immediate || !l.deps.Clock.Now().Before(loadschedule.ChangeTime(g.learnedAt, l.settings.WeightsBound, g.rank, g.count))
+	return g.immediate || !l.deps.Clock.Now().Before(loadschedule.ChangeTime(g.declaredAt, l.settings.WeightsBound, g.rank, g.count))
 }
 
 // isComplete reports whether all chunks of a version are held.
@@ -166,7 +166,7 @@
 	}
 	l.deps.Log.StateChange("ordering the engine to load", logging.F("model", string(v.Model)), logging.F("number", v.Number),
 		logging.F("declared", g.Number), logging.Millis("stage_ms", l.deps.Clock.Now().Sub(start)),
-		logging.Millis("since_ms", start.Sub(g.learnedAt)), logging.F("rank", g.rank), logging.F("of", g.count))
+		logging.Millis("since_ms", start.Sub(g.declaredAt)), logging.F("rank", g.rank), logging.F("of", g.count))
 	return l.orderLoad(ctx, g, v)
 }
 
--- a/internal/app/loader/loader_test.go
+++ b/internal/app/loader/loader_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/manifest"
 	"github.com/masticwing/masticwing/internal/core/routes"
@@ -268,10 +269,10 @@
 		{port.ModelWeights{Model: "m", Number: 3}, now, true},
 	}
 	g, ok := v.goal(port.ModelWeights{Model: "m", Number: 1})
-	if !ok || g.Number != 3 || !g.learnedAt.Equal(now.Add(-3*time.Second)) || g.immediate {
+	if !ok || g.Number != 3 || !g.declaredAt.Equal(now.Add(-3*time.Second)) || g.immediate {
 		t.Errorf("goal %+v", g)
 	}
-	if g, _ = v.goal(port.ModelWeights{Model: "m", Number: 2}); !g.learnedAt.Equal(now) || !g.immediate {
+	if g, _ = v.goal(port.ModelWeights{Model: "m", Number: 2}); !g.declaredAt.Equal(now) || !g.immediate {
 		t.Errorf("goal %+v; want immediate for a declaration from a listing", g)
 	}
 	if g, _ = v.goal(port.ModelWeights{}); !g.immediate || !g.mayBeStaged {
@@ -279,6 +280,27 @@
 	}
 }
 
+// weightsDecoder decodes each item as a declaration of version 2.
+type weightsDecoder struct{ fakeDecoder }
+
+func (weightsDecoder) Decode(port.StoreItem) (port.DecodedItem, error) {
+	return port.WeightsItem{Model: "m", Number: 2}, nil
+}
+
+// TestTurnCountsFromDeclaration guards against an engine that changes its weights late, and is
+// not used until then, because its loader learned of the declaration late.
+func TestTurnCountsFromDeclaration(t *testing.T) {
+	l := newLoader(newEngine(1), &fakeOrigin{})
+	l.view.decoder = weightsDecoder{}
+	const late = 600 * time.Millisecond
+	before := time.Now()
+	l.view.applyOperatorKeys(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}, Age: late}}})
+	g, _ := l.view.goal(port.ModelWeights{Model: "m", Number: 1})
+	if at := g.declaredAt; at.Before(before.Add(-late)) || at.After(time.Now().Add(-late)) {
+		t.Errorf("declared %v ago, want %v", time.Since(at), late)
+	}
+}
+
 // TestTurnsAlternateDomains guards against a failure domain whose engines are all out
 // of service at the same time, and against two engines with the same turn.
 func TestTurnsAlternateDomains(t *testing.T) {
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -44,10 +44,11 @@
 // declaredWeights is a declaration of weights.
 type declaredWeights struct {
 	port.ModelWeights
-	// learnedAt is the time at which this loader learned of the declaration.
-	learnedAt time.Time
+	// declaredAt is the earliest time at which the declaration may have been made, as far
+	// as the loader knows.
+	declaredAt time.Time
 	// fromListing is set if the declaration was read from a listing, so that it may be
-	// older than learnedAt.
+	// older than declaredAt.
 	fromListing bool
 }
 
@@ -98,7 +99,7 @@
 				v.routeTable = routes.Compile(it.Config)
 			}
 		case port.WeightsItem:
-			v.addDeclaration(declaredWeights{port.ModelWeights(it), now, e.Reset}, c.Revision)
+			v.addDeclaration(declaredWeights{port.ModelWeights(it), now.Add(-c.Age), e.Reset}, c.Revision)
 		}
 	}
 	signal(v.declarationsChanged)
@@ -116,7 +117,7 @@
 	v.declarations = append(v.declarations, d)
 	v.declarations = v.declarations[max(0, len(v.declarations)-maxKept):]
 	v.log.StateChange("weights declared", logging.F("model", string(d.Model)), logging.F("number", d.Number), logging.F("revision", revision),
-		logging.F("from_listing", d.fromListing))
+		logging.Millis("declared_ago_ms", v.clock.Now().Sub(d.declaredAt)), logging.F("from_listing", d.fromListing))
 }
 
 func (v *view) applyMembers(e follow.Event) {
@@ -167,9 +168,8 @@
 // goal describes the weights that the engine has to hold, and when it may load them.
 type goal struct {
 	port.ModelWeights
-	// learnedAt is the time at which the loader learned of the oldest declaration that
-	// is newer than the weights held.
-	learnedAt time.Time
+	// declaredAt is that of the oldest declaration that is newer than the weights held.
+	declaredAt time.Time
 	// mayBeStaged means that the chunks may be in the engine's staging area: the engine
 	// holds these weights, or has restarted.
 	mayBeStaged bool
@@ -201,8 +201,8 @@
 		if d.Model != g.Model {
 			continue
 		}
-		if d.Number > held.Number && g.learnedAt.IsZero() {
-			g.learnedAt = d.learnedAt
+		if d.Number > held.Number && g.declaredAt.IsZero() {
+			g.declaredAt = d.declaredAt
 			g.immediate = g.immediate || d.fromListing
 		}
 		if d.Number > g.Number {
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
@@ -29,6 +30,9 @@
 	Value    []byte
 	Revision int64
 	Removed  bool
+	// Age is the longest time since the change may have been made, as far as the process
+	// that states it knows, or zero.
+	Age time.Duration
 }
 
 // maxReaders bounds the readers that a process asks before it reads the store
@@ -65,29 +69,36 @@
 	revision int64
 	// completeAfter is the revision after which all changes are known.
 	completeAfter int64
-	keys          map[string]Change
+	keys          map[string]logged
 	removed       []string // in the order of removal
 	changed       chan struct{}
 }
 
-// NewLog returns an empty log.
+// logged is a change and the earliest time at which it may have been made. The Age of the
+// change is not used.
+type logged struct {
+	Change
+	madeAt time.Duration
+}
+
+// NewLog returns an empty log. Times passed to its methods are times since the machine booted.
 func NewLog() *Log {
-	return &Log{keys: map[string]Change{}, changed: make(chan struct{})}
+	return &Log{keys: map[string]logged{}, changed: make(chan struct{})}
 }
 
 // ApplyListing applies a listing of all items that exist at a revision. Known keys
 // that it lacks are recorded as removed at that revision.
-func (l *Log) ApplyListing(items []Change, revision int64) {
+func (l *Log) ApplyListing(items []Change, revision int64, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	exists := map[string]bool{}
 	for _, c := range items {
 		exists[c.Key] = true
-		l.put(c)
+		l.put(c, now)
 	}
 	for k, c := range l.keys {
 		if !exists[k] && !c.Removed && c.Revision <= revision {
-			l.put(Change{Key: k, Revision: revision, Removed: true})
+			l.put(Change{Key: k, Revision: revision, Removed: true}, now)
 		}
 	}
 	if !l.listed {
@@ -97,12 +108,12 @@
 }
 
 // ApplyChanges applies changes that follow the revision of the log.
-func (l *Log) ApplyChanges(changes []Change) {
+func (l *Log) ApplyChanges(changes []Change, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	revision := l.revision
 	for _, c := range changes {
-		l.put(c)
+		l.put(c, now)
 		revision = max(revision, c.Revision)
 	}
 	l.advance(revision)
@@ -117,12 +128,12 @@
 	l.revision = max(l.revision, revision)
 }
 
-func (l *Log) put(c Change) {
+func (l *Log) put(c Change, now time.Duration) {
 	old, ok := l.keys[c.Key]
 	if ok && old.Revision >= c.Revision {
 		return
 	}
-	l.keys[c.Key] = c
+	l.keys[c.Key] = logged{c, now - c.Age}
 	if !c.Removed {
 		return
 	}
@@ -149,9 +160,9 @@
 const FromStart = -1
 
 // Since returns the newest state of each key under a prefix that changed after a
-// revision, and the revision to continue from. known is false if changes after the
+// revision, with its age at now, and the revision to continue from. known is false if changes after the
 // revision may be missing. next is closed on the next change of any key.
-func (l *Log) Since(prefix string, after int64) (changes []Change, revision int64, known bool, next <-chan struct{}) {
+func (l *Log) Since(prefix string, after int64, now time.Duration) (changes []Change, revision int64, known bool, next <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.listed || after < l.completeAfter && after != FromStart {
@@ -159,7 +170,8 @@
 	}
 	for k, c := range l.keys {
 		if c.Revision > after && !(after == FromStart && c.Removed) && strings.HasPrefix(k, prefix) {
-			changes = append(changes, c)
+			c.Age = now - c.madeAt
+			changes = append(changes, c.Change)
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -54,7 +55,7 @@
 			for k, r := range stored {
 				all = append(all, Change{Key: k, Revision: r})
 			}
-			l.ApplyListing(all, rev)
+			l.ApplyListing(all, rev, 0)
 		}
 		list(1)
 		for rev := int64(2); rev < 40; rev++ {
@@ -71,14 +72,14 @@
 			if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
 				list(rev)
 			} else {
-				l.ApplyChanges([]Change{c})
+				l.ApplyChanges([]Change{c}, 0)
 			}
 			if rapid.IntRange(0, 2).Draw(t, "read") > 0 {
 				continue
 			}
-			cs, next, known, _ := l.Since("p/", revision)
+			cs, next, known, _ := l.Since("p/", revision, 0)
 			if !known {
-				cs, next, _, _ = l.Since("p/", 1)
+				cs, next, _, _ = l.Since("p/", 1, 0)
 				clear(followed)
 			}
 			apply(followed, cs)
@@ -94,16 +95,16 @@
 // has dropped the removal of the key.
 func TestDroppedRemovals(t *testing.T) {
 	l := NewLog()
-	l.ApplyListing([]Change{{Key: "p/0", Revision: 1}}, 1)
+	l.ApplyListing([]Change{{Key: "p/0", Revision: 1}}, 1, 0)
 	for i := range int64(maxRemovedKeys + 1) {
 		k := fmt.Sprint("p/", i)
-		l.ApplyChanges([]Change{{Key: k, Revision: 2 + 2*i}})
-		l.ApplyChanges([]Change{{Key: k, Revision: 3 + 2*i, Removed: true}})
+		l.ApplyChanges([]Change{{Key: k, Revision: 2 + 2*i}}, 0)
+		l.ApplyChanges([]Change{{Key: k, Revision: 3 + 2*i, Removed: true}}, 0)
 	}
-	if _, _, known, _ := l.Since("p/", 1); known {
+	if _, _, known, _ := l.Since("p/", 1, 0); known {
 		t.Error("changes are complete although a removal was dropped")
 	}
-	if cs, _, known, _ := l.Since("p/", 3); !known || len(cs) != maxRemovedKeys {
+	if cs, _, known, _ := l.Since("p/", 3, 0); !known || len(cs) != maxRemovedKeys {
 		t.Errorf("%d changes, known %v", len(cs), known)
 	}
 }
@@ -112,17 +113,17 @@
 // all keys of the log, each of which may have some hundred kilobytes.
 func TestPrefixes(t *testing.T) {
 	l := NewLog()
-	if _, _, known, _ := l.Since("op/", 0); known {
+	if _, _, known, _ := l.Since("op/", 0, 0); known {
 		t.Error("a log without a listing is complete")
 	}
-	l.ApplyListing([]Change{{Key: "op/config", Revision: 3}, {Key: "op/version/m", Revision: 5}}, 6)
-	cs, revision, known, next := l.Since("op/version/", 6)
+	l.ApplyListing([]Change{{Key: "op/config", Revision: 3}, {Key: "op/version/m", Revision: 5}}, 6, 0)
+	cs, revision, known, next := l.Since("op/version/", 6, 0)
 	if len(cs) != 0 || revision != 6 || !known {
 		t.Errorf("changes %v at %d", cs, revision)
 	}
-	l.ApplyChanges([]Change{{Key: "op/version/m", Revision: 9}, {Key: "op/config", Revision: 8}})
+	l.ApplyChanges([]Change{{Key: "op/version/m", Revision: 9}, {Key: "op/config", Revision: 8}}, 0)
 	<-next
-	if cs, revision, _, _ = l.Since("op/version/", 6); len(cs) != 1 || revision != 9 {
+	if cs, revision, _, _ = l.Since("op/version/", 6, 0); len(cs) != 1 || revision != 9 {
 		t.Errorf("changes %v at %d", cs, revision)
 	}
 }
@@ -132,10 +133,22 @@
 // change.
 func TestAdvanceWithoutChanges(t *testing.T) {
 	l := NewLog()
-	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}}, 5)
+	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}}, 5, 0)
 	l.AdvanceTo(90)
 	l.AdvanceTo(80)
-	if cs, revision, known, _ := l.Since("p/", 5); revision != 90 || len(cs) != 0 || !known {
+	if cs, revision, known, _ := l.Since("p/", 5, 0); revision != 90 || len(cs) != 0 || !known {
 		t.Errorf("changes %v, go on from %d", cs, revision)
 	}
 }
+
+// TestAgeGrowsInTheLog guards against a change that looks new to a follower which reads it
+// late, or from a process that learned of it late.
+func TestAgeGrowsInTheLog(t *testing.T) {
+	l := NewLog()
+	l.ApplyListing(nil, 1, 10*time.Second)
+	l.ApplyChanges([]Change{{Key: "p/a", Revision: 2, Age: 3 * time.Second}}, 20*time.Second)
+	l.ApplyChanges([]Change{{Key: "p/a", Revision: 2}}, 24*time.Second) // the same change again
+	if cs, _, _, _ := l.Since("p/", 1, 25*time.Second); len(cs) != 1 || cs[0].Age != 8*time.Second {
+		t.Errorf("got %v, want a change with an age of 8 s", cs)
+	}
+}
--- a/internal/core/weightsbound/weightsbound.go
+++ b/internal/core/weightsbound/weightsbound.go
@@ -56,22 +56,29 @@
 	// exist; it is only meaningful if HasConfirmation is set.
 	Confirmed       time.Duration
 	HasConfirmation bool
-	// Age is the time since the declaration may have been made according to the process
-	// from which this one learned of it, or zero.
-	Age time.Duration
+	// StatedAge is the longest time since the declaration may have been made according to
+	// the process from which this one learned of it, or zero.
+	StatedAge time.Duration
 }
 
 // usualConfirmationAge is the age of the last confirmation when a declaration arrives in
 // normal operation. Callers cover this time with a margin.
 const usualConfirmationAge = 700 * time.Millisecond
 
-// DeclaredAt returns the earliest time at which the declaration may have been made, with
-// an error of at most usualConfirmationAge. Without a confirmation it returns the time
-// unknown before now.
-func DeclaredAt(l Learned, unknown time.Duration) time.Duration {
-	at := l.Now - max(0, l.Age)
+// Age returns the longest time since the declaration may have been made, too short by at most
+// usualConfirmationAge. Without a confirmation it is the age stated by the other process.
+func (l Learned) Age() time.Duration {
 	if !l.HasConfirmation {
-		return min(at, l.Now-unknown)
+		return max(0, l.StatedAge)
 	}
-	return min(at, l.Now-max(0, l.Now-l.Confirmed-usualConfirmationAge))
+	return max(0, l.StatedAge, l.Now-l.Confirmed-usualConfirmationAge)
+}
+
+// DeclaredAt returns the earliest time at which the declaration may have been made. Without a
+// confirmation, that is at least the time unknown before now.
+func (l Learned) DeclaredAt(unknown time.Duration) time.Duration {
+	if !l.HasConfirmation {
+		return l.Now - max(unknown, l.Age())
+	}
+	return l.Now - l.Age()
 }
--- a/internal/core/weightsbound/weightsbound_test.go
+++ b/internal/core/weightsbound/weightsbound_test.go
@@ -21,11 +21,11 @@
 		"in time":                  {Learned{Confirmed: now - 500*time.Millisecond, HasConfirmation: true}, 0},
 		"confirmed 3 s ago":        {Learned{Confirmed: now - 3*time.Second, HasConfirmation: true}, 3*time.Second - usualConfirmationAge},
 		"never confirmed":          {Learned{}, testUnknown},
-		"known to another process": {Learned{Confirmed: now - time.Second, HasConfirmation: true, Age: 2 * time.Second}, 2 * time.Second},
-		"never confirmed, old":     {Learned{Age: 6 * time.Second}, 6 * time.Second},
+		"known to another process": {Learned{Confirmed: now - time.Second, HasConfirmation: true, StatedAge: 2 * time.Second}, 2 * time.Second},
+		"never confirmed, old":     {Learned{StatedAge: 6 * time.Second}, 6 * time.Second},
 	} {
 		c.learned.Now = now
-		if at := DeclaredAt(c.learned, testUnknown); now-at != c.ago {
+		if at := c.learned.DeclaredAt(testUnknown); now-at != c.ago {
 			t.Errorf("%s: declared %v ago, want %v", name, now-at, c.ago)
 		}
 	}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -40,6 +40,9 @@
 type StoreChange struct {
 	StoreItem
 	Removed bool
+	// Age is the longest time since the change may have been made, as far as this process
+	// knows, or zero. It is not known for items of a listing.
+	Age time.Duration
 }
 
 // Precondition is a condition of a commit: the key has the revision, or is absent
