feed: continue followers only from a revision up to which all is known

A gateway that follows another one could miss a change of an operator key for good, and still adopt the reader's confirmations as if it had the change. For a declaration of weights or a cordon that is a request past the bound.

Cause: when a check of a reader finds other revisions, the items in the store's reply are published before the reader's watch has delivered them. They raised the revision of the log, although earlier changes of keys that the check did not cover were still missing (weights of a model that the configuration does not name yet, keys of a later chunk of the check). Followers continued from that revision and never got the earlier changes.

Change: the revision of the log follows the reader's watch only. Until the watch has caught up, followers get the changes ahead of it again with each read (300 ms apart).

--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -81,7 +81,7 @@
 	if e.Reset {
 		p.log.ApplyListing(cs, e.At, now)
 	} else {
-		p.log.ApplyChanges(cs, now)
+		p.log.ApplyChanges(cs, e.At, now)
 	}
 }
 
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -32,9 +32,11 @@
 type Event struct {
 	Reset   bool
 	Changes []port.StoreChange
-	// At is the revision of the listing if Reset is set, and ReadAt the time since boot
-	// at which it began: the listing has everything that was in the store then.
-	At     int64
+	// At is the revision up to which all changes are known with this event, or zero if
+	// others may be missing that were made before these.
+	At int64
+	// ReadAt is the time since boot at which the listing began if Reset is set: it has
+	// everything that was in the store then.
 	ReadAt time.Duration
 }
 
@@ -123,7 +125,7 @@
 		f.markRegained(next)
 		revision = next
 		if len(changes) > 0 {
-			apply(Event{Changes: changes})
+			apply(Event{Changes: changes, At: revision})
 		}
 		if f.OnRevision != nil {
 			f.OnRevision(revision)
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -107,14 +107,14 @@
 	l.advance(revision)
 }
 
-// ApplyChanges applies changes that follow the revision of the log.
-func (l *Log) ApplyChanges(changes []Change, now time.Duration) {
+// ApplyChanges applies changes, after which all changes up to a revision are known. The
+// revision is zero for changes that were learned ahead of others: until these are known too,
+// followers get the changes again with each read.
+func (l *Log) ApplyChanges(changes []Change, revision int64, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	revision := l.revision
 	for _, c := range changes {
 		l.put(c, now)
-		revision = max(revision, c.Revision)
 	}
 	l.advance(revision)
 }
@@ -160,8 +160,9 @@
 const FromStart = -1
 
 // Since returns the newest state of each key under a prefix that changed after a
-// revision, with its age at now, and the revision to continue from. known is false if changes after the
-// revision may be missing. next is closed on the next change of any key.
+// revision, with its age at now, and the revision to continue from, up to which all changes
+// are known. known is false if changes after the revision may be missing. next is closed on
+// the next change of any key.
 func (l *Log) Since(prefix string, after int64, now time.Duration) (changes []Change, revision int64, known bool, next <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
