gateway: check the API key again before each send

A request could also be accepted with a removed key right after the gateway had stood still.

Cause: the key was checked once, when the request arrived. The check looked up the key in the configuration that was loaded for the route, and then read the age of the view. If a newer configuration came into force and was confirmed in between, the age was that of the newer one and the key that of the older one.

Change: the key is looked up in the newest configuration, after the age is read, and the check is repeated before each send after the first.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -20,9 +20,16 @@
 const overloadRetryAfter = time.Second
 
 // forward sends the request to one target after another until one serves it or no further
-// retry is allowed.
+// retry is allowed. A later send may follow seconds after the first one, so the API key is
+// checked again before it.
 func (c *call) forward(ctx context.Context) {
 	for {
+		if c.sends > 0 {
+			if err := c.authenticate(); err != nil {
+				c.fail(ctx, err)
+				return
+			}
+		}
 		now, q := c.g.deps.Clock.Now(), c.placementQuery()
 		choice, out := c.g.targets.Choose(q, now, c.g.deps.Rand.IntN)
 		if out != placement.Chosen {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -20,7 +20,7 @@
 	in    *port.InboundRequest
 	out   port.ResponseWriter
 	route *routes.Route
-	// account is nil if the request needed no API key.
+	// account is that of the API key at the last check, or nil if the request needs no key.
 	account    *routes.Account
 	service    *routes.Service
 	routeTable *routes.Table
@@ -104,17 +104,20 @@
 	return nil
 }
 
-// authenticate finds the account of the request's API key. It refuses the request if the
-// view was not confirmed for too long, since the key may have been removed.
+// authenticate finds the account of the request's API key in the newest configuration. It
+// refuses the request if the view was not confirmed for too long, since the key may have been
+// removed.
 func (c *call) authenticate() *verdict.Error {
 	if !c.routeTable.RequiresKey() || c.route.Anonymous {
 		return nil
 	}
+	// The age is read before the configuration, so that the configuration is at least as new
+	// as the view that was confirmed.
 	if age, ok := c.g.viewAge(); !ok || age > c.g.settings.KeyBound-keyBoundMargin {
 		return verdict.New(verdict.NotRun, verdict.CodeStaleConfiguration, "keys were last confirmed %v ago", age.Round(time.Millisecond)).
 			WithRetryAfter(localRetryAfter)
 	}
-	a, ok := c.routeTable.Account(c.in.APIKey)
+	a, ok := c.g.view.routeTable.Load().Account(c.in.APIKey)
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.CodeUnknownCustomer, "key is not known")
 	}
