gateway: ignore operator keys that are older than the known ones

A gateway could lift a cordon for a moment, or take one back that was lifted, and in that time send requests to a domain that operators had emptied.

Cause: events of the watch, listings and replies to checks overtake each other. A reply to a check may bring a newer item before the watch delivers an older removal of its key, which deleted the key without a look at its revision. A listing that was read before the reply but arrived after it replaced all newer items.

Change: core/itemrevision keeps the revisions of items and of their removals. A change that is older than the known state is left out, and a listing changes only what is not newer than it.

--- a/internal/app/gateway/declared_test.go
+++ b/internal/app/gateway/declared_test.go
@@ -126,3 +126,37 @@
 		t.Errorf("confirmed %v ago although a declaration is missing", age)
 	}
 }
+
+// TestOlderEventDoesNotUndoNewer guards against a cordon that is lifted, or stays, because an
+// older removal or listing arrives after a newer item that the reply to a check contained.
+func TestOlderEventDoesNotUndoNewer(t *testing.T) {
+	const key = "op/cordon/a"
+	cordon := follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: key, Revision: 10}}}}
+	removal := func(revision int64) follow.Event {
+		return follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: key, Revision: revision}, Removed: true}}}
+	}
+	listing := func(at int64, items ...port.StoreChange) follow.Event {
+		return follow.Event{Reset: true, At: at, Changes: items}
+	}
+	for name, c := range map[string]struct {
+		events []follow.Event
+		want   bool
+	}{
+		"removal of an earlier cordon":        {[]follow.Event{cordon, removal(9)}, true},
+		"removal":                             {[]follow.Event{cordon, removal(11)}, false},
+		"listing before the cordon":           {[]follow.Event{cordon, listing(9)}, true},
+		"listing after the cordon":            {[]follow.Event{cordon, listing(11)}, false},
+		"cordon before its removal":           {[]follow.Event{removal(11), cordon}, false},
+		"listing with a cordon since removed": {[]follow.Event{cordon, removal(12), listing(11, cordon.Changes...)}, false},
+		"listing again":                       {[]follow.Event{cordon, listing(11, cordon.Changes...)}, true},
+	} {
+		gw := newTestGateway(t, route)
+		gw.decodedItems[key] = port.CordonItem{Domain: "a"}
+		for _, e := range c.events {
+			gw.view.applyOperatorKeys(e)
+		}
+		if got := gw.view.declarations.Load().cordons["a"]; got != c.want {
+			t.Errorf("%s: cordoned %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -239,7 +239,7 @@
 			t.Errorf("sent to %s", to)
 		}
 	}
-	gw.view.applyOperatorKeys(follow.Event{Reset: true})
+	gw.view.applyOperatorKeys(follow.Event{Reset: true, At: 3})
 	gw.forwarder.to = nil
 	for range 8 {
 		gw.request(newInbound())
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -13,6 +13,7 @@
 	"github.com/masticwing/masticwing/internal/core/confirmation"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/itemrevision"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/weightsbound"
@@ -48,9 +49,9 @@
 	targetsListed atomic.Bool
 
 	mu sync.Mutex // guards the fields below
-	// operatorRevisions maps each operator key to its revision in the store.
-	operatorRevisions map[string]int64
-	members           registration.Members
+	// operatorKeys holds the known revisions of the operator keys.
+	operatorKeys *itemrevision.Table
+	members      registration.Members
 	// instanceByKey maps the store key of each target to its instance.
 	instanceByKey map[string]fleet.Instance
 }
@@ -71,7 +72,7 @@
 	v := &view{
 		self: s.storedMember(), decoder: d.Decoder, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log,
 		weightsBound: s.WeightsBound, unknownAge: s.WeightsBound - weightsMargin - startupWeightsGrace,
-		operatorRevisions: map[string]int64{}, members: registration.Members{}, instanceByKey: map[string]fleet.Instance{},
+		operatorKeys: itemrevision.New(), members: registration.Members{}, instanceByKey: map[string]fleet.Instance{},
 	}
 	v.otherGateways.Store(&[]netip.AddrPort{})
 	v.readers.Store(&[]feed.Member{})
@@ -96,7 +97,8 @@
 // configured models whose weights were never declared. The caller holds mu.
 func (v *view) preconditions() []port.Precondition {
 	var out []port.Precondition
-	for k, rev := range v.operatorRevisions {
+	existing := v.operatorKeys.Existing()
+	for k, rev := range existing {
 		out = append(out, port.Precondition{Key: k, Revision: rev})
 	}
 	absent := map[string]bool{}
@@ -109,7 +111,7 @@
 		}
 	}
 	for k := range absent {
-		if v.operatorRevisions[k] == 0 {
+		if existing[k] == 0 {
 			out = append(out, port.Precondition{Key: k})
 		}
 	}
@@ -140,18 +142,8 @@
 func (v *view) applyOperatorKeys(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if e.Reset {
-		clear(v.operatorRevisions)
-	}
-	next := v.declarations.Load().copy(e.Reset)
-	for _, c := range e.Changes {
-		if c.Removed {
-			delete(v.operatorRevisions, c.Key)
-		} else if c.Revision >= v.operatorRevisions[c.Key] {
-			v.operatorRevisions[c.Key] = c.Revision
-		} else {
-			continue
-		}
+	next := v.declarations.Load().copy()
+	for _, c := range v.currentOperatorKeys(e) {
 		item, err := v.decoder.Decode(c.StoreItem)
 		if err != nil && c.Removed {
 			continue
@@ -166,6 +158,35 @@
 	v.recordCoverage(e)
 }
 
+// currentOperatorKeys returns the changes of an event without those that are older than this
+// view: the reply to a check may have contained later ones. A listing also removes the items
+// that it lacks. The caller holds mu.
+func (v *view) currentOperatorKeys(e follow.Event) []port.StoreChange {
+	var out []port.StoreChange
+	if !e.Reset {
+		for _, c := range e.Changes {
+			if v.operatorKeys.Apply(c.Key, c.Revision, c.Removed) {
+				out = append(out, c)
+			}
+		}
+		return out
+	}
+	items := map[string]int64{}
+	for _, c := range e.Changes {
+		items[c.Key] = c.Revision
+	}
+	current, removed := v.operatorKeys.ApplyListing(items, e.At)
+	for _, k := range removed {
+		out = append(out, port.StoreChange{StoreItem: port.StoreItem{Key: k, Revision: e.At}, Removed: true})
+	}
+	for _, c := range e.Changes {
+		if current[c.Key] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // recordCoverage records which keys the next checks cover, and a listing as a confirmation.
 // The caller holds mu, so that a check covers exactly the keys of expectedRevisions.
 func (v *view) recordCoverage(e follow.Event) {
@@ -250,14 +271,11 @@
 		logging.F("routes", len(c.Routes)), logging.F("accounts", len(c.Accounts)))
 }
 
-// copy returns a copy that can be changed. With reset, after a new listing of the
-// operator keys, it has no cordons: the listing contains all that exist.
-func (d *declarations) copy(reset bool) *declarations {
+// copy returns a copy that can be changed.
+func (d *declarations) copy() *declarations {
 	next := &declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model]weightsbound.Declarations{}}
-	if !reset {
-		for k, v := range d.cordons {
-			next.cordons[k] = v
-		}
+	for k, v := range d.cordons {
+		next.cordons[k] = v
 	}
 	for k, v := range d.weights {
 		next.weights[k] = v
