feed: count followers by a clock that steps of the time of day do not change

After a step of the time of day by more than 5 s forwards, a reader took itself to have no followers until the next request, and confirmed its view every 1.5 s instead of 0.6 s; its followers then refused or left it, since they accept a confirmation of at most 1.2 s. After a step backwards it counted followers that were long gone.

Cause: the time of the last request was kept in Unix time. Change: it is kept in time since boot.

The test failed before: feed_test.go:339: no followers after a step of 1h0m0s go test -race ./internal/app/feed ./internal/app/gateway: pass.

--- a/internal/app/feed/feed_test.go
+++ b/internal/app/feed/feed_test.go
@@ -316,3 +316,27 @@
 		t.Errorf("%d listings", n)
 	}
 }
+
+// steppedClock is the system clock with a time of day that a test sets.
+type steppedClock struct {
+	sysclock.Clock
+	step time.Duration
+}
+
+func (c *steppedClock) Now() time.Time { return time.Now().Add(c.step) }
+
+// TestFollowersAreCountedAcrossClockSteps guards against a reader that takes itself to have no
+// followers after a step of the time of day, and then confirms its view too rarely for them.
+func TestFollowersAreCountedAcrossClockSteps(t *testing.T) {
+	clock := &steppedClock{}
+	s := NewServer(clock, func() (time.Duration, bool) { return 0, true })
+	if s.HasFollowers() {
+		t.Error("a server without requests has followers")
+	}
+	_, _ = s.Feed(context.Background(), port.FeedRequest{Prefix: "p/"})
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		if clock.step = step; !s.HasFollowers() {
+			t.Errorf("no followers after a step of %v", step)
+		}
+	}
+}
--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -43,7 +43,7 @@
 	// false if it never did.
 	confirmationAge func() (time.Duration, bool)
 	logs            []*prefixLog
-	// lastRequest is the time of the last request in Unix nanoseconds.
+	// lastRequest is the time of the last request since boot in nanoseconds, or zero.
 	lastRequest atomic.Int64
 }
 
@@ -100,12 +100,13 @@
 
 // HasFollowers reports whether other processes follow this one.
 func (s *Server) HasFollowers() bool {
-	return s.clock.Now().UnixNano()-s.lastRequest.Load() < int64(followerTimeout)
+	last := s.lastRequest.Load()
+	return last > 0 && s.clock.SinceBoot()-time.Duration(last) < followerTimeout
 }
 
 // Feed implements port.FeedHandler.
 func (s *Server) Feed(ctx context.Context, r port.FeedRequest) (port.FeedReply, error) {
-	s.lastRequest.Store(s.clock.Now().UnixNano())
+	s.lastRequest.Store(int64(s.clock.SinceBoot()))
 	p := s.findPrefix(r.Prefix)
 	if p == nil {
 		return port.FeedReply{}, ErrNotReader
