gateway: check the cordons of all domains that have targets

While a reader's watch was silent, a cordon of a domain that is not in the settings was not found by the periodic check. The watch alone notices after up to 4.5 s (3 s of wait and 1.5 s of margin); a cordon has to be kept after 5 s, also by the followers.

Cause: the check covers the absence of cordons for the domains of [node] regions only. A target states its own domain, which may be another one, or register later.

Change: the check also covers the domains of registered targets of configured services. Targets of unknown services, which other writers may register, add no keys.

--- a/internal/app/gateway/declared_test.go
+++ b/internal/app/gateway/declared_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -160,3 +162,41 @@
 		}
 	}
 }
+
+// TestCordonOfTargetsDomainIsChecked guards against a cordon that a check does not find, because
+// its domain is not in the settings but that of a target which registered later.
+func TestCordonOfTargetsDomainIsChecked(t *testing.T) {
+	gw, store := newEngineGateway(t)
+	register := func(id, service, domain string, revision int64) {
+		gw.applyItem("targets/"+id, revision, port.TargetItem{Target: port.TargetRecord{
+			Instance: fleet.Instance(id), Service: fleet.Service(service), Address: fleet.Address(id), Domain: fleet.Domain(domain), Slots: 4,
+		}})
+	}
+	checked := func() string {
+		var keys []string
+		for _, p := range gw.view.expectedRevisions() {
+			if strings.HasPrefix(p.Key, "op/cordon/") {
+				keys = append(keys, strings.TrimPrefix(p.Key, "op/cordon/"))
+			}
+		}
+		slices.Sort(keys)
+		return strings.Join(keys, " ")
+	}
+	register("c", "s", "z", 3)
+	register("d", "unknown", "y", 4)
+	if got := checked(); got != "a b z" {
+		t.Errorf("cordons of %q are checked, want those of the settings and of the service's targets", got)
+	}
+	gw.decodedItems["op/cordon/z"] = port.CordonItem{Domain: "z"}
+	store.PutWithoutWatch("op/cordon/z", "")
+	gw.clock.advance(time.Second)
+	gw.confirmView(context.Background())
+	if age, _ := gw.viewAge(); age != time.Second {
+		t.Errorf("confirmed %v ago without the cordon", age)
+	}
+	gw.view.applyTargets(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "targets/c", Revision: 5}, Removed: true}}})
+	gw.view.applyOperatorKeys(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "op/cordon/z", Revision: 6}, Removed: true}}})
+	if got := checked(); got != "a b" {
+		t.Errorf("cordons of %q are checked after the target has gone", got)
+	}
+}
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -52,8 +53,17 @@
 	// operatorKeys holds the known revisions of the operator keys.
 	operatorKeys *itemrevision.Table
 	members      registration.Members
-	// instanceByKey maps the store key of each target to its instance.
-	instanceByKey map[string]fleet.Instance
+	// registered maps the store key of each target to its registration.
+	registered map[string]registeredTarget
+	// targetDomains holds the domains of the targets of configured services.
+	targetDomains map[fleet.Domain]bool
+}
+
+// registeredTarget is the part of a target's registration that the view keeps itself.
+type registeredTarget struct {
+	instance fleet.Instance
+	service  fleet.Service
+	domain   fleet.Domain
 }
 
 // declarations holds what operators declare besides the configuration. It is immutable
@@ -72,7 +82,7 @@
 	v := &view{
 		self: s.storedMember(), decoder: d.Decoder, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log,
 		weightsBound: s.WeightsBound, unknownAge: s.WeightsBound - weightsMargin - startupWeightsGrace,
-		operatorKeys: itemrevision.New(), members: registration.Members{}, instanceByKey: map[string]fleet.Instance{},
+		operatorKeys: itemrevision.New(), members: registration.Members{}, registered: map[string]registeredTarget{},
 	}
 	v.otherGateways.Store(&[]netip.AddrPort{})
 	v.readers.Store(&[]feed.Member{})
@@ -105,6 +115,9 @@
 	for d := range v.regions {
 		absent[v.decoder.CordonKey(d)] = true
 	}
+	for d := range v.targetDomains {
+		absent[v.decoder.CordonKey(d)] = true
+	}
 	if t := v.routeTable.Load(); t != nil {
 		for _, m := range t.Models() {
 			absent[v.decoder.WeightsKey(m)] = true
@@ -155,9 +168,27 @@
 		v.applyItem(item, c, next)
 	}
 	v.declarations.Store(next)
+	v.updateTargetDomains()
 	v.recordCoverage(e)
 }
 
+// updateTargetDomains updates targetDomains and reports whether it has changed. Other writers
+// may register targets of unknown services; their domains do not add to the checks. The
+// caller holds mu.
+func (v *view) updateTargetDomains() bool {
+	domains := map[fleet.Domain]bool{}
+	if t := v.routeTable.Load(); t != nil {
+		for _, r := range v.registered {
+			if _, ok := t.Service(r.service); ok {
+				domains[r.domain] = true
+			}
+		}
+	}
+	changed := !maps.Equal(domains, v.targetDomains)
+	v.targetDomains = domains
+	return changed
+}
+
 // currentOperatorKeys returns the changes of an event without those that are older than this
 // view: the reply to a check may have contained later ones. A listing also removes the items
 // that it lacks. The caller holds mu.
@@ -290,14 +321,13 @@
 	defer v.mu.Unlock()
 	keep := map[fleet.Instance]bool{}
 	if e.Reset {
-		clear(v.instanceByKey)
+		clear(v.registered)
 	}
 	for _, c := range e.Changes {
 		if c.Removed {
-			if id, ok := v.instanceByKey[c.Key]; ok {
-				delete(v.instanceByKey, c.Key)
-				v.targets.Remove(id)
-				v.log.StateChange("target gone", logging.F("target", string(id)), logging.F("revision", c.Revision))
+			if r, ok := v.registered[c.Key]; ok {
+				v.removeTarget(c.Key)
+				v.log.StateChange("target gone", logging.F("target", string(r.instance)), logging.F("revision", c.Revision))
 			}
 			continue
 		}
@@ -316,12 +346,15 @@
 		v.targets.Retain(keep)
 		v.targetsListed.Store(true)
 	}
+	if v.updateTargetDomains() {
+		v.recordCoverage(follow.Event{})
+	}
 }
 
 func (v *view) removeTarget(key string) {
-	if id, ok := v.instanceByKey[key]; ok {
-		delete(v.instanceByKey, key)
-		v.targets.Remove(id)
+	if r, ok := v.registered[key]; ok {
+		delete(v.registered, key)
+		v.targets.Remove(r.instance)
 	}
 }
 
@@ -336,7 +369,7 @@
 	for _, h := range r.Held {
 		t.WeightsVersion = max(t.WeightsVersion, h.Number)
 	}
-	v.instanceByKey[c.Key] = r.Instance
+	v.registered[c.Key] = registeredTarget{r.Instance, r.Service, r.Domain}
 	v.targets.Set(t)
 	v.log.StateChange("target", logging.F("target", string(t.Instance)), logging.F("service", string(t.Service)),
 		logging.F("address", string(t.Address)), logging.F("domain", string(t.Domain)), logging.F("draining", t.Draining),
