feed: read urgent changes from the store when several readers are silent

A gateway could send requests to a draining target more than 2 s after the store had acknowledged its leaving, although the gateway itself was in touch all the time.

Cause: a follower whose readers stand still asks one after the other. Each call for targets takes 1 s (0.4 s of wait and 0.6 s of margin) before it fails, and the store is read only after all have failed and after 0.1 s more for each of them: 2.2 s with two readers, 4.4 s with four. The periodic check of the operator keys bounds this time for configurations and cordons, but targets have no such check.

Change: for an urgent prefix only the first silent reader is waited for. The others have 0.15 s each to reply, without waiting for changes, and then the store is read at once.

--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -31,6 +31,9 @@
 	preferReadersTime = 6 * time.Second
 	// readerRetryPause is the pause between two rounds of calls to these readers.
 	readerRetryPause = 500 * time.Millisecond
+	// urgentTimeout bounds each further call for an urgent prefix after a reader has not
+	// responded. Readers of the same domain respond within some milliseconds.
+	urgentTimeout = 150 * time.Millisecond
 )
 
 // PrefixOptions says how a prefix is read from other processes and from the store.
@@ -46,6 +49,9 @@
 	// PreferReaders is set for a prefix that is large and not urgent: while there are
 	// readers, the store is read only after all of them failed for preferReadersTime.
 	PreferReaders bool
+	// Urgent is set for a prefix with small changes that must be known soon, also if
+	// several readers do not respond: only the first of them is waited for.
+	Urgent bool
 }
 
 // Source is a store whose changes are read from other processes where possible and
@@ -121,18 +127,20 @@
 	if p.Wait > 0 {
 		r.Wait = min(wait, p.Wait)
 	}
-	reply, ok := s.askReaders(ctx, r)
+	reply, result := s.askReaders(ctx, r)
+	ok := result == replied
 	_, fromReader := s.FromReader(prefix)
 	readers := len(s.readers())
 	switch {
-	case ok:
+	case ok, p.Urgent && result == unresponsive:
 	case p.PreferReaders:
 		reply, ok = s.askRepeatedly(ctx, r)
 	case fromReader && readers > 0:
 		// The other followers of these readers lost them too; the next reader of the
 		// domain is about to take over.
 		s.sleep(ctx, time.Duration(readers)*takeoverStagger)
-		reply, ok = s.askReaders(ctx, r)
+		reply, result = s.askReaders(ctx, r)
+		ok = result == replied
 	}
 	if ok {
 		return changesOf(reply), max(after, reply.At), nil
@@ -163,7 +171,7 @@
 // askRepeatedly asks the readers until one replies, for at most preferReadersTime.
 func (s *Source) askRepeatedly(ctx context.Context, r port.FeedRequest) (port.FeedReply, bool) {
 	for end := s.clock.Now().Add(preferReadersTime); len(s.readers()) > 0 && s.clock.Now().Before(end) && ctx.Err() == nil; {
-		if reply, ok := s.askReaders(ctx, r); ok {
+		if reply, result := s.askReaders(ctx, r); result == replied {
 			return reply, true
 		}
 		s.sleep(ctx, readerRetryPause)
@@ -171,27 +179,56 @@
 	return port.FeedReply{}, false
 }
 
+// askResult is the result of a round of calls to the readers.
+type askResult uint8
+
+const (
+	// refused means that no reader replied, and each one that was asked refused.
+	refused askResult = iota
+	// unresponsive means that no reader replied, and at least one did not respond.
+	unresponsive
+	replied
+)
+
 // askReaders asks the readers in order and returns the first reply.
-func (s *Source) askReaders(ctx context.Context, r port.FeedRequest) (port.FeedReply, bool) {
+func (s *Source) askReaders(ctx context.Context, r port.FeedRequest) (port.FeedReply, askResult) {
+	result := refused
 	for _, m := range s.readers() {
 		if until, ok := s.skipUntil.Get(m.Address); ok && s.clock.Now().Before(until) {
 			continue
 		}
+		hurry := result == unresponsive && s.prefixes[r.Prefix].Urgent
+		if hurry {
+			r.Wait = 0
+		}
 		start := s.clock.SinceBoot()
-		reply, err := s.client.Feed(ctx, m.Address, r)
+		reply, err := s.askReader(ctx, m, r, hurry)
 		if ctx.Err() != nil {
-			return reply, false
+			return reply, result
 		}
 		if err == nil {
 			s.recordReply(r.Prefix, m, start-reply.Age)
 			for i := range reply.Changes {
 				reply.Changes[i].Age += s.delay(start, r.Wait)
 			}
-			return reply, true
+			return reply, replied
+		}
+		if !errors.Is(err, port.ErrFeedRefused) {
+			result = unresponsive
 		}
 		s.recordFailure(r.Prefix, m, err)
 	}
-	return port.FeedReply{}, false
+	return port.FeedReply{}, result
+}
+
+// askReader asks one reader, for at most urgentTimeout if hurry is set.
+func (s *Source) askReader(ctx context.Context, m core.Member, r port.FeedRequest, hurry bool) (port.FeedReply, error) {
+	if hurry {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, urgentTimeout)
+		defer cancel()
+	}
+	return s.client.Feed(ctx, m.Address, r)
 }
 
 func (s *Source) sleep(ctx context.Context, d time.Duration) {
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -36,10 +36,9 @@
 	// feedWaitOperator is the time for which a reader waits for changes of the operator
 	// keys before it replies. Each reply also confirms this gateway's view of them.
 	feedWaitOperator = 400 * time.Millisecond
-	// feedWaitTargets is the same for targets. It bounds the time until an unresponsive
-	// reader is detected. A leaving target must get no new requests after 2 s. Within
-	// that time, a gateway that lost its reader also asks the other readers and the
-	// store.
+	// feedWaitTargets is the same for targets. A leaving target must get no new requests
+	// after 2 s. An unresponsive reader is detected after this time and the margin of a call,
+	// 1 s together. In the rest the gateway asks the other readers and the store.
 	feedWaitTargets = 400 * time.Millisecond
 	// storeWaitTargets bounds the wait for changes of targets at the store. An
 	// unresponsive connection there would hide leaving targets from the whole domain.
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -78,7 +78,7 @@
 	readers := func() []core.Member { return *g.view.readers.Load() }
 	g.source = feed.NewSource(d.Store, d.Feed, d.Clock, d.Log, readers, map[string]feed.PrefixOptions{
 		ps.Operator: {Wait: feedWaitOperator, MaxStoreWait: storeWaitOperator},
-		ps.Targets:  {Wait: feedWaitTargets, MaxStoreWait: storeWaitTargets},
+		ps.Targets:  {Wait: feedWaitTargets, MaxStoreWait: storeWaitTargets, Urgent: true},
 		ps.Members:  {Wait: feedWaitMembers, MaxStoreWait: storeWaitMembers},
 	})
 	g.feedServer = feed.NewServer(d.Clock, g.viewAge)
