registration: repeat a write without a response under the same lease

A gateway or loader could disappear from the list of processes for good while it renewed a lease successfully: nobody followed it, sent it load reports or counted it when shared limits are divided.

Cause: after a write without a response the registration was written again under a new lease. The platform may execute such a call seconds later, after the repetition. The registration then belonged to the first lease, which nobody renewed, and a successful renewal of the second one was taken to cover it.

Change: a repeated write has the lease of the first attempt while that lasts; it is renewed before the repetition. A lease that was granted is also ended when the process stops before its registration was confirmed.

--- a/internal/app/registration/registrar.go
+++ b/internal/app/registration/registrar.go
@@ -37,48 +37,64 @@
 // Run keeps the process registered until ctx ends, and then removes the
 // registration. It registers again whenever the lease expires.
 func (r *Registrar) Run(ctx context.Context) {
+	lease := port.NoLease
 	for ctx.Err() == nil {
-		lease, err := r.register(ctx)
-		if err != nil {
+		var err error
+		if lease, err = r.register(ctx, lease); err != nil {
 			r.Log.Failure("could not register in the store", err)
 			r.sleep(ctx, retryDelay)
 			continue
 		}
 		r.Log.StateChange("registered in the store", logging.F("address", r.Self.Address))
-		r.keepAlive(ctx, lease)
-		if ctx.Err() != nil {
-			// If the call fails, the registration expires with the lease.
-			_ = r.Store.Revoke(context.WithoutCancel(ctx), lease)
+		if r.keepAlive(ctx, lease) {
+			lease = port.NoLease
 		}
 	}
+	if lease != port.NoLease {
+		// If the call fails, the registration expires with the lease.
+		_ = r.Store.Revoke(context.WithoutCancel(ctx), lease)
+	}
 }
 
-func (r *Registrar) register(ctx context.Context) (port.LeaseID, error) {
-	lease, err := r.Store.Grant(ctx, leaseTTL)
-	if err != nil {
-		return port.NoLease, errors.Wrap(err, "granting a lease")
+// register writes the registration under a lease and returns the lease, also with an
+// error. A write without a response may be executed after its repetition, so both
+// have the lease of the first attempt while it lasts.
+func (r *Registrar) register(ctx context.Context, lease port.LeaseID) (port.LeaseID, error) {
+	if lease != port.NoLease {
+		err := r.Store.KeepAlive(ctx, lease)
+		if errors.Is(err, port.ErrNotFound) {
+			lease = port.NoLease
+		} else if err != nil {
+			return lease, errors.Wrap(err, "extending the lease")
+		}
+	}
+	if lease == port.NoLease {
+		var err error
+		if lease, err = r.Store.Grant(ctx, leaseTTL); err != nil {
+			return port.NoLease, errors.Wrap(err, "granting a lease")
+		}
 	}
 	value, err := json.Marshal(r.Self)
 	if err != nil {
-		return port.NoLease, errors.Wrap(err, "encoding the registration")
+		return lease, errors.Wrap(err, "encoding the registration")
 	}
 	w := port.StoreWrite{Key: r.Prefix + r.Self.ID, Value: value, Lease: lease}
 	return lease, errors.Wrap(r.Store.Commit(ctx, nil, []port.StoreWrite{w}), "writing the registration")
 }
 
 // keepAlive extends the lease until the store reports it as expired or ctx
-// ends.
-func (r *Registrar) keepAlive(ctx context.Context, lease port.LeaseID) {
+// ends. It returns whether the lease has expired.
+func (r *Registrar) keepAlive(ctx context.Context, lease port.LeaseID) (expired bool) {
 	delay := keepAliveInterval
 	for {
 		r.sleep(ctx, delay)
 		if ctx.Err() != nil {
-			return
+			return false
 		}
 		err := r.Store.KeepAlive(ctx, lease)
 		if errors.Is(err, port.ErrNotFound) {
 			r.Log.Failure("lease of the entry has ended", err)
-			return
+			return true
 		}
 		delay = keepAliveInterval
 		if err != nil {
--- a/internal/app/registration/registrar_test.go
+++ b/internal/app/registration/registrar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -52,3 +53,63 @@
 	}
 	t.Fatalf("registration present: %v, want %v", !wantPresent, wantPresent)
 }
+
+// lateCommit is a store whose first commit ends without a response and is executed after the
+// second one. It records the lease of the registration and the lease that is kept alive.
+type lateCommit struct {
+	*porttest.Store
+	mu          sync.Mutex
+	commits     int
+	late        []port.StoreWrite
+	lease, kept port.LeaseID
+}
+
+func (s *lateCommit) Commit(ctx context.Context, expect []port.Precondition, writes []port.StoreWrite) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.commits++; s.commits == 1 {
+		s.late = writes
+		return port.ErrUnknownOutcome
+	}
+	for _, w := range [][]port.StoreWrite{writes, s.late} {
+		if err := s.Store.Commit(ctx, nil, w); err == nil {
+			s.lease = w[0].Lease
+		}
+	}
+	return nil
+}
+
+func (s *lateCommit) KeepAlive(ctx context.Context, id port.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept = id
+	return s.Store.KeepAlive(ctx, id)
+}
+
+// TestLateCommitKeepsLease guards against a registration that expires although its process
+// renews a lease, because a call without a response was executed after its repetition and
+// put the registration under an earlier lease.
+func TestLateCommitKeepsLease(t *testing.T) {
+	s := &lateCommit{Store: porttest.NewStore()}
+	r := Registrar{
+		Store: s, Prefix: "members/", Self: port.StoredMember{ID: "vm", Kind: "agent"}, Clock: fastClock{},
+		Log: logging.New(io.Discard, "x", "1"),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { r.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		lease, kept := s.lease, s.kept
+		s.mu.Unlock()
+		if kept != port.NoLease {
+			if lease != kept {
+				t.Errorf("the registration is under lease %s, and lease %s is kept alive", lease, kept)
+			}
+			return
+		}
+	}
+	t.Error("no lease is kept alive")
+}
