directory: count the age of the configuration from the start of the call

The age of the configuration that operators see (directory_age_seconds, status) was too low by the time that the confirming call took, for example seconds after a process had stood still. Nothing decides by this age; the alert for a platform that no longer confirms (30 s) was late.

Cause: the end of a watch, a read, an exchange or a fetch was taken as the time of the confirmation. The platform or the other process confirmed the revision at some time after the start of the call.

Change: these four count from the start of the call.

The test failed before: reader_test.go:178: change: confirmed 1.871µs ago, want at least 60ms reader_test.go:178: no change: confirmed 1.534µs ago, want at least 60ms reader_test.go:178: exchange: confirmed 7.426µs ago, want at least 60ms reader_test.go:178: declaration: confirmed 15.048µs ago, want at least 60ms go test -race ./internal/app/directory ./internal/app/ctl ./internal/archtest: pass.

--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -240,6 +240,15 @@
 	}
 }
 
+// ageSince returns the age that a response states, counted from the start of its call: the
+// response may have arrived long before this process got to it. An unknown age stays unknown.
+func (d *Directory) ageSince(began time.Time, age time.Duration) time.Duration {
+	if age < 0 {
+		return age
+	}
+	return age + d.deps.Clock.Now().Sub(began)
+}
+
 // accept puts a stored declaration in force if its revision is higher than the
 // current one. age is the time since the platform confirmed the document;
 // negative if unknown. It returns the revision in the document.
--- a/internal/app/directory/exchange.go
+++ b/internal/app/directory/exchange.go
@@ -258,6 +258,7 @@
 	reply = d.toCoreMessage(wireReply)
 	res := d.gossip.MergeMessage(reply, d.deps.Clock.Now())
 	d.handleMerge(res)
+	wireReply.Age = d.ageSince(began, wireReply.Age)
 	d.observeRevision(wireReply, p.addr)
 	agreed := d.table.Digest()
 	if wireReply.Digest != agreed {
--- a/internal/app/directory/fetch.go
+++ b/internal/app/directory/fetch.go
@@ -61,6 +61,7 @@
 	} else if !d.sleep(ctx, fetchHedgeDelay) || req.rev <= d.rev.Revision() {
 		return
 	}
+	began := d.deps.Clock.Now()
 	doc, err := d.deps.Members.Declaration(ctx, req.addr)
 	if err != nil {
 		d.deps.Metrics.Count("directory_pulls_failed_total", 1)
@@ -68,5 +69,5 @@
 	}
 	d.deps.Metrics.Count("directory_pulls_total", 1)
 	// accept counts an invalid document; it is not forwarded.
-	_, _ = d.accept(doc.Stored, doc.Age)
+	_, _ = d.accept(doc.Stored, d.ageSince(began, doc.Age))
 }
--- a/internal/app/directory/reader.go
+++ b/internal/app/directory/reader.go
@@ -73,25 +73,26 @@
 
 // step makes one watch or read call and accepts the returned document.
 func (w *watcher) step(ctx context.Context) error {
+	began := w.d.deps.Clock.Now()
 	if w.idleWatches >= maxIdleWatches {
 		w.idleWatches = 0
 		e, err := w.d.deps.KV.Get(ctx, w.d.cfg.Key)
 		if err == nil {
-			w.acceptEntry(e)
+			w.acceptEntry(e, began)
 		}
 		return ignoreNotFound(err)
 	}
 	e, err := w.d.deps.KV.Watch(ctx, w.d.cfg.Key, w.rev, w.d.cfg.WatchTimeout)
 	switch {
 	case err == nil:
-		w.acceptEntry(e)
+		w.acceptEntry(e, began)
 	case errors.Is(err, port.ErrNotFound):
 		// If the key is absent, a watch may return immediately.
 		w.idleWatches++
 		if w.rev == 0 && !w.d.sleep(ctx, platformRetryDelay) {
 			return nil
 		}
-		w.d.rev.Confirm(w.declRev, 0, w.d.deps.Clock.Now())
+		w.d.rev.Confirm(w.declRev, 0, began)
 	default:
 		return err
 	}
@@ -105,11 +106,12 @@
 	return err
 }
 
-// acceptEntry passes a document from the platform to accept. A document older than
-// the newest known one is counted and does not refresh the newest one's age.
-func (w *watcher) acceptEntry(e port.KVEntry) {
+// acceptEntry passes a document from the platform to accept. It was the newest one at some time
+// after the call began. A document older than the newest known one is counted and does not
+// refresh the newest one's age.
+func (w *watcher) acceptEntry(e port.KVEntry, began time.Time) {
 	w.rev = e.Rev
-	declRev, err := w.d.accept(e.Value, 0)
+	declRev, err := w.d.accept(e.Value, w.d.ageSince(began, 0))
 	if err != nil {
 		return
 	}
--- a/internal/app/directory/reader_test.go
+++ b/internal/app/directory/reader_test.go
@@ -125,3 +125,57 @@
 		t.Errorf("the list alone changed the state to %v", s.State)
 	}
 }
+
+// slowness is the time that each call of the slow fakes takes.
+const slowness = 60 * time.Millisecond
+
+// slowKV is a platform whose responses arrive late. The document is read at the start of a
+// call.
+type slowKV struct{ *singleKeyKV }
+
+func (k slowKV) Watch(ctx context.Context, key string, after int64, wait time.Duration) (port.KVEntry, error) {
+	e, err := k.singleKeyKV.Watch(ctx, key, after, wait)
+	time.Sleep(wait + slowness)
+	return e, err
+}
+
+// slowPeer is a MemberClient whose replies arrive late. They confirm revision 2 at the start
+// of the call.
+type slowPeer struct {
+	port.MemberClient
+	stored []byte
+}
+
+func (p slowPeer) Exchange(context.Context, fleet.Address, port.ExchangeMessage) (port.ExchangeMessage, error) {
+	time.Sleep(slowness)
+	return port.ExchangeMessage{From: "w", Revision: 2}, nil
+}
+
+func (p slowPeer) Declaration(context.Context, fleet.Address) (port.StoredDeclaration, error) {
+	time.Sleep(slowness)
+	return port.StoredDeclaration{Revision: 2, Stored: p.stored}, nil
+}
+
+// TestAgeIncludesCall guards against an age of the configuration that does not include the time
+// that the call took which confirmed it, for example because the process stood still.
+func TestAgeIncludesCall(t *testing.T) {
+	ctx, stored := context.Background(), encodedDocument(t, 2)
+	for name, confirm := range map[string]func(*Directory, *watcher){
+		"change":      func(_ *Directory, w *watcher) { _ = w.step(ctx) },
+		"no change":   func(_ *Directory, w *watcher) { w.rev, w.declRev = 7, 2; _ = w.step(ctx) },
+		"exchange":    func(d *Directory, _ *watcher) { d.exchange(ctx, partner{"w", "w"}, headerOnly) },
+		"declaration": func(d *Directory, _ *watcher) { d.fetch(ctx, fetchRequest{"w", 2}) },
+	} {
+		d := newTestDirectory(slowKV{&singleKeyKV{entry: port.KVEntry{Value: stored, Rev: 7}}}, slowPeer{stored: stored})
+		d.cfg.WatchTimeout = time.Millisecond
+		if name != "declaration" {
+			if _, err := d.accept(stored, -1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		confirm(d, &watcher{d: d})
+		if _, age := d.rev.Snapshot(time.Now()); age < slowness {
+			t.Errorf("%s: confirmed %v ago, want at least %v", name, age, slowness)
+		}
+	}
+}
