feed: refuse a waiting call as soon as the confirmation is too old

A gateway that follows a reader which has lost the store learned of a draining target up to 0.4 s later than necessary. In the worst case that is 1.2 s until the reader is stale, 0.4 s of wait and 0.1 s for each of up to four readers before the store is read, 2.0 s together, which is the whole bound for draining targets.

Cause: the age of the reader's confirmation was checked before and after the wait for changes, and not when it passed 1.2 s in between.

Change: the wait ends when the confirmation becomes too old.

--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -29,7 +29,7 @@
 	ErrGap = errors.Wrap(port.ErrFeedRefused, "changes after the revision are not known")
 )
 
-// maxConfirmationAge is the age of the last confirmation above which no changes are
+// maxConfirmationAge is the age of the last confirmation from which on no changes are
 // served. Readers confirm their view every 0.6 s. A configuration must be in force
 // within 2 s, in which followers of a stale reader still have to notice it and to
 // read the store themselves.
@@ -119,7 +119,7 @@
 		// The age is read before the changes, so that the changes are at least as new
 		// as the view that was confirmed.
 		confirmationAge, confirmed := s.confirmationAge()
-		if !confirmed || confirmationAge > maxConfirmationAge {
+		if !confirmed || confirmationAge >= maxConfirmationAge {
 			return port.FeedReply{}, ErrStale
 		}
 		changes, revision, known, next := p.log.Since(r.Prefix, r.After, s.clock.SinceBoot())
@@ -131,6 +131,8 @@
 		}
 		select {
 		case <-next:
+		case <-s.clock.After(maxConfirmationAge - confirmationAge):
+			// The next round refuses the request, unless there is a newer confirmation.
 		case <-timeout:
 			waiting = false
 		case <-ctx.Done():
--- a/internal/app/feed/silent_test.go
+++ b/internal/app/feed/silent_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/app/follow"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
@@ -91,3 +94,19 @@
 		}
 	}
 }
+
+// TestWaitingCallEndsWhenStale guards against a call that waits for changes at a reader which
+// has lost the store, past the age from which the reader serves none.
+func TestWaitingCallEndsWhenStale(t *testing.T) {
+	start := time.Now()
+	s := NewServer(sysclock.Clock{}, func() (time.Duration, bool) {
+		return maxConfirmationAge - 50*time.Millisecond + time.Since(start), true
+	})
+	publish, _ := s.AddPrefix("p/", func() bool { return true })
+	publish(follow.Event{Reset: true, At: 1})
+	const wait = 10 * time.Second
+	_, err := s.Feed(context.Background(), port.FeedRequest{Prefix: "p/", After: 1, Wait: wait})
+	if d := time.Since(start); !errors.Is(err, ErrStale) || d > wait/2 {
+		t.Errorf("error %v after %v, want a refusal when the confirmation is too old", err, d)
+	}
+}
