--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -29,7 +29,7 @@
 	ErrGap = errors.Wrap(port.ErrFeedRefused, "changes after the revision are not known")
 )
 
-// maxConfirmationAge is the age of the last confirmation above which no changes are
+// maxConfirmationAge is the age of the last confirmation from which on no changes are
 // served. Readers confirm their view every 0.6 s. A configuration must be in force
 // within 2 s, in which followers of a stale reader still have to notice it and to
 // read the store themselves.
@@ -43,7 +43,7 @@
 	// false if it never did.
 	confirmationAge func() (time.Duration, bool)
 	logs            []*prefixLog
-	// lastRequest is the time of the last request in Unix nanoseconds.
+	// lastRequest is the time of the last request since boot in nanoseconds, or zero.
 	lastRequest atomic.Int64
 }
 
@@ -81,7 +81,7 @@
 	if e.Reset {
 		p.log.ApplyListing(cs, e.At, now)
 	} else {
-		p.log.ApplyChanges(cs, now)
+		p.log.ApplyChanges(cs, e.At, now)
 	}
 }
 
@@ -100,12 +100,13 @@
 
 // HasFollowers reports whether other processes follow this one.
 func (s *Server) HasFollowers() bool {
-	return s.clock.Now().UnixNano()-s.lastRequest.Load() < int64(followerTimeout)
+	last := s.lastRequest.Load()
+	return last > 0 && s.clock.SinceBoot()-time.Duration(last) < followerTimeout
 }
 
 // Feed implements port.FeedHandler.
 func (s *Server) Feed(ctx context.Context, r port.FeedRequest) (port.FeedReply, error) {
-	s.lastRequest.Store(s.clock.Now().UnixNano())
+	s.lastRequest.Store(int64(s.clock.SinceBoot()))
 	p := s.findPrefix(r.Prefix)
 	if p == nil {
 		return port.FeedReply{}, ErrNotReader
@@ -118,7 +119,7 @@
 		// The age is read before the changes, so that the changes are at least as new
 		// as the view that was confirmed.
 		confirmationAge, confirmed := s.confirmationAge()
-		if !confirmed || confirmationAge > maxConfirmationAge {
+		if !confirmed || confirmationAge >= maxConfirmationAge {
 			return port.FeedReply{}, ErrStale
 		}
 		changes, revision, known, next := p.log.Since(r.Prefix, r.After, s.clock.SinceBoot())
@@ -130,6 +131,8 @@
 		}
 		select {
 		case <-next:
+		case <-s.clock.After(maxConfirmationAge - confirmationAge):
+			// The next round refuses the request, unless there is a newer confirmation.
 		case <-timeout:
 			waiting = false
 		case <-ctx.Done():
--- a/internal/app/gateway/declared_test.go
+++ b/internal/app/gateway/declared_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -126,3 +128,75 @@
 		t.Errorf("confirmed %v ago although a declaration is missing", age)
 	}
 }
+
+// TestOlderEventDoesNotUndoNewer guards against a cordon that is lifted, or stays, because an
+// older removal or listing arrives after a newer item that the reply to a check contained.
+func TestOlderEventDoesNotUndoNewer(t *testing.T) {
+	const key = "op/cordon/a"
+	cordon := follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: key, Revision: 10}}}}
+	removal := func(revision int64) follow.Event {
+		return follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: key, Revision: revision}, Removed: true}}}
+	}
+	listing := func(at int64, items ...port.StoreChange) follow.Event {
+		return follow.Event{Reset: true, At: at, Changes: items}
+	}
+	for name, c := range map[string]struct {
+		events []follow.Event
+		want   bool
+	}{
+		"removal of an earlier cordon":        {[]follow.Event{cordon, removal(9)}, true},
+		"removal":                             {[]follow.Event{cordon, removal(11)}, false},
+		"listing before the cordon":           {[]follow.Event{cordon, listing(9)}, true},
+		"listing after the cordon":            {[]follow.Event{cordon, listing(11)}, false},
+		"cordon before its removal":           {[]follow.Event{removal(11), cordon}, false},
+		"listing with a cordon since removed": {[]follow.Event{cordon, removal(12), listing(11, cordon.Changes...)}, false},
+		"listing again":                       {[]follow.Event{cordon, listing(11, cordon.Changes...)}, true},
+	} {
+		gw := newTestGateway(t, route)
+		gw.decodedItems[key] = port.CordonItem{Domain: "a"}
+		for _, e := range c.events {
+			gw.view.applyOperatorKeys(e)
+		}
+		if got := gw.view.declarations.Load().cordons["a"]; got != c.want {
+			t.Errorf("%s: cordoned %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// TestCordonOfTargetsDomainIsChecked guards against a cordon that a check does not find, because
+// its domain is not in the settings but that of a target which registered later.
+func TestCordonOfTargetsDomainIsChecked(t *testing.T) {
+	gw, store := newEngineGateway(t)
+	register := func(id, service, domain string, revision int64) {
+		gw.applyItem("targets/"+id, revision, port.TargetItem{Target: port.TargetRecord{
+			Instance: fleet.Instance(id), Service: fleet.Service(service), Address: fleet.Address(id), Domain: fleet.Domain(domain), Slots: 4,
+		}})
+	}
+	checked := func() string {
+		var keys []string
+		for _, p := range gw.view.expectedRevisions() {
+			if strings.HasPrefix(p.Key, "op/cordon/") {
+				keys = append(keys, strings.TrimPrefix(p.Key, "op/cordon/"))
+			}
+		}
+		slices.Sort(keys)
+		return strings.Join(keys, " ")
+	}
+	register("c", "s", "z", 3)
+	register("d", "unknown", "y", 4)
+	if got := checked(); got != "a b z" {
+		t.Errorf("cordons of %q are checked, want those of the settings and of the service's targets", got)
+	}
+	gw.decodedItems["op/cordon/z"] = port.CordonItem{Domain: "z"}
+	store.PutWithoutWatch("op/cordon/z", "")
+	gw.clock.advance(time.Second)
+	gw.confirmView(context.Background())
+	if age, _ := gw.viewAge(); age != time.Second {
+		t.Errorf("confirmed %v ago without the cordon", age)
+	}
+	gw.view.applyTargets(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "targets/c", Revision: 5}, Removed: true}}})
+	gw.view.applyOperatorKeys(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "op/cordon/z", Revision: 6}, Removed: true}}})
+	if got := checked(); got != "a b" {
+		t.Errorf("cordons of %q are checked after the target has gone", got)
+	}
+}
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/masticwing/masticwing/internal/core/confirmation"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/itemrevision"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/weightsbound"
@@ -48,11 +50,20 @@
 	targetsListed atomic.Bool
 
 	mu sync.Mutex // guards the fields below
-	// operatorRevisions maps each operator key to its revision in the store.
-	operatorRevisions map[string]int64
-	members           registration.Members
-	// instanceByKey maps the store key of each target to its instance.
-	instanceByKey map[string]fleet.Instance
+	// operatorKeys holds the known revisions of the operator keys.
+	operatorKeys *itemrevision.Table
+	members      registration.Members
+	// registered maps the store key of each target to its registration.
+	registered map[string]registeredTarget
+	// targetDomains holds the domains of the targets of configured services.
+	targetDomains map[fleet.Domain]bool
+}
+
+// registeredTarget is the part of a target's registration that the view keeps itself.
+type registeredTarget struct {
+	instance fleet.Instance
+	service  fleet.Service
+	domain   fleet.Domain
 }
 
 // declarations holds what operators declare besides the configuration. It is immutable
@@ -71,7 +82,7 @@
 	v := &view{
 		self: s.storedMember(), decoder: d.Decoder, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log,
 		weightsBound: s.WeightsBound, unknownAge: s.WeightsBound - weightsMargin - startupWeightsGrace,
-		operatorRevisions: map[string]int64{}, members: registration.Members{}, instanceByKey: map[string]fleet.Instance{},
+		operatorKeys: itemrevision.New(), members: registration.Members{}, registered: map[string]registeredTarget{},
 	}
 	v.otherGateways.Store(&[]netip.AddrPort{})
 	v.readers.Store(&[]feed.Member{})
@@ -96,20 +107,24 @@
 // configured models whose weights were never declared. The caller holds mu.
 func (v *view) preconditions() []port.Precondition {
 	var out []port.Precondition
-	for k, rev := range v.operatorRevisions {
+	existing := v.operatorKeys.Existing()
+	for k, rev := range existing {
 		out = append(out, port.Precondition{Key: k, Revision: rev})
 	}
 	absent := map[string]bool{}
 	for d := range v.regions {
 		absent[v.decoder.CordonKey(d)] = true
 	}
+	for d := range v.targetDomains {
+		absent[v.decoder.CordonKey(d)] = true
+	}
 	if t := v.routeTable.Load(); t != nil {
 		for _, m := range t.Models() {
 			absent[v.decoder.WeightsKey(m)] = true
 		}
 	}
 	for k := range absent {
-		if v.operatorRevisions[k] == 0 {
+		if existing[k] == 0 {
 			out = append(out, port.Precondition{Key: k})
 		}
 	}
@@ -140,18 +155,8 @@
 func (v *view) applyOperatorKeys(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if e.Reset {
-		clear(v.operatorRevisions)
-	}
-	next := v.declarations.Load().copy(e.Reset)
-	for _, c := range e.Changes {
-		if c.Removed {
-			delete(v.operatorRevisions, c.Key)
-		} else if c.Revision >= v.operatorRevisions[c.Key] {
-			v.operatorRevisions[c.Key] = c.Revision
-		} else {
-			continue
-		}
+	next := v.declarations.Load().copy()
+	for _, c := range v.currentOperatorKeys(e) {
 		item, err := v.decoder.Decode(c.StoreItem)
 		if err != nil && c.Removed {
 			continue
@@ -163,9 +168,56 @@
 		v.applyItem(item, c, next)
 	}
 	v.declarations.Store(next)
+	v.updateTargetDomains()
 	v.recordCoverage(e)
 }
 
+// updateTargetDomains updates targetDomains and reports whether it has changed. Other writers
+// may register targets of unknown services; their domains do not add to the checks. The
+// caller holds mu.
+func (v *view) updateTargetDomains() bool {
+	domains := map[fleet.Domain]bool{}
+	if t := v.routeTable.Load(); t != nil {
+		for _, r := range v.registered {
+			if _, ok := t.Service(r.service); ok {
+				domains[r.domain] = true
+			}
+		}
+	}
+	changed := !maps.Equal(domains, v.targetDomains)
+	v.targetDomains = domains
+	return changed
+}
+
+// currentOperatorKeys returns the changes of an event without those that are older than this
+// view: the reply to a check may have contained later ones. A listing also removes the items
+// that it lacks. The caller holds mu.
+func (v *view) currentOperatorKeys(e follow.Event) []port.StoreChange {
+	var out []port.StoreChange
+	if !e.Reset {
+		for _, c := range e.Changes {
+			if v.operatorKeys.Apply(c.Key, c.Revision, c.Removed) {
+				out = append(out, c)
+			}
+		}
+		return out
+	}
+	items := map[string]int64{}
+	for _, c := range e.Changes {
+		items[c.Key] = c.Revision
+	}
+	current, removed := v.operatorKeys.ApplyListing(items, e.At)
+	for _, k := range removed {
+		out = append(out, port.StoreChange{StoreItem: port.StoreItem{Key: k, Revision: e.At}, Removed: true})
+	}
+	for _, c := range e.Changes {
+		if current[c.Key] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // recordCoverage records which keys the next checks cover, and a listing as a confirmation.
 // The caller holds mu, so that a check covers exactly the keys of expectedRevisions.
 func (v *view) recordCoverage(e follow.Event) {
@@ -250,14 +302,11 @@
 		logging.F("routes", len(c.Routes)), logging.F("accounts", len(c.Accounts)))
 }
 
-// copy returns a copy that can be changed. With reset, after a new listing of the
-// operator keys, it has no cordons: the listing contains all that exist.
-func (d *declarations) copy(reset bool) *declarations {
+// copy returns a copy that can be changed.
+func (d *declarations) copy() *declarations {
 	next := &declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model]weightsbound.Declarations{}}
-	if !reset {
-		for k, v := range d.cordons {
-			next.cordons[k] = v
-		}
+	for k, v := range d.cordons {
+		next.cordons[k] = v
 	}
 	for k, v := range d.weights {
 		next.weights[k] = v
@@ -272,14 +321,13 @@
 	defer v.mu.Unlock()
 	keep := map[fleet.Instance]bool{}
 	if e.Reset {
-		clear(v.instanceByKey)
+		clear(v.registered)
 	}
 	for _, c := range e.Changes {
 		if c.Removed {
-			if id, ok := v.instanceByKey[c.Key]; ok {
-				delete(v.instanceByKey, c.Key)
-				v.targets.Remove(id)
-				v.log.StateChange("target gone", logging.F("target", string(id)), logging.F("revision", c.Revision))
+			if r, ok := v.registered[c.Key]; ok {
+				v.removeTarget(c.Key)
+				v.log.StateChange("target gone", logging.F("target", string(r.instance)), logging.F("revision", c.Revision))
 			}
 			continue
 		}
@@ -298,12 +346,15 @@
 		v.targets.Retain(keep)
 		v.targetsListed.Store(true)
 	}
+	if v.updateTargetDomains() {
+		v.recordCoverage(follow.Event{})
+	}
 }
 
 func (v *view) removeTarget(key string) {
-	if id, ok := v.instanceByKey[key]; ok {
-		delete(v.instanceByKey, key)
-		v.targets.Remove(id)
+	if r, ok := v.registered[key]; ok {
+		delete(v.registered, key)
+		v.targets.Remove(r.instance)
 	}
 }
 
@@ -318,7 +369,7 @@
 	for _, h := range r.Held {
 		t.WeightsVersion = max(t.WeightsVersion, h.Number)
 	}
-	v.instanceByKey[c.Key] = r.Instance
+	v.registered[c.Key] = registeredTarget{r.Instance, r.Service, r.Domain}
 	v.targets.Set(t)
 	v.log.StateChange("target", logging.F("target", string(t.Instance)), logging.F("service", string(t.Service)),
 		logging.F("address", string(t.Address)), logging.F("domain", string(t.Domain)), logging.F("draining", t.Draining),
