gateway: bound the numbers that headers and configurations state

A Token-Usage of 2^63-1 or 2^32-1 tokens (also in a notice of another gateway) was predicted to take 292 years or 62 hours of prefill, and the prediction delays later requests to that engine even if it refuses this one. Weights of a traffic split whose sum overflows to zero left a route without a service. An announced keep-alive time overflowed.

Cause: the numbers were converted and added up without ranges.

--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -34,6 +34,9 @@
 	idleFraction = 0.7
 	// defaultIdleTime is for targets that announce no keep-alive timeout.
 	defaultIdleTime = 4 * time.Second
+	// maxKeepAliveSeconds bounds an announced timeout, which may be too large for a
+	// duration. No connection is idle for that long while there are requests.
+	maxKeepAliveSeconds = 600
 	// maxResponsesRead limits the responses that are read to find that of the
 	// request. Those to earlier requests are skipped.
 	maxResponsesRead = 3
@@ -417,7 +420,7 @@
 			continue
 		}
 		if n, err := strconv.Atoi(v); err == nil && n > 0 {
-			return time.Duration(idleFraction * float64(n) * float64(time.Second))
+			return time.Duration(idleFraction * float64(min(n, maxKeepAliveSeconds)) * float64(time.Second))
 		}
 	}
 	return defaultIdleTime
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -44,6 +44,12 @@
 	Weight  int
 }
 
+// maxWeight bounds a weight, so that sums don't overflow. Weights are parts of a hundred or
+// of a thousand.
+const maxWeight = 1 << 30
+
+func (s Share) weight() int { return min(max(s.Weight, 0), maxWeight) }
+
 // Route configures the requests of one host and path prefix.
 type Route struct {
 	Name, Host string
@@ -81,14 +87,14 @@
 func (r *Route) PickService(hash uint64) (fleet.Service, bool) {
 	total := 0
 	for _, s := range r.Shares {
-		total += max(s.Weight, 0)
+		total += s.weight()
 	}
 	if total == 0 {
 		return "", false
 	}
 	offset := int(hash % uint64(total))
 	for _, s := range r.Shares {
-		if offset -= max(s.Weight, 0); offset < 0 {
+		if offset -= s.weight(); offset < 0 {
 			return s.Service, true
 		}
 	}
@@ -119,18 +125,29 @@
 	PrefillTokensPerSecond float64
 }
 
-// PrefillTime returns the time for the prefill of a prompt of that many tokens, or
-// zero if the speed is not known.
+// maxPredictedTime bounds the predictions of Timing. A longer one can only come from a
+// number that can't be meant: the largest prompt that fits in an engine takes some seconds.
+// A prediction also delays later requests, even if the engine refuses this one.
+const maxPredictedTime = 30 * time.Second
+
+// PrefillTime returns the time for the prefill of a prompt of that many tokens, at most
+// maxPredictedTime, or zero if the speed or the number of tokens is not known.
 func (p Timing) PrefillTime(tokens int) time.Duration {
-	if p.PrefillTokensPerSecond <= 0 {
+	if !(p.PrefillTokensPerSecond > 0) || tokens <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) / p.PrefillTokensPerSecond * float64(time.Second))
+	seconds := min(float64(tokens)/p.PrefillTokensPerSecond, maxPredictedTime.Seconds())
+	return time.Duration(seconds * float64(time.Second))
 }
 
-// DecodeTime returns the time that one iteration spends on decoding.
+// DecodeTime returns the time that one iteration spends on decoding, at most
+// maxPredictedTime.
 func (p Timing) DecodeTime() time.Duration {
-	return p.DecodeStep * time.Duration(max(1, p.StepsPerIteration))
+	steps := time.Duration(max(1, p.StepsPerIteration))
+	if p.DecodeStep > maxPredictedTime/steps {
+		return maxPredictedTime
+	}
+	return max(0, p.DecodeStep) * steps
 }
 
 // Service is a set of interchangeable targets, or the origin of weights.
