placement, chain: keep extreme configured values from overflowing

A target with a very large number of slots never had capacity, since slots and queue were added up to a negative number. An origin link of a few bytes/s moved the last chunks out by months, or by an overflow into the past. Registrations and configurations are checked where they are decoded; the decisions no longer depend on it.

--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -105,6 +105,10 @@
 // transfer time of a chunk. It is below one so that the link is never idle.
 const originSpacing = 0.85
 
+// maxOriginInterval bounds the interval. A chunk of the largest size takes 3 s on a link of 21
+// Mbit/s; the time of the last chunk does not overflow.
+const maxOriginInterval = 20 * time.Second
+
 // PaceOrigin spaces the fetches from the origin so that the members together fetch
 // one chunk after the other, at the rate of the origin's link. transfer is the time
 // that the link takes for one chunk. Concurrent transfers would share the link, and
@@ -112,7 +116,7 @@
 func (t *Table) PaceOrigin(transfer time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.originStart, t.originInterval = now, time.Duration(originSpacing*float64(transfer))
+	t.originStart, t.originInterval = now, min(max(0, time.Duration(originSpacing*float64(transfer))), maxOriginInterval)
 }
 
 // SetMembers replaces the set of members and derives the order of fetches from it.
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -212,6 +212,10 @@
 // together than they were sent.
 const coldRateFraction = 0.8
 
+// maxColdInterval bounds the interval between a process's requests to a cold target, which
+// may be too long for a duration. It is longer than any warm-up.
+const maxColdInterval = 24 * time.Hour
+
 // coldRateAllows reports whether this process may send one more request to a cold
 // target. Each process limits itself to an equal share of the rate, so that together
 // they keep to the rate without coordination. A share below one request per second
@@ -222,7 +226,7 @@
 	}
 	share := coldRateFraction * q.ColdRequestsPerSecond / max(q.Processes, 1)
 	if share < 1 {
-		interval := time.Duration(float64(time.Second) / share)
+		interval := time.Duration(min(float64(time.Second)/share, float64(maxColdInterval)))
 		first := s.ColdSince.Add(time.Duration(q.ColdPhase * float64(interval)))
 		return !now.Before(first) && (len(s.coldRequests) == 0 || now.Sub(s.coldRequests[len(s.coldRequests)-1]) >= interval)
 	}
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -134,11 +134,15 @@
 	s.latenessAt = now
 }
 
+// maxSlots bounds the slots of a target, so that sums don't overflow. Targets have dozens.
+const maxSlots = 1 << 20
+
 // slots returns the reported number of slots, or the registered one before the
-// first report.
+// first report. It is from 1 to maxSlots.
 func (s *targetState) slots() int {
+	n := s.Slots
 	if s.load.Slots > 0 {
-		return s.load.Slots
+		n = s.load.Slots
 	}
-	return max(s.Slots, 1)
+	return min(max(n, 1), maxSlots)
 }
