gateway, loader: drop unreadable processes, log each odd item once

A process whose registration another writer had replaced by something unreadable still counted as a gateway, got notices and was asked for changes and chunks, under the address of the former entry. Each write of an odd item gave a line in each process that follows the prefix: an item that is rewritten once a second gave a line a second, 2.5 a second at most for a target (batch delay), up to 50 for an operator's key, and a line could quote the item and have its length, up to 1 MB. The rate limit of the log then drops other lines.

Cause: registration.Members skipped what it could not decode, and the views logged every failed decoding.

An unreadable registration names no process. follow.Unreadable logs one line for a key until it is readable or gone, at most 256 keys at a time, and the first 200 bytes of a reason. A target was already dropped when its entry became unreadable.

--- /dev/null
+++ b/internal/app/follow/unreadable.go
@@ -0,0 +1,68 @@
+package follow
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+const (
+	// maxReasonBytes bounds a logged reason, which may quote the item.
+	maxReasonBytes = 200
+	// maxUnreadableKeys bounds the keys that an Unreadable remembers. Further ones are not
+	// logged.
+	maxUnreadableKeys = 256
+)
+
+// Unreadable logs the items of a prefix that can't be decoded: one line for each key until
+// the key is readable or gone, since another writer may rewrite an item many times a second.
+// It is not safe for concurrent use; the lock of its owner guards it.
+type Unreadable struct {
+	message string
+	log     *logging.Logger
+	keys    map[string]bool
+}
+
+// NewUnreadable returns an Unreadable that logs with the given message.
+func NewUnreadable(message string, log *logging.Logger) *Unreadable {
+	return &Unreadable{message: message, log: log, keys: map[string]bool{}}
+}
+
+// Begin forgets the keys that no longer exist after an event.
+func (u *Unreadable) Begin(e Event) {
+	exists := map[string]bool{}
+	for _, c := range e.Changes {
+		exists[c.Key] = !c.Removed
+		if c.Removed {
+			delete(u.keys, c.Key)
+		}
+	}
+	if !e.Reset {
+		return
+	}
+	for k := range u.keys {
+		if !exists[k] {
+			delete(u.keys, k)
+		}
+	}
+}
+
+// Record records whether a change could be decoded.
+func (u *Unreadable) Record(c port.StoreChange, err error) {
+	switch {
+	case err == nil:
+		delete(u.keys, c.Key)
+	case !u.keys[c.Key] && len(u.keys) < maxUnreadableKeys:
+		u.keys[c.Key] = true
+		u.log.Failure(u.message, errors.New(shorten(err.Error())), logging.F("key", c.Key), logging.F("revision", c.Revision))
+	}
+}
+
+// shorten returns the first maxReasonBytes of a text.
+func shorten(s string) string {
+	if len(s) <= maxReasonBytes {
+		return s
+	}
+	return s[:maxReasonBytes]
+}
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -53,6 +53,8 @@
 	members           registration.Members
 	// instanceByKey maps the store key of each target to its instance.
 	instanceByKey map[string]fleet.Instance
+	// unreadable holds the items of each prefix that can't be decoded.
+	unreadable struct{ operator, targets, members *follow.Unreadable }
 }
 
 // declarations holds what operators declare besides the configuration. It is immutable
@@ -73,6 +75,9 @@
 		weightsBound: s.WeightsBound, unknownAge: s.WeightsBound - weightsMargin - startupWeightsGrace,
 		operatorRevisions: map[string]int64{}, members: registration.Members{}, instanceByKey: map[string]fleet.Instance{},
 	}
+	v.unreadable.operator = follow.NewUnreadable("operator's item can't be read", d.Log)
+	v.unreadable.targets = follow.NewUnreadable("entry of a target can't be read", d.Log)
+	v.unreadable.members = follow.NewUnreadable("entry of a process can't be read", d.Log)
 	v.otherGateways.Store(&[]netip.AddrPort{})
 	v.readers.Store(&[]feed.Member{})
 	v.engineTiming.Store(&routes.Timing{})
@@ -140,6 +145,7 @@
 func (v *view) applyOperatorKeys(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.unreadable.operator.Begin(e)
 	if e.Reset {
 		clear(v.operatorRevisions)
 	}
@@ -156,8 +162,8 @@
 		if err != nil && c.Removed {
 			continue
 		}
+		v.unreadable.operator.Record(c, err)
 		if err != nil {
-			v.log.Failure("operator's item can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
 			continue
 		}
 		v.applyItem(item, c, next)
@@ -270,6 +276,7 @@
 	now := v.clock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.unreadable.targets.Begin(e)
 	keep := map[fleet.Instance]bool{}
 	if e.Reset {
 		clear(v.instanceByKey)
@@ -284,8 +291,8 @@
 			continue
 		}
 		item, err := v.decoder.Decode(c.StoreItem)
+		v.unreadable.targets.Record(c, err)
 		if err != nil {
-			v.log.Failure("entry of a target can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
 			v.removeTarget(c.Key)
 			continue
 		}
@@ -330,7 +337,7 @@
 func (v *view) applyMembers(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.members.Apply(e, v.decoder, v.log)
+	v.members.Apply(e, v.decoder, v.unreadable.members)
 	count, otherGateways := v.members.Gateways(v.self.ID)
 	readers := v.members.Readers(v.self)
 	v.readers.Store(&readers)
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -29,10 +29,12 @@
 	clock    port.Clock
 	log      *logging.Logger
 
-	mu                  sync.Mutex // guards the following
-	routeTable          *routes.Table
-	declarations        []declaredWeights
-	members             registration.Members
+	mu           sync.Mutex // guards the following
+	routeTable   *routes.Table
+	declarations []declaredWeights
+	members      registration.Members
+	// unreadable holds the items of the operators and the members that can't be decoded.
+	unreadable          struct{ operator, members *follow.Unreadable }
 	gatewayAddresses    []netip.AddrPort
 	feedReaders         []feed.Member
 	declarationsChanged chan struct{}
@@ -53,10 +55,13 @@
 }
 
 func newView(s Settings, d port.ItemDecoder, c port.Clock, l *logging.Logger) *view {
-	return &view{
+	v := &view{
 		settings: s, decoder: d, clock: c, log: l,
 		members: registration.Members{}, declarationsChanged: make(chan struct{}, 1), membersListed: make(chan struct{}),
 	}
+	v.unreadable.operator = follow.NewUnreadable("operator's item can't be read", l)
+	v.unreadable.members = follow.NewUnreadable("entry of a process can't be read", l)
+	return v
 }
 
 // peers returns the loaders of the same service, which fetch the same versions.
@@ -84,13 +89,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
+	v.unreadable.operator.Begin(e)
 	for _, c := range e.Changes {
 		if c.Removed {
 			continue
 		}
 		item, err := v.decoder.Decode(c.StoreItem)
+		v.unreadable.operator.Record(c, err)
 		if err != nil {
-			v.log.Failure("operator's item can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
 			continue
 		}
 		switch it := item.(type) {
@@ -123,7 +129,7 @@
 func (v *view) applyMembers(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.members.Apply(e, v.decoder, v.log)
+	v.members.Apply(e, v.decoder, v.unreadable.members)
 	_, v.gatewayAddresses = v.members.Gateways(v.settings.ID)
 	v.feedReaders = v.members.Readers(v.settings.storedMember())
 	v.listedOnce.Do(func() { close(v.membersListed) })
--- a/internal/app/registration/members.go
+++ b/internal/app/registration/members.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -14,9 +13,10 @@
 // It is not safe for concurrent use; the lock of its owner guards it.
 type Members map[string]port.StoredMember
 
-// Apply updates the map with changes of registrations. A registration that
-// cannot be decoded is logged and skipped.
-func (m Members) Apply(e follow.Event, decoder port.ItemDecoder, log *logging.Logger) {
+// Apply updates the map with changes of registrations. A registration that cannot be
+// decoded names no process; it is recorded in unreadable.
+func (m Members) Apply(e follow.Event, decoder port.ItemDecoder, unreadable *follow.Unreadable) {
+	unreadable.Begin(e)
 	if e.Reset {
 		clear(m)
 	}
@@ -26,8 +26,9 @@
 			continue
 		}
 		item, err := decoder.Decode(c.StoreItem)
+		unreadable.Record(c, err)
 		if err != nil {
-			log.Failure("entry of a process can't be read", err, logging.F("key", c.Key))
+			delete(m, c.Key)
 			continue
 		}
 		if member, ok := item.(port.MemberItem); ok {
