rpc: bound the times that other processes state

A reply of the feed with a negative age, or one that overflows (from 9.2e12 ms on), dated the confirmation of the operator keys into the future; the gateway that follows would accept removed API keys until then. A request with such a wait got its reply at once and asked again without a pause.

Cause: milliseconds of the wire were multiplied without a range.

A negative age refuses the reply, a wait is at most a minute, and all other stated times are limited to 100 years, so that sums do not overflow. Own processes state no such values; a fault in one of them must not spread.

--- a/internal/adapter/rpc/convert.go
+++ b/internal/adapter/rpc/convert.go
@@ -21,7 +21,7 @@
 
 func errorFromPB(e *pb.Error) *verdict.Error {
 	err := verdict.New(verdictFromPB(e.GetVerdict()), verdict.Code(e.GetCode()), "%s", e.GetMessage())
-	return err.WithRetryAfter(time.Duration(e.GetRetryAfterMs()) * time.Millisecond)
+	return err.WithRetryAfter(fromMillis(e.GetRetryAfterMs()))
 }
 
 func verdictToPB(v verdict.Verdict) pb.Verdict {
@@ -76,7 +76,7 @@
 		Class:          fleet.Class(r.GetClass()),
 		Body:           r.GetBody(),
 		ContentType:    r.GetContentType(),
-		Timeout:        time.Duration(r.GetTimeoutMs()) * time.Millisecond,
+		Timeout:        fromMillis(r.GetTimeoutMs()),
 		Revision:       r.GetRevision(),
 		FromDomain:     fleet.Domain(r.GetFromDomain()),
 		IdempotencyKey: r.GetIdempotencyKey(),
@@ -243,7 +243,7 @@
 		State:        port.MemberState(m.GetState()),
 		Revision:     m.GetRevision(),
 		Status:       status,
-		Age:          time.Duration(m.GetAgeMs()) * time.Millisecond,
+		Age:          fromMillis(m.GetAgeMs()),
 	}
 }
 
@@ -296,5 +296,14 @@
 	if ms < 0 {
 		return -1
 	}
-	return time.Duration(ms) * time.Millisecond
+	return fromMillis(ms)
+}
+
+// maxStatedTime bounds times that other processes state, so that sums don't overflow.
+const maxStatedTime = 100 * 365 * 24 * time.Hour
+
+// fromMillis converts a stated time, limited to maxStatedTime in both directions.
+func fromMillis(ms int64) time.Duration {
+	const highest = int64(maxStatedTime / time.Millisecond)
+	return time.Duration(min(max(ms, -highest), highest)) * time.Millisecond
 }
--- a/internal/adapter/rpc/feed.go
+++ b/internal/adapter/rpc/feed.go
@@ -41,11 +41,21 @@
 		}
 		return port.FeedReply{}, errors.Wrap(err, "requesting store changes")
 	}
-	out := port.FeedReply{At: in.GetAt(), Age: time.Duration(in.GetAgeMs()) * time.Millisecond}
+	return feedReply(in)
+}
+
+// feedReply converts a reply.
+func feedReply(in *pb.FeedReply) (port.FeedReply, error) {
+	if in.GetAgeMs() < 0 {
+		// A negative age would date the confirmation of the operator keys into the future.
+		return port.FeedReply{}, errors.Errorf("reply is %d ms old", in.GetAgeMs())
+	}
+	out := port.FeedReply{At: in.GetAt(), Age: fromMillis(in.GetAgeMs())}
 	left := maxReplyBytes
 	for _, x := range in.GetChanges() {
 		value := x.GetValue()
 		if x.GetCompressed() {
+			var err error
 			value, err = decompress(value, left)
 			left -= len(value)
 			if err != nil {
@@ -54,7 +64,7 @@
 		}
 		out.Changes = append(out.Changes, feed.Change{
 			Key: x.GetKey(), Value: value, Revision: x.GetRevision(), Removed: x.GetRemoved(),
-			Age: time.Duration(x.GetAgeMs()) * time.Millisecond,
+			Age: max(0, fromMillis(x.GetAgeMs())),
 		})
 	}
 	return out, nil
@@ -116,10 +126,17 @@
 	return b.Bytes(), true
 }
 
+// maxFeedWait bounds the time for which a request is held. Followers wait up to 15 s.
+const maxFeedWait = time.Minute
+
+// feedRequest converts a request.
+func feedRequest(in *pb.FeedRequest) port.FeedRequest {
+	return port.FeedRequest{Prefix: in.GetPrefix(), After: in.GetAfter(), Wait: min(max(0, fromMillis(in.GetWaitMs())), maxFeedWait)}
+}
+
 // Read implements the generated interface.
 func (s *feedServer) Read(ctx context.Context, in *pb.FeedRequest) (*pb.FeedReply, error) {
-	r := port.FeedRequest{Prefix: in.GetPrefix(), After: in.GetAfter(), Wait: time.Duration(in.GetWaitMs()) * time.Millisecond}
-	reply, err := s.h.Feed(ctx, r)
+	reply, err := s.h.Feed(ctx, feedRequest(in))
 	if errors.Is(err, port.ErrFeedRefused) {
 		return nil, drpcerr.WithCode(err, codeFeedRefused)
 	}
