--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -57,6 +57,8 @@
 	registered map[string]registeredTarget
 	// targetDomains holds the domains of the targets of configured services.
 	targetDomains map[fleet.Domain]bool
+	// unreadable holds the items of each prefix that can't be decoded.
+	unreadable struct{ operator, targets, members *follow.Unreadable }
 }
 
 // registeredTarget is the part of a target's registration that the view keeps itself.
@@ -84,6 +86,9 @@
 		weightsBound: s.WeightsBound, unknownAge: s.WeightsBound - weightsMargin - startupWeightsGrace,
 		operatorKeys: itemrevision.New(), members: registration.Members{}, registered: map[string]registeredTarget{},
 	}
+	v.unreadable.operator = follow.NewUnreadable("operator's item can't be read", d.Log)
+	v.unreadable.targets = follow.NewUnreadable("entry of a target can't be read", d.Log)
+	v.unreadable.members = follow.NewUnreadable("entry of a process can't be read", d.Log)
 	v.otherGateways.Store(&[]netip.AddrPort{})
 	v.readers.Store(&[]feed.Member{})
 	v.engineTiming.Store(&routes.Timing{})
@@ -155,14 +160,15 @@
 func (v *view) applyOperatorKeys(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.unreadable.operator.Begin(e)
 	next := v.declarations.Load().copy()
 	for _, c := range v.currentOperatorKeys(e) {
 		item, err := v.decoder.Decode(c.StoreItem)
 		if err != nil && c.Removed {
 			continue
 		}
+		v.unreadable.operator.Record(c, err)
 		if err != nil {
-			v.log.Failure("operator's item can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
 			continue
 		}
 		v.applyItem(item, c, next)
@@ -319,6 +325,7 @@
 	now := v.clock.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.unreadable.targets.Begin(e)
 	keep := map[fleet.Instance]bool{}
 	if e.Reset {
 		clear(v.registered)
@@ -332,8 +339,8 @@
 			continue
 		}
 		item, err := v.decoder.Decode(c.StoreItem)
+		v.unreadable.targets.Record(c, err)
 		if err != nil {
-			v.log.Failure("entry of a target can't be read", err, logging.F("key", c.Key), logging.F("revision", c.Revision))
 			v.removeTarget(c.Key)
 			continue
 		}
@@ -381,7 +388,7 @@
 func (v *view) applyMembers(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.members.Apply(e, v.decoder, v.log)
+	v.members.Apply(e, v.decoder, v.unreadable.members)
 	count, otherGateways := v.members.Gateways(v.self.ID)
 	readers := v.members.Readers(v.self)
 	v.readers.Store(&readers)
