platform: take a refusal only if it is certainly that of the request

A faulty target that writes an earlier refusal once more on a kept connection, or any refusal without an id, decided the next request: the caller got 503, which promises that the request has not run, or the request went to another target, while the first one ran it. An error without an id was passed on as the answer.

Cause: a response without a Request-Id counted as that of the request that waits on the connection, and of several ids only the first was read.

Others are skipped, three responses and 1 MiB at most, until the real one arrives or the deadline ends the request as one that may have run. A response that only the end of its connection ends, or one before the response to a HEAD request, has no known end, so the request ends at once with broken_answer: the body of such a response was read as a response. Requests without an id get a new connection, since nothing else tells their response from an earlier one.

--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -74,9 +74,10 @@
 // Pool sends requests and keeps idle connections by address.
 type Pool struct {
 	idle *shard.Map[fleet.Address, []*conn]
-	// MatchesRequest reports whether a response belongs to a request. If it is nil,
-	// every response does.
-	MatchesRequest func(req *http.Request, res *http.Response) bool
+	// MatchesRequest reports whether a response belongs to a request. reused means that
+	// the connection has carried another request before. If it is nil, every response
+	// does.
+	MatchesRequest func(req *http.Request, res *http.Response, reused bool) bool
 	// OnOpen is called for each new connection. It may be nil.
 	OnOpen func()
 }
@@ -96,7 +97,9 @@
 	quotaErr error
 	// readErr is the last error of Read. It distinguishes a lost connection from bytes
 	// that are not a response.
-	readErr   error
+	readErr error
+	// reused is set once a response was read, so that the next request is not the first.
+	reused    bool
 	expiresAt time.Time
 	// stopCancel unregisters the function that aborts the connection at the end of ctx.
 	stopCancel func() bool
@@ -110,9 +113,25 @@
 	if err != nil {
 		return nil, err
 	}
+	return p.send(ctx, addr, c, req)
+}
+
+// DoOnNew is like Do, but opens a connection, on which every response belongs to the
+// request.
+func (p *Pool) DoOnNew(ctx context.Context, addr fleet.Address, req *http.Request) (*http.Response, error) {
+	c, err := p.open(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return p.send(ctx, addr, c, req)
+}
+
+// send sends a request on c, which it closes if there is no response.
+func (p *Pool) send(ctx context.Context, addr fleet.Address, c *conn, req *http.Request) (*http.Response, error) {
 	c.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	w := bufio.NewWriterSize(c, bufferBytes)
-	if err = req.Write(w); err == nil {
+	err := req.Write(w)
+	if err == nil {
 		err = w.Flush()
 	}
 	if err != nil {
@@ -140,6 +159,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.open(ctx, addr)
+}
+
+// open opens a connection.
+func (p *Pool) open(ctx context.Context, addr fleet.Address) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	nc, err := d.DialContext(ctx, "tcp", string(addr))
 	if err != nil {
@@ -174,15 +198,18 @@
 
 // readResponse reads the head of the response to req. It skips responses that do not
 // match, unless matches is nil.
-func (c *conn) readResponse(req *http.Request, matches func(*http.Request, *http.Response) bool) (*http.Response, error) {
+func (c *conn) readResponse(req *http.Request, matches func(*http.Request, *http.Response, bool) bool) (*http.Response, error) {
 	for range maxResponsesRead {
 		res, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
-		if matches == nil || matches(req, res) {
+		if matches == nil || matches(req, res, c.reused) {
 			return res, nil
 		}
+		if !endIsKnown(req, res) {
+			return nil, malformed(errors.New("response to another request has no known end"))
+		}
 		c.quota, c.quotaErr = maxSkippedBytes, errSkippedTooLong
 		if _, err = io.Copy(io.Discard, res.Body); err != nil {
 			return nil, c.responseError(err)
@@ -191,6 +218,13 @@
 	return nil, malformed(errors.Errorf("%d responses to other requests", maxResponsesRead))
 }
 
+// endIsKnown reports whether another response may follow a response to another request
+// than req. Only the end of the connection ends one without a length. Whether one has a
+// body depends on its own request if a response to req has none.
+func endIsKnown(req *http.Request, res *http.Response) bool {
+	return req.Method != http.MethodHead && (res.ContentLength >= 0 || len(res.TransferEncoding) > 0)
+}
+
 // readHead reads the head of the next response. It skips interim responses, which have
 // no body.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
@@ -402,7 +436,7 @@
 		b.c.discard()
 		return nil
 	}
-	b.c.stopCancel = nil
+	b.c.stopCancel, b.c.reused = nil, true
 	b.c.expiresAt = time.Now().Add(keepAliveTime(b.res.Header))
 	b.p.push(b.addr, b.c)
 	return nil
--- a/internal/adapter/targetconn/targetconn_test.go
+++ b/internal/adapter/targetconn/targetconn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -48,7 +49,7 @@
 
 func newPool() *Pool {
 	p := New()
-	p.MatchesRequest = func(req *http.Request, res *http.Response) bool {
+	p.MatchesRequest = func(req *http.Request, res *http.Response, _ bool) bool {
 		return res.Header.Get("Request-Id") == req.Header.Get("Request-Id")
 	}
 	return p
@@ -142,6 +143,34 @@
 	}
 }
 
+// TestBodyOfSkippedResponseIsNotResponse guards against the body of an earlier response
+// that is read as the response to a HEAD request, since responses to HEAD have no body.
+func TestBodyOfSkippedResponseIsNotResponse(t *testing.T) {
+	addr := startTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, response("1", "ok"))
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		body := response("2", "")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+		_, _ = r.ReadByte()
+	})
+	p := newPool()
+	if _, err := get(context.Background(), p, addr, "1"); err != nil {
+		t.Fatal(err)
+	}
+	req := request("2")
+	req.Method = http.MethodHead
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if res, err := p.Do(ctx, addr, req); !errors.Is(err, ErrMalformedResponse) {
+		t.Errorf("%v, %v", res, err)
+	}
+}
+
 // TestUnsolicitedBytes guards against the use of a pooled connection on which data
 // has arrived while no request was in progress.
 func TestUnsolicitedBytes(t *testing.T) {
