eventstream: pass on only lines of events

A caller got the head of an error, or its text, in the middle of a stream with status 200: "id: 3\ndaHTTP/1.1 500 Internal Server Error\r\nRequest-Id: ..." counted as the third event.

Cause: a target that breaks off within a chunk and sends the head of another response on the same connection sends it where the rest of the chunk is due. The blank line behind that head completes the event that had begun, and a block without id and data passes like a comment. A page of another target whose first event has the right id could continue a stream, without the lines before that event.

Change: all lines of a stream must be comments or fields; names of fields are in lower case, as in the protocol, and a line without a colon must be a field of server-sent events. The names that HTTP heads commonly have in lower case are no fields of an event. Any other line ends the attempt like an event that is too long, before the block that has it. Values may be any text.

--- a/internal/core/eventstream/eventstream.go
+++ b/internal/core/eventstream/eventstream.go
@@ -47,8 +47,8 @@
 }
 
 // Push appends b and returns all events that are now complete. The result is valid until
-// the next call. An error is an *OrderError or ErrEventTooLong; the events before the
-// one at fault are returned with it.
+// the next call. An error is an *OrderError, ErrEventTooLong or ErrNotEvents; the events
+// before the one at fault are returned with it.
 func (s *Splitter) Push(b []byte) ([]byte, error) {
 	s.pending = append(s.pending, b...)
 	end, pos := 0, s.held
@@ -58,6 +58,9 @@
 			break
 		}
 		block := s.pending[pos : pos+n]
+		if err := checkLines(block); err != nil {
+			return s.take(end), err
+		}
 		id, isEvent := parseBlock(block)
 		switch {
 		case isEvent:
