gateway: send a request to the same address again on a new connection only

An instance that has taken over the address of another one may be registered beside it. A request that the new instance refuses with 421, since it was meant for the old one, is then sent to the new one at the same address, mostly on the same connection and always with the same id. A refusal that the target repeats there was taken for the response: the caller got 503 for a request that ran.

Cause: placement leaves out instances that were tried, but connections are kept by address, and the id of the request cannot tell two of its own responses apart.

Change: the gateway notes the addresses to which a request was sent; a request that was sent to an address before gets a new connection there (port.Forward.SentBefore).

--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -97,13 +97,15 @@
 	return l.Addr().String(), requests
 }
 
-// startGateway starts a gateway with a resumable streaming route and two targets, of
-// which it prefers a. It returns the address for callers.
+// startGateway starts a gateway with a resumable streaming route, an unsafe one and two
+// targets, of which it prefers a. It returns the address for callers.
 func startGateway(t *testing.T, a, b string) string {
 	t.Helper()
 	store := porttest.NewStore()
-	store.Put("op/config", `{"Version":1,"Routes":[{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":3000,
-		"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true}],"Services":[{"Name":"s"}]}`)
+	store.Put("op/config", `{"Version":1,"Routes":[
+		{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":3000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true},
+		{"Name":"u","Host":"h","Prefix":"/u/","Kind":"unsafe","TimeoutMs":3000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":1,"Anonymous":true}],
+		"Services":[{"Name":"s"}]}`)
 	for id, addr := range map[string]string{"a": a, "b": b} {
 		store.Put("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":%q,"Slots":8,"State":"ready","born":1}`, addr, "zone-"+id))
 	}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -110,8 +110,9 @@
 	clock := c.g.deps.Clock
 	f := port.Forward{
 		Inbound: c.in, ExpectInstance: choice.Instance, Timeout: c.deadline.Sub(clock.Now()),
-		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(),
+		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(), SentBefore: c.sentTo[choice.Address],
 	}
+	c.sentTo[choice.Address] = true
 	if c.account != nil {
 		f.Customer = c.account.Name
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -31,7 +31,10 @@
 	// target may have run it.
 	sends, runs int
 	tried       map[fleet.Instance]bool
-	lastChoice  placement.Choice
+	// sentTo holds the addresses to which the request was sent. Two instances may be
+	// registered at one address.
+	sentTo     map[fleet.Address]bool
+	lastChoice placement.Choice
 	// weightsRequired is the oldest version of the weights that lastChoice could have had.
 	weightsRequired int64
 	relay           relay
@@ -49,7 +52,7 @@
 func (g *Gateway) Serve(ctx context.Context, in *port.InboundRequest, out port.ResponseWriter) {
 	g.active.Start()
 	defer g.active.Done()
-	c := &call{g: g, in: in, out: out, tried: map[fleet.Instance]bool{}, relay: relay{events: eventstream.New(in.ResumeAfter)}}
+	c := &call{g: g, in: in, out: out, tried: map[fleet.Instance]bool{}, sentTo: map[fleet.Address]bool{}, relay: relay{events: eventstream.New(in.ResumeAfter)}}
 	if e := c.resolve(); e != nil {
 		c.refuse(e)
 		return
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -104,6 +104,9 @@
 	Urgency int
 	// ResumeAfter is the id of the event after which the stream continues.
 	ResumeAfter string
+	// SentBefore means that the request was sent to the same address before. Its id does
+	// not tell the response from an earlier one there, so it needs a new connection.
+	SentBefore bool
 }
 
 // TargetLoad is the load that a target reports: requests running and queued,
