gateway: a target's 503 is not passed on as a promise that it does not give

Callers of this platform take 408, 429 and 503 as a promise that their request has not run and never will. A response of a target with such a status and without Not-Executed does not state this, but was passed on unchanged: a request that may run only once was called not run after it had run, and callers send it again.

The gateway answers a request that may run only once with 502 instead; safe requests and resumable streams may be repeated and still get the target's response.

Evidence, TestPromiseNeedsRefusal before the change: 408 Request Timeout: status 408, "body\n", 1 runs 429 Too Many Requests: status 429, "body\n", 1 runs 503 Service Unavailable: status 503, "body\n", 1 runs

--- a/cmd/masticwing-gateway/refusals_test.go
+++ b/cmd/masticwing-gateway/refusals_test.go
@@ -126,3 +126,23 @@
 		})
 	}
 }
+
+// TestPromiseNeedsRefusal guards against a status that promises callers that their request
+// has not run, passed on for a request that may run only once from a target that does not
+// state so. Other statuses are the target's to give.
+func TestPromiseNeedsRefusal(t *testing.T) {
+	for status, want := range map[string]int{
+		"408 Request Timeout": 502, "429 Too Many Requests": 502, "503 Service Unavailable": 502,
+		"500 Internal Server Error": 500, "504 Gateway Timeout": 504, "404 Not Found": 404, "400 Bad Request": 400,
+	} {
+		var runs atomic.Int64
+		target := startRawTarget(t, func(c net.Conn, r *http.Request) {
+			runs.Add(1)
+			_, _ = io.WriteString(c, head(status, "a", r.Header.Get("Request-Id"), "Content-Length: 5")+"body\n")
+		})
+		addr := startGateway(t, target, target)
+		if got, body := callUnsafe(t, addr, "1"); got != want || runs.Load() != 1 {
+			t.Errorf("%s: status %d, %q, %d runs", status, got, body, runs.Load())
+		}
+	}
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -130,6 +130,8 @@
 	switch {
 	case resp.Status < 200 || resp.Status > 599:
 		return c.recordBrokenResponse(ctx, choice, errors.Errorf("status %d", resp.Status))
+	case resp.ImpliesNotRun && !c.route.Retryable():
+		return verdict.New(verdict.MayHaveRun, verdict.CodeTargetError, "target answered with status %d and does not state that the request has not run", resp.Status)
 	case resp.Status/100 != 2 && c.relay.headSent:
 		return verdict.New(verdict.Ran, verdict.CodeTargetError, "target answered with status %d instead of continuing the stream", resp.Status)
 	case resp.Status/100 == 2 && c.route.Kind == routes.Streaming:
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -124,6 +124,9 @@
 	Load *TargetLoad
 	// EndsWithConnection means that only the end of the connection delimits Body.
 	EndsWithConnection bool
+	// ImpliesNotRun means that callers take the status for a promise that the request has
+	// not run, although the target does not state so.
+	ImpliesNotRun bool
 	// Leaving means that the target announced that it will close the connection.
 	Leaving bool
 }
