enginehttp: send each request on a new connection

A refusal of the engine (400, 409, 412) that arrives once more when the next response on a kept connection is due was taken for that of the next request: the agent called a request not run that ran, and the entry sent it to another one.

Cause: a refusal states no request, and net/http closes a connection only if bytes arrive while it is idle.

The rest of an answer is still read, now so that the engine does not see its connection closed while it sends the end.

--- a/internal/adapter/enginehttp/answer.go
+++ b/internal/adapter/enginehttp/answer.go
@@ -22,8 +22,8 @@
 	// answer in one frame.
 	maxLineBytes = 256 << 10
 	// maxTrailingBytes and trailingTimeout bound what is read after the end of an
-	// answer so that its connection can be used again. It is the last part of the
-	// chunked encoding.
+	// answer, so that the engine does not take the close of the connection for a
+	// cancellation. It is the last part of the chunked encoding.
 	maxTrailingBytes = 4 << 10
 	trailingTimeout  = 100 * time.Millisecond
 )
@@ -136,7 +136,7 @@
 // connection, so that the engine cancels the request.
 func (a *answerStream) Close() error {
 	if a.finalErr == io.EOF {
-		// Reads the rest of the body, so that the connection can be reused.
+		// Reads the rest of the body: the engine is still sending it.
 		_ = boundedhttp.ReadStart(a.body, maxTrailingBytes, trailingTimeout)
 	}
 	a.cancel()
--- a/internal/adapter/enginehttp/enginehttp.go
+++ b/internal/adapter/enginehttp/enginehttp.go
@@ -46,8 +46,13 @@
 
 // Client is a client of one engine.
 type Client struct {
-	base         string
-	http         *http.Client
+	base string
+	http *http.Client
+	// requests opens a new connection for each request. A refusal does not state to which
+	// request it belongs, so that on a kept connection a repeated one would be taken for
+	// that of the next request. The engine is on the same VM and starts a few requests a
+	// second.
+	requests     *http.Client
 	orderTimeout time.Duration
 }
 
@@ -56,7 +61,8 @@
 // New returns a client of the engine at addr.
 func New(addr fleet.Address) *Client {
 	return &Client{
-		base: "http://" + string(addr), http: &http.Client{Transport: targethttp.NewTransport()}, orderTimeout: orderTimeout,
+		base: "http://" + string(addr), http: &http.Client{Transport: targethttp.NewTransport()},
+		requests: &http.Client{Transport: targethttp.NewSingleUseTransport()}, orderTimeout: orderTimeout,
 	}
 }
 
@@ -195,7 +201,7 @@
 	if conditional {
 		req.Header.Set(ifMatchHeader, entityTag(r.Expect))
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.requests.Do(req)
 	if err != nil {
 		defer cancel()
 		return nil, sendError(ctx, err)
--- /dev/null
+++ b/internal/adapter/straytest/straytest.go
@@ -0,0 +1,63 @@
+// Package straytest has a server for tests of HTTP clients that sends a response once
+// more on a kept connection, as faulty peers do.
+package straytest
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+)
+
+// Start starts a server that answers its first request with first and all others with
+// later. If the connection has carried a request before, first is sent once more in front
+// of later. Both are encoded responses.
+func Start(t testing.TB, first, later string) fleet.Address {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requests atomic.Int64
+	var wg conc.WaitGroup
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		r := bufio.NewReader(c)
+		for reused := false; ; reused = true {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, req.Body)
+			response := later
+			switch {
+			case requests.Add(1) == 1:
+				response = first
+			case reused:
+				response = first + later
+			}
+			_, _ = io.WriteString(c, response)
+		}
+	}
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			// It ends with the client's connection, which may outlive the test.
+			go serve(c)
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		wg.Wait()
+	})
+	return fleet.Address(l.Addr().String())
+}
--- a/internal/adapter/targethttp/targethttp.go
+++ b/internal/adapter/targethttp/targethttp.go
@@ -41,6 +41,15 @@
 	return t
 }
 
+// NewSingleUseTransport returns a transport like NewTransport that opens a connection for
+// each request. net/http closes an idle connection on which bytes arrive, but takes those
+// that arrive once the next request was sent for its response.
+func NewSingleUseTransport() *http.Transport {
+	t := NewTransport()
+	t.DisableKeepAlives = true
+	return t
+}
+
 // SendError returns the error of a request that failed with err before a complete
 // response was received. target is a word for messages, such as "engine"; code is
 // used for failures to connect and lost connections. The verdict is not-run only if
