servicehttp: send calls without an idempotency key on new connections as well

A refusal (X-Not-Run) or an answer that the service sends once more on a kept connection was taken for that of the next call without a key: a call that ran was called not run, or got the answer to another call.

--- a/internal/adapter/servicehttp/servicehttp.go
+++ b/internal/adapter/servicehttp/servicehttp.go
@@ -30,21 +30,23 @@
 // Client is a client of one service.
 type Client struct {
 	base string
-	http *http.Client
-	// unpooled opens a new connection for each call.
-	unpooled *http.Client
+	// health is for health checks.
+	health *http.Client
+	// calls opens a new connection for each call. Responses state no request, so that on
+	// a kept connection a repeated response to an earlier call would be taken for that to
+	// the next one, and if the service has just closed one, it would be unknown whether
+	// the call ran. The service is on the same VM, where a connection costs little.
+	calls *http.Client
 }
 
 var _ port.Service = (*Client)(nil)
 
 // New returns a client of the service at addr.
 func New(addr fleet.Address) *Client {
-	unpooled := targethttp.NewTransport()
-	unpooled.DisableKeepAlives = true
 	return &Client{
-		base:     "http://" + string(addr),
-		http:     &http.Client{Transport: targethttp.NewTransport()},
-		unpooled: &http.Client{Transport: unpooled},
+		base:   "http://" + string(addr),
+		health: &http.Client{Transport: targethttp.NewTransport()},
+		calls:  &http.Client{Transport: targethttp.NewSingleUseTransport()},
 	}
 }
 
@@ -56,7 +58,7 @@
 	if err != nil {
 		return errors.Wrap(err, "building health request")
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.health.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "requesting service health")
 	}
@@ -67,16 +69,6 @@
 	return nil
 }
 
-// httpClient returns the client for a call. A call with an idempotency key uses a
-// new connection: if the service has just closed a pooled connection, it would be
-// unknown whether the call ran.
-func (c *Client) httpClient(r port.ServiceRequest) *http.Client {
-	if r.IdempotencyKey != "" {
-		return c.unpooled
-	}
-	return c.http
-}
-
 // Call implements port.Service. The request has no GetBody, since net/http would
 // otherwise retry a request with an Idempotency-Key after a lost connection, and the
 // call could run twice.
@@ -97,7 +89,7 @@
 	if r.IdempotencyKey != "" {
 		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
 	}
-	resp, err := c.httpClient(r).Do(req)
+	resp, err := c.calls.Do(req)
 	if err != nil {
 		defer cancel()
 		return nil, sendError(ctx, err)
