--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -117,8 +117,9 @@
 	clock := c.g.deps.Clock
 	f := port.Forward{
 		Inbound: c.in, ExpectInstance: choice.Instance, Timeout: c.deadline.Sub(clock.Now()),
-		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(),
+		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(), SentBefore: c.sentTo[choice.Address],
 	}
+	c.sentTo[choice.Address] = true
 	if c.account != nil {
 		f.Customer = c.account.Name
 	}
@@ -136,6 +137,8 @@
 	switch {
 	case resp.Status < 200 || resp.Status > 599:
 		return c.recordBrokenResponse(ctx, choice, errors.Errorf("status %d", resp.Status))
+	case resp.ImpliesNotRun && !c.route.Retryable():
+		return verdict.New(verdict.MayHaveRun, verdict.CodeTargetError, "target answered with status %d and does not state that the request has not run", resp.Status)
 	case resp.Status/100 != 2 && c.relay.headSent:
 		return verdict.New(verdict.Ran, verdict.CodeTargetError, "target answered with status %d instead of continuing the stream", resp.Status)
 	case resp.Status/100 == 2 && c.route.Kind == routes.Streaming:
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -104,6 +104,9 @@
 	Urgency int
 	// ResumeAfter is the id of the event after which the stream continues.
 	ResumeAfter string
+	// SentBefore means that the request was sent to the same address before. Its id does
+	// not tell the response from an earlier one there, so it needs a new connection.
+	SentBefore bool
 }
 
 // TargetLoad is the load that a target reports: requests running and queued,
@@ -121,6 +124,9 @@
 	Load *TargetLoad
 	// EndsWithConnection means that only the end of the connection delimits Body.
 	EndsWithConnection bool
+	// ImpliesNotRun means that callers take the status for a promise that the request has
+	// not run, although the target does not state so.
+	ImpliesNotRun bool
 	// Leaving means that the target announced that it will close the connection.
 	Leaving bool
 }
