entry: continue a response only at the line that the agent states

What callers would see: a model's response whose first agent is lost is continued by another agent. If that one starts elsewhere, the caller gets repeated or missing lines in a response that looks complete.

Cause: only the agent knew where its answer starts. The protocol did not state it, and the entry appended whatever the second agent sent.

Change: the head of an answer states its start. The engine adapter takes it from the first line of a resumed answer, since the engine's head has no number, and the agent sends no head if it is not the requested one (core/response). The entry accepts an answer only if its start is exactly the requested one, which is zero for a new answer. Any other is broken_answer with verdict may-have-run: the entry tries the next agent within the retry budget, or the response ends as not complete with the error of the lost target. Agents of older builds state zero, so they do not continue responses for an entry of this build.

A resumed answer that breaks between the engine's head and its first frame now fails before the agent has sent a head, so the entry tries another agent instead of this agent its own engine again.

Changed tests: the fake agents of TestResumedAnswerIsOneAnswer and TestResume state their start, since they stand for agents of this build; what they refuse is the same. TestServeFromResumePoint checks the stated start in addition.

--- a/internal/adapter/enginehttp/answer.go
+++ b/internal/adapter/enginehttp/answer.go
@@ -42,16 +42,25 @@
 	Seq       uint64          `json:"seq"`
 }
 
+// rawLine is one line with its newline, and its decoded form. The bytes are valid until
+// the next line is read.
+type rawLine struct {
+	raw     []byte
+	decoded streamLine
+}
+
 // answerStream reads the JSON lines of one answer. Next returns frames unchanged; it
 // does not return the head and the end line.
 type answerStream struct {
-	ctx      context.Context
-	cancel   context.CancelFunc
-	body     io.ReadCloser
-	lines    *bufio.Scanner
-	head     port.AnswerHead
-	nextSeq  uint64
-	finalErr error
+	ctx    context.Context
+	cancel context.CancelFunc
+	body   io.ReadCloser
+	lines  *bufio.Scanner
+	head   port.AnswerHead
+	// firstLine is the line that readStart has read and Next has not returned yet.
+	firstLine *rawLine
+	nextSeq   uint64
+	finalErr  error
 }
 
 func newAnswerStream(
@@ -72,9 +81,42 @@
 		ContentType: resp.Header.Get("Content-Type"),
 		Status:      http.StatusOK,
 	}
+	if r.Resume > 0 {
+		return a, a.readStart()
+	}
 	return a, nil
 }
 
+// readStart reads the line after the head of a resumed answer. Its number is the start of
+// the answer, which the engine's head does not state. The end line, if nothing was left,
+// has the number of all frames.
+func (a *answerStream) readStart() error {
+	raw, l, err := a.readLine()
+	if err != nil {
+		return err
+	}
+	a.firstLine = &rawLine{raw, l}
+	if l.End != nil {
+		a.head.Start = l.End.Frames
+		return nil
+	}
+	a.head.Start = l.Seq
+	return a.checkSource(l)
+}
+
+// checkSource returns an error unless a frame belongs to the request and the version that
+// the head names.
+func (a *answerStream) checkSource(l streamLine) error {
+	switch {
+	case l.RequestID != a.head.ID:
+		return brokenAnswer("engine's frame belongs to request %q", l.RequestID)
+	case l.Version != a.head.Version:
+		return verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch,
+			"engine's frame is from version %q, answer is from %q", l.Version, a.head.Version)
+	}
+	return nil
+}
+
 // brokenAnswer returns the error of an answer that violates the protocol.
 func brokenAnswer(format string, args ...any) *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, format, args...)
@@ -112,7 +154,7 @@
 }
 
 func (a *answerStream) nextFrame() ([]byte, error) {
-	raw, l, err := a.readLine()
+	raw, l, err := a.takeLine()
 	switch {
 	case err != nil:
 		return nil, err
@@ -120,18 +162,26 @@
 		return nil, io.EOF
 	case l.End != nil:
 		return nil, brokenAnswer("engine's answer has %d frames, received %d", l.End.Frames, a.nextSeq)
-	case l.RequestID != a.head.ID:
-		return nil, brokenAnswer("engine's frame belongs to request %q", l.RequestID)
-	case l.Version != a.head.Version:
-		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch,
-			"engine's frame is from version %q, answer is from %q", l.Version, a.head.Version)
-	case l.Seq != a.nextSeq:
+	}
+	if err := a.checkSource(l); err != nil {
+		return nil, err
+	}
+	if l.Seq != a.nextSeq {
 		return nil, brokenAnswer("engine's frame %d follows frame %d", l.Seq, a.nextSeq)
 	}
 	a.nextSeq++
 	return raw, nil
 }
 
+// takeLine returns the line that readStart has read, or else the next one.
+func (a *answerStream) takeLine() ([]byte, streamLine, error) {
+	if l := a.firstLine; l != nil {
+		a.firstLine = nil
+		return l.raw, l.decoded, nil
+	}
+	return a.readLine()
+}
+
 // Close implements port.Answer. If the answer is incomplete, it closes the
 // connection, so that the engine cancels the request.
 func (a *answerStream) Close() error {
--- a/internal/adapter/enginehttp/enginehttp_test.go
+++ b/internal/adapter/enginehttp/enginehttp_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -113,6 +114,38 @@
 	}
 }
 
+// TestStartIsOfEngine guards against a resumed answer whose start is that of the request
+// instead of the engine's.
+func TestStartIsOfEngine(t *testing.T) {
+	const head = `{"head":{"request_id":"r","version":"v"}}` + "\n"
+	frame := func(seq int) string { return fmt.Sprintf(`{"request_id":"r","version":"v","seq":%d}`+"\n", seq) }
+	for _, c := range []struct {
+		body          string
+		resume, start uint64
+		ok            bool
+	}{
+		{frame(2) + `{"end":{"frames":3}}`, 2, 2, true},
+		{`{"end":{"frames":2}}`, 2, 2, true},
+		{frame(0) + `{"end":{"frames":1}}`, 0, 0, true},
+		{frame(0) + `{"end":{"frames":1}}`, 2, 0, false},
+		{frame(5) + `{"end":{"frames":6}}`, 2, 5, false},
+		{`{"end":{"frames":7}}`, 2, 7, false},
+	} {
+		client := startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, head+c.body+"\n") })
+		a, err := client.Generate(t.Context(), port.EngineRequest{ID: "r", Version: "v", Resume: c.resume})
+		if err != nil {
+			t.Fatalf("%s resumed after %d: %v", c.body, c.resume, err)
+		}
+		if got := a.Head().Start; got != c.start {
+			t.Errorf("%s resumed after %d: start %d, want %d", c.body, c.resume, got, c.start)
+		}
+		if _, err := readAll(a); (err == nil) != c.ok {
+			t.Errorf("%s resumed after %d: %v", c.body, c.resume, err)
+		}
+		_ = a.Close()
+	}
+}
+
 func counts(t *testing.T, h *httptest.Server) map[string]int64 {
 	t.Helper()
 	resp, err := http.Get(h.URL + "/counts")
--- a/internal/adapter/rpc/answer_test.go
+++ b/internal/adapter/rpc/answer_test.go
@@ -150,6 +150,26 @@
 	}
 }
 
+// TestHeadArrives guards against a field of the head that is lost between agent and
+// entry, above all the start of a resumed answer.
+func TestHeadArrives(t *testing.T) {
+	head := port.AnswerHead{ID: "r", Version: "v", ContentType: "text/plain", Status: 200, Replayed: true, Start: 1<<63 + 2}
+	_, addr, _ := serveAgent(t, sinkAgent{serve: func(s port.AnswerSink) error { return s.Head(head, port.Load{}) }})
+	client := NewClient()
+	defer client.Close()
+	a, err := client.Serve(t.Context(), addr, port.ServeRequest{ID: "r", Resume: head.Start}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = a.Close() }()
+	if got := a.Head(); got != head {
+		t.Errorf("got %+v, want %+v", got, head)
+	}
+	if _, err := a.Next(); !port.AnswerEnded(err) {
+		t.Errorf("end of the answer: %v", err)
+	}
+}
+
 // TestErrorIsNotRefusal guards against the verdict not-run for a request whose answer
 // has begun, or that ended with an error instead of a refusal: such a call may run
 // twice if it is sent again.
--- a/internal/adapter/rpc/convert.go
+++ b/internal/adapter/rpc/convert.go
@@ -100,6 +100,7 @@
 		ContentType: h.ContentType,
 		Status:      int32(h.Status),
 		Replayed:    h.Replayed,
+		Start:       h.Start,
 	}
 }
 
@@ -110,6 +111,7 @@
 		ContentType: h.GetContentType(),
 		Status:      int(h.GetStatus()),
 		Replayed:    h.GetReplayed(),
+		Start:       h.GetStart(),
 	}
 }
 
--- a/internal/app/agent/resume_test.go
+++ b/internal/app/agent/resume_test.go
@@ -113,6 +113,51 @@
 	}
 }
 
+// TestStatedStartIsChecked guards against an agent that continues the answer of another
+// agent and states the start that it was asked for although its engine starts elsewhere.
+func TestStatedStartIsChecked(t *testing.T) {
+	rest := frame("r1", "v1", 2)
+	for name, c := range map[string]struct {
+		reply string
+		body  string
+		ok    bool
+	}{
+		"continued":                {headLine("r1", "v1") + rest + endLine(3), rest, true},
+		"nothing was left":         {headLine("r1", "v1") + endLine(2), "", true},
+		"starts again":             {headLine("r1", "v1") + frame("r1", "v1", 0) + frame("r1", "v1", 1) + rest + endLine(3), "", false},
+		"starts too early":         {headLine("r1", "v1") + frame("r1", "v1", 1) + rest + endLine(3), "", false},
+		"starts too late":          {headLine("r1", "v1") + frame("r1", "v1", 3) + endLine(4), "", false},
+		"shorter answer":           {headLine("r1", "v1") + endLine(1), "", false},
+		"frame of another request": {headLine("r1", "v1") + frame("r9", "v1", 2) + endLine(3), "", false},
+		"frame of another version": {headLine("r1", "v1") + frame("r1", "v2", 2) + endLine(3), "", false},
+		"ends after its head":      {headLine("r1", "v1"), "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Resume-Frames") != "2" {
+					w.WriteHeader(http.StatusInternalServerError)
+				}
+				_, _ = io.WriteString(w, c.reply)
+			}))
+			t.Cleanup(srv.Close)
+			b := newServingTestbed(t, enginehttp.New(fleet.Address(strings.TrimPrefix(srv.URL, "http://"))).Generate)
+			r := b.request("r1", "x")
+			r.Resume, r.Version = 2, "v1"
+			head, got, err := b.serve(r)
+			if got != c.body || (err == nil) != c.ok {
+				t.Fatalf("got %q, %v; want %q", got, err, c.body)
+			}
+			if c.ok && head.Start != 2 {
+				t.Errorf("stated start %d, want 2", head.Start)
+			}
+			if err != nil && (head != port.AnswerHead{} || verdict.FromError(err).Verdict != verdict.MayHaveRun) {
+				t.Errorf("got head %+v, %v; want no head and may-have-run", head, err)
+			}
+		})
+	}
+}
+
 // TestEngineHeadIsChecked guards against an error page or a stored answer that reaches
 // the entry as a stream, and against an error whose cause is io.EOF that completes one.
 func TestEngineHeadIsChecked(t *testing.T) {
--- a/internal/app/agent/serve.go
+++ b/internal/app/agent/serve.go
@@ -182,7 +182,7 @@
 		return err
 	}
 	defer func() { _ = ans.Close() }()
-	if err := s.checkHead(ans.Head()); err != nil {
+	if err := s.checkHead(ans.Head(), engineReq.Resume); err != nil {
 		return err
 	}
 	return s.forwardResponse(ctx, startedAnswer{ans}, func() { engineReq.Resume++ })
@@ -213,12 +213,13 @@
 }
 
 // checkHead rejects a response that belongs to another request, is not the stream of
-// one run, or comes from another version than the pinned one. No part of it reaches
-// the entry.
-func (s *servedRequest) checkHead(h port.AnswerHead) error {
+// one run, comes from another version than the pinned one, or does not go on at frame
+// start by the engine's own numbers. No part of it reaches the entry.
+func (s *servedRequest) checkHead(h port.AnswerHead, start uint64) error {
 	source := h.Source()
 	for _, err := range []*verdict.Error{
 		source.CheckRequest(s.req.ID), source.CheckStream(), source.CheckVersion(s.permit.Version()),
+		source.CheckStart(start),
 	} {
 		if err != nil {
 			return err
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -249,8 +249,11 @@
 	b.waitServing("v1")
 	r := b.request("r1", "hello")
 	r.Resume, r.Version = 3, "v1"
-	_, rest, err := b.serve(r)
+	head, rest, err := b.serve(r)
 	complete := expectedResponse("r1", "v1", "w", "hello")
+	if head.Start != 3 {
+		t.Errorf("stated start %d, want 3", head.Start)
+	}
 	if err != nil || !strings.HasSuffix(complete, rest) || strings.Count(rest, "\n") != 5 {
 		t.Fatalf("rest %q, error %v, want the last 5 lines of %q", rest, err, complete)
 	}
--- a/internal/app/entry/answer.go
+++ b/internal/app/entry/answer.go
@@ -19,13 +19,17 @@
 	releasePermit func()
 }
 
-// prefetch checks that the answer belongs to the request and, for a group, is the
-// stream of one run, and receives the first piece.
+// prefetch checks that the answer belongs to the request, starts at the frame that the
+// request names and, for a group, is the stream of one run. Then it receives the first
+// piece.
 func (a *targetAnswer) prefetch(req *port.ServeRequest) error {
 	source := a.src.Head().Source()
 	if err := source.CheckRequest(req.ID); err != nil {
 		return err
 	}
+	if err := source.CheckStart(req.Resume); err != nil {
+		return err
+	}
 	if req.Group != "" {
 		if err := source.CheckStream(); err != nil {
 			return err
--- a/internal/app/entry/resume_test.go
+++ b/internal/app/entry/resume_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -45,7 +47,7 @@
 // TestResumedAnswerIsOneAnswer guards against parts of another answer behind the lines
 // of a broken one, and against a broken answer that looks complete.
 func TestResumedAnswerIsOneAnswer(t *testing.T) {
-	head := port.AnswerHead{ID: "r1", Version: currentVersion, Status: 200}
+	head := port.AnswerHead{ID: "r1", Version: currentVersion, Status: 200, Start: 2}
 	otherVersion, errorStatus, replayed, noVersion := head, head, head, head
 	otherVersion.Version, errorStatus.Status, replayed.Replayed, noVersion.Version = previousVersion, 500, true, ""
 	answer := func(head port.AnswerHead, err error, lines ...string) serveFunc {
@@ -159,3 +161,85 @@
 		})
 	}
 }
+
+// TestStatedStartOfResumedAnswer guards against an answer that continues although its
+// second agent states another start than the requested one, or none as an older agent
+// does. The caller gets the error of the lost target, and no line of the second one.
+func TestStatedStartOfResumedAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		start    uint64
+		body     string
+		complete bool
+	}{
+		"older agent": {0, "0\n1\n", false},
+		"too small":   {1, "0\n1\n", false},
+		"too large":   {3, "0\n1\n", false},
+		"right":       {2, "0\n1\n2\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "model", 2)
+			h.breakAfterFirst(func(_ context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+				return send(sink, port.AnswerHead{ID: r.ID, Version: currentVersion, Status: 200, Start: c.start}, nil, "2\n")
+			})
+			got, err := h.serveAndRead(generateRequest())
+			if got != c.body || (err == nil) != c.complete {
+				t.Errorf("got %q, %v; want %q, complete %v", got, err, c.body, c.complete)
+			}
+			if e := verdict.FromError(err); err != nil && (e.Verdict != verdict.MayHaveRun || e.Code != verdict.CodeTargetLost) {
+				t.Errorf("got %v, want the error of the lost target", err)
+			}
+		})
+	}
+}
+
+// TestResumeSkipsOlderAgent guards against an answer that ends incomplete because the
+// first agent that was asked to continue it states no start, although the next one can
+// continue it.
+func TestResumeSkipsOlderAgent(t *testing.T) {
+	h := newHarness(t, "model", 3)
+	var resumes atomic.Int32
+	h.breakAfterFirst(func(_ context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+		head := port.AnswerHead{ID: r.ID, Version: currentVersion, Status: 200, Start: r.Resume}
+		if resumes.Add(1) == 1 {
+			head.Start = 0
+		}
+		return send(sink, head, nil, "2\n")
+	})
+	got, err := h.serveAndRead(generateRequest())
+	if got != "0\n1\n2\n" || err != nil || h.requestCount() != 3 {
+		t.Errorf("got %q, %v, %d requests; want the rest from the third agent", got, err, h.requestCount())
+	}
+	for _, s := range h.entry.table.Snapshot(time.Now()) {
+		if s.InFlight != 0 {
+			t.Errorf("target %s counts %d requests", s.VM, s.InFlight)
+		}
+	}
+}
+
+// TestNewAnswerHasNoStart guards against a new answer whose first lines are missing. It
+// counts as broken: a model's request is retried, one that must not run twice is not.
+func TestNewAnswerHasNoStart(t *testing.T) {
+	for _, c := range []struct {
+		pool     string
+		request  port.ServeRequest
+		version  fleet.Version
+		requests int
+	}{
+		{"model", generateRequest(), currentVersion, 2},
+		{"status", callRequest("log"), "", 1},
+	} {
+		h := newHarness(t, c.pool, 2)
+		h.updateAgents(func(_ int, a *fakeAgent) {
+			a.serve = func(_ context.Context, r port.ServeRequest, sink port.AnswerSink) error {
+				return send(sink, port.AnswerHead{ID: r.ID, Version: c.version, Status: 200, Start: 1}, nil, "1\n")
+			}
+		})
+		got, err := h.serveAndRead(c.request)
+		if e := verdict.FromError(err); got != "" || e.Code != verdict.CodeBrokenAnswer || e.Verdict != verdict.MayHaveRun {
+			t.Errorf("%s: got %q, %v", c.pool, got, err)
+		}
+		if n := h.requestCount(); n != c.requests {
+			t.Errorf("%s: %d requests, want %d", c.pool, n, c.requests)
+		}
+	}
+}
--- a/internal/app/entry/serve_test.go
+++ b/internal/app/entry/serve_test.go
@@ -264,7 +264,7 @@
 			first := !lost
 			lost = true
 			mu.Unlock()
-			_ = sink.Head(port.AnswerHead{ID: r.ID, Version: currentVersion}, port.Load{Limit: 8})
+			_ = sink.Head(port.AnswerHead{ID: r.ID, Version: currentVersion, Start: r.Resume}, port.Load{Limit: 8})
 			if first {
 				_ = sink.Data([]byte("one\n"))
 				return verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "gone")
@@ -288,7 +288,7 @@
 		serve := a.serve
 		a.serve = func(ctx context.Context, r port.ServeRequest, sink port.AnswerSink) error {
 			if r.Resume > 0 {
-				_ = sink.Head(port.AnswerHead{ID: r.ID, Version: previousVersion}, port.Load{Limit: 8})
+				_ = sink.Head(port.AnswerHead{ID: r.ID, Version: previousVersion, Start: r.Resume}, port.Load{Limit: 8})
 				return sink.Data([]byte("other\n"))
 			}
 			return serve(ctx, r, sink)
--- a/internal/core/response/source.go
+++ b/internal/core/response/source.go
@@ -17,6 +17,8 @@
 	Status int
 	// Replayed marks a stored response.
 	Replayed bool
+	// Start is the number of frames of the whole response that come before this one.
+	Start uint64
 }
 
 // CheckRequest returns an error if the response belongs to another request than id.
@@ -50,6 +52,15 @@
 	return verdict.New(verdict.MayHaveRun, verdict.CodeVersionMismatch, "answer is from version %q, expected %q", s.Version, v)
 }
 
+// CheckStart returns an error unless the response goes on after the first n frames, which
+// the caller already has. A new response has none before it.
+func (s Source) CheckStart(n uint64) *verdict.Error {
+	if s.Start == n {
+		return nil
+	}
+	return broken("answer starts at frame %d, expected %d", s.Start, n)
+}
+
 func broken(format string, args ...any) *verdict.Error {
 	return verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, format, args...)
 }
--- a/internal/core/response/source_test.go
+++ b/internal/core/response/source_test.go
@@ -6,6 +6,23 @@
 	"github.com/masticwing/masticwing/internal/core/verdict"
 )
 
+// TestStartCheck guards against a response that continues another one at the wrong frame,
+// and against a new one whose first frames are missing.
+func TestStartCheck(t *testing.T) {
+	for _, c := range []struct {
+		start, expected uint64
+		ok              bool
+	}{{0, 0, true}, {1, 0, false}, {2, 2, true}, {0, 2, false}, {1, 2, false}, {3, 2, false}} {
+		err := Source{Start: c.start}.CheckStart(c.expected)
+		if (err == nil) != c.ok {
+			t.Errorf("start %d, expected %d: %v", c.start, c.expected, err)
+		}
+		if err != nil && (err.Code != verdict.CodeBrokenAnswer || err.Verdict != verdict.MayHaveRun) {
+			t.Errorf("start %d, expected %d: %v", c.start, c.expected, err)
+		}
+	}
+}
+
 // TestSourceChecks guards against a stream that begins or continues with an error page,
 // a stored response, or the response of another version or request.
 func TestSourceChecks(t *testing.T) {
--- a/internal/port/target.go
+++ b/internal/port/target.go
@@ -90,11 +90,15 @@
 	Status      int
 	// Replayed marks a stored answer to a retry with the same idempotency key.
 	Replayed bool
+	// Start is the number of frames that the caller already had, after which the answer
+	// goes on, by the numbers of the engine and not by those of the request. It is zero
+	// in a new answer.
+	Start uint64
 }
 
 // Source returns what the head states about the origin of the answer.
 func (h AnswerHead) Source() response.Source {
-	return response.Source{Request: h.ID, Version: h.Version, Status: h.Status, Replayed: h.Replayed}
+	return response.Source{Request: h.ID, Version: h.Version, Status: h.Status, Replayed: h.Replayed, Start: h.Start}
 }
 
 // Answer streams an answer.
