relay: freeze only the connections of certain requests

A test could silence a whole route to the store, but not the watch of a process while its other calls pass, which is how a process misses changes although its checks of the store succeed.

Change: Faults.FreezeRequests freezes the connections on which a request with the given path is in progress or begins. TestFreezeRequests checks both, and that other requests pass.

--- a/internal/standin/relay/pump.go
+++ b/internal/standin/relay/pump.go
@@ -65,7 +65,11 @@
 		if pc.due.After(due) {
 			due = pc.due
 		}
-		if !sleepUntil(p, due) || !r.waitUnfrozen(p) {
+		if !sleepUntil(p, due) {
+			break
+		}
+		r.noteRequest(p, dir, pc.data)
+		if !r.waitUnfrozen(p) {
 			break
 		}
 		r.corrupt(dir, pc.data)
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -37,6 +37,9 @@
 	CutFrom []string `json:"cut_from"`
 	// Freeze keeps connections open without carrying data.
 	Freeze Freeze `json:"freeze"`
+	// FreezeRequests freezes the connections on which an HTTP request is in progress, or
+	// begins, whose path has this prefix. They stay frozen after the fault is cleared.
+	FreezeRequests string `json:"freeze_requests"`
 	// DelayMillis delays the data in each direction.
 	DelayMillis int `json:"delay_ms"`
 	// CorruptToCaller inverts one byte in each large segment sent to the caller,
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -248,3 +248,45 @@
 		t.Fatalf("%d bytes altered, %d counted", altered, n)
 	}
 }
+
+// TestFreezeRequests guards against a fault of calls with one path that also holds up other
+// calls, or that leaves a call alone which was in progress when the fault began.
+func TestFreezeRequests(t *testing.T) {
+	const watch, call = "GET /watch?a=1 HTTP/1.1\r\n\r\n", "POST /call HTTP/1.1\r\n\r\n"
+	r, addr := startEcho(t)
+	busy, reused, other := dial(t, addr), dial(t, addr), dial(t, addr)
+	// The echo server's answer ends the request, so a request that waits has none.
+	for _, c := range []net.Conn{reused, other} {
+		if err := echo(c, call, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rt, _ := r.route("echo")
+	if err := echo(busy, watch, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	rt.mu.Lock()
+	for p := range rt.conns {
+		if p.caller.RemoteAddr().String() == busy.LocalAddr().String() {
+			p.path = "/watch?a=1"
+		}
+	}
+	rt.mu.Unlock()
+	setFaults(t, r, Faults{FreezeRequests: "/watch"})
+	if err := echo(busy, "x", silenceTimeout); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("request in progress: %v", err)
+	}
+	if err := echo(reused, watch, silenceTimeout); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("new request: %v", err)
+	}
+	if err := echo(other, call, time.Second); err != nil {
+		t.Errorf("other request: %v", err)
+	}
+	setFaults(t, r, Faults{})
+	if err := expect(reused, watch, silenceTimeout); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("after the fault: %v", err)
+	}
+	if err := echo(dial(t, addr), watch, time.Second); err != nil {
+		t.Errorf("new connection after the fault: %v", err)
+	}
+}
--- a/internal/standin/relay/route.go
+++ b/internal/standin/relay/route.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"bytes"
 	"maps"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,8 +39,12 @@
 	caller, target net.Conn
 	done           chan struct{}
 	once           sync.Once
-	// frozen is set by FreezeOld and never cleared; guarded by the route's lock.
+	// frozen is set by FreezeOld and FreezeRequests and never cleared; guarded by the
+	// route's lock.
 	frozen bool
+	// path is the path of the HTTP request that waits for its response, or empty; guarded
+	// by the route's lock.
+	path string
 }
 
 func newRoute(listen, target string) *route {
@@ -107,7 +113,7 @@
 	lis, open := r.lis, r.lis != nil
 	r.faults = f
 	for p := range r.conns {
-		p.frozen = p.frozen || f.Freeze == FreezeOld
+		p.frozen = p.frozen || f.Freeze == FreezeOld || p.requestFrozen(f)
 	}
 	close(r.faultsChanged)
 	r.faultsChanged = make(chan struct{})
@@ -170,6 +176,27 @@
 	r.wg.Wait()
 }
 
+// noteRequest records the path of the request that a segment begins, and freezes its
+// connection if it has to be. Data of a response ends the request.
+func (r *route) noteRequest(p *connPair, dir int, segment []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if dir == toCaller {
+		p.path = ""
+		return
+	}
+	line, _, _ := bytes.Cut(segment, []byte("\r\n"))
+	if fields := bytes.Fields(line); len(fields) == 3 && bytes.HasPrefix(fields[2], []byte("HTTP/")) {
+		p.path = string(fields[1])
+		p.frozen = p.frozen || p.requestFrozen(r.faults)
+	}
+}
+
+// requestFrozen reports whether a fault freezes the request in progress.
+func (p *connPair) requestFrozen(f Faults) bool {
+	return f.FreezeRequests != "" && strings.HasPrefix(p.path, f.FreezeRequests)
+}
+
 // isFrom reports whether the caller has one of the IP addresses.
 func (p *connPair) isFrom(ips []string) bool {
 	host, _, err := net.SplitHostPort(p.caller.RemoteAddr().String())
