soak: check which weights requests begin on

Change: the soak records declarations and disturbances, and fails if a gateway in touch sent a request that begins on weights whose bound has ended, counted as the platform's rules do. The sender is the gateway that the client called. A second set of faults (weightsFaults) declares weights while gateways and loaders are paused, cuts or silences watches, and adds empty engines. The first declaration of a model was already made by a fault only; it can now meet paused readers.

--- a/test/soak/client_test.go
+++ b/test/soak/client_test.go
@@ -16,10 +16,12 @@
 // result is the outcome of one request as its caller sees it.
 type result struct {
 	id, path, key string
-	sent          time.Time
-	status        int
-	signature     string
-	body          string
+	// gateway is the index of the gateway to which the request was sent.
+	gateway   int
+	sent      time.Time
+	status    int
+	signature string
+	body      string
 	// err is set if the response is missing or incomplete.
 	err error
 }
@@ -43,7 +45,7 @@
 
 // send sends one request to a gateway and returns the outcome.
 func (c *client) send(gateway int, path, key string) result {
-	r := result{id: fmt.Sprintf("%08x%08x", c.id, c.requestCount.Add(1)), path: path, key: key, sent: time.Now()}
+	r := result{id: fmt.Sprintf("%08x%08x", c.id, c.requestCount.Add(1)), path: path, key: key, gateway: gateway, sent: time.Now()}
 	req, err := http.NewRequest(http.MethodPost, "http://"+c.f.callerAddr[gateway]+path, strings.NewReader("body of "+r.id))
 	if err != nil {
 		r.err = err
@@ -128,6 +130,7 @@
 			}
 		}
 		violations = append(violations, responseViolations(r, executions[r.id])...)
+		violations = append(violations, f.history.versionViolations(f.gateways[r.gateway].name, r, executions[r.id])...)
 		if elapsed := r.sent.Sub(revoked); !revoked.IsZero() && elapsed > keyBound && len(executions[r.id]) > 0 {
 			violations = append(violations, fmt.Sprintf("request %s ran %v after its key was revoked", r.id, elapsed))
 		}
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -15,20 +15,32 @@
 // faultSet is the number of kinds of faults that a run draws from. A seed repeats its
 // run only with the set that it was recorded with, so new kinds go behind the others
 // and into a new set.
-type faultSet int
+type faultSet struct {
+	name string
+	// kinds holds the kinds that are drawn from, each as often as its weight.
+	kinds []int
+	// atOnce is the highest number of faults that begin together.
+	atOnce int
+	// minInterval and intervalRange bound the time between two beginnings.
+	minInterval, intervalRange time.Duration
+}
 
-const (
+var (
 	// firstFaults has no fault of a target but responses that are cut off and crashes.
-	firstFaults faultSet = 10
+	firstFaults = faultSet{"first", []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9}, 2, 200 * time.Millisecond, 1200 * time.Millisecond}
 	// allFaults adds targets with all of platformtest.TargetFaults, which also occur
 	// together at targets of one service.
-	allFaults faultSet = 14
+	allFaults = faultSet{"all", []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13}, 2, 200 * time.Millisecond, 1200 * time.Millisecond}
+	// weightsFaults has the faults under which gateways and loaders learn of declared weights
+	// late. They are rarer than in the other sets, since a disturbed gateway is not bound by
+	// weightsBound.
+	weightsFaults = faultSet{"weights", []int{0, 4, 6, 14, 14, 14, 14, 15, 16, 16}, 1, 2 * time.Second, 6 * time.Second}
 )
 
 // faultInjector injects random faults, several of which may be in effect at once.
 type faultInjector struct {
 	f        *fleet
-	faults   faultSet
+	faults   *faultSet
 	rng      *rand.Rand
 	wg       conc.WaitGroup
 	injected []string
@@ -60,17 +72,22 @@
 // inject injects faults for d and returns once all of them have ended.
 func (inj *faultInjector) inject(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		for range 1 + inj.rng.IntN(2) {
+		for range 1 + inj.rng.IntN(inj.faults.atOnce) {
 			inj.injectOne()
 		}
-		time.Sleep(time.Duration(200+inj.rng.IntN(1200)) * time.Millisecond)
+		time.Sleep(inj.faults.minInterval + inj.randomMillis(inj.faults.intervalRange))
 	}
 	inj.wg.Wait()
 }
 
 // randomDuration returns the duration of a fault, between 200 and 4200 ms.
 func (inj *faultInjector) randomDuration() time.Duration {
-	return time.Duration(200+inj.rng.IntN(4000)) * time.Millisecond
+	return 200*time.Millisecond + inj.randomMillis(4*time.Second)
+}
+
+// randomMillis returns whole milliseconds below a limit.
+func (inj *faultInjector) randomMillis(limit time.Duration) time.Duration {
+	return time.Duration(inj.rng.IntN(int(limit.Milliseconds()))) * time.Millisecond
 }
 
 func pickRandom[T any](inj *faultInjector, xs []T) T { return xs[inj.rng.IntN(len(xs))] }
@@ -83,10 +100,12 @@
 		return
 	}
 	inj.injected = append(inj.injected, fmt.Sprintf("%s %v", name, d.Round(100*time.Millisecond)))
+	endDisturbance := inj.f.history.disturb(resource)
 	begin()
 	inj.wg.Go(func() {
 		time.Sleep(d)
 		end()
+		endDisturbance()
 		inj.unlock(resource)
 	})
 }
@@ -95,18 +114,18 @@
 func (inj *faultInjector) injectOne() {
 	f := inj.f
 	processes := f.processes()
-	switch inj.rng.IntN(int(inj.faults)) {
+	switch inj.faults.kinds[inj.rng.IntN(len(inj.faults.kinds))] {
 	case 0, 1:
 		inj.disruptProcess(pickRandom(inj, processes))
 	case 2:
 		x := pickRandom(inj, processes)
 		faults := []relay.Faults{{Cut: true}, {Freeze: relay.FreezeAll}, {Freeze: relay.FreezeOld}, {DelayMillis: 300}}
 		k := inj.rng.IntN(len(faults))
-		inj.injectFor("route of "+x.name, fmt.Sprintf("store of %s %+v", x.name, faults[k]),
+		inj.injectFor(linkOf(x.name), fmt.Sprintf("store of %s %+v", x.name, faults[k]),
 			func() { _ = f.relay.SetFaults(x.store, faults[k]) }, func() { _ = f.relay.SetFaults(x.store, relay.Faults{}) })
 	case 3:
 		fault := pickRandom(inj, []platformtest.StoreFault{platformtest.StoreBusy, platformtest.StoreSilent, platformtest.StoreLosingResponses})
-		inj.injectFor("store", "store "+string(fault), func() { f.store.SetFault(fault) }, func() { f.store.SetFault(platformtest.StoreHealthy) })
+		inj.injectFor(storeResource, "store "+string(fault), func() { f.store.SetFault(fault) }, func() { f.store.SetFault(platformtest.StoreHealthy) })
 	case 4:
 		inj.injected = append(inj.injected, "history dropped")
 		f.store.DropHistory()
@@ -130,6 +149,14 @@
 		inj.cutStreams(platformtest.TargetAnswersErrors)
 	case 13:
 		inj.cutStreams(pickRandom(inj, platformtest.TargetFaults()))
+	case 14:
+		inj.declareAmidPauses()
+	case 15:
+		inj.silenceWatches()
+	case 16:
+		if len(f.engines) < maxEngines {
+			inj.injected = append(inj.injected, "engine added "+f.addEmptyEngine(pickRandom(inj, domains)))
+		}
 	}
 }
 
@@ -171,17 +198,89 @@
 			return
 		}
 		inj.injected = append(inj.injected, "stop of "+x.name)
+		endDisturbance := inj.f.history.disturb(x.name)
 		r := x.expectEnd()
 		inj.wg.Go(func() {
 			if _, err := r.Stop(stopTimeout); err != nil {
 				inj.f.recorder.RecordViolation("%v", err)
 			}
 			restart()
+			endDisturbance()
 			inj.unlock(x.name)
 		})
 	}
 }
 
+// maxEngines bounds the engines that are added, which each start a process.
+const maxEngines = 6
+
+// declareAmidPauses declares weights while gateways and loaders are paused. Loaders are paused
+// repeatedly, so that engines hold old weights at the end of the bound, at which the gateways
+// run undisturbed again. Gateways whose watch was cut while they were paused check their view
+// of the store before they learn of the declaration.
+func (inj *faultInjector) declareAmidPauses() {
+	const maxLead, maxLoaderPauses, maxAfterCut = 2 * time.Second, 3, 100 * time.Millisecond
+	for _, x := range inj.f.gateways {
+		if inj.rng.IntN(2) == 0 {
+			inj.pauseInSeries(x, 1)
+		}
+	}
+	loaderPauses := 1 + inj.rng.IntN(maxLoaderPauses)
+	for _, x := range inj.f.loaders {
+		if inj.rng.IntN(8) > 0 {
+			inj.pauseInSeries(x, loaderPauses)
+		}
+	}
+	time.Sleep(inj.randomMillis(maxLead))
+	if inj.rng.IntN(4) > 0 {
+		inj.injected = append(inj.injected, "watches cut")
+		inj.f.store.CutWatches()
+		time.Sleep(inj.randomMillis(maxAfterCut))
+	}
+	inj.injected = append(inj.injected, "weights declared")
+	inj.f.declareWeights()
+}
+
+// silenceWatches silences the watches of a gateway, which may read the store for others, while
+// its other calls pass, and in half of the cases declares weights meanwhile.
+func (inj *faultInjector) silenceWatches() {
+	const maxLead = time.Second
+	f, x := inj.f, pickRandom(inj, inj.f.gateways)
+	inj.injectFor(linkOf(x.name), "watches silent of "+x.name,
+		func() { _ = f.relay.SetFaults(x.store, relay.Faults{FreezeRequests: "/kv-watch"}) }, func() { _ = f.relay.SetFaults(x.store, relay.Faults{}) })
+	time.Sleep(inj.randomMillis(maxLead))
+	if inj.rng.IntN(2) == 0 {
+		inj.injected = append(inj.injected, "weights declared")
+		f.declareWeights()
+	}
+}
+
+// pauseInSeries pauses a process several times for 1 to 5 s, with little time in between.
+func (inj *faultInjector) pauseInSeries(x *process, count int) {
+	const minPause, pauseRange, maxGap = time.Second, 4 * time.Second, 200 * time.Millisecond
+	var gaps, pauses []time.Duration
+	for range count {
+		gaps = append(gaps, inj.randomMillis(maxGap))
+		pauses = append(pauses, minPause+inj.randomMillis(pauseRange))
+	}
+	if !inj.tryLock(x.name) {
+		return
+	}
+	inj.injected = append(inj.injected, fmt.Sprintf("pauses of %s %v", x.name, pauses))
+	inj.wg.Go(func() {
+		defer inj.unlock(x.name)
+		for i, d := range pauses {
+			time.Sleep(gaps[i])
+			endDisturbance := inj.f.history.disturb(x.name)
+			r := x.current()
+			_ = r.Pause()
+			time.Sleep(d)
+			_ = r.Resume()
+			endDisturbance()
+		}
+	})
+}
+
 // crash crashes an engine and restarts it without weights at the same address.
 func (inj *faultInjector) crash(e *platformtest.Target) {
 	addr := e.Address()
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -63,8 +63,11 @@
 	engines    []*platformtest.Target
 	services   []*platformtest.Target
 	origin     string
+	// storeAddress is the address of the store, without the relay.
+	storeAddress string
+	history      history
 
-	mu             sync.Mutex // guards the following
+	mu             sync.Mutex // guards the following, and the slices of loaders and engines
 	configVersion  int64
 	weightsVersion int64
 	revokedAt      map[string]time.Time // by key; zero if the key is valid
@@ -93,14 +96,14 @@
 	f.origin = strings.TrimPrefix(origin.URL, "http://")
 	f.writeConfig()
 	f.addTargets()
-	storeAddress := strings.TrimPrefix(storeServer.URL, "http://")
+	f.storeAddress = strings.TrimPrefix(storeServer.URL, "http://")
 	for _, d := range domains {
 		for i := range gatewaysPerDomain {
-			f.addGateway(fmt.Sprintf("gateway-%s-%d", d, i), d, storeAddress)
+			f.addGateway(fmt.Sprintf("gateway-%s-%d", d, i), d)
 		}
 	}
 	for _, e := range f.engines {
-		f.addLoader("loader-"+e.ID, e, storeAddress)
+		f.addLoader("loader-"+e.ID, e)
 	}
 	return f
 }
@@ -108,28 +111,44 @@
 // addTargets starts the engines and the plain services. The engines hold version 1
 // of the weights.
 func (f *fleet) addTargets() {
-	add := func(id, service, domain string, engine bool) *platformtest.Target {
-		x := platformtest.NewTarget(id, service, domain, engine, f.recorder, f.store)
-		if err := x.Start(f.h.FreeAddr(), 1); err != nil {
-			f.t.Fatal(err)
-		}
-		return x
-	}
 	for _, d := range domains {
 		for i := range enginesPerDomain {
-			f.engines = append(f.engines, add(fmt.Sprintf("e-%s-%d", d, i), "llm", d, true))
+			f.engines = append(f.engines, f.startTarget(fmt.Sprintf("e-%s-%d", d, i), "llm", d, true, 1))
 		}
-		f.services = append(f.services, add("s-"+d, "desk", d, false))
+		f.services = append(f.services, f.startTarget("s-"+d, "desk", d, false, 1))
+	}
+}
+
+// startTarget starts a target that holds a version of the weights, or none if it is zero.
+func (f *fleet) startTarget(id, service, domain string, engine bool, weightsVersion int64) *platformtest.Target {
+	x := platformtest.NewTarget(id, service, domain, engine, f.recorder, f.store)
+	if err := x.Start(f.h.FreeAddr(), weightsVersion); err != nil {
+		f.t.Fatal(err)
 	}
+	return x
+}
+
+// addEmptyEngine adds an engine without weights, and its loader, while the fleet runs.
+func (f *fleet) addEmptyEngine(domain string) string {
+	e := f.startTarget(fmt.Sprintf("e-%s-%d", domain, len(f.allTargets())), "llm", domain, true, 0)
+	f.mu.Lock()
+	f.engines = append(f.engines, e)
+	f.mu.Unlock()
+	f.addLoader("loader-"+e.ID, e)
+	return e.ID
 }
 
 // allTargets returns the engines and the plain services.
 func (f *fleet) allTargets() []*platformtest.Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return append(append([]*platformtest.Target{}, f.engines...), f.services...)
 }
 
 // processes returns the gateways and the loaders.
 func (f *fleet) processes() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return append(append([]*process{}, f.gateways...), f.loaders...)
 }
 
@@ -143,30 +162,33 @@
 }
 
 // storeRoute adds a route of the relay to the store and returns its listen address.
-func (f *fleet) storeRoute(name, storeAddress string) string {
+func (f *fleet) storeRoute(name string) string {
 	listen := f.h.FreeAddr()
-	if err := f.relay.AddRoute(name, listen, storeAddress); err != nil {
+	if err := f.relay.AddRoute(name, listen, f.storeAddress); err != nil {
 		f.t.Fatal(err)
 	}
 	return listen
 }
 
-func (f *fleet) addGateway(name, domain, storeAddress string) {
+func (f *fleet) addGateway(name, domain string) {
 	callerAddr := f.h.FreeAddr()
 	f.callerAddr = append(f.callerAddr, callerAddr)
 	text := fmt.Sprintf("[node]\nid = %s\nadmin = %s\ndomain = %s\nregions = %s\n[listen]\ncallers = %s\nready = %s\ninternal = %s\n"+
 		"[platform]\naddress = %s\n[limits]\ngrace = 8s\nkey_bound = %v\nweights_bound = %v\nmemory = %dMiB\n"+
 		"[retries]\nratio = 0.2\nslack = 100\nwindow = 10s\n",
 		name, f.h.FreeAddr(), domain, f.regions(), callerAddr, f.h.FreeAddr(), f.h.FreeAddr(),
-		f.storeRoute(name, storeAddress), keyBound, weightsBound, gatewayMemoryMiB)
+		f.storeRoute(name), keyBound, weightsBound, gatewayMemoryMiB)
 	f.gateways = append(f.gateways, f.addProcess(name, "masticwing-gateway", text, gatewayMemoryMiB))
 }
 
-func (f *fleet) addLoader(name string, e *platformtest.Target, storeAddress string) {
+func (f *fleet) addLoader(name string, e *platformtest.Target) {
 	text := fmt.Sprintf("[node]\nid = %s\nadmin = %s\ndomain = %s\nregions = %s\n[listen]\ninternal = %s\n[platform]\naddress = %s\n"+
 		"[engine]\naddress = %s\nservice = llm\n[limits]\nweights_bound = %v\nlink_mbit = 100\nmemory = %dMiB\n",
-		name, f.h.FreeAddr(), e.Zone, f.regions(), f.h.FreeAddr(), f.storeRoute(name, storeAddress), e.Address(), weightsBound, loaderMemoryMiB)
-	f.loaders = append(f.loaders, f.addProcess(name, "masticwing-loader", text, loaderMemoryMiB))
+		name, f.h.FreeAddr(), e.Zone, f.regions(), f.h.FreeAddr(), f.storeRoute(name), e.Address(), weightsBound, loaderMemoryMiB)
+	p := f.addProcess(name, "masticwing-loader", text, loaderMemoryMiB)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loaders = append(f.loaders, p)
 }
 
 // addProcess writes the settings of a process to a file and starts the process.
@@ -250,12 +272,14 @@
 	f.writeConfig()
 }
 
-// declareWeights declares a new version of the weights.
+// declareWeights declares a new version of the weights. Until its first call, the model has
+// no declared version, although engines hold version 1.
 func (f *fleet) declareWeights() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.weightsVersion++
 	f.store.Put("op/version/"+platformtest.Model, object{"Model": platformtest.Model, "Version": f.weightsVersion})
+	f.history.declare(f.weightsVersion)
 }
 
 // allReady sends a request to each gateway and reports whether all of them succeed.
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -29,16 +29,17 @@
 	stopTimeout = 9 * time.Second
 )
 
-// regression is the cause for which a seed failed, and the faults of that run.
+// regression is a seed that has failed, the faults of that run, and the cause.
 type regression struct {
-	faults faultSet
+	seed   uint64
+	faults *faultSet
 	cause  string
 }
 
-// regressionSeeds maps seeds that have failed to the cause of the failure.
-var regressionSeeds = map[uint64]regression{
-	2:   {allFaults, "an interim response was passed on as the response"},
-	202: {firstFaults, "a loader missed declared weights for 15 s on a connection to the store that went silent"},
+var regressions = []regression{
+	{2, &allFaults, "an interim response was passed on as the response"},
+	{202, &firstFaults, "a loader missed declared weights for 15 s on a connection to the store that went silent"},
+	{2, &weightsFaults, "a gateway dated a model's first declaration by a check that did not cover its key"},
 }
 
 // regressionFaultTime is the duration of the fault injection in which those seeds
@@ -63,28 +64,30 @@
 // unsafe request runs twice, a caller gets the response to another request or a
 // truncated response that looks complete, a request that ran is reported as not run,
 // a response is joined from those of two targets, a revoked key still works after
-// keyBound, corrupted weights are loaded, a process ends by itself or exceeds its
+// keyBound, a request begins on old weights after weightsBound, corrupted weights are loaded, a process ends by itself or exceeds its
 // memory limit, or the fleet does not recover.
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	seconds := envUint(t, "SOAK_SECONDS", 10)
 	seed := envUint(t, "SOAK_SEED", 1)
 	for i := range envUint(t, "SOAK_RUNS", 1) {
-		t.Run(fmt.Sprint("seed ", seed+i), func(t *testing.T) { runSoak(t, seed+i, allFaults, time.Duration(seconds)*time.Second) })
+		for _, faults := range []*faultSet{&allFaults, &weightsFaults} {
+			t.Run(fmt.Sprint(faults.name, " seed ", seed+i), func(t *testing.T) { runSoak(t, seed+i, faults, time.Duration(seconds)*time.Second) })
+		}
 	}
 }
 
-// TestRegressions repeats the runs of regressionSeeds.
+// TestRegressions repeats the runs of regressions.
 func TestRegressions(t *testing.T) {
 	t.Parallel()
-	for s, r := range regressionSeeds {
-		t.Run(fmt.Sprint("seed ", s), func(t *testing.T) { runSoak(t, s, r.faults, regressionFaultTime) })
+	for _, r := range regressions {
+		t.Run(fmt.Sprint(r.faults.name, " seed ", r.seed), func(t *testing.T) { runSoak(t, r.seed, r.faults, regressionFaultTime) })
 	}
 }
 
 // runSoak injects faults of a set for faultTime while clients send requests, waits for the
 // fleet to recover, and reports all violations.
-func runSoak(t *testing.T, seed uint64, faults faultSet, faultTime time.Duration) {
+func runSoak(t *testing.T, seed uint64, faults *faultSet, faultTime time.Duration) {
 	f := newFleet(t)
 	for start := time.Now(); !f.allReady(); time.Sleep(100 * time.Millisecond) {
 		if time.Since(start) > startTimeout {
@@ -127,6 +130,7 @@
 		t.Error(v)
 	}
 	if t.Failed() {
+		t.Log(f.history.describe())
 		f.h.DumpOutput()
 	}
 }
