gateway: a retry is not refused because the view was not confirmed

The check of the API key before each further send also refused a retry, or the continuation of a stream, when the view was too old.

Later sends only look the key up in the newest configuration. The second case of TestKeyIsCheckedBeforeEachSend failed before with one send.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -21,11 +21,11 @@
 
 // forward sends the request to one target after another until one serves it or no further
 // retry is allowed. A later send may follow seconds after the first one, so the API key is
-// checked again before it.
+// looked up again before it.
 func (c *call) forward(ctx context.Context) {
 	for {
-		if c.sends > 0 {
-			if err := c.authenticate(); err != nil {
+		if c.sends > 0 && c.account != nil {
+			if err := c.findAccount(); err != nil {
 				c.fail(ctx, err)
 				return
 			}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -107,9 +107,8 @@
 	return nil
 }
 
-// authenticate finds the account of the request's API key in the newest configuration. It
-// refuses the request if the view was not confirmed for too long, since the key may have been
-// removed.
+// authenticate finds the account of the request's API key. It refuses the request if the view
+// was not confirmed for too long, since the key may have been removed.
 func (c *call) authenticate() *verdict.Error {
 	if !c.routeTable.RequiresKey() || c.route.Anonymous {
 		return nil
@@ -120,6 +119,13 @@
 		return verdict.New(verdict.NotRun, verdict.CodeStaleConfiguration, "keys were last confirmed %v ago", age.Round(time.Millisecond)).
 			WithRetryAfter(localRetryAfter)
 	}
+	return c.findAccount()
+}
+
+// findAccount finds the account of the request's API key in the newest configuration. The age
+// of the view matters only when the request arrives: the bound for removed keys counts until
+// the caller sends it.
+func (c *call) findAccount() *verdict.Error {
 	a, ok := c.g.view.routeTable.Load().Account(c.in.APIKey)
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.CodeUnknownCustomer, "key is not known")
