agent: count order leases by a clock that advances while the machine is suspended

Cause: the lease was counted by the monotonic reading of time.Now, which stands still while the machine is suspended.

Change: leases, their lapse and the validity of orders count by the time since boot.

--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -38,7 +38,7 @@
 // Deps are the ports that an agent uses. Engine or Service is nil if the agent
 // has no such target.
 type Deps struct {
-	Clock     port.Clock
+	Clock     port.BootClock
 	KV        port.KV
 	Engine    port.Engine
 	Service   port.Service
--- a/internal/app/agent/orders.go
+++ b/internal/app/agent/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
@@ -30,12 +31,18 @@
 func newOrderer(a *Agent) *orderer {
 	return &orderer{
 		a:     a,
-		gate:  rollout.NewOrderGate(a.deps.Clock.Now()),
+		gate:  rollout.NewOrderGate(leaseTime(a.deps.Clock)),
 		key:   "order/" + string(a.id.VM),
 		owner: fmt.Sprintf("%s/%016x", a.id.VM, a.id.BootID),
 	}
 }
 
+// leaseTime returns the time by which leases are counted. It also advances while the machine
+// is suspended, as the platform's time does; its date has no meaning.
+func leaseTime(c port.BootClock) time.Time { return time.Unix(0, 0).Add(c.SinceBoot()) }
+
+func (o *orderer) now() time.Time { return leaseTime(o.a.deps.Clock) }
+
 func (o *orderer) run(ctx context.Context, actions <-chan rollout.Action, results chan<- orderResult) {
 	for {
 		select {
@@ -56,10 +63,10 @@
 		return false, err
 	}
 	o.gate.SetEngineFence(status.Fence)
-	decision := o.gate.NextStep(o.a.deps.Clock.Now())
+	decision := o.gate.NextStep(o.now())
 	if decision.Step == rollout.AcquireLease {
 		o.acquireLease(ctx)
-		decision = o.gate.NextStep(o.a.deps.Clock.Now())
+		decision = o.gate.NextStep(o.now())
 	}
 	switch decision.Step {
 	case rollout.SendOrder:
@@ -76,9 +83,9 @@
 // acquireLease takes the order lease. The revision of the key under the lease is
 // the fencing number.
 func (o *orderer) acquireLease(ctx context.Context) {
-	sentAt := o.a.deps.Clock.Now()
+	sentAt := o.now()
 	revision, err := o.writeLease(ctx)
-	now := o.a.deps.Clock.Now()
+	now := o.now()
 	switch {
 	case err == nil:
 		o.gate.LeaseAcquired(revision, sentAt)
@@ -170,7 +177,7 @@
 // checkValidity returns an error once the order in progress may not be sent any
 // more.
 func (o *orderer) checkValidity() error {
-	if o.validity.Lapsed(o.a.deps.Clock.Now()) {
+	if o.validity.Lapsed(o.now()) {
 		return errLeaseLost
 	}
 	return nil
@@ -198,7 +205,7 @@
 // must be canceled. Without a lease, only the fencing number that the engine
 // reports shows that another agent has sent an order.
 func (o *orderer) extendLease(ctx context.Context, decision rollout.Decision) error {
-	sentAt := o.a.deps.Clock.Now()
+	sentAt := o.now()
 	if !decision.Leased {
 		if st, err := o.a.deps.Engine.Status(ctx); err == nil && st.Fence > decision.Fence {
 			return errSuperseded
@@ -214,7 +221,7 @@
 	case errors.Is(err, port.ErrNotFound):
 		return errLeaseLost
 	case ctx.Err() == nil:
-		o.gate.PlatformUnreachable(o.a.deps.Clock.Now())
+		o.gate.PlatformUnreachable(o.now())
 	}
 	return o.checkValidity()
 }
--- a/internal/app/agent/orders_test.go
+++ b/internal/app/agent/orders_test.go
@@ -14,10 +14,16 @@
 
 // skipClock advances by the duration of each wait at once. The wait between two
 // keep-alives never ends, since the orders of these tests take no time.
-type skipClock struct{ now time.Time }
+type skipClock struct {
+	now time.Time
+	// suspended is the time in which the machine was suspended. Now does not include it.
+	suspended time.Duration
+}
 
 func (c *skipClock) Now() time.Time { return c.now }
 
+func (c *skipClock) SinceBoot() time.Duration { return c.now.Sub(time.Unix(0, 0)) + c.suspended }
+
 func (c *skipClock) After(d time.Duration) <-chan time.Time {
 	if d == keepAliveInterval {
 		return nil
@@ -59,7 +65,7 @@
 // all orders.
 func TestOrdersAreFenced(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := &skipClock{time.Unix(1000, 0)}
+		c := &skipClock{now: time.Unix(1000, 0)}
 		kv, e := porttest.NewKV(c.Now), porttest.NewEngine()
 		o := newTestOrderer(c, kv, e, 1)
 		boot, down := uint64(1), false
@@ -90,7 +96,7 @@
 // TestOrderNeedsCompleteWeights guards against an order to load a version whose
 // weights were released after the order was planned.
 func TestOrderNeedsCompleteWeights(t *testing.T) {
-	c := &skipClock{time.Unix(1000, 0)}
+	c := &skipClock{now: time.Unix(1000, 0)}
 	e := porttest.NewEngine()
 	o := newTestOrderer(c, porttest.NewKV(c.Now), e, 1)
 	action := rollout.Action{Kind: rollout.Load, Ref: rollout.Ref{Version: "v9"}}
@@ -103,7 +109,7 @@
 // agent was paused beyond the order's validity after it had decided to send it.
 func TestPauseBeforeOrderIsSent(t *testing.T) {
 	for _, leased := range []bool{true, false} {
-		c := &skipClock{time.Unix(1000, 0)}
+		c := &skipClock{now: time.Unix(1000, 0)}
 		e := porttest.NewEngine()
 		o := newTestOrderer(c, porttest.NewKV(c.Now), e, 1)
 		decision := rollout.Decision{Step: rollout.SendOrder, Fence: 5, ValidUntil: c.now.Add(time.Second), Leased: leased}
@@ -115,3 +121,20 @@
 		}
 	}
 }
+
+// TestLeaseLapsesWhileSuspended guards against an order under a lease that lapsed while the
+// machine was suspended, in which time the monotonic clock stands still.
+func TestLeaseLapsesWhileSuspended(t *testing.T) {
+	c := &skipClock{now: time.Unix(1000, 0)}
+	e := porttest.NewEngine()
+	o := newTestOrderer(c, porttest.NewKV(c.Now), e, 1)
+	o.acquireLease(context.Background())
+	decision := o.gate.NextStep(c.now)
+	if !decision.Leased {
+		t.Fatalf("no lease: %+v", decision)
+	}
+	c.suspended = 2 * rollout.LeaseDuration
+	if err := o.runOrder(context.Background(), unload, decision); !errors.Is(err, errLeaseLost) || len(e.OrderFences()) > 0 {
+		t.Errorf("got %v, orders %v", err, e.OrderFences())
+	}
+}
--- a/internal/app/agent/serve_test.go
+++ b/internal/app/agent/serve_test.go
@@ -317,13 +317,13 @@
 }
 
 // drainNoticeClock fires only the timer of the drain notice.
-type drainNoticeClock struct{ port.Clock }
+type drainNoticeClock struct{ port.BootClock }
 
 func (c drainNoticeClock) After(d time.Duration) <-chan time.Time {
 	if d != drainNoticeTime {
 		return nil
 	}
-	return c.Clock.After(d)
+	return c.BootClock.After(d)
 }
 
 // TestDrainWokenByLastRequest guards against a drain that polls for the end of
--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -43,8 +43,8 @@
 }
 
 // OrderGate decides whether an agent may send an order to its engine. All times are
-// readings of the monotonic clock, so an agent that was paused past the end of its
-// lease detects that the lease has lapsed. An OrderGate is not safe for concurrent
+// readings of a clock that also advances while the machine is suspended, so an agent
+// that was paused past the end of its lease detects that the lease has lapsed. An OrderGate is not safe for concurrent
 // use.
 type OrderGate struct {
 	// lapsedAt is the time from which every lease of this VM has lapsed: this agent's
