gateway: serve nothing before the number of gateways is known

A gateway that had just started could send a cold target the rate of all gateways together. When many gateways start at the same moment, each of them could, and the target gets a multiple of what it stands (FAILBACK holds for all machines).

Cause: shares of limits that all gateways keep together are computed with the number of registered gateways, which was 1 until their first listing. The gateway reported ready and served as soon as it had the configuration and the targets, which other calls bring.

Change: until the gateways are listed, it is not ready and answers 503, as it does without a configuration. The lists are read at the same time, so this takes no longer unless a call fails.

The test failed before: start_test.go:17: a request is sent with status 200 before the gateways are listed start_test.go:20: the gateway is ready before the gateways are listed: "" The gateways of the other tests get an empty list. Not covered: gateways that register again only after their leases have ended still miss each other for up to 0.5 s. go test -race ./internal/app/gateway: pass.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -118,6 +118,8 @@
 		return false, "no configuration"
 	case !g.view.targetsListed.Load():
 		return false, "no list of targets"
+	case !g.view.membersListed.Load():
+		return false, "no list of gateways"
 	}
 	return true, ""
 }
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -236,6 +236,7 @@
 	})
 	gw.operatorFollower = follow.New(nil, "op/", time.Second, func() time.Duration { return time.Millisecond }, gw.clock, gw.deps.Log)
 	gw.applyConfig(1, r)
+	gw.view.applyMembers(follow.Event{Reset: true})
 	for _, id := range []string{"a", "b"} {
 		gw.applyItem("targets/"+id, 1, port.TargetItem{Target: port.TargetRecord{
 			Instance: fleet.Instance(id), Service: "s", Address: fleet.Address(id), Domain: fleet.Domain(id), Slots: 4,
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -77,6 +77,9 @@
 		return verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "gateway is shutting down").WithRetryAfter(localRetryAfter)
 	case c.routeTable == nil:
 		return verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "no configuration is known").WithRetryAfter(localRetryAfter)
+	case !g.view.membersListed.Load():
+		// This gateway's shares of limits that all gateways keep together are unknown.
+		return verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "number of gateways is not known").WithRetryAfter(localRetryAfter)
 	}
 	r, ok := c.routeTable.MatchRoute(c.in.Host, c.in.Path)
 	if !ok {
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -48,6 +48,8 @@
 	engineTiming atomic.Pointer[routes.Timing]
 	// targetsListed is set after the first complete listing of the targets.
 	targetsListed atomic.Bool
+	// membersListed is the same for the registered processes.
+	membersListed atomic.Bool
 
 	mu sync.Mutex // guards the fields below
 	// operatorKeys holds the known revisions of the operator keys.
@@ -390,4 +392,7 @@
 	if old := v.gatewayCount.Swap(max(1, n)); old != max(1, n) {
 		v.log.StateChange("number of gateways changed", logging.F("count", n))
 	}
+	if e.Reset {
+		v.membersListed.Store(true)
+	}
 }
