--- a/internal/app/gateway/feed_test.go
+++ b/internal/app/gateway/feed_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/feed"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/internal/port/porttest"
 )
 
 // fixedAgeFeed is a port.FeedClient whose replies carry no changes and a confirmation of
@@ -137,3 +141,28 @@
 		}
 	}
 }
+
+// silentFeed is a port.FeedClient that gets no replies. It records whether calls have a
+// deadline besides that of the client.
+type silentFeed struct{ bounded []bool }
+
+func (f *silentFeed) Feed(ctx context.Context, _ fleet.Address, _ port.FeedRequest) (port.FeedReply, error) {
+	_, ok := ctx.Deadline()
+	f.bounded = append(f.bounded, ok)
+	return port.FeedReply{}, errors.New("no reply")
+}
+
+// TestTargetsAreUrgent guards against a gateway that waits for several silent readers before it
+// reads leaving targets from the store.
+func TestTargetsAreUrgent(t *testing.T) {
+	gw, store, client := newTestGateway(t, route), porttest.NewStore(), &silentFeed{}
+	store.Put("targets/a", "")
+	deps := gw.deps
+	deps.Store, deps.Feed = store, client
+	g := New(gw.settings, deps)
+	g.view.readers.Store(&[]core.Member{{ID: "r0", Address: "r0"}, {ID: "r1", Address: "r1"}})
+	cs, _, err := g.source.Changes(context.Background(), "targets/", 0, time.Second)
+	if err != nil || len(cs) != 1 || fmt.Sprint(client.bounded) != "[false true]" {
+		t.Errorf("changes %v, error %v, calls with a shorter deadline %v", cs, err, client.bounded)
+	}
+}
