directory: pause when a watch of the declaration makes no progress

A response of the platform's key-value service whose revision is missing, malformed (both read as 0) or not higher than before made the reader watch the same revision again, which returns at once: calls without a pause, as fast as the platform answers.

Such a watch counts as a failed call, after its document was used; the reader pauses as after any other.

Evidence, before: TestWatchWithoutProgressPauses: with the revision 0, 10 of 10 watches without progress count as successful.

--- a/internal/app/directory/reader.go
+++ b/internal/app/directory/reader.go
@@ -84,7 +84,12 @@
 	e, err := w.d.deps.KV.Watch(ctx, w.d.cfg.Key, w.rev, w.d.cfg.WatchTimeout)
 	switch {
 	case err == nil:
+		progress := e.Rev > w.rev
 		w.acceptEntry(e)
+		if !progress {
+			// The next watch would return at once as well.
+			return errors.Errorf("watch returned the revision %d again", e.Rev)
+		}
 	case errors.Is(err, port.ErrNotFound):
 		// If the key is absent, a watch may return immediately.
 		w.idleWatches++
