follow: pause after a call for changes without progress

A store that answers a call for changes at once, without changes or without a revision that increases, was called without a pause: 383,785 calls in a second in the test, and 872 with the same changes each time (batch delay of 1 ms; 50 for the operator keys). A process would spend its processor time on it, and all calls count against the store's rate for all processes.

Cause: the follower paused only after errors and between batches of changes.

A call that returns the revision it was made with, and either has changes or took under 50 ms, is followed by the pause of failed calls; its changes are applied.

Evidence, before: TestChangesWithoutProgressPause: none: 383785 calls in a second, want a few the same: 872 calls in a second, want a few

--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -25,6 +25,9 @@
 	// each failure. The store counts refused calls as well.
 	retryMin = 100 * time.Millisecond
 	retryMax = time.Second
+	// minWait is the time below which a call without changes counts as one that did not
+	// wait. All waits are several times as long.
+	minWait = 50 * time.Millisecond
 )
 
 // Event reports changes under a prefix. If Reset is set, Changes holds all items
@@ -108,6 +111,7 @@
 	pause := retryMin
 	listed := f.Clock.Now()
 	for ctx.Err() == nil {
+		called := f.Clock.Now()
 		changes, next, err := f.changes(ctx, revision)
 		switch {
 		case errors.Is(err, port.ErrHistoryGone), errors.Is(err, errRelist):
@@ -119,8 +123,9 @@
 			pause = min(2*pause, retryMax)
 			continue
 		}
-		pause, succeeded = retryMin, true
+		succeeded = true
 		f.markRegained(next)
+		stalled := next <= revision && (len(changes) > 0 || f.Clock.Now().Sub(called) < minWait)
 		revision = next
 		if len(changes) > 0 {
 			apply(Event{Changes: changes})
@@ -128,17 +133,29 @@
 		if f.OnRevision != nil {
 			f.OnRevision(revision)
 		}
-		if len(changes) > 0 {
-			pause := f.BatchDelay()
-			if f.Clock.Now().Sub(listed) < settleTime {
-				pause = min(pause, maxSettleDelay)
-			}
+		if stalled {
+			// The next call would return at once as well.
 			f.sleep(ctx, pause)
+			pause = min(2*pause, retryMax)
+			continue
+		}
+		pause = retryMin
+		if len(changes) > 0 {
+			f.sleep(ctx, f.batchDelay(listed))
 		}
 	}
 	return succeeded
 }
 
+// batchDelay returns the pause after changes, given the time of the listing.
+func (f *Follower) batchDelay(listed time.Time) time.Duration {
+	delay := f.BatchDelay()
+	if f.Clock.Now().Sub(listed) < settleTime {
+		delay = min(delay, maxSettleDelay)
+	}
+	return delay
+}
+
 var errRelist = errors.New("view differs from the store")
 
 // changes makes one call for the changes after a revision. Relist ends it early
