loader: log once that a version can't be resolved

While the origin does not have declared weights, each loader that asks it wrote a line every 200 ms. A declaration of weights that never exist (another writer, a mistyped number) gave five lines a second until the next one. The attempts go on as before, since the weights may appear late.

--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -56,7 +56,7 @@
 // if the engine already holds them or is loading others: the loaders of added or
 // restarted engines then fetch from this one and not from the origin.
 func (l *Loader) fetchDeclared(ctx context.Context) {
-	var last port.ModelWeights
+	var last, failed port.ModelWeights
 	for ctx.Err() == nil {
 		var held port.ModelWeights
 		r := l.engineReport.get()
@@ -72,11 +72,15 @@
 			continue
 		}
 		if err := l.startFetch(ctx, g); err != nil {
-			l.deps.Log.Failure("version can't be resolved", err, logging.F("number", g.Number))
+			if g.ModelWeights != failed && ctx.Err() == nil {
+				// The origin may never have these weights.
+				failed = g.ModelWeights
+				l.deps.Log.Failure("version can't be resolved", err, logging.F("number", g.Number))
+			}
 			l.sleep(ctx, retryDelay)
 			continue
 		}
-		last = g.ModelWeights
+		last, failed = g.ModelWeights, port.ModelWeights{}
 	}
 }
 
--- a/internal/app/loader/odd_property_test.go
+++ b/internal/app/loader/odd_property_test.go
@@ -1,15 +1,22 @@
 package loader
 
 import (
+	"bytes"
+	"context"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
 
+	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/chain"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/manifest"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/port/porttest"
 	"github.com/masticwing/masticwing/platform"
@@ -101,3 +108,36 @@
 		table.Done(f, chain.Got, time.Now())
 	}
 }
+
+// unknownOrigin is an origin that knows no version. It counts the requests.
+type unknownOrigin struct {
+	fakeOrigin
+	requests atomic.Int64
+}
+
+func (o *unknownOrigin) Manifest(context.Context, port.ModelWeights) (manifest.Manifest, error) {
+	o.requests.Add(1)
+	return manifest.Manifest{}, port.ErrVersionUnknown
+}
+
+// TestUnknownVersionIsLoggedOnce guards against a log flooded by a declaration of weights that
+// the origin does not have.
+func TestUnknownVersionIsLoggedOnce(t *testing.T) {
+	var out bytes.Buffer
+	o := &unknownOrigin{}
+	l := newLoader(newEngine(1), &fakeOrigin{})
+	l.origin.newClient = func(fleet.Address) port.NumberedOrigin { return o }
+	l.deps.Log = logging.New(&out, "loader", "vm")
+	l.declareForTest(2)
+	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+	defer cancel()
+	var wg conc.WaitGroup
+	wg.Go(func() { l.fetchDeclared(ctx) })
+	wg.Wait()
+	if n := strings.Count(out.String(), `"number":2`); n != 1 {
+		t.Errorf("%d lines in 1.5 s, want 1", n)
+	}
+	if n := o.requests.Load(); n < 3 {
+		t.Errorf("%d requests in 1.5 s: a version that appears late is fetched late", n)
+	}
+}
