gateway: log an older configuration once

Each write of an outdated configuration gave a line in each gateway, up to 50 a second. One line is written until another configuration is in force.

Evidence, before: TestOlderConfigurationIsLoggedOnce: 50 lines, want 1.

--- a/internal/app/gateway/odd_items_test.go
+++ b/internal/app/gateway/odd_items_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -61,3 +62,20 @@
 		t.Errorf("the request went to %v, want b", to)
 	}
 }
+
+// TestOlderConfigurationIsLoggedOnce guards against a log flooded by an outdated
+// configuration that is rewritten all the time.
+func TestOlderConfigurationIsLoggedOnce(t *testing.T) {
+	gw := newTestGateway(t, route)
+	gw.applyConfig(9, route)
+	for revision := range int64(50) {
+		gw.decodedItems["op/config"] = port.ConfigItem{Config: routes.Config{Version: revision % 8}}
+		gw.view.applyOperatorKeys(storeEvent("op/config", "", 10+revision))
+	}
+	if n := strings.Count(gw.log.String(), "older configuration ignored"); n != 1 {
+		t.Errorf("%d lines, want 1", n)
+	}
+	if v := gw.view.routeTable.Load().Version; v != 9 {
+		t.Errorf("configuration %d is in force, want 9", v)
+	}
+}
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -55,6 +55,9 @@
 	instanceByKey map[string]fleet.Instance
 	// unreadable holds the items of each prefix that can't be decoded.
 	unreadable struct{ operator, targets, members *follow.Unreadable }
+	// olderConfigLogged is set once an older configuration was logged, until another one is
+	// in force: another writer may rewrite it many times a second.
+	olderConfigLogged bool
 }
 
 // declarations holds what operators declare besides the configuration. It is immutable
@@ -242,9 +245,13 @@
 	}
 	current := v.routeTable.Load()
 	if current != nil && c.Version < current.Version {
-		v.log.Failure("older configuration ignored", nil, logging.F("version", c.Version), logging.F("held", current.Version))
+		if !v.olderConfigLogged {
+			v.olderConfigLogged = true
+			v.log.Failure("older configuration ignored", nil, logging.F("version", c.Version), logging.F("held", current.Version))
+		}
 		return
 	}
+	v.olderConfigLogged = false
 	t := routes.Compile(c)
 	for i := range t.Services {
 		if e := t.Services[i].Engine; e != nil {
