platform, kvhttp: test responses that arrive on an idle connection

The platform's contract says that a connection on which a response was lost returns nothing further, and names no repeated ones.

--- a/internal/adapter/straytest/straytest.go
+++ b/internal/adapter/straytest/straytest.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -19,12 +20,47 @@
 // later. If the connection has carried a request before, first is sent once more in front
 // of later. Both are encoded responses.
 func Start(t testing.TB, first, later string) fleet.Address {
+	t.Helper()
+	var requests atomic.Int64
+	return start(t, func(c net.Conn, reused bool) {
+		response := later
+		switch {
+		case requests.Add(1) == 1:
+			response = first
+		case reused:
+			response = first + later
+		}
+		_, _ = io.WriteString(c, response)
+	})
+}
+
+// IdleTime is the time that a client of StartIdle has to leave between two requests.
+const IdleTime = 60 * time.Millisecond
+
+// StartIdle starts a server that answers its first request with first, which it sends once
+// more while the connection is idle, and all others with later.
+func StartIdle(t testing.TB, first, later string) fleet.Address {
+	t.Helper()
+	var requests atomic.Int64
+	return start(t, func(c net.Conn, _ bool) {
+		if requests.Add(1) > 1 {
+			_, _ = io.WriteString(c, later)
+			return
+		}
+		_, _ = io.WriteString(c, first)
+		time.Sleep(IdleTime / 6)
+		_, _ = io.WriteString(c, first)
+	})
+}
+
+// start starts a server that calls answer for each request. reused means that the
+// connection has carried another one.
+func start(t testing.TB, answer func(c net.Conn, reused bool)) fleet.Address {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	var requests atomic.Int64
 	var wg conc.WaitGroup
 	serve := func(c net.Conn) {
 		defer func() { _ = c.Close() }()
@@ -35,14 +71,7 @@
 				return
 			}
 			_, _ = io.Copy(io.Discard, req.Body)
-			response := later
-			switch {
-			case requests.Add(1) == 1:
-				response = first
-			case reused:
-				response = first + later
-			}
-			_, _ = io.WriteString(c, response)
+			answer(c, reused)
 		}
 	}
 	wg.Go(func() {
