--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -164,7 +164,8 @@
 	return head("500 Internal Server Error", "a", id, "Content-Type: text/plain", "Content-Length: 7") + "failed\n"
 }
 
-// breaks are the ways in which the first target breaks off behind its second event.
+// breaks are the ways in which the first target breaks off behind its second event, in a
+// chunked response.
 var breaks = map[string]func(id string) string{
 	"in a chunk": func(id string) string {
 		return chunk(runEvents("a", 1, 2)) + "400\r\nid: 3\ndata: a" + errorHead(id) + strings.Repeat("x", 1024)
@@ -189,6 +190,36 @@
 	"in the trailer": func(id string) string { return chunk(runEvents("a", 1, 2)) + "0\r\nX-T" + errorHead(id) },
 }
 
+// breaksWithoutLength are the same in a response that the end of the connection delimits.
+var breaksWithoutLength = map[string]func(id string) string{
+	"in an event":    func(id string) string { return runEvents("a", 1, 2) + "id: 3\nda" + errorHead(id) },
+	"in data":        func(id string) string { return runEvents("a", 1, 2) + "id: 3\ndata: a" + errorHead(id) },
+	"between events": func(id string) string { return runEvents("a", 1, 2) + errorHead(id) },
+	"by its end":     func(string) string { return runEvents("a", 1, 2) + "id: 3\nda" },
+}
+
+// brokenAnswers returns the responses of the first target.
+func brokenAnswers() map[string]brokenAnswer {
+	out := map[string]brokenAnswer{}
+	for name, rest := range breaks {
+		answer := func(id string) string { return head("200 OK", "a", id, stream, chunked) + rest(id) }
+		out[name], out[name+", closed"] = brokenAnswer{answer, false}, brokenAnswer{answer, true}
+	}
+	for name, rest := range breaksWithoutLength {
+		answer := func(id string) string { return head("200 OK", "a", id, stream) + rest(id) }
+		out[name+", no length"] = brokenAnswer{answer, true}
+		old := func(id string) string { return strings.Replace(answer(id), "1.1", "1.0", 1) }
+		out[name+", HTTP/1.0"] = brokenAnswer{old, true}
+	}
+	return out
+}
+
+// brokenAnswer is a response behind which the target may close the connection.
+type brokenAnswer struct {
+	answer func(id string) string
+	closes bool
+}
+
 // laterAnswers are the answers of the second target that do not continue the stream.
 var laterAnswers = map[string]func(id string) string{
 	"500": func(id string) string {
@@ -231,7 +262,7 @@
 // of a caller's stream, and against a stream that breaks off and looks complete. The error
 // comes from the first target, on the same connection, and from the second one.
 func TestBrokenStreamHasOnlyEvents(t *testing.T) {
-	for first, broken := range breaks {
+	for first, broken := range brokenAnswers() {
 		for second, later := range laterAnswers {
 			for _, version := range []string{"1.0", "1.1"} {
 				t.Run(first+", "+second+", HTTP "+version, func(t *testing.T) {
@@ -243,10 +274,8 @@
 	}
 }
 
-func checkBrokenStream(t *testing.T, broken, later func(id string) string, version string) {
-	a, sentA := startScriptedTarget(t, "a", true, false, func(id string) string {
-		return head("200 OK", "a", id, stream, chunked) + broken(id)
-	})
+func checkBrokenStream(t *testing.T, broken brokenAnswer, later func(id string) string, version string) {
+	a, sentA := startScriptedTarget(t, "a", true, broken.closes, broken.answer)
 	b, _ := startScriptedTarget(t, "b", false, true, later)
 	addr := startGateway(t, a, b)
 	if _, body, err := call(t, addr, "1", "1.1"); body != runEvents("a", 1, 3) || err != nil {
@@ -261,12 +290,10 @@
 // TestBrokenStreamContinues guards against a stream that is cut although the second target
 // continues it, whatever the first one sent where it broke off.
 func TestBrokenStreamContinues(t *testing.T) {
-	for name, broken := range breaks {
+	for name, broken := range brokenAnswers() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			a, _ := startScriptedTarget(t, "a", true, false, func(id string) string {
-				return head("200 OK", "a", id, stream, chunked) + broken(id)
-			})
+			a, _ := startScriptedTarget(t, "a", true, broken.closes, broken.answer)
 			b, _ := startScriptedTarget(t, "b", false, false, func(id string) string {
 				return head("200 OK", "b", id, stream, chunked) + chunk("weight-versions: 2\n"+runEvents("b", 3, 3)+": ping\n\n"+runEvents("b", 4, 4)) + "0\r\n\r\n"
 			})
