masticwing-gateway: test an error's head that leaves a stream complete

Evidence, on: TestBrokenStreamHasOnlyEvents/head_as_a_chunk,_500,_HTTP_1.0: "... id: 2\ndata: a2\n\nHTTP/1.1 500 Internal Server Error\r\nRequest-Id: 2\r\n ... \r\n\r\n", error <nil> TestBrokenStreamHasOnlyEvents/between_events,_empty_error,_no_length,_500,_HTTP_1.1: "... HTTP/1.1 500 Internal Server Error\r\n ... Content-Length: 0\r\n\r\n\r\n0\r\n\r\n", error <nil>

--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -186,6 +186,9 @@
 	"in an event that ends": func(id string) string {
 		return chunk(runEvents("a", 1, 2)) + chunk("id: 3\nda") + "0\r\n\r\n" + errorHead(id)
 	},
+	"head as a chunk": func(id string) string {
+		return chunk(runEvents("a", 1, 2)) + chunk(head("500 Internal Server Error", "a", id, "Content-Length: 0")) + "0\r\n\r\n"
+	},
 	"in a size line": func(id string) string { return chunk(runEvents("a", 1, 2)) + "1" + errorHead(id) },
 	"in the trailer": func(id string) string { return chunk(runEvents("a", 1, 2)) + "0\r\nX-T" + errorHead(id) },
 }
@@ -195,7 +198,10 @@
 	"in an event":    func(id string) string { return runEvents("a", 1, 2) + "id: 3\nda" + errorHead(id) },
 	"in data":        func(id string) string { return runEvents("a", 1, 2) + "id: 3\ndata: a" + errorHead(id) },
 	"between events": func(id string) string { return runEvents("a", 1, 2) + errorHead(id) },
-	"by its end":     func(string) string { return runEvents("a", 1, 2) + "id: 3\nda" },
+	"between events, empty error": func(id string) string {
+		return runEvents("a", 1, 2) + head("500 Internal Server Error", "a", id, "Content-Length: 0")
+	},
+	"by its end": func(string) string { return runEvents("a", 1, 2) + "id: 3\nda" },
 }
 
 // brokenAnswers returns the responses of the first target.
