rpc: end an answer only after its connection is back in the pool

What callers would see: entries open more connections to agents than they have requests in progress, each with its round trip, and more of them when the entry or the agent is busy or the agent refuses requests. Seen as "17 connections for 8 workers" in TestServeReusesConnections.

Cause: the client received the end of the stream before drpc had finished it. (1) The pool gets the connection from a goroutine that runs after the stream has finished; a request that started before opened another connection. (2) After a refusal the client canceled the stream at once, and drpc closes the connection of a stream that is canceled before it has finished. The fetch of a chunk has waited for the pool since earlier; the answer of an agent did not.

Change: an answer or a refusal ends for its caller after the context of the stream, which the pool ends once it has the connection. The wait is bounded by the heartbeat timeout and by the context of the request.

The bound of the test was twice the number of workers, which covered this fault most of the time.

--- a/internal/adapter/rpc/agent_client.go
+++ b/internal/adapter/rpc/agent_client.go
@@ -101,12 +101,15 @@
 	}
 }
 
-// awaitClose waits until the agent has closed the stream after its last message.
-// If the stream were canceled before both sides have closed it, drpc would close
-// the connection, which may already be back in the pool and carry another request.
+// awaitClose waits until the agent has closed the stream after its last message and
+// the connection is back in the pool. If the stream were canceled earlier, drpc would
+// close the connection.
 func (a *answerStream) awaitClose() {
 	_ = a.watchdog.run(func() error {
 		_, err := a.stream.Recv()
+		if errors.Is(err, io.EOF) {
+			awaitPooled(a.ctx, a.stream)
+		}
 		return err
 	})
 }
--- a/internal/adapter/rpc/peer_client.go
+++ b/internal/adapter/rpc/peer_client.go
@@ -190,13 +190,7 @@
 func (p *chunkReader) Close() error {
 	if p.streamEnded || errors.Is(p.err, io.EOF) {
 		err := p.stream.Close()
-		// The connection returns to the pool once the context of the stream is done.
-		// Without this wait, the next fetch could start earlier and open another
-		// connection.
-		select {
-		case <-p.stream.Context().Done():
-		case <-p.ctx.Done():
-		}
+		awaitPooled(p.ctx, p.stream)
 		p.watchdog.close()
 		return err
 	}
--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -143,6 +143,17 @@
 	}
 }
 
+// awaitPooled waits until the connection of a stream that both sides have closed is back
+// in the pool, or ctx ends. The last message may be received a moment earlier. A call
+// that starts in this moment opens another connection, and a cancel of the stream closes
+// its connection. The pool ends the stream's context after it has the connection.
+func awaitPooled(ctx context.Context, s drpc.Stream) {
+	select {
+	case <-s.Context().Done():
+	case <-ctx.Done():
+	}
+}
+
 // errHeartbeatTimeout means that nothing was received for HeartbeatTimeout.
 var errHeartbeatTimeout = errors.New("nothing received within the heartbeat timeout")
 
--- a/internal/adapter/rpc/serve_test.go
+++ b/internal/adapter/rpc/serve_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -85,8 +86,9 @@
 	}
 }
 
-// TestServeReusesConnections guards against a refusal or a complete answer that
-// closes its connection, and with it the next request on this connection.
+// TestServeReusesConnections guards against a refusal or a complete answer that closes
+// its connection, and against a caller that goes on before its connection is back in the
+// pool. Each worker has one request at a time, so it never needs a second connection.
 func TestServeReusesConnections(t *testing.T) {
 	_, addr, conns := serveAgent(t, &alternatingAgent{})
 	c := NewClient()
@@ -108,11 +110,61 @@
 		})
 	}
 	wg.Wait()
-	if n := conns.Load(); n > 2*workers {
+	if n := conns.Load(); n > workers {
 		t.Errorf("%d connections for %d workers", n, workers)
 	}
 }
 
+// scriptedStream receives replies, then io.EOF. Its connection returns to the pool a
+// while after that.
+type scriptedStream struct {
+	pb.DRPCAgent_ServeClient
+	ctx     context.Context
+	replies []*pb.ServeReply
+	// pooled is set right before ctx ends.
+	pooled atomic.Bool
+	end    func()
+}
+
+func (s *scriptedStream) Context() context.Context { return s.ctx }
+
+func (s *scriptedStream) Recv() (*pb.ServeReply, error) {
+	if len(s.replies) == 0 {
+		time.AfterFunc(20*time.Millisecond, func() { s.pooled.Store(true); s.end() })
+		return nil, io.EOF
+	}
+	m := s.replies[0]
+	s.replies = s.replies[1:]
+	return m, nil
+}
+
+// TestEndWaitsForPool guards against an answer that ends for its caller before its
+// connection is back in the pool: the caller's next request opens another connection,
+// and the cancel that follows a refusal closes this one.
+func TestEndWaitsForPool(t *testing.T) {
+	for name, last := range map[string]*pb.ServeReply{
+		"refused":  {Part: &pb.ServeReply_Refused{Refused: &pb.Error{}}},
+		"failed":   endReply(&pb.End{Error: &pb.Error{}}),
+		"complete": endReply(&pb.End{}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &scriptedStream{replies: []*pb.ServeReply{last}}
+			s.ctx, s.end = context.WithCancel(t.Context())
+			a := &answerStream{stream: s}
+			a.ctx, a.watchdog = newRecvWatchdog(t.Context())
+			defer a.watchdog.close()
+			if name == "complete" {
+				_, _ = a.Next()
+			} else {
+				_ = a.readHead(nil)
+			}
+			if !s.pooled.Load() {
+				t.Error("the answer ended before its connection was in the pool")
+			}
+		})
+	}
+}
+
 // TestDrainWaitsForOpenAnswers guards against a server that stops after its
 // handler has returned but before the end of the answer is sent.
 func TestDrainWaitsForOpenAnswers(t *testing.T) {
