soak: record when the store stand-in does not run

The stand-in of the store runs in the test process. When that process does not get the processor, the store responds late, which was no recorded disturbance, so a request could count as late although its gateway could not know the declaration.

Change: a look at the processes that is over 0.5 s late is a disturbance of the store, which also shows it in the log of a failed run. Silent watches are followed by longer pauses of loaders, since the bound counts from the end of the silence.

--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -55,6 +55,13 @@
 	}
 }
 
+// add records a disturbance that has ended.
+func (h *history) add(d disturbance) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disturbances = append(h.disturbances, &d)
+}
+
 // declare records a declaration that has just been acknowledged.
 func (h *history) declare(version int64) {
 	h.mu.Lock()
--- a/test/soak/watch_test.go
+++ b/test/soak/watch_test.go
@@ -11,15 +11,25 @@
 	"github.com/masticwing/masticwing/test/harness"
 )
 
+// stallTime is how late a look at the processes has to be to count as a disturbance of the
+// store. The stand-in of the store runs in the test process, so it responds late as well.
+const stallTime = 500 * time.Millisecond
+
 // watchInterval is the time between two looks at the processes. The kernel keeps the
 // peak of the memory use, so that growth between two looks is seen too.
 const watchInterval = 100 * time.Millisecond
 
 // watchProcesses records a violation for each process that ends without the test having
-// ended it, and for each one that exceeds its memory limit, until ctx is done.
+// ended it, and for each one that exceeds its memory limit, until ctx is done. It records
+// the times in which the test process itself does not run.
 func (f *fleet) watchProcesses(ctx context.Context) {
 	reported := map[*harness.Process]bool{}
+	last := time.Now()
 	for {
+		if now := time.Now(); now.Sub(last) > watchInterval+stallTime {
+			f.history.add(disturbance{storeResource, last, now})
+		}
+		last = time.Now()
 		for _, p := range f.processes() {
 			r, text := p.check()
 			if text != "" && !reported[r] {
