placement: send to old weights only what starts in time

A request could start on old weights after their bound by design. Gateways sent to them until 1.2 s before the bound, or 0.5 s if a declaration is dated 0.7 s late. An engine prefills all prompts that have arrived before the first of them starts: 16 usual prompts together take 0.8 to 1.1 s (computed from the published engine).

Change: a target whose weights will be too old gets a request only if 1.5 times the predicted time to its first event, with the engine's recent lateness, fits in the time that is left, less the error of the dating (weightsbound.Left). The fixed margins stay; at the usual prediction of 0.1 to 0.2 s nothing changes.

--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -213,6 +213,9 @@
 		q.NeedsWeights = true
 		declared, sinceBoot := d.weights[c.in.WorkEstimate.Model], c.g.deps.Clock.SinceBoot()
 		q.MinWeightsVersion = declared.Required(c.g.settings.WeightsBound-weightsMargin, sinceBoot)
+		q.WeightsTimeLeft = func(version int64) (time.Duration, bool) {
+			return declared.Left(version, c.g.settings.WeightsBound, sinceBoot)
+		}
 		q.MinQueueWeightsVersion = declared.Required(c.g.settings.WeightsBound-queuedWeightsMargin, sinceBoot)
 	} else {
 		q.MaxQueuedPerTarget = serviceQueueLimit
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -32,6 +32,9 @@
 	// request may wait at a target. Older weights may become too old to serve the
 	// request while it waits.
 	MinQueueWeightsVersion int64
+	// WeightsTimeLeft returns for how long requests may still start on a version of the
+	// weights, or false if there is no limit; nil means no limit for all versions.
+	WeightsTimeLeft func(version int64) (time.Duration, bool)
 	// Prefill is the time that an engine needs for the prefill of the
 	// request's prompt, and Decode the time that one iteration spends on
 	// decoding. Both are zero for plain services.
@@ -201,12 +204,29 @@
 	if s.WeightsVersion < q.MinQueueWeightsVersion {
 		maxQueued = 0
 	}
-	if s.estimatedInFlight(now, q.Processes) >= float64(s.slots()+maxQueued) {
+	inFlight := s.estimatedInFlight(now, q.Processes)
+	if inFlight >= float64(s.slots()+maxQueued) || !s.startsInTime(q, inFlight, now) {
 		return false
 	}
 	return !now.Before(s.ColdUntil) || s.coldRateAllows(q, now)
 }
 
+// startTimeFactor multiplies the predicted time to the first event where a request must start
+// before the target's weights are too old: requests that other processes send at the same
+// moment are not in the prediction yet.
+const startTimeFactor = 1.5
+
+// startsInTime reports whether a request that is sent now starts before the weights of the
+// target may no longer serve requests.
+func (s *targetState) startsInTime(q *Query, inFlight float64, now time.Time) bool {
+	if q.WeightsTimeLeft == nil {
+		return true
+	}
+	left, limited := q.WeightsTimeLeft(s.WeightsVersion)
+	predicted := s.timeToFirstEvent(q, inFlight, now) + s.expectedLateness(now)
+	return !limited || left >= time.Duration(startTimeFactor*float64(predicted))
+}
+
 // coldRateFraction is the fraction of a cold target's request rate that all
 // processes together use. The rest is headroom for requests that arrive closer
 // together than they were sent.
--- /dev/null
+++ b/internal/core/placement/weights_test.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// TestBurstStartsBeforeWeightsExpire guards against requests that start on old weights after
+// their bound because many arrive at an engine shortly before it: an engine prefills all
+// prompts that have arrived before the first of them starts.
+func TestBurstStartsBeforeWeightsExpire(t *testing.T) {
+	const prefill, decode = 70 * time.Millisecond, 45 * time.Millisecond
+	for _, left := range []time.Duration{100 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond, 5 * time.Second} {
+		table := NewTable()
+		table.Set(engine("e", 16))
+		q := Query{
+			Service: "llm", OwnDomain: "a", NeedsWeights: true, Processes: 8, Prefill: prefill, Decode: decode,
+			WeightsTimeLeft: func(version int64) (time.Duration, bool) { return left, version < 2 },
+		}
+		sent := 0
+		for range 20 {
+			report(table, "e", Load{Slots: 16, Running: sent}, start)
+			if _, out := table.Choose(q, start, func(int) int { return 0 }); out != Chosen {
+				break
+			}
+			sent++
+		}
+		// The requests are prefilled in one iteration and then start together.
+		if starts := time.Duration(sent)*prefill + decode; sent > 0 && starts > left {
+			t.Errorf("%d requests are sent with %v left and start after %v", sent, left, starts)
+		}
+		if fit := int(float64(left) / startTimeFactor / float64(prefill+decode)); sent < min(fit, 16) {
+			t.Errorf("%d requests are sent with %v left, at least %d start in time", sent, left, min(fit, 16))
+		}
+	}
+}
+
+// TestSlowEngineExpiresEarlier guards against a request that starts too late at an engine whose
+// first events were late, and against a limit on an engine with the newest weights.
+func TestSlowEngineExpiresEarlier(t *testing.T) {
+	for version, want := range map[int64]Outcome{1: AllFull, 2: Chosen} {
+		table, e := NewTable(), engine("e", 16)
+		e.WeightsVersion = version
+		table.Set(e)
+		report(table, "e", Load{Slots: 16}, start)
+		for range 5 {
+			table.RecordFirstEvent("e", 2*time.Second, 0, start)
+		}
+		q := Query{
+			Service: "llm", OwnDomain: "a", NeedsWeights: true, Processes: 1, Prefill: 70 * time.Millisecond,
+			WeightsTimeLeft: func(version int64) (time.Duration, bool) { return time.Second, version < 2 },
+		}
+		if _, out := table.Choose(q, start, func(int) int { return 0 }); out != want {
+			t.Errorf("version %d: %v, want %v", version, out, want)
+		}
+		q.WeightsTimeLeft = func(int64) (time.Duration, bool) { return math.MaxInt64, true }
+		if _, out := table.Choose(q, start, func(int) int { return 0 }); out != Chosen {
+			t.Errorf("version %d with much time left: %v", version, out)
+		}
+	}
+}
--- a/internal/core/weightsbound/weightsbound.go
+++ b/internal/core/weightsbound/weightsbound.go
@@ -49,6 +49,18 @@
 	return required
 }
 
+// Left returns for how long requests may still start on a version, or false if no newer one is
+// declared. It allows for the error of DeclaredAt.
+func (ds Declarations) Left(version int64, bound, now time.Duration) (time.Duration, bool) {
+	left, limited := time.Duration(0), false
+	for _, d := range ds {
+		if l := d.At + bound - usualConfirmationAge - now; d.Version > version && (!limited || l < left) {
+			left, limited = l, true
+		}
+	}
+	return left, limited
+}
+
 // Learned is what a process knows when it learns of a declaration.
 type Learned struct {
 	Now time.Duration
--- a/internal/core/weightsbound/weightsbound_test.go
+++ b/internal/core/weightsbound/weightsbound_test.go
@@ -56,3 +56,19 @@
 		t.Error("an older version replaces a newer one")
 	}
 }
+
+// TestLeft guards against a request that is sent to old weights and starts after their bound,
+// which the oldest of the newer declarations ends.
+func TestLeft(t *testing.T) {
+	ds := Declarations{{2, time.Second}, {3, 4 * time.Second}}
+	for version, want := range map[int64]time.Duration{
+		1: 7*time.Second - usualConfirmationAge, 2: 10*time.Second - usualConfirmationAge,
+	} {
+		if left, limited := ds.Left(version, testBound, 2*time.Second); !limited || left != want {
+			t.Errorf("version %d may start requests for %v, want %v", version, left, want)
+		}
+	}
+	if _, limited := ds.Left(3, testBound, time.Hour); limited {
+		t.Error("the newest version is limited")
+	}
+}
