--- a/internal/app/gateway/odd_property_test.go
+++ b/internal/app/gateway/odd_property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,40 +33,45 @@
 	return follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: key, Value: []byte(value), Revision: revision}}}}
 }
 
+// oddTemplates maps keys under which another writer may leave items to valid documents.
+var oddTemplates = map[string]string{
+	"op/config": goodConfig, "op/version/m": goodWeights, "op/version/": goodWeights, "op/evacuate/zz": `{}`, "op/else": `{}`,
+	"servers/odd": goodTarget, "servers/": goodTarget, "servers/o\nd": goodTarget,
+	"masticwing/members/odd": goodMember, "masticwing/members/": goodMember,
+}
+
+// applyValue applies a change of a key to the gateway's view.
+func (gw *testGateway) applyValue(key, value string, revision int64) {
+	e := storeEvent(key, value, revision)
+	switch key[:3] {
+	case "op/":
+		gw.applyOperatorKeys(e)
+	case "ser":
+		gw.view.applyTargets(e)
+	default:
+		gw.view.applyMembers(e)
+	}
+}
+
 // TestOddItemsDoNotStopGateway guards against a panic, an endless loop or a view that does
 // not continue after another writer has left arbitrary items under the prefixes that a
 // gateway follows, and against a good item that an odd one displaces.
 func TestOddItemsDoNotStopGateway(t *testing.T) {
-	templates := map[string]string{
-		"op/config": goodConfig, "op/version/m": goodWeights, "op/version/": goodWeights, "op/evacuate/zz": `{}`, "op/else": `{}`,
-		"servers/odd": goodTarget, "servers/": goodTarget, "servers/o\nd": goodTarget,
-		"masticwing/members/odd": goodMember, "masticwing/members/": goodMember,
-	}
 	var keys []string
-	for k := range templates {
+	for k := range oddTemplates {
 		keys = append(keys, k)
 	}
+	slices.Sort(keys)
 	rapid.Check(t, func(rt *rapid.T) {
 		gw := newTestGateway(t, route)
 		gw.view.decoder = platform.Decoder{}
-		apply := func(key, value string, revision int64) {
-			e := storeEvent(key, value, revision)
-			switch key[:3] {
-			case "op/":
-				gw.applyOperatorKeys(e)
-			case "ser":
-				gw.view.applyTargets(e)
-			default:
-				gw.view.applyMembers(e)
-			}
-		}
-		apply("servers/good", goodTarget, 1)
-		apply("masticwing/members/good", goodMember, 1)
+		gw.applyValue("servers/good", goodTarget, 1)
+		gw.applyValue("masticwing/members/good", goodMember, 1)
 		revision := int64(10)
 		for range rapid.IntRange(1, 6).Draw(rt, "items") {
 			key := rapid.SampledFrom(keys).Draw(rt, "key")
 			revision++
-			apply(key, string(porttest.OddJSON(templates[key]).Draw(rt, "value")), revision)
+			gw.applyValue(key, string(porttest.OddJSON(oddTemplates[key]).Draw(rt, "value")), revision)
 			in := newInbound()
 			in.WorkEstimate.Model, in.CallerTimeout = "m", 50*time.Millisecond
 			in.WorkEstimate.PromptTokens = rapid.Int().Draw(rt, "prompt tokens")
@@ -86,13 +92,13 @@
 		}
 		// The view continues: later items are in force, and a request is served by a target that
 		// the odd ones do not touch.
-		for k := range templates {
+		for k := range oddTemplates {
 			if len(k) > 3 && k[:3] == "ser" {
 				gw.view.applyTargets(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: k, Revision: 98}, Removed: true}}})
 			}
 		}
-		apply("op/config", goodConfig, 99)
-		apply("servers/next", goodTarget, 99)
+		gw.applyValue("op/config", goodConfig, 99)
+		gw.applyValue("servers/next", goodTarget, 99)
 		if v := gw.view.routeTable.Load().Version; v != 9007199254740991 {
 			rt.Fatalf("configuration %d is in force", v)
 		}
