directory: a cut link of the test holds back responses too

What was seen: TestPartitionHeals fails at line 79, all ten processes of the partitioned domain have the revision that was written after the cut.

Cause: a race of the test's links, not of the product. They compared the domains before a call only, so a Declaration or Exchange that had passed the comparison returned what was written after the cut. Watch compared again after the call.

Change: every call over the link compares again after it. A response that passes was complete before the cut, and so before the write. The checks and bounds of the test are the same.

--- a/internal/app/directory/fleet_test.go
+++ b/internal/app/directory/fleet_test.go
@@ -64,7 +64,8 @@
 }
 
 // cuttableLinks is a MemberClient and KV whose calls hang while the link is cut,
-// like calls over a network that silently drops packets.
+// like calls over a network that silently drops packets. The response to a call that
+// began before the link was cut does not pass it either.
 type cuttableLinks struct {
 	port.MemberClient
 	port.KV
@@ -83,38 +84,35 @@
 	return errLinkCut
 }
 
-func (l cuttableLinks) Exchange(ctx context.Context, a fleet.Address, m port.ExchangeMessage) (port.ExchangeMessage, error) {
-	to, _ := l.tf.domains.Get(a)
+// overLink makes a call over the link to another domain.
+func overLink[T any](ctx context.Context, l cuttableLinks, to fleet.Domain, call func() (T, error)) (T, error) {
+	var none T
 	if err := l.wait(ctx, to); err != nil {
-		return port.ExchangeMessage{}, err
+		return none, err
+	}
+	out, err := call()
+	if l.tf.isCut(l.from, to) {
+		return none, errLinkCut
 	}
-	return l.MemberClient.Exchange(ctx, a, m)
+	return out, err
+}
+
+func (l cuttableLinks) Exchange(ctx context.Context, a fleet.Address, m port.ExchangeMessage) (port.ExchangeMessage, error) {
+	to, _ := l.tf.domains.Get(a)
+	return overLink(ctx, l, to, func() (port.ExchangeMessage, error) { return l.MemberClient.Exchange(ctx, a, m) })
 }
 
 func (l cuttableLinks) Declaration(ctx context.Context, a fleet.Address) (port.StoredDeclaration, error) {
 	to, _ := l.tf.domains.Get(a)
-	if err := l.wait(ctx, to); err != nil {
-		return port.StoredDeclaration{}, err
-	}
-	return l.MemberClient.Declaration(ctx, a)
+	return overLink(ctx, l, to, func() (port.StoredDeclaration, error) { return l.MemberClient.Declaration(ctx, a) })
 }
 
 func (l cuttableLinks) Watch(ctx context.Context, k string, after int64, d time.Duration) (port.KVEntry, error) {
-	if err := l.wait(ctx, "platform"); err != nil {
-		return port.KVEntry{}, err
-	}
-	e, err := l.KV.Watch(ctx, k, after, d)
-	if l.tf.isCut(l.from, "platform") {
-		return port.KVEntry{}, errLinkCut
-	}
-	return e, err
+	return overLink(ctx, l, "platform", func() (port.KVEntry, error) { return l.KV.Watch(ctx, k, after, d) })
 }
 
 func (l cuttableLinks) Get(ctx context.Context, k string) (port.KVEntry, error) {
-	if err := l.wait(ctx, "platform"); err != nil {
-		return port.KVEntry{}, err
-	}
-	return l.KV.Get(ctx, k)
+	return overLink(ctx, l, "platform", func() (port.KVEntry, error) { return l.KV.Get(ctx, k) })
 }
 
 // newTestFleet starts n processes in three failure domains. Every third process
