feed: followers get changes that the reader found late

A gateway could use old weights, a removed API key or an evacuated domain for good and take its view to be confirmed, although its reader knew better. Loaders of the domain missed a declaration in the same way.

Cause: when the watch of a reader skips a change, its check of the keys, or a listing, finds it later and publishes it under its own revision. Followers continue from a higher one by then and never get it, but adopt the reader's confirmations.

Change: each change in the log has a position, which is above the revision that the log had reached when it learned of the change.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -74,11 +74,14 @@
 	changed       chan struct{}
 }
 
-// logged is a change and the earliest time at which it may have been made. The Age of the
-// change is not used.
+// logged is a change in the log. The Age of the change is not used.
 type logged struct {
 	Change
+	// madeAt is the earliest time at which the change may have been made.
 	madeAt time.Duration
+	// position is the revision after which followers still need the change. It is higher than
+	// that of a change which the log learned of after it had passed the revision.
+	position int64
 }
 
 // NewLog returns an empty log. Times passed to its methods are times since the machine booted.
@@ -133,7 +136,7 @@
 	if ok && old.Revision >= c.Revision {
 		return
 	}
-	l.keys[c.Key] = logged{c, now - c.Age}
+	l.keys[c.Key] = logged{c, now - c.Age, max(c.Revision, l.revision+1)}
 	if !c.Removed {
 		return
 	}
@@ -143,7 +146,7 @@
 		l.removed = l.removed[1:]
 		if x := l.keys[k]; x.Removed {
 			delete(l.keys, k)
-			l.completeAfter = max(l.completeAfter, x.Revision)
+			l.completeAfter = max(l.completeAfter, x.position)
 		}
 	}
 }
@@ -170,7 +173,7 @@
 		return nil, 0, false, l.changed
 	}
 	for k, c := range l.keys {
-		if c.Revision > after && !(after == FromStart && c.Removed) && strings.HasPrefix(k, prefix) {
+		if c.position > after && !(after == FromStart && c.Removed) && strings.HasPrefix(k, prefix) {
 			c.Age = now - c.madeAt
 			changes = append(changes, c.Change)
 		}
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -180,3 +180,26 @@
 		t.Errorf("a follower has %v, want weights 5 and config 9", followed)
 	}
 }
+
+// TestChangeFoundLateReachesFollowers guards against followers that never get a change which the
+// reader's watch did not report: its check or a listing finds it after the log has passed its
+// revision.
+func TestChangeFoundLateReachesFollowers(t *testing.T) {
+	l := NewLog()
+	l.ApplyListing([]Change{{Key: "p/cordon", Revision: 1}}, 1, 0)
+	l.AdvanceTo(9)
+	l.ApplyChanges([]Change{{Key: "p/weights", Revision: 5}}, 0, 0)
+	l.ApplyListing([]Change{{Key: "p/weights", Revision: 5}}, 9, 0)
+	followed := map[string]int64{"p/cordon": 1}
+	cs, revision, known, _ := l.Since("p/", 9, 0)
+	if apply(followed, cs); !known || followed["p/weights"] != 5 || followed["p/cordon"] != 0 {
+		t.Errorf("a follower has %v, want weights 5 and no cordon", followed)
+	}
+	l.AdvanceTo(12)
+	if _, revision, _, _ = l.Since("p/", revision, 0); revision != 12 {
+		t.Errorf("the follower continues from %d, want 12", revision)
+	}
+	if cs, _, _, _ = l.Since("p/", revision, 0); len(cs) != 0 {
+		t.Errorf("%v is sent again", cs)
+	}
+}
