feed: targets are served only while the store responds about them

A gateway could send requests to a draining target up to 3.5 s after its reader's connection for changes of targets had gone silent, while the reader's other calls passed. Machines count as undisturbed 3 s after that, and the bound is 2 s.

Cause: the age of the check of the operator keys stood for the freshness of all prefixes. Targets have no check of their own, only a watch of 2 s with a margin of 1.5 s.

Change: a prefix that no check covers is refused to followers once the store has not responded about it for 2.2 s; they then read the store. The wait at the store is 1.4 s, so that a silent connection is noticed after 2.9 s. A domain makes 0.2 calls a second more while nothing changes (computed).

Before: TestTargetsAreNotConfirmedByCheckOfOperatorKeys: 2.4s after the last response about targets the reader serves them, confirmed 0s ago, with 0 changes

--- a/internal/app/feed/feed_test.go
+++ b/internal/app/feed/feed_test.go
@@ -109,7 +109,7 @@
 	p.source = NewSource(p.store, tn.net, sysclock.Clock{}, log, func() []core.Member { return ms },
 		map[string]PrefixOptions{"p/": options})
 	p.server = NewServer(sysclock.Clock{}, func() (time.Duration, bool) { return time.Duration(p.confirmationAge.Load()), true })
-	apply, seen := p.server.AddPrefix("p/", func() bool { return p.source.FromStore("p/") })
+	apply, seen := p.server.AddPrefix("p/", func() bool { return p.source.FromStore("p/") }, 0)
 	f := follow.New(p.source, "p/", 100*time.Millisecond, func() time.Duration { return time.Millisecond }, sysclock.Clock{}, log)
 	f.OnRevision = seen
 	tn.net.servers.Put(fleet.Address(name), p.server)
--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -55,6 +55,11 @@
 	clock  port.BootClock
 	// fromStore reports whether the prefix is read from the store.
 	fromStore func() bool
+	// maxSilence is the time without a response of the store after which the prefix is not
+	// served; zero means no limit.
+	maxSilence time.Duration
+	// respondedAt is the time of the last response since boot in nanoseconds.
+	respondedAt atomic.Int64
 }
 
 // NewServer returns a server without prefixes. confirmationAge returns the time
@@ -63,13 +68,24 @@
 	return &Server{clock: clock, confirmationAge: confirmationAge}
 }
 
-// AddPrefix adds a prefix that is served while fromStore returns true. It must be
-// called before the server is used. The caller passes each event of the prefix to
-// apply, and the revision up to which all changes are known to advance.
-func (s *Server) AddPrefix(prefix string, fromStore func() bool) (apply func(follow.Event), advance func(revision int64)) {
-	p := &prefixLog{prefix, core.NewLog(), s.clock, fromStore}
+// AddPrefix adds a prefix that is served while fromStore returns true, unless the store has
+// not responded for maxSilence, which is zero for a prefix that confirmations cover. It must be
+// called before the server is used. The caller passes each event of the prefix to apply, and,
+// after each response of the store, the revision up to which all changes are known to advance.
+func (s *Server) AddPrefix(prefix string, fromStore func() bool, maxSilence time.Duration) (apply func(follow.Event), advance func(revision int64)) {
+	p := &prefixLog{prefix: prefix, log: core.NewLog(), clock: s.clock, fromStore: fromStore, maxSilence: maxSilence}
 	s.logs = append(s.logs, p)
-	return p.apply, p.log.AdvanceTo
+	return p.apply, p.advance
+}
+
+func (p *prefixLog) advance(revision int64) {
+	p.respondedAt.Store(int64(p.clock.SinceBoot()))
+	p.log.AdvanceTo(revision)
+}
+
+// silent reports whether the store has not responded for too long.
+func (p *prefixLog) silent() bool {
+	return p.maxSilence > 0 && p.clock.SinceBoot()-time.Duration(p.respondedAt.Load()) > p.maxSilence
 }
 
 func (p *prefixLog) apply(e follow.Event) {
@@ -79,6 +95,7 @@
 	}
 	now := p.clock.SinceBoot()
 	if e.Reset {
+		p.respondedAt.Store(int64(now))
 		p.log.ApplyListing(cs, e.At, now)
 	} else {
 		p.log.ApplyChanges(cs, e.At, now)
@@ -119,7 +136,7 @@
 		// The age is read before the changes, so that the changes are at least as new
 		// as the view that was confirmed.
 		confirmationAge, confirmed := s.confirmationAge()
-		if !confirmed || confirmationAge >= maxConfirmationAge {
+		if !confirmed || confirmationAge >= maxConfirmationAge || p.silent() {
 			return port.FeedReply{}, ErrStale
 		}
 		changes, revision, known, next := p.log.Since(r.Prefix, r.After, s.clock.SinceBoot())
--- a/internal/app/feed/silent_test.go
+++ b/internal/app/feed/silent_test.go
@@ -102,7 +102,7 @@
 	s := NewServer(sysclock.Clock{}, func() (time.Duration, bool) {
 		return maxConfirmationAge - 50*time.Millisecond + time.Since(start), true
 	})
-	publish, _ := s.AddPrefix("p/", func() bool { return true })
+	publish, _ := s.AddPrefix("p/", func() bool { return true }, 0)
 	publish(follow.Event{Reset: true, At: 1})
 	const wait = 10 * time.Second
 	_, err := s.Feed(context.Background(), port.FeedRequest{Prefix: "p/", After: 1, Wait: wait})
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -40,9 +40,15 @@
 	// after 2 s. An unresponsive reader is detected after this time and the margin of a call,
 	// 1 s together. In the rest the gateway asks the other readers and the store.
 	feedWaitTargets = 400 * time.Millisecond
-	// storeWaitTargets bounds the wait for changes of targets at the store. An
-	// unresponsive connection there would hide leaving targets from the whole domain.
-	storeWaitTargets = 2 * time.Second
+	// storeWaitTargets bounds the wait for changes of targets at the store. An unresponsive
+	// connection there would hide leaving targets from the whole domain; with the margin of a
+	// call, 1.5 s, it is noticed in less than 3 s, after which a leaving target must get no
+	// new requests in any case.
+	storeWaitTargets = 1400 * time.Millisecond
+	// maxTargetsSilence is the time without a response about targets after which a gateway no
+	// longer serves them to others: the wait, the pause between two reads and as much for the
+	// call. Checks of the operator keys say nothing about targets.
+	maxTargetsSilence = storeWaitTargets + 2*targetBatchDelay
 	// storeWaitOperator is the same for the operator keys. The periodic confirmation
 	// detects changes of known keys, but not weights that are declared for the first
 	// time.
@@ -71,7 +77,11 @@
 // processes adopt the confirmations of this one, and they must not adopt a confirmation
 // before they can read the changes that it covers.
 func (g *Gateway) publishThenApply(f *follow.Follower, apply func(follow.Event)) func(follow.Event) {
-	publish, advance := g.feedServer.AddPrefix(f.Prefix, func() bool { return !g.closing.Load() && g.source.FromStore(f.Prefix) })
+	maxSilence := time.Duration(0)
+	if f.Prefix == g.deps.Decoder.Prefixes().Targets {
+		maxSilence = maxTargetsSilence
+	}
+	publish, advance := g.feedServer.AddPrefix(f.Prefix, func() bool { return !g.closing.Load() && g.source.FromStore(f.Prefix) }, maxSilence)
 	f.OnRevision = func(at int64) {
 		advance(at)
 		if f == g.operatorFollower {
--- a/internal/app/gateway/reader_test.go
+++ b/internal/app/gateway/reader_test.go
@@ -227,3 +227,31 @@
 		t.Errorf("got %+v, %v; want a change with an age of at least %v", reply.Changes, err, late-confirmationSlack)
 	}
 }
+
+// TestTargetsAreNotConfirmedByCheckOfOperatorKeys guards against a reader whose watch of the
+// targets gets no responses and that still serves them to its followers as current, because its
+// checks of the operator keys succeed.
+func TestTargetsAreNotConfirmedByCheckOfOperatorKeys(t *testing.T) {
+	base, fake := newEngineGateway(t)
+	reader := newFollowing(t, base, conflictStore{fake}, nil)
+	targets := reader.newFollower("targets/", time.Millisecond)
+	apply := reader.publishThenApply(targets, reader.view.applyTargets)
+	_, at, err := reader.source.List(context.Background(), "targets/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	apply(follow.Event{Reset: true, At: at, ReadAt: base.clock.SinceBoot()})
+	reader.poll()
+	// The target's entry changes while the call for changes gets no response.
+	fake.PutWithoutWatch("targets/a", "draining")
+	const storeWatchMargin = 1500 * time.Millisecond // platform.watchMargin
+	for silent := time.Duration(0); silent < storeWaitTargets+storeWatchMargin; silent += readerConfirmInterval {
+		base.clock.advance(readerConfirmInterval)
+		reader.confirmView(context.Background())
+		reply, err := reader.feedServer.Feed(context.Background(), port.FeedRequest{Prefix: "targets/", After: at})
+		if err == nil && silent+readerConfirmInterval > 2*time.Second {
+			t.Errorf("%v after the last response about targets the reader serves them, confirmed %v ago, with %d changes",
+				silent+readerConfirmInterval, reply.Age, len(reply.Changes))
+		}
+	}
+}
