--- a/internal/core/placement/budget.go
+++ b/internal/core/placement/budget.go
@@ -5,6 +5,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
+	"github.com/masticwing/masticwing/internal/core/window"
 )
 
 // RetryBudgets limits the retries of each service over a sliding window. All
@@ -18,15 +19,9 @@
 	services     *shard.Map[fleet.Service, *windowCounts]
 }
 
-// windowBuckets is the number of buckets in a window. One more is kept, so that
-// the counts cover at least a whole window.
-const windowBuckets = 10
-
-// windowCounts holds the counts of one service in a ring of buckets.
+// windowCounts holds the counts of one service.
 type windowCounts struct {
-	newestBucket int64 // bucket number since base
-	requests     [windowBuckets + 1]int
-	retries      [windowBuckets + 1]int
+	requests, retries window.Counter
 }
 
 // budgetFraction is the fraction of the allowed retries that is used. The rest is
@@ -41,43 +36,32 @@
 
 // RecordRequest counts the first attempt of a request.
 func (b *RetryBudgets) RecordRequest(s fleet.Service, now time.Time) {
-	b.updateCounts(s, now, func(w *windowCounts, i int) { w.requests[i]++ })
+	b.updateCounts(s, now, func(w *windowCounts, bucket int64) { w.requests.Add(bucket, 1) })
 }
 
 // AllowRetry reports whether the budget allows one more retry, and counts the retry
 // if so.
 func (b *RetryBudgets) AllowRetry(s fleet.Service, processes float64, now time.Time) bool {
 	allowed := false
-	b.updateCounts(s, now, func(w *windowCounts, i int) {
-		requests, retries := 0, 0
-		for k := range w.requests {
-			requests += w.requests[k]
-			retries += w.retries[k]
-		}
+	b.updateCounts(s, now, func(w *windowCounts, bucket int64) {
+		requests, retries := w.requests.Sum(bucket), w.retries.Sum(bucket)
 		limit := budgetFraction * (b.ratio*float64(requests) + b.slack/max(processes, 1))
 		if allowed = float64(retries+1) <= limit; allowed {
-			w.retries[i]++
+			w.retries.Add(bucket, 1)
 		}
 	})
 	return allowed
 }
 
-// updateCounts advances the window of a service to now and calls f with the index
-// of the newest bucket.
-func (b *RetryBudgets) updateCounts(s fleet.Service, now time.Time, f func(w *windowCounts, i int)) {
-	n := int64(now.Sub(b.base) / max(1, b.window/windowBuckets))
+// updateCounts calls f with the counts of a service and the number of the bucket that holds
+// now, under the lock of the service's shard.
+func (b *RetryBudgets) updateCounts(s fleet.Service, now time.Time, f func(w *windowCounts, bucket int64)) {
+	bucket := window.Bucket(b.base, now, b.window)
 	b.services.Update(s, func(w *windowCounts, ok bool) (*windowCounts, bool) {
 		if !ok {
-			w = &windowCounts{newestBucket: n}
-		}
-		for ; w.newestBucket < n && n-w.newestBucket <= windowBuckets; w.newestBucket++ {
-			i := (w.newestBucket + 1) % (windowBuckets + 1)
-			w.requests[i], w.retries[i] = 0, 0
-		}
-		if w.newestBucket < n {
-			*w = windowCounts{newestBucket: n}
+			w = &windowCounts{}
 		}
-		f(w, int(w.newestBucket%(windowBuckets+1)))
+		f(w, bucket)
 		return w, true
 	})
 }
