gateway: refused callers return when places have probably become free

While the overload lasts, a later return has no better chance, since others return as well.

Change: core/retrytime. A gateway counts the places that its requests free in a second and tells a refused caller to return when about three have become free in the fleet, varied by half, a third of its remaining time at most; one second if none became free.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/core/retrytime"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -16,9 +17,6 @@
 // refuse.
 const maxSends = 3
 
-// overloadRetryAfter is the retry delay in responses when no target accepts the request.
-const overloadRetryAfter = time.Second
-
 // forward sends the request to one target after another until one serves it or no further
 // retry is allowed. A later send may follow seconds after the first one, so the API key is
 // looked up again before it.
@@ -63,9 +61,21 @@
 		v = verdict.MayHaveRun
 	}
 	if out == placement.AllFull {
-		return verdict.New(v, verdict.CodeOverloaded, "all targets of the service are full").WithRetryAfter(overloadRetryAfter)
+		return verdict.New(v, verdict.CodeOverloaded, "all targets of the service are full").WithRetryAfter(c.retryAfter())
 	}
-	return verdict.New(v, verdict.CodeNoTarget, "no target of the service takes requests").WithRetryAfter(overloadRetryAfter)
+	return verdict.New(v, verdict.CodeNoTarget, "no target of the service takes requests").WithRetryAfter(c.returnDelay(0))
+}
+
+// retryAfter returns the delay after which the caller probably finds a free place.
+func (c *call) retryAfter() time.Duration {
+	c.placeInterval = c.g.drain.Interval(c.service.Name, c.g.view.processes(), c.g.deps.Clock.Now())
+	return c.returnDelay(c.placeInterval)
+}
+
+// returnDelay returns the delay for the caller if places become free at an interval, or at an
+// unknown time if it is zero.
+func (c *call) returnDelay(interval time.Duration) time.Duration {
+	return retrytime.After(interval, c.deadline.Sub(c.g.deps.Clock.Now()), c.g.deps.Rand.IntN)
 }
 
 // shouldRetry reports whether to send the request again after err. If it returns true, it
@@ -105,9 +115,16 @@
 	c.refuse(err)
 }
 
-// attemptAndRelease releases the slot that was reserved for the attempt.
+// attemptAndRelease releases the slot that was reserved for the attempt. If the request may
+// have run, that frees a place in the target.
 func (c *call) attemptAndRelease(ctx context.Context, choice placement.Choice) *verdict.Error {
-	defer c.g.targets.Release(choice.Instance)
+	runsBefore := c.runs
+	defer func() {
+		c.g.targets.Release(choice.Instance)
+		if c.runs > runsBefore {
+			c.g.drain.RecordFreed(c.service.Name, c.g.deps.Clock.Now())
+		}
+	}()
 	return c.attempt(ctx, choice)
 }
 
@@ -175,7 +192,7 @@
 	default:
 		c.g.targets.RecordBusy(choice.Instance, now)
 	}
-	return err.WithRetryAfter(overloadRetryAfter)
+	return err.WithRetryAfter(c.retryAfter())
 }
 
 // recordBrokenResponse returns the error for a response that ended early. It counts as a
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/masticwing/masticwing/internal/core/inflight"
 	"github.com/masticwing/masticwing/internal/core/memlimit"
 	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/core/retrytime"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -42,6 +43,7 @@
 	targets  *placement.Table
 	view     *view
 	budgets  *placement.RetryBudgets
+	drain    *retrytime.Drain
 	// buffers bounds the memory of all responses that are read before they are delivered.
 	buffers *memlimit.Budget
 	// coldPhase is placement.Query.ColdPhase of this process.
@@ -69,6 +71,7 @@
 		settings: s, deps: d, targets: t,
 		view:    newView(s, d, t),
 		budgets: placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
+		drain:   retrytime.NewDrain(d.Clock.Now()),
 		buffers: memlimit.New(int64(bufferedFraction * float64(s.Memory))),
 		active:  inflight.New(),
 		// The 53 high bits fill the mantissa of a float64.
--- /dev/null
+++ b/internal/app/gateway/overload_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// stoppedClock is a clock whose Now does not advance.
+type stoppedClock struct {
+	port.BootClock
+	now time.Time
+}
+
+func (c stoppedClock) Now() time.Time { return c.now }
+
+// TestOverloadedCallerReturnsWhenPlacesAreFree guards against a refusal that tells every
+// caller the same delay, whatever the targets finish and however little time the caller has.
+func TestOverloadedCallerReturnsWhenPlacesAreFree(t *testing.T) {
+	gw := newTestGateway(t, route)
+	now := time.Now()
+	gw.deps.Clock = stoppedClock{gw.deps.Clock, now}
+	fill := func(running int) {
+		for _, id := range []fleet.Instance{"a", "b"} {
+			gw.targets.RecordLoad(id, placement.Load{Running: running, Slots: 4}, now)
+		}
+	}
+	retryAfter := func(left time.Duration) time.Duration {
+		fill(100)
+		in := newInbound()
+		in.ReceivedAt, in.CallerTimeout = now, left
+		out := gw.request(in)
+		if out.refused == nil || out.refused.Code != verdict.CodeOverloaded || out.refused.Verdict != verdict.NotRun {
+			t.Fatalf("response of a full service: %v", out.refused)
+		}
+		return out.refused.RetryAfter
+	}
+	if d := retryAfter(20 * time.Second); d < 500*time.Millisecond {
+		t.Errorf("delay %v before any place became free, want at least 500ms", d)
+	}
+	if d := retryAfter(1200 * time.Millisecond); d > 400*time.Millisecond {
+		t.Errorf("delay %v for a caller that has 1.2 s, want at most 400ms", d)
+	}
+	for range 20 {
+		fill(0)
+		if out := gw.request(newInbound()); out.status != 200 {
+			t.Fatalf("response %d, refused with %v", out.status, out.refused)
+		}
+	}
+	// A place every 50 ms, so from 75 to 225 ms.
+	if d := retryAfter(20 * time.Second); d < 75*time.Millisecond || d > 225*time.Millisecond {
+		t.Errorf("delay %v with 20 places freed in the last second, want 75ms to 225ms", d)
+	}
+	if !strings.Contains(gw.log.String(), `"place_interval_ms":50`) {
+		t.Errorf("log without the interval of 50 ms:\n%s", gw.log.String())
+	}
+}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -44,6 +44,9 @@
 	// retryTaken means that the stall watch of the last attempt has taken the retry from
 	// the budget.
 	retryTaken bool
+	// placeInterval is the mean time between places that became free when the request was
+	// last refused, or zero.
+	placeInterval time.Duration
 	// reserved is the memory taken from Gateway.buffers, in bytes.
 	reserved int64
 }
@@ -283,6 +286,9 @@
 	if e != nil {
 		fs = append(fs, logging.F("code", string(e.Code)), logging.F("verdict", e.Verdict.String()),
 			logging.F("reason", e.Error()), logging.Millis("retry_after_ms", e.RetryAfter))
+		if c.placeInterval > 0 {
+			fs = append(fs, logging.Millis("place_interval_ms", c.placeInterval))
+		}
 		g.deps.Log.FailedRequest("request", fs...)
 	} else {
 		g.deps.Log.ServedRequest("request", fs...)
