--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -13,12 +13,14 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/idleconns"
+	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/gateway"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/platform"
 )
 
@@ -46,11 +48,16 @@
 // flushTimeout bounds the wait for the final responses to be written.
 const flushTimeout = 300 * time.Millisecond
 
+// newFeedServer returns a server of the feed of store changes.
+func newFeedServer(h port.FeedHandler) (port.Server, error) {
+	return rpc.NewServer(rpc.Handlers{Feed: h})
+}
+
 func run(ctx context.Context, set gateway.Settings, env daemon.Env) error {
 	peers := rpc.NewClient()
 	defer peers.Close()
 	g := gateway.New(set, gateway.Deps{
-		Store: platform.NewStoreWithMetrics(set.Platform, env.Metrics), Feed: peers, Decoder: platform.Decoder{},
+		Store: platform.NewStoreWithMetrics(set.Platform, env.Metrics), Feed: peers, NewFeedServer: newFeedServer, Loads: loadudp.Network{}, Decoder: platform.Decoder{},
 		Targets: platform.NewTargetClient(func() { env.Metrics.Count("target_connections_total", 1) }),
 		Clock:   sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
 	})
--- a/cmd/masticwing-loader/main.go
+++ b/cmd/masticwing-loader/main.go
@@ -6,11 +6,12 @@
 	"context"
 	"os"
 
+	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/loader"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/platform"
@@ -33,13 +34,18 @@
 	}
 }
 
+// newPeerServer returns a server of chunks for other loaders.
+func newPeerServer(h port.PeerHandler) (port.Server, error) {
+	return rpc.NewServer(rpc.Handlers{Peer: h})
+}
+
 func run(ctx context.Context, set loader.Settings, env daemon.Env) error {
 	peers := rpc.NewClient()
 	defer peers.Close()
 	l := loader.New(set, loader.Deps{
 		Store: platform.NewStoreWithMetrics(set.Platform, env.Metrics), Feed: peers, Decoder: platform.Decoder{}, Engine: platform.NewEngine(set.Engine),
 		Origin: func(a fleet.Address) port.NumberedOrigin { return platform.NewOrigin(a) },
-		Peers:  peers, Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
+		Peers:  peers, NewPeerServer: newPeerServer, Loads: loadudp.Network{}, Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
 	})
 	env.Admin.SetReady()
 	return l.Run(ctx)
--- a/internal/adapter/inifile/section_reader.go
+++ b/internal/adapter/inifile/section_reader.go
@@ -7,7 +7,7 @@
 
 	"gopkg.in/ini.v1"
 
-	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/core/bytesize"
 	"github.com/masticwing/masticwing/internal/core/declare"
 )
 
@@ -56,7 +56,7 @@
 	if !ok {
 		return def
 	}
-	n, err := settings.ParseBytes(v)
+	n, err := bytesize.Parse(v)
 	if err != nil {
 		r.addFault(key, "must be a size such as 4MiB, is "+strconv.Quote(v))
 	}
--- a/internal/adapter/ledgerdoc/ledgerdoc.go
+++ b/internal/adapter/ledgerdoc/ledgerdoc.go
@@ -11,14 +11,19 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/ledgerdoc/pb"
 	"github.com/masticwing/masticwing/internal/core/ledger"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
-// ErrMalformed means that a document cannot be decoded. A call must not run then,
-// since the document may hold a record of an earlier run.
+// ErrMalformed means that a document cannot be decoded.
 var ErrMalformed = errors.New("malformed ledger document")
 
-// Encode returns the document with the records, sorted by key.
-func Encode(records ledger.Records) ([]byte, error) {
+// Codec implements port.LedgerCodec.
+type Codec struct{}
+
+var _ port.LedgerCodec = Codec{}
+
+// Encode implements port.LedgerCodec. It sorts the records by key.
+func (Codec) Encode(records ledger.Records) ([]byte, error) {
 	doc := &pb.Document{Records: make([]*pb.Record, 0, len(records))}
 	for k, r := range records {
 		doc.Records = append(doc.Records, &pb.Record{Key: k[:], Attempt: r.Attempt[:], State: pb.State(r.State)})
@@ -28,8 +33,8 @@
 	return b, errors.Wrap(err, "encoding a ledger document")
 }
 
-// Decode returns the records of a document.
-func Decode(b []byte) (ledger.Records, error) {
+// Decode implements port.LedgerCodec.
+func (Codec) Decode(b []byte) (ledger.Records, error) {
 	var doc pb.Document
 	if err := proto.Unmarshal(b, &doc); err != nil {
 		return nil, errors.Wrap(ErrMalformed, err.Error())
--- a/internal/adapter/ledgerdoc/ledgerdoc_test.go
+++ b/internal/adapter/ledgerdoc/ledgerdoc_test.go
@@ -19,11 +19,11 @@
 		binary.BigEndian.PutUint64(k[:], uint64(i))
 		records[k] = ledger.Record{Attempt: ledger.NewAttempt(uint64(i), 1), State: ledger.State(1 + i%3)}
 	}
-	b, err := Encode(records)
+	b, err := Codec{}.Encode(records)
 	if err != nil || len(b) > 1<<20 {
 		t.Fatalf("%d bytes, %v", len(b), err)
 	}
-	if got, err := Decode(b); err != nil || !maps.Equal(got, records) {
+	if got, err := (Codec{}).Decode(b); err != nil || !maps.Equal(got, records) {
 		t.Fatalf("decoded %d records, %v", len(got), err)
 	}
 }
@@ -31,12 +31,12 @@
 // FuzzDecode guards against a corrupted document that is decoded to fewer or
 // other records, and against a panic.
 func FuzzDecode(f *testing.F) {
-	good, _ := Encode(ledger.Records{{1}: {Attempt: ledger.Attempt{2}, State: ledger.Done}})
+	good, _ := Codec{}.Encode(ledger.Records{{1}: {Attempt: ledger.Attempt{2}, State: ledger.Done}})
 	f.Add(good)
 	f.Add(append(append([]byte{}, good...), good...))
 	f.Add(good[:len(good)-1])
 	f.Fuzz(func(t *testing.T, b []byte) {
-		records, err := Decode(b)
+		records, err := Codec{}.Decode(b)
 		if err != nil && !errors.Is(err, ErrMalformed) {
 			t.Fatal(err)
 		}
--- a/internal/adapter/loadudp/loadudp.go
+++ b/internal/adapter/loadudp/loadudp.go
@@ -21,6 +21,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 const (
@@ -31,22 +32,6 @@
 	flagLoading   = 1
 )
 
-// Notice tells the other gateways that the sender has sent a request to a target.
-type Notice struct {
-	Target       fleet.Address
-	PromptTokens int
-}
-
-// Report is the load of one target at the time of sending.
-type Report struct {
-	Target fleet.Address
-	// Started is the start time of the target, in Unix milliseconds.
-	Started int64
-	// Weights is the version of the weights that the target holds.
-	Weights int64
-	Load    placement.Load
-}
-
 func encodeTarget(version, flags byte, target fleet.Address) ([]byte, error) {
 	ap, err := netip.ParseAddrPort(string(target))
 	if err != nil || !ap.Addr().Is4() {
@@ -64,19 +49,19 @@
 	return fleet.Address(addr.String())
 }
 
-func encodeNotice(n Notice) ([]byte, error) {
+func encodeNotice(n port.LoadNotice) ([]byte, error) {
 	b, err := encodeTarget(noticeVersion, 0, n.Target)
 	return binary.BigEndian.AppendUint32(b, uint32(max(n.PromptTokens, 0))), err
 }
 
-func decodeNotice(b []byte) (Notice, bool) {
+func decodeNotice(b []byte) (port.LoadNotice, bool) {
 	if len(b) != noticeBytes || b[0] != noticeVersion {
-		return Notice{}, false
+		return port.LoadNotice{}, false
 	}
-	return Notice{Target: decodeTarget(b), PromptTokens: int(binary.BigEndian.Uint32(b[8:]))}, true
+	return port.LoadNotice{Target: decodeTarget(b), PromptTokens: int(binary.BigEndian.Uint32(b[8:]))}, true
 }
 
-func encodeReport(r Report) ([]byte, error) {
+func encodeReport(r port.LoadReport) ([]byte, error) {
 	flags := byte(0)
 	if r.Load.Loading {
 		flags |= flagLoading
@@ -93,12 +78,12 @@
 	return b, nil
 }
 
-func decodeReport(b []byte) (Report, bool) {
+func decodeReport(b []byte) (port.LoadReport, bool) {
 	if len(b) != reportBytes || b[0] != reportVersion {
-		return Report{}, false
+		return port.LoadReport{}, false
 	}
 	uint16At := func(offset int) int { return int(binary.BigEndian.Uint16(b[offset:])) }
-	return Report{
+	return port.LoadReport{
 		Target:  decodeTarget(b),
 		Started: int64(binary.BigEndian.Uint64(b[8:])),
 		Weights: int64(binary.BigEndian.Uint64(b[16:])),
@@ -108,18 +93,26 @@
 	}, true
 }
 
-// Sender sends reports and notices.
-type Sender struct{ conn *net.UDPConn }
+// Network implements port.LoadNetwork.
+type Network struct{}
+
+var _ port.LoadNetwork = Network{}
 
-// NewSender opens a UDP socket at ip, on a port that the system chooses.
-func NewSender(ip netip.Addr) (*Sender, error) {
+// NewSender implements port.LoadNetwork. It opens a UDP socket at ip, on a port that the
+// system chooses.
+func (Network) NewSender(ip netip.Addr) (port.LoadSender, error) {
 	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, 0)))
-	return &Sender{c}, errors.Wrap(err, "opening UDP socket for load reports")
+	if err != nil {
+		return nil, errors.Wrap(err, "opening UDP socket for load reports")
+	}
+	return &sender{c}, nil
 }
 
-// SendReport sends a report to all addresses. An error for one address does not
-// stop the others; the last error is returned.
-func (s *Sender) SendReport(r Report, to []netip.AddrPort) error {
+// sender implements port.LoadSender.
+type sender struct{ conn *net.UDPConn }
+
+// SendReport implements port.LoadSender.
+func (s *sender) SendReport(r port.LoadReport, to []netip.AddrPort) error {
 	b, err := encodeReport(r)
 	if err != nil {
 		return err
@@ -127,8 +120,8 @@
 	return s.send(b, to)
 }
 
-// SendNotice sends a notice to all addresses. It handles errors like SendReport.
-func (s *Sender) SendNotice(n Notice, to []netip.AddrPort) error {
+// SendNotice implements port.LoadSender.
+func (s *sender) SendNotice(n port.LoadNotice, to []netip.AddrPort) error {
 	b, err := encodeNotice(n)
 	if err != nil {
 		return err
@@ -136,7 +129,7 @@
 	return s.send(b, to)
 }
 
-func (s *Sender) send(b []byte, to []netip.AddrPort) (err error) {
+func (s *sender) send(b []byte, to []netip.AddrPort) (err error) {
 	for _, a := range to {
 		if _, e := s.conn.WriteToUDPAddrPort(b, a); e != nil {
 			err = errors.Wrap(e, "sending datagram")
@@ -145,18 +138,11 @@
 	return err
 }
 
-// Close closes the socket.
-func (s *Sender) Close() error { return s.conn.Close() }
-
-// Handler handles received datagrams.
-type Handler interface {
-	HandleReport(r Report)
-	HandleNotice(n Notice)
-}
+// Close implements port.LoadSender.
+func (s *sender) Close() error { return s.conn.Close() }
 
-// Receive passes the reports and notices received at addr to h until ctx ends. It
-// ignores other datagrams.
-func Receive(ctx context.Context, addr fleet.Address, h Handler) error {
+// Receive implements port.LoadNetwork. It ignores other datagrams.
+func (Network) Receive(ctx context.Context, addr fleet.Address, h port.LoadHandler) error {
 	ap, err := netip.ParseAddrPort(string(addr))
 	if err != nil {
 		return errors.Wrap(err, "parsing address for load reports")
--- a/internal/adapter/loadudp/loadudp_test.go
+++ b/internal/adapter/loadudp/loadudp_test.go
@@ -11,15 +11,16 @@
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 type channelHandler struct {
-	reports chan Report
-	notices chan Notice
+	reports chan port.LoadReport
+	notices chan port.LoadNotice
 }
 
-func (h channelHandler) HandleReport(r Report) { h.reports <- r }
-func (h channelHandler) HandleNotice(n Notice) { h.notices <- n }
+func (h channelHandler) HandleReport(r port.LoadReport) { h.reports <- r }
+func (h channelHandler) HandleNotice(n port.LoadNotice) { h.notices <- n }
 
 // freeAddress returns an address at which nothing listens.
 func freeAddress(t *testing.T) netip.AddrPort {
@@ -37,29 +38,29 @@
 // report.
 func TestSendAndReceive(t *testing.T) {
 	to := freeAddress(t)
-	h := channelHandler{make(chan Report, 1), make(chan Notice, 1)}
+	h := channelHandler{make(chan port.LoadReport, 1), make(chan port.LoadNotice, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() {
-		if err := Receive(ctx, fleet.Address(to.String()), h); err != nil {
+		if err := (Network{}).Receive(ctx, fleet.Address(to.String()), h); err != nil {
 			t.Errorf("receiving: %v", err)
 		}
 	})
-	s, err := NewSender(to.Addr())
+	s, err := Network{}.NewSender(to.Addr())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = s.Close() }()
-	report := Report{
+	report := port.LoadReport{
 		Target: "10.1.2.3:456", Started: 1767344219909, Weights: 7,
 		Load: placement.Load{Running: 12, Waiting: 3, Slots: 16, Loading: true},
 	}
-	notice := Notice{Target: "10.1.2.3:456", PromptTokens: 70000}
+	notice := port.LoadNotice{Target: "10.1.2.3:456", PromptTokens: 70000}
 	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
 		for _, junk := range [][]byte{nil, {1}, make([]byte, reportBytes), make([]byte, 500)} {
-			_, _ = s.conn.WriteToUDPAddrPort(junk, to)
+			_, _ = s.(*sender).conn.WriteToUDPAddrPort(junk, to)
 		}
 		if err := s.SendReport(report, []netip.AddrPort{to}); err != nil {
 			continue // the receiver does not listen yet
@@ -97,7 +98,7 @@
 // the format cannot hold.
 func TestUnsupportedTargetAddress(t *testing.T) {
 	for _, a := range []fleet.Address{"", "host:80", "[::1]:80"} {
-		if _, err := encodeReport(Report{Target: a}); err == nil {
+		if _, err := encodeReport(port.LoadReport{Target: a}); err == nil {
 			t.Errorf("target %q was encoded, want an error", a)
 		}
 	}
--- a/internal/adapter/logging/logging.go
+++ b/internal/adapter/logging/logging.go
@@ -5,9 +5,10 @@
 import (
 	"io"
 	"sync"
-	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
@@ -61,33 +62,23 @@
 	return l.w.Write(b)
 }
 
-// Field is one key and value of a line.
-type Field struct {
-	Key   string
-	Value any
-}
-
-// F returns a field with the given key and value.
-func F(key string, value any) Field { return Field{key, value} }
-
-// Millis returns a field with a duration in milliseconds.
-func Millis(key string, d time.Duration) Field { return Field{key, d.Milliseconds()} }
+var _ port.Log = (*Logger)(nil)
 
 // StateChange logs a change of state, at level info.
-func (l *Logger) StateChange(msg string, fields ...Field) { write(l.l.Info(), msg, fields) }
+func (l *Logger) StateChange(msg string, fields ...port.Field) { write(l.l.Info(), msg, fields) }
 
 // Failure logs a change to a failed state, at level error.
-func (l *Logger) Failure(msg string, err error, fields ...Field) {
+func (l *Logger) Failure(msg string, err error, fields ...port.Field) {
 	write(l.l.Error().Err(err), msg, fields)
 }
 
 // ServedRequest logs a request that was served, at level info.
-func (l *Logger) ServedRequest(msg string, fields ...Field) { write(l.served.Info(), msg, fields) }
+func (l *Logger) ServedRequest(msg string, fields ...port.Field) { write(l.served.Info(), msg, fields) }
 
 // FailedRequest logs a request that was not served, at level warn.
-func (l *Logger) FailedRequest(msg string, fields ...Field) { write(l.l.Warn(), msg, fields) }
+func (l *Logger) FailedRequest(msg string, fields ...port.Field) { write(l.l.Warn(), msg, fields) }
 
-func write(e *log.Entry, msg string, fields []Field) {
+func write(e *log.Entry, msg string, fields []port.Field) {
 	for _, f := range fields {
 		e = e.Any(f.Key, f.Value)
 	}
--- a/internal/adapter/logging/logging_test.go
+++ b/internal/adapter/logging/logging_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 // TestConcurrentLines guards against interleaved lines of several goroutines in a
@@ -20,7 +22,7 @@
 	for range 8 {
 		wg.Go(func() {
 			for range 50 {
-				l.StateChange("changed", F("n", 1))
+				l.StateChange("changed", port.F("n", 1))
 			}
 		})
 	}
@@ -52,8 +54,8 @@
 	l, closeLog := NewAsync(w, "gateway", "g1")
 	start := time.Now()
 	for range 5000 {
-		l.ServedRequest("request", F("n", 1))
-		l.FailedRequest("request", F("n", 1))
+		l.ServedRequest("request", port.F("n", 1))
+		l.FailedRequest("request", port.F("n", 1))
 	}
 	closeLog()
 	if d := time.Since(start); d > 2*time.Second {
@@ -68,10 +70,10 @@
 	var out bytes.Buffer
 	l, closeLog := NewAsync(&out, "gateway", "g1")
 	for range 3000 {
-		l.ServedRequest("request", F("kind", "served"))
+		l.ServedRequest("request", port.F("kind", "served"))
 	}
 	for range 100 {
-		l.FailedRequest("request", F("kind", "failed"))
+		l.FailedRequest("request", port.F("kind", "failed"))
 	}
 	closeLog()
 	served, failed := strings.Count(out.String(), `"kind":"served"`), strings.Count(out.String(), `"kind":"failed"`)
@@ -85,6 +87,6 @@
 	l, closeLog := NewAsync(io.Discard, "gateway", "g1")
 	defer closeLog()
 	for b.Loop() {
-		l.ServedRequest("request", F("request", "9c41d07be2a35f68"), F("took_ms", int64(12)), F("sends", 1), F("load", 1.5))
+		l.ServedRequest("request", port.F("request", "9c41d07be2a35f68"), port.F("took_ms", int64(12)), port.F("sends", 1), port.F("load", 1.5))
 	}
 }
--- a/internal/app/agent/agent.go
+++ b/internal/app/agent/agent.go
@@ -10,7 +10,6 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/admission"
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -46,7 +45,7 @@
 	Ledger    port.Ledger
 	Directory port.Directory
 	Metrics   port.Metrics
-	Log       *logging.Logger
+	Log       port.Log
 }
 
 // snapshot holds the assignment of the agent and the state of its target. It is
--- a/internal/app/agent/components.go
+++ b/internal/app/agent/components.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/ledgerdoc"
 	"github.com/masticwing/masticwing/internal/adapter/originhttp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
@@ -59,7 +60,7 @@
 		Directory: directoryClient, Peers: cl.peers, Origin: originhttp.New(c.Origin, id.VM),
 		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics,
 	})
-	callLedger := ledger.New(kv, sysclock.Clock{}, sysclock.Rand{}, ledger.Options{
+	callLedger := ledger.New(kv, ledgerdoc.Codec{}, sysclock.Clock{}, sysclock.Rand{}, ledger.Options{
 		WritesPerSecond: float64(c.LedgerWritesPerSecond), Window: c.LedgerWindow,
 		MaxAnswerBytes: c.LedgerAnswers, Metrics: env.Metrics,
 	})
--- a/internal/app/agent/controller.go
+++ b/internal/app/agent/controller.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/rollout"
@@ -104,8 +103,8 @@
 	a.updateSnapshot(func(v *snapshot) { v.declaration, v.assignment = d, assigned })
 	c.group = assigned.Group
 	if old.Group != assigned.Group || old.Service != assigned.Service || old.Version != assigned.Version || old.Cordoned != assigned.Cordoned {
-		a.deps.Log.StateChange("assignment changed", logging.F("revision", d.Revision), logging.F("group", assigned.Group),
-			logging.F("service", assigned.Service), logging.F("version", assigned.Version), logging.F("cordoned", assigned.Cordoned))
+		a.deps.Log.StateChange("assignment changed", port.F("revision", d.Revision), port.F("group", assigned.Group),
+			port.F("service", assigned.Service), port.F("version", assigned.Version), port.F("cordoned", assigned.Cordoned))
 	}
 	a.notifyWatchers()
 }
@@ -128,7 +127,7 @@
 		return
 	}
 	if !reachable {
-		a.deps.Log.StateChange("target answers", logging.F("boot", r.engine.BootID))
+		a.deps.Log.StateChange("target answers", port.F("boot", r.engine.BootID))
 	}
 	if a.deps.Engine != nil && a.admissions.ObserveEngine(a.targetKey, newObservation(r.engine, r.sentAt), a.deps.Clock.Now()) {
 		a.deps.Metrics.Count("agent_cold_restarts", 1)
@@ -151,9 +150,9 @@
 		c.lastOrderFailed = a.deps.Clock.Now()
 		c.reason = "order failed: " + r.err.Error()
 		a.deps.Metrics.Count("agent_orders_failed", 1)
-		a.deps.Log.Failure("order failed", r.err, logging.F("version", r.action.Ref.Version))
+		a.deps.Log.Failure("order failed", r.err, port.F("version", r.action.Ref.Version))
 	} else {
-		a.deps.Log.StateChange("order done", logging.F("kind", orderKind(r.action)), logging.F("version", r.action.Ref.Version))
+		a.deps.Log.StateChange("order done", port.F("kind", orderKind(r.action)), port.F("version", r.action.Ref.Version))
 	}
 	signal(a.probeNow)
 }
@@ -286,7 +285,7 @@
 	}
 	a.updateSnapshot(func(v *snapshot) { v.serving, v.ready, v.progress = plan.Serving, ready, progress })
 	if old.serving != plan.Serving {
-		a.deps.Log.StateChange("rotation changed", logging.F("version", plan.Serving.Version))
+		a.deps.Log.StateChange("rotation changed", port.F("version", plan.Serving.Version))
 	}
 	a.notifyWatchers()
 }
--- a/internal/app/agent/lifecycle_test.go
+++ b/internal/app/agent/lifecycle_test.go
@@ -12,9 +12,10 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/inisettings"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/rollout"
@@ -229,7 +230,7 @@
 		}
 	}
 	write(text)
-	if f := s.Load(path); len(f) > 0 {
+	if f := s.Load(path, inisettings.Read); len(f) > 0 {
 		t.Fatalf("faults in the example: %v", f)
 	}
 	write(strings.ReplaceAll(text, ";address = \n", "address = 127.0.0.1:4\n") + "\n[nope]\nx = 1\n")
@@ -239,7 +240,7 @@
 		t.Fatalf("exit code %d: %s", code, out.String())
 	}
 	write(strings.ReplaceAll(text, ";address = \n", "address = 127.0.0.1:4\n"))
-	if f := s.Load(path); len(f) != 1 || f[0].Section != "service" {
+	if f := s.Load(path, inisettings.Read); len(f) != 1 || f[0].Section != "service" {
 		t.Fatalf("got faults %v for an agent with two targets", f)
 	}
 }
--- a/internal/app/agent/run.go
+++ b/internal/app/agent/run.go
@@ -10,12 +10,11 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/enginehttp"
 	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/adapter/servicehttp"
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -110,7 +109,7 @@
 	defer cancel()
 	finished := a.Drain(c.DrainTimeout)
 	if err := server.Drain(drainCtx); err != nil || !finished {
-		env.Log.Failure("drain timeout passed with requests in progress", err, logging.F("timeout", c.DrainTimeout.String()))
+		env.Log.Failure("drain timeout passed with requests in progress", err, port.F("timeout", c.DrainTimeout.String()))
 	}
 }
 
--- a/internal/app/agent/settings.go
+++ b/internal/app/agent/settings.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/directory"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
--- a/internal/app/ctl/status.go
+++ b/internal/app/ctl/status.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/core/bytesize"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -243,7 +243,7 @@
 			return fmt.Sprintf("%.1f%s", float64(n)/float64(u.bytes), u.name)
 		}
 	}
-	return settings.FormatBytes(n)
+	return bytesize.Format(n)
 }
 
 func formatAgo(seconds float64) string {
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -19,10 +19,12 @@
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
+	"github.com/masticwing/masticwing/internal/adapter/inisettings"
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/otelmetrics"
-	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 // Version is the version of the binary. It is set by a linker flag.
@@ -49,7 +51,7 @@
 
 // Env holds what Main provides to Role.Run.
 type Env struct {
-	Log     *logging.Logger
+	Log     port.Log
 	Metrics *otelmetrics.Metrics
 	Admin   *Admin
 }
@@ -139,7 +141,7 @@
 func load(r Role, path string, errOut io.Writer, code *int) (*Common, bool) {
 	s := settings.New(r.Name)
 	c := r.Settings(s)
-	faults := s.Load(path)
+	faults := s.Load(path, inisettings.Read)
 	for _, f := range faults {
 		fmt.Fprintln(errOut, f.Error())
 	}
@@ -173,7 +175,7 @@
 		fresh := settings.New(r.Name)
 		r.NewRole().Settings(fresh)
 		var out []error
-		for _, f := range fresh.Load(path) {
+		for _, f := range fresh.Load(path, inisettings.Read) {
 			out = append(out, f)
 		}
 		return out
@@ -234,7 +236,7 @@
 	wg.Go(func() { _ = srv.Serve(lis) })
 	releaseCtx, stopRelease := context.WithCancel(context.WithoutCancel(ctx))
 	wg.Go(func() { releaseMemory(releaseCtx) })
-	env.Log.StateChange("started", logging.F("version", Version), logging.F("admin", common.Admin))
+	env.Log.StateChange("started", port.F("version", Version), port.F("admin", common.Admin))
 	err = r.Run(ctx, env)
 	_ = srv.Close()
 	stopRelease()
--- a/internal/app/daemon/reload.go
+++ b/internal/app/daemon/reload.go
@@ -8,13 +8,13 @@
 	"strings"
 	"syscall"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 // watchReload handles SIGHUP until ctx ends. It validates the changed settings file
 // and logs the changes, which take effect at the next start of the daemon.
 // installed is closed once the signal handler is installed.
-func watchReload(ctx context.Context, path string, validate func() []error, log *logging.Logger, installed chan<- struct{}) {
+func watchReload(ctx context.Context, path string, validate func() []error, log port.Log, installed chan<- struct{}) {
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP)
 	defer signal.Stop(sighup)
@@ -37,7 +37,7 @@
 		for _, fault := range validate() {
 			log.Failure("changed settings are not valid", fault)
 		}
-		log.StateChange("reload", logging.F("changed", strings.Join(addedLines(previous, current), "; ")))
+		log.StateChange("reload", port.F("changed", strings.Join(addedLines(previous, current), "; ")))
 		previous = current
 	}
 }
--- a/internal/app/directory/connect.go
+++ b/internal/app/directory/connect.go
@@ -6,9 +6,9 @@
 	"github.com/masticwing/masticwing/internal/adapter/inifile"
 	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
--- a/internal/app/directory/directory.go
+++ b/internal/app/directory/directory.go
@@ -17,7 +17,6 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/declare"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/membership"
@@ -97,7 +96,7 @@
 	// Metrics may be nil.
 	Metrics port.Metrics
 	// Log may be nil.
-	Log *logging.Logger
+	Log port.Log
 	// Traffic returns the total bytes sent and received by this process, by
 	// kind of traffic. It may be nil.
 	Traffic func() []port.Traffic
@@ -263,7 +262,7 @@
 		return decl.Revision, nil
 	}
 	d.deps.Metrics.Gauge("directory_revision", float64(decl.Revision))
-	d.logState("declaration in force", logging.F("revision", decl.Revision))
+	d.logState("declaration in force", port.F("revision", decl.Revision))
 	d.publishFirstRevision()
 	signal(d.declarationAccepted)
 	signal(d.revisionChanged)
@@ -271,7 +270,7 @@
 	return decl.Revision, nil
 }
 
-func (d *Directory) logState(msg string, fields ...logging.Field) {
+func (d *Directory) logState(msg string, fields ...port.Field) {
 	if d.deps.Log != nil {
 		d.deps.Log.StateChange(msg, fields...)
 	}
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -12,7 +12,6 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/httpapi"
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
@@ -193,7 +192,7 @@
 		p.env.Admin.SetNotReady(cmp.Or(p.dir.NotReadyReason(), "no configuration is known yet"))
 		if d, _ := p.dir.Declaration(); d != nil && ctx.Err() == nil {
 			p.env.Admin.SetReady()
-			p.env.Log.StateChange("ready", logging.F("revision", d.Revision))
+			p.env.Log.StateChange("ready", port.F("revision", d.Revision))
 			break
 		}
 		select {
@@ -212,7 +211,7 @@
 func (p *process) shutDown() {
 	p.env.Admin.SetNotReady("shutting down")
 	p.dir.UpdateSelf(func(m *port.MemberRecord) { m.State = port.MemberLeaving })
-	p.env.Log.StateChange("draining", logging.F("timeout", p.cfg.Drain.String()))
+	p.env.Log.StateChange("draining", port.F("timeout", p.cfg.Drain.String()))
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Drain)
 	defer cancel()
 	if err := p.api.Drain(ctx); err != nil {
--- a/internal/app/entry/settings.go
+++ b/internal/app/entry/settings.go
@@ -3,9 +3,10 @@
 import (
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/directory"
+	"github.com/masticwing/masticwing/internal/app/settings"
+	"github.com/masticwing/masticwing/internal/core/bytesize"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
@@ -35,7 +36,7 @@
 			return nil
 		}
 		return []settings.Fault{{
-			Section: "limits", Key: "body", Value: settings.FormatBytes(c.MaxBody), Allowed: "at most [limits] memory",
+			Section: "limits", Key: "body", Value: bytesize.Format(c.MaxBody), Allowed: "at most [limits] memory",
 		}}
 	})
 	return &c.Common
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -6,7 +6,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
@@ -60,7 +59,7 @@
 	port.Store
 	client port.FeedClient
 	clock  port.BootClock
-	log    *logging.Logger
+	log    port.Log
 	// readers returns the processes to ask, in order.
 	readers func() []core.Member
 
@@ -80,7 +79,7 @@
 
 // NewSource returns a source that reads from the given readers before it reads from
 // store s. readers must not block.
-func NewSource(s port.Store, c port.FeedClient, clock port.BootClock, log *logging.Logger, readers func() []core.Member, prefixes map[string]PrefixOptions) *Source {
+func NewSource(s port.Store, c port.FeedClient, clock port.BootClock, log port.Log, readers func() []core.Member, prefixes map[string]PrefixOptions) *Source {
 	return &Source{
 		Store: s, client: c, clock: clock, log: log, readers: readers,
 		state: shard.New[string, prefixState](0), skipUntil: shard.New[fleet.Address, time.Time](0), prefixes: prefixes,
@@ -246,14 +245,14 @@
 	}
 	s.skipUntil.Put(m.Address, s.clock.Now().Add(pause))
 	if _, fromReader := s.FromReader(prefix); fromReader {
-		s.log.Failure("lost the reader", err, logging.F("prefix", prefix), logging.F("reader", m.ID))
+		s.log.Failure("lost the reader", err, port.F("prefix", prefix), port.F("reader", m.ID))
 	}
 }
 
 // recordReply records that the changes of a prefix come from reader m.
 func (s *Source) recordReply(prefix string, m core.Member, confirmedAt time.Duration) {
 	if _, fromReader := s.FromReader(prefix); !fromReader {
-		s.log.StateChange("following a reader", logging.F("prefix", prefix), logging.F("reader", m.ID))
+		s.log.StateChange("following a reader", port.F("prefix", prefix), port.F("reader", m.ID))
 	}
 	s.state.Put(prefix, prefixState{fromReader: true, confirmedAt: confirmedAt})
 }
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -57,14 +56,14 @@
 	// nil.
 	OnRevision func(revision int64)
 	Clock      port.BootClock
-	Log        *logging.Logger
+	Log        port.Log
 
 	relist    chan struct{}
 	storeLost bool
 }
 
 // New returns a follower of a prefix. See the fields of Follower for the parameters.
-func New(s port.Store, prefix string, wait time.Duration, batchDelay func() time.Duration, c port.BootClock, l *logging.Logger) *Follower {
+func New(s port.Store, prefix string, wait time.Duration, batchDelay func() time.Duration, c port.BootClock, l port.Log) *Follower {
 	return &Follower{Store: s, Prefix: prefix, Wait: wait, BatchDelay: batchDelay, Clock: c, Log: l, relist: make(chan struct{}, 1)}
 }
 
@@ -117,7 +116,7 @@
 		changes, next, err := f.changes(ctx, revision)
 		switch {
 		case errors.Is(err, port.ErrHistoryGone), errors.Is(err, errRelist):
-			f.Log.StateChange("listing again", logging.F("prefix", f.Prefix), logging.F("after", revision), logging.F("reason", err.Error()))
+			f.Log.StateChange("listing again", port.F("prefix", f.Prefix), port.F("after", revision), port.F("reason", err.Error()))
 			return succeeded || errors.Is(err, errRelist)
 		case err != nil:
 			f.markLost(ctx, err)
@@ -186,7 +185,7 @@
 func (f *Follower) markLost(ctx context.Context, err error) {
 	if !f.storeLost && ctx.Err() == nil {
 		f.storeLost = true
-		f.Log.Failure("lost the store", err, logging.F("prefix", f.Prefix))
+		f.Log.Failure("lost the store", err, port.F("prefix", f.Prefix))
 	}
 }
 
@@ -194,7 +193,7 @@
 func (f *Follower) markRegained(revision int64) {
 	if f.storeLost {
 		f.storeLost = false
-		f.Log.StateChange("regained the store", logging.F("prefix", f.Prefix), logging.F("revision", revision))
+		f.Log.StateChange("regained the store", port.F("prefix", f.Prefix), port.F("revision", revision))
 	}
 }
 
--- a/internal/app/follow/unreadable.go
+++ b/internal/app/follow/unreadable.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -20,12 +19,12 @@
 // It is not safe for concurrent use; the lock of its owner guards it.
 type Unreadable struct {
 	message string
-	log     *logging.Logger
+	log     port.Log
 	keys    map[string]bool
 }
 
 // NewUnreadable returns an Unreadable that logs with the given message.
-func NewUnreadable(message string, log *logging.Logger) *Unreadable {
+func NewUnreadable(message string, log port.Log) *Unreadable {
 	return &Unreadable{message: message, log: log, keys: map[string]bool{}}
 }
 
@@ -55,7 +54,7 @@
 		delete(u.keys, c.Key)
 	case !u.keys[c.Key] && len(u.keys) < maxUnreadableKeys:
 		u.keys[c.Key] = true
-		u.log.Failure(u.message, errors.New(shorten(err.Error())), logging.F("key", c.Key), logging.F("revision", c.Revision))
+		u.log.Failure(u.message, errors.New(shorten(err.Error())), port.F("key", c.Key), port.F("revision", c.Revision))
 	}
 }
 
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -8,8 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
-	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -104,7 +102,7 @@
 				return errors.Wrap(err, "listening on the internal address")
 			}
 			defer func() { _ = lis.Close() }()
-			srv, err := rpc.NewServer(rpc.Handlers{Feed: g.feedServer})
+			srv, err := g.deps.NewFeedServer(g.feedServer)
 			if err != nil {
 				return err
 			}
@@ -204,7 +202,7 @@
 	} else {
 		g.operatorFollower.Relist()
 	}
-	g.deps.Log.StateChange("operators' keys have changed", logging.F("known", len(expect)), logging.F("told", known))
+	g.deps.Log.StateChange("operators' keys have changed", port.F("known", len(expect)), port.F("told", known))
 }
 
 // viewAge returns the time since the store last confirmed the operator keys, or false if it
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -11,8 +11,6 @@
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/loadudp"
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/feed"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
@@ -24,16 +22,19 @@
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// Deps holds the ports and the logger that a gateway uses.
+// Deps holds the ports that a gateway uses.
 type Deps struct {
-	Store   port.Store
-	Feed    port.FeedClient
-	Decoder port.ItemDecoder
-	Targets port.Forwarder
-	Clock   port.BootClock
-	Rand    port.Rand
-	Metrics port.Metrics
-	Log     *logging.Logger
+	Store port.Store
+	Feed  port.FeedClient
+	// NewFeedServer returns a server of the feed of store changes.
+	NewFeedServer func(port.FeedHandler) (port.Server, error)
+	Decoder       port.ItemDecoder
+	Targets       port.Forwarder
+	Loads         port.LoadNetwork
+	Clock         port.BootClock
+	Rand          port.Rand
+	Metrics       port.Metrics
+	Log           port.Log
 }
 
 // Gateway routes callers' requests to targets. It implements port.InboundHandler.
@@ -58,7 +59,7 @@
 	// applyOperatorKeys publishes changes of the operator keys, which are the store's keys
 	// that operators write, to other processes and applies them to the view.
 	applyOperatorKeys func(follow.Event)
-	noticeSender      atomic.Pointer[loadudp.Sender]
+	noticeSender      atomic.Pointer[port.LoadSender]
 }
 
 var _ port.InboundHandler = (*Gateway)(nil)
@@ -154,7 +155,7 @@
 func (g *Gateway) Stop() {
 	start := g.deps.Clock.Now()
 	g.closing.Store(true)
-	g.deps.Log.StateChange("stopping", logging.Millis("grace_ms", g.settings.Grace))
+	g.deps.Log.StateChange("stopping", port.Millis("grace_ms", g.settings.Grace))
 	<-g.deps.Clock.After(shutdownDelay)
 	g.refusing.Store(true)
 	deadline := g.deps.Clock.After(max(0, g.settings.Grace-exitMargin-g.deps.Clock.Now().Sub(start)))
--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -5,31 +5,31 @@
 	"net/netip"
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 // receiveLoadReports receives load reports of targets and notices of other gateways.
 // It reopens the socket after an error.
 func (g *Gateway) receiveLoadReports(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := loadudp.Receive(ctx, g.settings.Internal, g); err != nil {
+		if err := g.deps.Loads.Receive(ctx, g.settings.Internal, g); err != nil {
 			g.deps.Log.Failure("receiving load reports failed", err)
 			g.sleep(ctx, time.Second)
 		}
 	}
 }
 
-// HandleReport records the load that a target reports. It implements loadudp.Handler.
-func (g *Gateway) HandleReport(r loadudp.Report) {
+// HandleReport records the load that a target reports. It implements port.LoadHandler.
+func (g *Gateway) HandleReport(r port.LoadReport) {
 	if id, ok := g.targets.InstanceAt(r.Target); ok {
 		g.targets.RecordLoad(id, r.Load, g.deps.Clock.Now())
 	}
 }
 
 // HandleNotice records a request that another gateway has sent to a target. It implements
-// loadudp.Handler.
-func (g *Gateway) HandleNotice(n loadudp.Notice) {
+// port.LoadHandler.
+func (g *Gateway) HandleNotice(n port.LoadNotice) {
 	if id, ok := g.targets.InstanceAt(n.Target); ok {
 		g.targets.RecordRemoteRequest(id, g.view.engineTiming.Load().PrefillTime(n.PromptTokens), g.deps.Clock.Now())
 	}
@@ -43,7 +43,7 @@
 	if s == nil {
 		return
 	}
-	if err := s.SendNotice(loadudp.Notice{Target: target, PromptTokens: tokens}, *g.view.otherGateways.Load()); err != nil {
+	if err := (*s).SendNotice(port.LoadNotice{Target: target, PromptTokens: tokens}, *g.view.otherGateways.Load()); err != nil {
 		g.deps.Metrics.Count("gateway_notices_unsent_total", 1)
 	}
 }
@@ -53,9 +53,9 @@
 func (g *Gateway) openNoticeSender() {
 	a, err := netip.ParseAddrPort(string(g.settings.Internal))
 	if err == nil {
-		var s *loadudp.Sender
-		if s, err = loadudp.NewSender(a.Addr()); err == nil {
-			g.noticeSender.Store(s)
+		var s port.LoadSender
+		if s, err = g.deps.Loads.NewSender(a.Addr()); err == nil {
+			g.noticeSender.Store(&s)
 			return
 		}
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -5,7 +5,6 @@
 	"hash/fnv"
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/eventstream"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
@@ -253,41 +252,41 @@
 func (c *call) logRequest(outcome string, e *verdict.Error, status int) {
 	g := c.g
 	now := g.deps.Clock.Now()
-	fs := []logging.Field{
-		logging.F("request", string(c.in.ID)), logging.F("outcome", outcome),
-		logging.Millis("took_ms", now.Sub(c.in.ReceivedAt)),
-		logging.F("sends", c.sends), logging.F("runs", c.runs),
-		logging.Millis("picture_age_ms", g.view.ageOrNegative()),
+	fs := []port.Field{
+		port.F("request", string(c.in.ID)), port.F("outcome", outcome),
+		port.Millis("took_ms", now.Sub(c.in.ReceivedAt)),
+		port.F("sends", c.sends), port.F("runs", c.runs),
+		port.Millis("picture_age_ms", g.view.ageOrNegative()),
 	}
 	route, class := "", "unknown"
 	if c.route != nil {
 		route, class = c.route.Name, c.route.Kind.String()
-		fs = append(fs, logging.F("route", route), logging.F("config", c.routeTable.Version))
+		fs = append(fs, port.F("route", route), port.F("config", c.routeTable.Version))
 	}
 	if c.account != nil {
-		fs = append(fs, logging.F("account", string(c.account.Name)))
+		fs = append(fs, port.F("account", string(c.account.Name)))
 	}
 	if c.lastChoice.Instance != "" {
-		fs = append(fs, logging.F("target", string(c.lastChoice.Instance)), logging.F("target_domain", string(c.lastChoice.Domain)),
-			logging.F("target_load", c.lastChoice.EstimatedInFlight), logging.Millis("predicted_first_ms", c.lastChoice.TimeToFirstEvent), logging.Millis("load_age_ms", c.lastChoice.LoadAge))
+		fs = append(fs, port.F("target", string(c.lastChoice.Instance)), port.F("target_domain", string(c.lastChoice.Domain)),
+			port.F("target_load", c.lastChoice.EstimatedInFlight), port.Millis("predicted_first_ms", c.lastChoice.TimeToFirstEvent), port.Millis("load_age_ms", c.lastChoice.LoadAge))
 		if c.service.Engine != nil {
-			fs = append(fs, logging.F("target_weights", c.lastChoice.WeightsVersion), logging.F("weights_required", c.weightsRequired))
+			fs = append(fs, port.F("target_weights", c.lastChoice.WeightsVersion), port.F("weights_required", c.weightsRequired))
 		}
 	}
 	if n := c.relay.events.EventCount(); n > 0 {
 		fs = append(fs, c.relay.orderFields()...)
-		fs = append(fs, logging.F("events", n), logging.Millis("first_ms", c.relay.firstEventAfter),
-			logging.Millis("longest_gap_ms", c.relay.longestGap), logging.Millis("objective_ms", c.route.LatencyObjective),
-			logging.F("prompt_tokens", c.in.WorkEstimate.PromptTokens), logging.F("expected_tokens", c.in.WorkEstimate.ExpectedTokens))
+		fs = append(fs, port.F("events", n), port.Millis("first_ms", c.relay.firstEventAfter),
+			port.Millis("longest_gap_ms", c.relay.longestGap), port.Millis("objective_ms", c.route.LatencyObjective),
+			port.F("prompt_tokens", c.in.WorkEstimate.PromptTokens), port.F("expected_tokens", c.in.WorkEstimate.ExpectedTokens))
 	}
 	if status != 0 {
-		fs = append(fs, logging.F("status", status))
+		fs = append(fs, port.F("status", status))
 	}
 	if e != nil {
-		fs = append(fs, logging.F("code", string(e.Code)), logging.F("verdict", e.Verdict.String()),
-			logging.F("reason", e.Error()), logging.Millis("retry_after_ms", e.RetryAfter))
+		fs = append(fs, port.F("code", string(e.Code)), port.F("verdict", e.Verdict.String()),
+			port.F("reason", e.Error()), port.Millis("retry_after_ms", e.RetryAfter))
 		if c.placeInterval > 0 {
-			fs = append(fs, logging.Millis("place_interval_ms", c.placeInterval))
+			fs = append(fs, port.Millis("place_interval_ms", c.placeInterval))
 		}
 		g.deps.Log.FailedRequest("request", fs...)
 	} else {
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/settings"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/registration"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/eventstream"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -168,13 +167,13 @@
 
 // orderFields returns the log fields that show how the events of a stream follow each
 // other, within a run and where a later run continued the stream.
-func (r *relay) orderFields() []logging.Field {
-	fs := []logging.Field{
-		logging.F("last_event", r.events.LastID()), logging.F("event_gaps", r.events.Gaps()),
-		logging.F("ends_with_connection", r.endsWithConnection),
+func (r *relay) orderFields() []port.Field {
+	fs := []port.Field{
+		port.F("last_event", r.events.LastID()), port.F("event_gaps", r.events.Gaps()),
+		port.F("ends_with_connection", r.endsWithConnection),
 	}
 	if r.resumes > 0 {
-		fs = append(fs, logging.F("resumes", r.resumes), logging.F("resumed_after", r.resumedAfter), logging.F("resumed_with", r.events.FirstID()))
+		fs = append(fs, port.F("resumes", r.resumes), port.F("resumed_after", r.resumedAfter), port.F("resumed_with", r.events.FirstID()))
 	}
 	return fs
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/core/confirmation"
@@ -29,7 +28,7 @@
 	targets *placement.Table
 	regions map[fleet.Domain]fleet.Region
 	clock   port.BootClock
-	log     *logging.Logger
+	log     port.Log
 	// weightsBound is Settings.WeightsBound, and unknownAge the assumed age of a declaration
 	// that no confirmation dates.
 	weightsBound, unknownAge time.Duration
@@ -252,7 +251,7 @@
 		} else {
 			next.cordons[f.Domain] = true
 		}
-		v.log.StateChange("cordon", logging.F("domain", string(f.Domain)), logging.F("cordoned", !c.Removed), logging.F("revision", c.Revision))
+		v.log.StateChange("cordon", port.F("domain", string(f.Domain)), port.F("cordoned", !c.Removed), port.F("revision", c.Revision))
 	case port.WeightsItem:
 		v.applyWeights(f, c, next)
 	}
@@ -262,8 +261,8 @@
 	l := v.learned(c)
 	now, at := l.Now, l.DeclaredAt(v.unknownAge)
 	next.weights[w.Model] = next.weights[w.Model].Add(weightsbound.Declaration{Version: w.Number, At: at}, v.weightsBound, now)
-	v.log.StateChange("weights declared", logging.F("model", string(w.Model)), logging.F("number", w.Number), logging.F("revision", c.Revision),
-		logging.Millis("declared_ago_ms", now-at), logging.Millis("picture_age_ms", v.ageOrNegative()))
+	v.log.StateChange("weights declared", port.F("model", string(w.Model)), port.F("number", w.Number), port.F("revision", c.Revision),
+		port.Millis("declared_ago_ms", now-at), port.Millis("picture_age_ms", v.ageOrNegative()))
 }
 
 // learned returns what this gateway knows of the time of a change.
@@ -301,7 +300,7 @@
 	if current != nil && c.Version < current.Version {
 		if !v.olderConfigLogged {
 			v.olderConfigLogged = true
-			v.log.Failure("older configuration ignored", nil, logging.F("version", c.Version), logging.F("held", current.Version))
+			v.log.Failure("older configuration ignored", nil, port.F("version", c.Version), port.F("held", current.Version))
 		}
 		return
 	}
@@ -313,8 +312,8 @@
 		}
 	}
 	v.routeTable.Store(t)
-	v.log.StateChange("configuration in force", logging.F("version", c.Version), logging.F("revision", from.Revision),
-		logging.F("routes", len(c.Routes)), logging.F("accounts", len(c.Accounts)))
+	v.log.StateChange("configuration in force", port.F("version", c.Version), port.F("revision", from.Revision),
+		port.F("routes", len(c.Routes)), port.F("accounts", len(c.Accounts)))
 }
 
 // copy returns a copy that can be changed.
@@ -343,7 +342,7 @@
 		if c.Removed {
 			if r, ok := v.registered[c.Key]; ok {
 				v.removeTarget(c.Key)
-				v.log.StateChange("target gone", logging.F("target", string(r.instance)), logging.F("revision", c.Revision))
+				v.log.StateChange("target gone", port.F("target", string(r.instance)), port.F("revision", c.Revision))
 			}
 			continue
 		}
@@ -387,9 +386,9 @@
 	}
 	v.registered[c.Key] = registeredTarget{r.Instance, r.Service, r.Domain}
 	v.targets.Set(t)
-	v.log.StateChange("target", logging.F("target", string(t.Instance)), logging.F("service", string(t.Service)),
-		logging.F("address", string(t.Address)), logging.F("domain", string(t.Domain)), logging.F("draining", t.Draining),
-		logging.Millis("cold_ms", r.WarmUpLeft), logging.F("weights", t.WeightsVersion), logging.F("revision", c.Revision))
+	v.log.StateChange("target", port.F("target", string(t.Instance)), port.F("service", string(t.Service)),
+		port.F("address", string(t.Address)), port.F("domain", string(t.Domain)), port.F("draining", t.Draining),
+		port.Millis("cold_ms", r.WarmUpLeft), port.F("weights", t.WeightsVersion), port.F("revision", c.Revision))
 }
 
 // applyMembers updates the gateway count, the notice addresses and the readers from an
@@ -404,7 +403,7 @@
 	n := int64(count)
 	v.otherGateways.Store(&otherGateways)
 	if old := v.gatewayCount.Swap(max(1, n)); old != max(1, n) {
-		v.log.StateChange("number of gateways changed", logging.F("count", n))
+		v.log.StateChange("number of gateways changed", port.F("count", n))
 	}
 	if e.Reset {
 		v.membersListed.Store(true)
--- a/internal/app/ledger/history_test.go
+++ b/internal/app/ledger/history_test.go
@@ -21,6 +21,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
+	"github.com/masticwing/masticwing/internal/adapter/ledgerdoc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
@@ -154,7 +155,7 @@
 		KV: kvhttp.New(h.addr), delayedWrites: &h.wg,
 		rnd: rand.New(rand.NewPCG(h.seed, uint64(1000+len(h.ledgers)))),
 	}
-	l := New(kv, sysclock.Clock{}, sysclock.Rand{}, Options{WritesPerSecond: 100, MaxWait: time.Second})
+	l := New(kv, ledgerdoc.Codec{}, sysclock.Clock{}, sysclock.Rand{}, Options{WritesPerSecond: 100, MaxWait: time.Second})
 	h.ledgers = append(h.ledgers, l)
 	h.wg.Go(func() { _ = l.Run(h.ctx) })
 	h.current[i].Store(l)
--- a/internal/app/ledger/ledger.go
+++ b/internal/app/ledger/ledger.go
@@ -59,6 +59,7 @@
 // final records and to remove expired state.
 type Ledger struct {
 	kv    port.KV
+	codec port.LedgerCodec
 	clock port.Clock
 	rand  port.Rand
 	opts  Options
@@ -84,12 +85,12 @@
 
 var _ port.Ledger = (*Ledger)(nil)
 
-// New returns a ledger whose documents are stored in kv.
-func New(kv port.KV, clock port.Clock, rand port.Rand, o Options) *Ledger {
+// New returns a ledger whose documents are stored in kv, in the form of codec.
+func New(kv port.KV, codec port.LedgerCodec, clock port.Clock, rand port.Rand, o Options) *Ledger {
 	o = o.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Ledger{
-		kv: kv, clock: clock, rand: rand, opts: o,
+		kv: kv, codec: codec, clock: clock, rand: rand, opts: o,
 		table:        core.NewTable(o.Window),
 		answers:      core.NewResponseCache[cachedAnswer](o.MaxAnswerBytes),
 		writeLimiter: core.NewWriteLimiter(o.WritesPerSecond),
--- a/internal/app/ledger/ledger_test.go
+++ b/internal/app/ledger/ledger_test.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
+	"github.com/masticwing/masticwing/internal/adapter/ledgerdoc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	core "github.com/masticwing/masticwing/internal/core/ledger"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -21,7 +22,7 @@
 // that stops it.
 func startLedger(t testing.TB, h *harness, o Options) (*Ledger, func()) {
 	t.Helper()
-	l := New(kvhttp.New(h.addr), sysclock.Clock{}, sysclock.Rand{}, o)
+	l := New(kvhttp.New(h.addr), ledgerdoc.Codec{}, sysclock.Clock{}, sysclock.Rand{}, o)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() {
@@ -152,7 +153,7 @@
 // of the last writes instead of waiting for a signal.
 func TestStopDoesNotPoll(t *testing.T) {
 	h := startHarness(t)
-	l := New(kvhttp.New(h.addr), noShortTimersClock{}, sysclock.Rand{}, Options{WritesPerSecond: 100})
+	l := New(kvhttp.New(h.addr), ledgerdoc.Codec{}, noShortTimersClock{}, sysclock.Rand{}, Options{WritesPerSecond: 100})
 	for range 3 {
 		begin(t, l, newKey()).Done(nil)
 	}
--- a/internal/app/ledger/worker.go
+++ b/internal/app/ledger/worker.go
@@ -5,7 +5,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/ledgerdoc"
 	core "github.com/masticwing/masticwing/internal/core/ledger"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -110,7 +109,7 @@
 	if err != nil {
 		return nil, 0, errors.Wrapf(err, "reading %s", doc)
 	}
-	rec, err := ledgerdoc.Decode(e.Value)
+	rec, err := l.codec.Decode(e.Value)
 	return rec, e.Rev, errors.Wrapf(err, "decoding %s", doc)
 }
 
@@ -130,7 +129,7 @@
 	if !ok {
 		return true
 	}
-	value, err := ledgerdoc.Encode(rec)
+	value, err := w.l.codec.Encode(rec)
 	if err != nil {
 		return w.handleWriteRejection()
 	}
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/loadschedule"
 	"github.com/masticwing/masticwing/internal/port"
@@ -75,7 +74,7 @@
 			if g.ModelWeights != failed && ctx.Err() == nil {
 				// The origin may never have these weights.
 				failed = g.ModelWeights
-				l.deps.Log.Failure("version can't be resolved", err, logging.F("number", g.Number))
+				l.deps.Log.Failure("version can't be resolved", err, port.F("number", g.Number))
 			}
 			l.sleep(ctx, retryDelay)
 			continue
@@ -100,7 +99,7 @@
 	if g.mayBeStaged && l.engineReport.get() != nil {
 		l.reuseStaged(ctx, g, id)
 	}
-	l.deps.Log.StateChange("fetching weights", logging.F("number", g.Number), logging.F("chunks", len(man.Chunks)), logging.F("from_origin", !ok))
+	l.deps.Log.StateChange("fetching weights", port.F("number", g.Number), port.F("chunks", len(man.Chunks)), port.F("from_origin", !ok))
 	return nil
 }
 
@@ -125,7 +124,7 @@
 			continue
 		}
 		if err := l.load(ctx, g, v); err != nil && ctx.Err() == nil {
-			l.deps.Log.Failure("weights are not loaded yet", err, logging.F("number", v.Number))
+			l.deps.Log.Failure("weights are not loaded yet", err, port.F("number", v.Number))
 			l.sleep(ctx, retryDelay)
 		}
 	}
@@ -168,9 +167,9 @@
 	if err := l.verifyStaged(ctx, v); err != nil {
 		return err
 	}
-	l.deps.Log.StateChange("ordering the engine to load", logging.F("model", string(v.Model)), logging.F("number", v.Number),
-		logging.F("declared", g.Number), logging.Millis("stage_ms", l.deps.Clock.Now().Sub(start)),
-		logging.Millis("since_ms", start.Sub(g.declaredAt)), logging.F("rank", g.rank), logging.F("of", g.count))
+	l.deps.Log.StateChange("ordering the engine to load", port.F("model", string(v.Model)), port.F("number", v.Number),
+		port.F("declared", g.Number), port.Millis("stage_ms", l.deps.Clock.Now().Sub(start)),
+		port.Millis("since_ms", start.Sub(g.declaredAt)), port.F("rank", g.rank), port.F("of", g.count))
 	return l.orderLoad(ctx, g, v)
 }
 
@@ -188,7 +187,7 @@
 			intact++
 		}
 	}
-	l.deps.Log.StateChange("staged chunks found", logging.F("number", g.Number), logging.F("staged", len(staged)), logging.F("intact", intact))
+	l.deps.Log.StateChange("staged chunks found", port.F("number", g.Number), port.F("staged", len(staged)), port.F("intact", intact))
 }
 
 var errReleased = errors.New("version was released")
@@ -223,7 +222,7 @@
 			if n == maxRewrites {
 				return errors.Errorf("staged chunk %d is still corrupted", i)
 			}
-			l.deps.Log.StateChange("staged chunk is corrupted", logging.F("chunk", i), logging.F("number", v.Number))
+			l.deps.Log.StateChange("staged chunk is corrupted", port.F("chunk", i), port.F("number", v.Number))
 			data, ok := l.chunks.Chunk(v.id, i)
 			if !ok {
 				return errReleased
@@ -276,7 +275,7 @@
 		if newestHeld(&now).Number < v.Number {
 			return errors.New("engine finished the order without loading the weights")
 		}
-		l.deps.Log.StateChange("engine holds the weights", logging.F("model", string(v.Model)), logging.F("number", v.Number))
+		l.deps.Log.StateChange("engine holds the weights", port.F("model", string(v.Model)), port.F("number", v.Number))
 		return nil
 	}
 }
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -12,9 +12,6 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/loadudp"
-	"github.com/masticwing/masticwing/internal/adapter/logging"
-	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/app/chunks"
 	"github.com/masticwing/masticwing/internal/app/feed"
 	"github.com/masticwing/masticwing/internal/app/follow"
@@ -32,12 +29,15 @@
 	Decoder port.ItemDecoder
 	Engine  port.StagedEngine
 	// Origin returns a client for the origin at an address.
-	Origin  func(fleet.Address) port.NumberedOrigin
-	Peers   port.PeerClient
-	Clock   port.BootClock
-	Rand    port.Rand
-	Metrics port.Metrics
-	Log     *logging.Logger
+	Origin func(fleet.Address) port.NumberedOrigin
+	Peers  port.PeerClient
+	// NewPeerServer returns a server of chunks for other loaders.
+	NewPeerServer func(port.PeerHandler) (port.Server, error)
+	Loads         port.LoadNetwork
+	Clock         port.BootClock
+	Rand          port.Rand
+	Metrics       port.Metrics
+	Log           port.Log
 }
 
 // Loader makes one engine load the declared weights.
@@ -115,7 +115,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listening for other loaders")
 	}
-	srv, err := rpc.NewServer(rpc.Handlers{Peer: l.chunks})
+	srv, err := l.deps.NewPeerServer(l.chunks)
 	if err != nil {
 		return err
 	}
@@ -123,7 +123,7 @@
 	if err != nil {
 		return errors.Wrap(err, "parsing the internal address")
 	}
-	sender, err := loadudp.NewSender(ip.Addr())
+	sender, err := l.deps.Loads.NewSender(ip.Addr())
 	if err != nil {
 		return err
 	}
@@ -166,8 +166,8 @@
 )
 
 // reportLoad queries the engine's load and sends it to the gateways until ctx ends.
-func (l *Loader) reportLoad(ctx context.Context, sender *loadudp.Sender) {
-	var last loadudp.Report
+func (l *Loader) reportLoad(ctx context.Context, sender port.LoadSender) {
+	var last port.LoadReport
 	var lastAt time.Time
 	lost := false
 	for ctx.Err() == nil {
@@ -181,7 +181,7 @@
 		case err == nil:
 			if lost {
 				lost = false
-				l.deps.Log.StateChange("regained the engine", logging.F("started", r.Started))
+				l.deps.Log.StateChange("regained the engine", port.F("started", r.Started))
 			}
 			l.engineReport.set(&r)
 			l.recordGauges(&r, now)
@@ -218,8 +218,8 @@
 }
 
 // loadReport returns the load report for the gateways.
-func (l *Loader) loadReport(r port.EngineReport) loadudp.Report {
-	out := loadudp.Report{Target: l.settings.Engine, Started: r.Started, Load: placement.Load{
+func (l *Loader) loadReport(r port.EngineReport) port.LoadReport {
+	out := port.LoadReport{Target: l.settings.Engine, Started: r.Started, Load: placement.Load{
 		Running: r.Running, Waiting: r.Waiting, Slots: l.view.slots(), Loading: r.Busy,
 	}}
 	for _, h := range r.Held {
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -11,7 +11,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/core/chain"
@@ -27,7 +26,7 @@
 	settings Settings
 	decoder  port.ItemDecoder
 	clock    port.Clock
-	log      *logging.Logger
+	log      port.Log
 
 	mu           sync.Mutex // guards the following
 	routeTable   *routes.Table
@@ -54,7 +53,7 @@
 	fromListing bool
 }
 
-func newView(s Settings, d port.ItemDecoder, c port.Clock, l *logging.Logger) *view {
+func newView(s Settings, d port.ItemDecoder, c port.Clock, l port.Log) *view {
 	v := &view{
 		settings: s, decoder: d, clock: c, log: l,
 		members: registration.Members{}, declarationsChanged: make(chan struct{}, 1), membersListed: make(chan struct{}),
@@ -122,8 +121,8 @@
 	const maxKept = 8 // more than are declared within one WeightsBound
 	v.declarations = append(v.declarations, d)
 	v.declarations = v.declarations[max(0, len(v.declarations)-maxKept):]
-	v.log.StateChange("weights declared", logging.F("model", string(d.Model)), logging.F("number", d.Number), logging.F("revision", revision),
-		logging.Millis("declared_ago_ms", v.clock.Now().Sub(d.declaredAt)), logging.F("from_listing", d.fromListing))
+	v.log.StateChange("weights declared", port.F("model", string(d.Model)), port.F("number", d.Number), port.F("revision", revision),
+		port.Millis("declared_ago_ms", v.clock.Now().Sub(d.declaredAt)), port.F("from_listing", d.fromListing))
 }
 
 func (v *view) applyMembers(e follow.Event) {
--- a/internal/app/registration/registrar.go
+++ b/internal/app/registration/registrar.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -31,7 +30,7 @@
 	Prefix string
 	Self   port.StoredMember
 	Clock  port.Clock
-	Log    *logging.Logger
+	Log    port.Log
 }
 
 // Run keeps the process registered until ctx ends, and then removes the
@@ -45,7 +44,7 @@
 			r.sleep(ctx, retryDelay)
 			continue
 		}
-		r.Log.StateChange("registered in the store", logging.F("address", r.Self.Address))
+		r.Log.StateChange("registered in the store", port.F("address", r.Self.Address))
 		if r.keepAlive(ctx, lease) {
 			lease = port.NoLease
 		}
--- a/internal/app/registration/settings.go
+++ b/internal/app/registration/settings.go
@@ -1,7 +1,7 @@
 package registration
 
 import (
-	"github.com/masticwing/masticwing/internal/adapter/settings"
+	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
--- a/internal/adapter/settings/fields.go
+++ b/internal/app/settings/fields.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/core/bytesize"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
@@ -97,9 +98,9 @@
 // Bytes registers a key for a size such as "64MiB", "20KiB" or "1000", from low
 // to high bytes.
 func (s *Set) Bytes(section, key string, p *int64, def, low, high int64, help string) {
-	allowed := fmt.Sprintf("a size from %s to %s", FormatBytes(low), FormatBytes(high))
-	s.register(section, key, FormatBytes(def), help, allowed, func(v string) error {
-		n, err := ParseBytes(v)
+	allowed := fmt.Sprintf("a size from %s to %s", bytesize.Format(low), bytesize.Format(high))
+	s.register(section, key, bytesize.Format(def), help, allowed, func(v string) error {
+		n, err := bytesize.Parse(v)
 		if err != nil || n < low || n > high {
 			return errInvalidValue
 		}
--- a/internal/adapter/settings/settings.go
+++ b/internal/app/settings/settings.go
@@ -1,6 +1,5 @@
-// Package settings loads and validates the settings file of a binary, an INI file.
-// A binary registers its keys with default and allowed values; Load reports all
-// faults together.
+// Package settings validates the settings of a binary. A binary registers its keys
+// with default and allowed values; Load reports all faults together.
 package settings
 
 import (
@@ -8,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"gopkg.in/ini.v1"
+	"github.com/masticwing/masticwing/internal/port"
 )
 
 // Fault describes an invalid setting.
@@ -52,15 +51,16 @@
 // all values are valid.
 func (s *Set) AddCheck(f func() []Fault) { s.checks = append(s.checks, f) }
 
-// Load reads the file at path, assigns the values and returns all faults found.
-func (s *Set) Load(path string) []Fault {
-	f, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, path)
+// Load assigns the values of a file and returns all faults found. read returns the sections
+// of the file at path.
+func (s *Set) Load(path string, read func(path string) ([]port.SettingsSection, error)) []Fault {
+	sections, err := read(path)
 	if err != nil {
 		return []Fault{{File: path, Value: err.Error(), Allowed: "a readable INI file"}}
 	}
-	faults := s.unknownKeys(path, f)
+	faults := s.unknownKeys(path, sections)
 	for _, fd := range s.fields {
-		if fault, bad := fd.readFrom(path, f); bad {
+		if fault, bad := fd.assign(path, sections); bad {
 			faults = append(faults, fault)
 		}
 	}
@@ -76,14 +76,17 @@
 	return faults
 }
 
-func (fd *field) readFrom(path string, f *ini.File) (Fault, bool) {
-	v := fd.def
-	if sec, err := f.GetSection(fd.section); err == nil && sec.HasKey(fd.key) {
-		v = sec.Key(fd.key).String()
-	} else if fd.required {
-		return Fault{path, fd.section, fd.key, "", "must be set: " + fd.allowed}, true
+// assign assigns the value in the file, or the default if the file has none.
+func (fd *field) assign(path string, sections []port.SettingsSection) (Fault, bool) {
+	v, ok := fd.def, false
+	for _, sec := range sections {
+		for _, k := range sec.Keys {
+			if sec.Name == fd.section && k.Key == fd.key {
+				v, ok = k.Value, true
+			}
+		}
 	}
-	if fd.required && v == "" {
+	if fd.required && (!ok || v == "") {
 		return Fault{path, fd.section, fd.key, v, "must be set: " + fd.allowed}, true
 	}
 	if err := fd.parse(v); err != nil {
@@ -92,21 +95,21 @@
 	return Fault{}, false
 }
 
-func (s *Set) unknownKeys(path string, f *ini.File) []Fault {
-	sections := map[string][]string{}
+func (s *Set) unknownKeys(path string, sections []port.SettingsSection) []Fault {
+	known := map[string][]string{}
 	for _, fd := range s.fields {
-		sections[fd.section] = append(sections[fd.section], fd.key)
+		known[fd.section] = append(known[fd.section], fd.key)
 	}
 	var out []Fault
-	for _, sec := range f.Sections() {
-		keys, ok := sections[sec.Name()]
-		if !ok && (sec.Name() != ini.DefaultSection || len(sec.Keys()) > 0) {
-			out = append(out, Fault{path, sec.Name(), "", "", "a known section"})
+	for _, sec := range sections {
+		keys, ok := known[sec.Name]
+		if !ok {
+			out = append(out, Fault{path, sec.Name, "", "", "a known section"})
 			continue
 		}
-		for _, k := range sec.KeyStrings() {
-			if !slices.Contains(keys, k) {
-				out = append(out, Fault{path, sec.Name(), k, sec.Key(k).String(), "one of " + strings.Join(keys, ", ")})
+		for _, k := range sec.Keys {
+			if !slices.Contains(keys, k.Key) {
+				out = append(out, Fault{path, sec.Name, k.Key, k.Value, "one of " + strings.Join(keys, ", ")})
 			}
 		}
 	}
--- a/internal/adapter/settings/settings_test.go
+++ b/internal/app/settings/settings_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/adapter/inisettings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
@@ -43,7 +44,7 @@
 		t.Fatal(err)
 	}
 	var c sampleConfig
-	return c, newSampleSet(&c).Load(p)
+	return c, newSampleSet(&c).Load(p, inisettings.Read)
 }
 
 // TestLoadReportsAllFaults guards against reporting only the first fault, which
@@ -82,20 +83,3 @@
 		t.Fatalf("faults = %v", faults)
 	}
 }
-
-// FuzzParseBytes guards against overflow, and against sizes that change when they
-// are formatted and parsed again.
-func FuzzParseBytes(f *testing.F) {
-	f.Add("64MiB")
-	f.Add("9223372036854775807GiB")
-	f.Fuzz(func(t *testing.T, v string) {
-		n, err := ParseBytes(v)
-		if err != nil {
-			return
-		}
-		back, err := ParseBytes(FormatBytes(n))
-		if n < 0 || err != nil || back != n {
-			t.Fatalf("%q = %d, parsed again %d, %v", v, n, back, err)
-		}
-	})
-}
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -88,15 +88,30 @@
 			return "stand-ins share only names and manifests with the product"
 		}
 	case isUnder(p, "internal/app"):
-		if isUnder(imp, "internal/standin") || isUnder(imp, "test") {
-			return "product code does not import stand-ins or tests"
-		}
+		return appViolation(p, imp)
 	case isUnder(p, "cmd"):
 		return commandViolation(p, imp)
 	}
 	return ""
 }
 
+// wiringPackages are the packages of internal/app that choose the adapters of a program, beside
+// the commands. All others know ports only.
+var wiringPackages = map[string]bool{
+	"internal/app/agent": true, "internal/app/ctl": true, "internal/app/daemon": true,
+	"internal/app/directory": true, "internal/app/entry": true,
+}
+
+func appViolation(p, imp string) string {
+	switch {
+	case isUnder(imp, "internal/standin") || isUnder(imp, "test"):
+		return "product code does not import stand-ins or tests"
+	case isUnder(imp, "internal/adapter") && !wiringPackages[strings.TrimPrefix(p, module)]:
+		return "the application knows ports; the wiring chooses adapters"
+	}
+	return ""
+}
+
 func coreViolation(imp string, own bool) string {
 	if own {
 		if isUnder(imp, "internal/core") {
@@ -137,6 +152,8 @@
 		{"cmd/masticwing-agent", module + "internal/standin/engine"},
 		{"internal/standin/engine", module + "internal/app/agent"},
 		{"internal/app/gateway", module + "platform"},
+		{"internal/app/gateway", module + "internal/adapter/rpc"},
+		{"internal/app/ledger", module + "internal/adapter/ledgerdoc"},
 		{"internal/core/placement", module + "platform"},
 		{"cmd/masticwing-entry", module + "platform"},
 		{"cmd/masticwing-gateway", module + "platform/platformtest"},
--- a/internal/port/ledger.go
+++ b/internal/port/ledger.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/ledger"
 )
 
 // LedgerKey identifies a call that must run at most once.
@@ -36,6 +37,15 @@
 	NotRun()
 }
 
+// LedgerCodec encodes the documents in which the ledger stores its records.
+type LedgerCodec interface {
+	// Encode returns the document with the records.
+	Encode(records ledger.Records) ([]byte, error)
+	// Decode returns the records of a document. If it fails, a call must not run, since the
+	// document may hold a record of an earlier run.
+	Decode(document []byte) (ledger.Records, error)
+}
+
 // Ledger ensures that calls that are not idempotent run at most once.
 type Ledger interface {
 	// Begin returns a claim if the caller may run the call now, or the stored
--- /dev/null
+++ b/internal/port/loads.go
@@ -0,0 +1,51 @@
+package port
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/placement"
+)
+
+// LoadNotice tells the other gateways that the sender has sent a request to a target.
+type LoadNotice struct {
+	Target       fleet.Address
+	PromptTokens int
+}
+
+// LoadReport is the load of one target at the time of sending.
+type LoadReport struct {
+	Target fleet.Address
+	// Started is the start time of the target, in Unix milliseconds.
+	Started int64
+	// Weights is the version of the weights that the target holds.
+	Weights int64
+	Load    placement.Load
+}
+
+// LoadSender sends reports and notices, which may be lost.
+type LoadSender interface {
+	// SendReport sends a report to all addresses. An error for one address does not stop the
+	// others; the last error is returned.
+	SendReport(r LoadReport, to []netip.AddrPort) error
+	// SendNotice sends a notice to all addresses. It handles errors like SendReport.
+	SendNotice(n LoadNotice, to []netip.AddrPort) error
+	// Close releases the sender.
+	Close() error
+}
+
+// LoadHandler handles received reports and notices.
+type LoadHandler interface {
+	HandleReport(r LoadReport)
+	HandleNotice(n LoadNotice)
+}
+
+// LoadNetwork carries load reports from loaders to gateways and notices among gateways.
+type LoadNetwork interface {
+	// NewSender returns a sender that uses the local address ip.
+	NewSender(ip netip.Addr) (LoadSender, error)
+	// Receive passes the reports and notices received at addr to h until ctx ends, or
+	// returns an error.
+	Receive(ctx context.Context, addr fleet.Address, h LoadHandler) error
+}
--- a/test/docs/http_test.go
+++ b/test/docs/http_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/masticwing/masticwing/internal/adapter/httpapi"
+	"github.com/masticwing/masticwing/internal/adapter/ledgerdoc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/ledger"
 	core "github.com/masticwing/masticwing/internal/core/ledger"
@@ -133,7 +134,7 @@
 		out = append(out, err)
 	}
 	out = append(out, core.ErrKeyReused())
-	l := ledger.New(porttest.NewKV(time.Now), sysclock.Clock{}, sysclock.Rand{}, ledger.Options{})
+	l := ledger.New(porttest.NewKV(time.Now), ledgerdoc.Codec{}, sysclock.Clock{}, sysclock.Rand{}, ledger.Options{})
 	l.Kill()
 	_, _, err := l.Begin(t.Context(), port.LedgerKey{Service: "s", Customer: "c", Key: key}, port.ContentDigest{})
 	if err == nil {
--- a/test/docs/log_test.go
+++ b/test/docs/log_test.go
@@ -18,7 +18,7 @@
 }
 
 var (
-	logField   = regexp.MustCompile(`logging\.(?:F|Millis)\("([a-z_]+)"`)
+	logField   = regexp.MustCompile(`port\.(?:F|Millis)\("([a-z_]+)"`)
 	logMessage = regexp.MustCompile(`(?:[lL]og\.(?:StateChange|Failure|ServedRequest|FailedRequest)|NewUnreadable)\("([^"]+)"`)
 	metricName = regexp.MustCompile(`\.(?:Count|Seconds|Gauge)\("([a-z_]+)"`)
 )
