--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
@@ -119,7 +120,7 @@
 	peers := rpc.NewClient()
 	t.Cleanup(peers.Close)
 	g := gateway.New(set, gateway.Deps{
-		Store: store, Feed: peers, Decoder: platform.Decoder{}, Targets: platform.NewTargetClient(nil),
+		Store: store, Feed: peers, NewFeedServer: newFeedServer, Loads: loadudp.Network{}, Decoder: platform.Decoder{}, Targets: platform.NewTargetClient(nil),
 		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: noMetrics{}, Log: logging.New(io.Discard, "masticwing-gateway", "g"),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
