wiring: one package and the commands choose adapters, the application knows ports only

Agent, entry, directory and daemon created their adapters themselves, so the import rule had to except them.

Change: internal/wiring creates the adapters of masticwing-entry and masticwing-agent and those of every daemon (settings file, log, metrics); the commands for the users' platform go on to choose theirs. The entry's interface for callers is port.EntryHandler; entry.Parts and agent.Components name what the wiring passes. The command line masticwingctl, which translates between operators and the stored documents, is internal/adapter/ctl. The import rule has no exception left: internal/app imports no adapter and not the wiring.

Tests: TestSettings and TestGracefulShutdown pass the adapters themselves; their checks are unchanged.

--- a/cmd/masticwing-agent/main.go
+++ b/cmd/masticwing-agent/main.go
@@ -5,8 +5,7 @@
 import (
 	"os"
 
-	"github.com/masticwing/masticwing/internal/app/agent"
-	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/wiring"
 )
 
-func main() { os.Exit(daemon.Main(agent.Role(), os.Args, os.Stdout, os.Stderr)) }
+func main() { os.Exit(wiring.Main(wiring.AgentRole(), os.Args, os.Stdout, os.Stderr)) }
--- a/cmd/masticwing-entry/main.go
+++ b/cmd/masticwing-entry/main.go
@@ -5,8 +5,7 @@
 import (
 	"os"
 
-	"github.com/masticwing/masticwing/internal/app/daemon"
-	"github.com/masticwing/masticwing/internal/app/entry"
+	"github.com/masticwing/masticwing/internal/wiring"
 )
 
-func main() { os.Exit(daemon.Main(entry.Role(entry.ConnectDirectory), os.Args, os.Stdout, os.Stderr)) }
+func main() { os.Exit(wiring.Main(wiring.EntryRole(), os.Args, os.Stdout, os.Stderr)) }
--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -21,10 +21,11 @@
 	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/internal/wiring"
 	"github.com/masticwing/masticwing/platform"
 )
 
-func main() { os.Exit(daemon.Main(role(), os.Args, os.Stdout, os.Stderr)) }
+func main() { os.Exit(wiring.Main(role(), os.Args, os.Stdout, os.Stderr)) }
 
 func role() daemon.Role {
 	set := &gateway.Settings{}
--- a/cmd/masticwingctl/main.go
+++ b/cmd/masticwingctl/main.go
@@ -9,10 +9,11 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/masticwing/masticwing/internal/adapter/ctl"
 	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
-	"github.com/masticwing/masticwing/internal/app/ctl"
+	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -27,6 +28,7 @@
 		Rand:     sysclock.Rand{},
 		Out:      os.Stdout,
 		Err:      os.Stderr,
+		Version:  daemon.Version,
 		Operator: os.Getenv("USER"),
 	}, os.Args)
 	members.Close()
--- a/internal/adapter/ctl/ctl.go
+++ b/internal/adapter/ctl/ctl.go
@@ -16,7 +16,6 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
-	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -40,6 +39,8 @@
 	Rand    port.Rand
 	Out     io.Writer
 	Err     io.Writer
+	// Version is the version of the binary.
+	Version string
 	// Operator is the operator's name in the history if no flag sets it.
 	Operator string
 }
@@ -92,7 +93,7 @@
 		Name:           "masticwingctl",
 		Usage:          "change and observe a deployment",
 		Description:    description,
-		Version:        daemon.Version,
+		Version:        d.Version,
 		Writer:         d.Out,
 		ErrWriter:      d.Err,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
--- a/internal/adapter/httpapi/caller_memory_test.go
+++ b/internal/adapter/httpapi/caller_memory_test.go
@@ -32,7 +32,7 @@
 		var closed, ran atomic.Int32
 		release := make(chan struct{})
 		api, addr := listen(t, c.cfg, &fakeBackend{
-			limits: RequestLimits{CustomerBytes: c.customer},
+			limits: port.RequestLimits{CustomerBytes: c.customer},
 			serve: func(context.Context, port.ServeRequest) (port.Answer, error) {
 				ran.Add(1)
 				return &fakeAnswer{closed: &closed, next: func(int) ([]byte, error) { <-release; return nil, io.EOF }}, nil
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -1,5 +1,5 @@
 // Package httpapi serves callers over HTTP. It decodes and limits requests, passes
-// them to a Backend, and copies answers with back pressure: it reads the next frame
+// them to a port.EntryHandler, and copies answers with back pressure: it reads the next frame
 // of an answer only after the previous one was written to the caller.
 package httpapi
 
@@ -21,25 +21,6 @@
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// RequestLimits are the limits that apply to an admitted request.
-type RequestLimits struct {
-	// CustomerBytes limits the bytes held for the customer; zero means no limit.
-	CustomerBytes int64
-}
-
-// Backend admits and serves decoded requests.
-type Backend interface {
-	// Admit checks a request before its body is read.
-	Admit(r port.ServeRequest) (RequestLimits, error)
-	// Serve returns the answer of a request. An error carries a verdict. ctx
-	// ends at the request's deadline and when its caller disconnects. The backend
-	// calls begin once, after the request has waited in the queue and before it
-	// is sent to a target; if begin fails, Serve returns its error. The backend
-	// keeps no reference to the body after the answer is closed or, without an
-	// answer, after Serve has returned.
-	Serve(ctx context.Context, r port.ServeRequest, begin func() error) (port.Answer, error)
-}
-
 // Config holds the limits of the interface.
 type Config struct {
 	// Memory limits the bytes held for all callers.
@@ -65,7 +46,7 @@
 // API is the HTTP server for callers.
 type API struct {
 	cfg          Config
-	backend      Backend
+	backend      port.EntryHandler
 	metrics      port.Metrics
 	callerMemory *callerMemory
 	gate         *gate
@@ -77,7 +58,7 @@
 }
 
 // New returns an API. Serve starts it.
-func New(cfg Config, b Backend, m port.Metrics) *API {
+func New(cfg Config, b port.EntryHandler, m port.Metrics) *API {
 	a := &API{cfg: cfg, backend: b, metrics: m, callerMemory: newCallerMemory(cfg.Memory), gate: newGate(),
 		connTracker: newConnTracker(), closing: make(chan struct{}), served: make(chan struct{})}
 	a.server = &http.Server{
@@ -250,9 +231,9 @@
 	x.copyAnswer(ctx, answer)
 }
 
-func (a *API) admit(h http.Header, r *port.ServeRequest) (RequestLimits, error) {
+func (a *API) admit(h http.Header, r *port.ServeRequest) (port.RequestLimits, error) {
 	if err := decodeHeaders(h, r); err != nil {
-		return RequestLimits{}, err
+		return port.RequestLimits{}, err
 	}
 	return a.backend.Admit(*r)
 }
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -22,11 +22,11 @@
 // fakeBackend admits requests with fixed results and serves them with a function.
 type fakeBackend struct {
 	admit  error
-	limits RequestLimits
+	limits port.RequestLimits
 	serve  func(ctx context.Context, r port.ServeRequest) (port.Answer, error)
 }
 
-func (b *fakeBackend) Admit(port.ServeRequest) (RequestLimits, error) { return b.limits, b.admit }
+func (b *fakeBackend) Admit(port.ServeRequest) (port.RequestLimits, error) { return b.limits, b.admit }
 
 func (b *fakeBackend) Serve(ctx context.Context, r port.ServeRequest, begin func() error) (port.Answer, error) {
 	if err := begin(); err != nil {
@@ -84,7 +84,7 @@
 func (noMetrics) Gauge(string, float64, ...port.Attr)         {}
 
 // listen serves an API on loopback and returns its address.
-func listen(t *testing.T, cfg Config, b Backend) (*API, string) {
+func listen(t *testing.T, cfg Config, b port.EntryHandler) (*API, string) {
 	t.Helper()
 	return listenWithMetrics(t, cfg, b, noMetrics{})
 }
@@ -101,7 +101,7 @@
 	}
 }
 
-func listenWithMetrics(t *testing.T, cfg Config, b Backend, m port.Metrics) (*API, string) {
+func listenWithMetrics(t *testing.T, cfg Config, b port.EntryHandler, m port.Metrics) (*API, string) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/app/agent/components.go
+++ b/internal/app/agent/components.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"net/netip"
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/ledgerdoc"
-	"github.com/masticwing/masticwing/internal/adapter/originhttp"
-	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/directory"
 	"github.com/masticwing/masticwing/internal/app/ledger"
@@ -18,9 +13,9 @@
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// components are the parts of an agent that hold weights, ledger records and
+// Components are the parts of an agent that hold weights, ledger records and
 // the members, with their protocol handlers.
-type components struct {
+type Components struct {
 	Weights   port.Weights
 	Ledger    port.Ledger
 	Directory port.Directory
@@ -34,47 +29,38 @@
 	Run func(ctx context.Context)
 }
 
-// clients are the RPC clients of an agent. Member exchanges and weight transfers
-// use separate clients, so that their traffic is counted separately.
-type clients struct {
-	control, peers *rpc.Client
+// ComponentPorts are the ports that the components of an agent use.
+type ComponentPorts struct {
+	KV     port.KV
+	Peers  port.PeerClient
+	Origin port.Origin
+	Codec  port.LedgerCodec
+	Clock  port.Clock
+	Rand   port.Rand
 }
 
-func newClients(source netip.Addr) clients {
-	c := clients{rpc.NewClient(), rpc.NewClient()}
-	c.control.Source, c.peers.Source = source, source
-	return c
-}
-
-func (c clients) close() {
-	c.control.Close()
-	c.peers.Close()
-}
-
-// newComponents creates the directory, the weights and the ledger of an agent.
-func newComponents(c Settings, id Identity, env daemon.Env, kv port.KV, cl clients) components {
-	directoryClient := directory.Connect(c.Settings, fleet.KindAgent, c.Common, c.Labels, env, cl.control)
+// NewComponents creates the weights and the ledger of an agent.
+func NewComponents(c Settings, id Identity, env daemon.Env, dir *directory.Directory, p ComponentPorts) Components {
 	weightStore := weights.New(weights.Settings{
 		VM: id.VM, Region: id.Region, OriginRegion: fleet.Region(c.OriginRegion), InRate: c.InRate, OutRate: c.OutRate, Memory: c.WeightsMemory,
 	}, weights.Deps{
-		Directory: directoryClient, Peers: cl.peers, Origin: originhttp.New(c.Origin, id.VM),
-		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics,
+		Directory: dir, Peers: p.Peers, Origin: p.Origin, Clock: p.Clock, Rand: p.Rand, Metrics: env.Metrics,
 	})
-	callLedger := ledger.New(kv, ledgerdoc.Codec{}, sysclock.Clock{}, sysclock.Rand{}, ledger.Options{
+	callLedger := ledger.New(p.KV, p.Codec, p.Clock, p.Rand, ledger.Options{
 		WritesPerSecond: float64(c.LedgerWritesPerSecond), Window: c.LedgerWindow,
 		MaxAnswerBytes: c.LedgerAnswers, Metrics: env.Metrics,
 	})
 	run := func(ctx context.Context) {
 		var wg conc.WaitGroup
-		wg.Go(func() { directoryClient.Run(ctx) })
+		wg.Go(func() { dir.Run(ctx) })
 		wg.Go(func() { weightStore.Run(ctx) })
 		wg.Go(func() { callLedger.Run(ctx) })
-		wg.Go(func() { shareLedgerRate(ctx, directoryClient, id, callLedger, float64(c.LedgerWritesPerSecond)) })
+		wg.Go(func() { shareLedgerRate(ctx, dir, id, callLedger, float64(c.LedgerWritesPerSecond)) })
 		wg.Wait()
 	}
-	return components{
-		Weights: weightStore, Ledger: callLedger, Directory: directoryClient, Peer: weightStore, Member: directoryClient.Handler(),
-		NotReadyReason: directoryClient.NotReadyReason, Traffic: directoryClient.Traffic, Run: run,
+	return Components{
+		Weights: weightStore, Ledger: callLedger, Directory: dir, Peer: weightStore, Member: dir.Handler(),
+		NotReadyReason: dir.NotReadyReason, Traffic: dir.Traffic, Run: run,
 	}
 }
 
--- a/internal/app/agent/lifecycle_test.go
+++ b/internal/app/agent/lifecycle_test.go
@@ -188,9 +188,9 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer stop()
-	st := components{Run: func(ctx context.Context) { <-ctx.Done() }, NotReadyReason: func() string { return "" }}
+	st := Components{Run: func(ctx context.Context) { <-ctx.Done() }, NotReadyReason: func() string { return "" }}
 	env := daemon.Env{Log: b.agent.deps.Log, Admin: &daemon.Admin{}}
-	wg.Go(func() { done <- serve(ctx, b.agent, srv, lis, st, Settings{DrainTimeout: 10 * time.Second}, env) })
+	wg.Go(func() { done <- Serve(ctx, b.agent, srv, lis, st, Settings{DrainTimeout: 10 * time.Second}, env) })
 	b.waitServing("v1")
 	b.address = fleet.Address(lis.Addr().String())
 	wg.Go(func() {
@@ -235,7 +235,12 @@
 	}
 	write(strings.ReplaceAll(text, ";address = \n", "address = 127.0.0.1:4\n") + "\n[nope]\nx = 1\n")
 	var out bytes.Buffer
-	code := daemon.Main(Role(), []string{"masticwing-agent", "check-config", "--config", path}, &out, &out)
+	role := daemon.Role{Name: "masticwing-agent", Settings: func(s *settings.Set) *daemon.Common {
+		var fresh Settings
+		fresh.Register(s)
+		return &fresh.Common
+	}}
+	code := daemon.Main(daemon.Adapters{ReadSettings: inisettings.Read}, role, []string{"masticwing-agent", "check-config", "--config", path}, &out, &out)
 	if code != daemon.ExitSettings {
 		t.Fatalf("exit code %d: %s", code, out.String())
 	}
--- a/internal/app/agent/run.go
+++ b/internal/app/agent/run.go
@@ -5,32 +5,17 @@
 	"context"
 	"net"
 
-	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/enginehttp"
-	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
-	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/servicehttp"
-	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
-	"github.com/masticwing/masticwing/internal/app/settings"
-	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// Role describes masticwing-agent for daemon.Main.
-func Role() daemon.Role {
-	var c Settings
-	return daemon.Role{
-		Name:  "masticwing-agent",
-		Usage: "the process beside a model engine or plain service",
-		Settings: func(s *settings.Set) *daemon.Common {
-			c.Register(s)
-			return &c.Common
-		},
-		Run: func(ctx context.Context, env daemon.Env) error { return run(ctx, c, env) },
-	}
+// Server serves the calls of entries and other agents.
+type Server interface {
+	port.Server
+	// Drain waits until the answers in progress are sent, or until ctx ends.
+	Drain(ctx context.Context) error
 }
 
 // statusResponse is the body of /status.
@@ -39,44 +24,10 @@
 	Traffic []port.Traffic
 }
 
-func run(ctx context.Context, c Settings, env daemon.Env) error {
-	id := Identity{
-		VM: fleet.VM(c.ID), Domain: c.Domain, Region: c.Region, Labels: c.Labels, BootID: sysclock.Rand{}.Uint64(),
-	}
-	cl := newClients(c.Source)
-	defer cl.close()
-	kv := kvhttp.New(c.Platform)
-	parts := newComponents(c, id, env, kv, cl)
-	a := New(id, newDeps(c, env, kv, parts))
-	server, err := rpc.NewServer(rpc.Handlers{Agent: a, Peer: parts.Peer, Member: parts.Member, Meter: cl.control.Meter})
-	if err != nil {
-		return err
-	}
-	listener, err := net.Listen("tcp", string(c.RPC))
-	if err != nil {
-		return errors.Wrap(err, "listening on the rpc address")
-	}
-	env.Admin.SetStatus(func() any { return statusResponse{a.Status(), parts.Traffic()} })
-	return serve(ctx, a, server, listener, parts, c, env)
-}
-
-func newDeps(c Settings, env daemon.Env, kv port.KV, parts components) Deps {
-	d := Deps{
-		Clock: sysclock.Clock{}, KV: kv, Weights: parts.Weights, Ledger: parts.Ledger, Directory: parts.Directory,
-		Metrics: env.Metrics, Log: env.Log,
-	}
-	if c.Engine != "" {
-		d.Engine = enginehttp.New(c.Engine)
-	}
-	if c.Service != "" {
-		d.Service = servicehttp.New(c.Service)
-	}
-	return d
-}
-
-// serve runs the agent until ctx ends or the RPC server fails. When ctx ends, it
+// Serve runs the agent until ctx ends or the server fails. When ctx ends, it
 // drains the agent before it stops.
-func serve(ctx context.Context, a *Agent, server *rpc.Server, listener net.Listener, parts components, c Settings, env daemon.Env) error {
+func Serve(ctx context.Context, a *Agent, server Server, listener net.Listener, parts Components, c Settings, env daemon.Env) error {
+	env.Admin.SetStatus(func() any { return statusResponse{a.Status(), parts.Traffic()} })
 	workCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	failed := make(chan error, 1)
@@ -102,7 +53,7 @@
 
 // drain announces that the agent is leaving and waits for the requests in
 // progress, for at most the drain timeout.
-func drain(ctx context.Context, a *Agent, server *rpc.Server, c Settings, env daemon.Env) {
+func drain(ctx context.Context, a *Agent, server Server, c Settings, env daemon.Env) {
 	env.Admin.SetNotReady("leaving")
 	env.Log.StateChange("leaving")
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.DrainTimeout)
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -19,9 +19,6 @@
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
-	"github.com/masticwing/masticwing/internal/adapter/inisettings"
-	"github.com/masticwing/masticwing/internal/adapter/logging"
-	"github.com/masticwing/masticwing/internal/adapter/otelmetrics"
 	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
@@ -49,10 +46,20 @@
 	s.Address("node", "admin", &c.Admin, settings.Required, "Address of /healthz, /readyz, /status and /metrics.")
 }
 
+// Adapters are the adapters that every daemon uses.
+type Adapters struct {
+	// ReadSettings returns the sections of the settings file at path.
+	ReadSettings func(path string) ([]port.SettingsSection, error)
+	// NewLog returns a log that writes to out, and a function that writes the queued lines.
+	NewLog func(out io.Writer, role, id string) (port.Log, func())
+	// NewMetrics returns the metrics and the handler that serves them.
+	NewMetrics func() (port.Metrics, http.Handler, error)
+}
+
 // Env holds what Main provides to Role.Run.
 type Env struct {
 	Log     port.Log
-	Metrics *otelmetrics.Metrics
+	Metrics port.Metrics
 	Admin   *Admin
 }
 
@@ -74,9 +81,9 @@
 }
 
 // Main runs the command line of a role and returns the exit code.
-func Main(r Role, args []string, out, errOut io.Writer) int {
+func Main(a Adapters, r Role, args []string, out, errOut io.Writer) int {
 	code := ExitDone
-	cmd := command(r, out, errOut, &code)
+	cmd := command(a, r, out, errOut, &code)
 	if err := cmd.Run(context.Background(), args); err != nil {
 		fmt.Fprintln(errOut, r.Name+":", err)
 		if code == ExitDone {
@@ -89,7 +96,7 @@
 // configEnvVar names the settings file if the flag is absent.
 const configEnvVar = "MASTICWING_CONFIG"
 
-func command(r Role, out, errOut io.Writer, code *int) *cli.Command {
+func command(a Adapters, r Role, out, errOut io.Writer, code *int) *cli.Command {
 	config := &cli.StringFlag{Name: "config", Aliases: []string{"c"}, Required: true, Usage: "INI settings `FILE`",
 		Sources: cli.EnvVars(configEnvVar)}
 	onUsageError := func(_ context.Context, _ *cli.Command, err error, _ bool) error {
@@ -114,12 +121,12 @@
 		Commands: []*cli.Command{
 			{
 				Name: "run", Usage: "run until SIGTERM", Flags: []cli.Flag{config}, OnUsageError: onUsageError,
-				Action: func(_ context.Context, c *cli.Command) error { return run(r, c.String("config"), out, errOut, code) },
+				Action: func(_ context.Context, c *cli.Command) error { return run(a, r, c.String("config"), out, errOut, code) },
 			},
 			{
 				Name: "check-config", Usage: "check the settings and exit", Flags: []cli.Flag{config}, OnUsageError: onUsageError,
 				Action: func(_ context.Context, c *cli.Command) error {
-					if _, ok := load(r, c.String("config"), errOut, code); ok {
+					if _, ok := load(a, r, c.String("config"), errOut, code); ok {
 						fmt.Fprintln(out, "settings are valid")
 					}
 					return nil
@@ -138,10 +145,10 @@
 	}
 }
 
-func load(r Role, path string, errOut io.Writer, code *int) (*Common, bool) {
+func load(a Adapters, r Role, path string, errOut io.Writer, code *int) (*Common, bool) {
 	s := settings.New(r.Name)
 	c := r.Settings(s)
-	faults := s.Load(path, inisettings.Read)
+	faults := s.Load(path, a.ReadSettings)
 	for _, f := range faults {
 		fmt.Fprintln(errOut, f.Error())
 	}
@@ -152,8 +159,8 @@
 	return c, true
 }
 
-func run(r Role, path string, out, errOut io.Writer, code *int) error {
-	common, ok := load(r, path, errOut, code)
+func run(a Adapters, r Role, path string, out, errOut io.Writer, code *int) error {
+	common, ok := load(a, r, path, errOut, code)
 	if !ok {
 		return nil
 	}
@@ -161,13 +168,13 @@
 	if r.MemoryLimit != nil {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(r.MemoryLimit())))
 	}
-	metrics, err := otelmetrics.New()
+	metrics, metricsHandler, err := a.NewMetrics()
 	if err != nil {
 		return err
 	}
-	logger, flush := logging.NewAsync(out, r.Name, common.ID)
+	logger, flush := a.NewLog(out, r.Name, common.ID)
 	defer flush()
-	env := Env{Log: logger, Metrics: metrics, Admin: newAdmin(metrics.Handler())}
+	env := Env{Log: logger, Metrics: metrics, Admin: newAdmin(metricsHandler)}
 	validate := func() []error {
 		if r.NewRole == nil {
 			return nil
@@ -175,7 +182,7 @@
 		fresh := settings.New(r.Name)
 		r.NewRole().Settings(fresh)
 		var out []error
-		for _, f := range fresh.Load(path, inisettings.Read) {
+		for _, f := range fresh.Load(path, a.ReadSettings) {
 			out = append(out, f)
 		}
 		return out
--- a/internal/app/directory/convergence_test.go
+++ b/internal/app/directory/convergence_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/adapter/ctl"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
-	"github.com/masticwing/masticwing/internal/app/ctl"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/standin/platform"
--- a/internal/app/directory/connect.go
+++ b/internal/app/directory/settings.go
@@ -3,14 +3,8 @@
 import (
 	"net/netip"
 
-	"github.com/masticwing/masticwing/internal/adapter/inifile"
-	"github.com/masticwing/masticwing/internal/adapter/kvhttp"
-	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/sysclock"
-	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/fleet"
-	"github.com/masticwing/masticwing/internal/port"
 )
 
 // Settings configures how a process reaches the platform and other processes.
@@ -42,23 +36,3 @@
 	s.Int("peers", "exchange_bytes", &c.ExchangeBytesPerSecond, DefaultExchangeBytesPerSecond, 200, 1_000_000,
 		"Bytes per second for records of members in exchanges, both ways together.")
 }
-
-// Connect returns a Directory that uses the platform's HTTP interface and
-// client. The process's RPC server must share the client's meter, so that
-// Traffic covers both directions of control traffic.
-func Connect(c Settings, kind fleet.Kind, common daemon.Common, labels map[string]string, env daemon.Env, client *rpc.Client) *Directory {
-	platform := kvhttp.New(c.Platform)
-	address := c.Advertise
-	if address == "" {
-		address = c.RPC
-	}
-	self := port.MemberRecord{
-		ID: common.ID, Kind: kind, Domain: c.Domain, Region: c.Region,
-		Address: address, AdminAddress: common.Admin, Labels: labels,
-	}
-	return New(Config{Self: self, Seeds: c.Seeds, ExchangeBytesPerSecond: c.ExchangeBytesPerSecond}, Deps{
-		KV: platform, VMs: platform, Members: client, Clock: sysclock.Clock{}, Rand: sysclock.Rand{},
-		Decode: inifile.Decode, Metrics: env.Metrics, Log: env.Log,
-		Traffic: func() []port.Traffic { return append(client.Meter.Counts(), platform.Traffic()) },
-	})
-}
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"time"
 
-	"github.com/masticwing/masticwing/internal/adapter/httpapi"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routing"
 	"github.com/masticwing/masticwing/internal/core/schedule"
@@ -40,7 +39,7 @@
 	poolSizes   *shard.Map[routing.Pool, poolSize]
 }
 
-var _ httpapi.Backend = (*Entry)(nil)
+var _ port.EntryHandler = (*Entry)(nil)
 
 // New returns an entry without any targets. Run adds them.
 func New(d Deps) *Entry {
@@ -55,24 +54,24 @@
 	}
 }
 
-// Admit implements httpapi.Backend.
-func (e *Entry) Admit(r port.ServeRequest) (httpapi.RequestLimits, error) {
+// Admit implements port.EntryHandler.
+func (e *Entry) Admit(r port.ServeRequest) (port.RequestLimits, error) {
 	d, _ := e.Directory.Declaration()
 	if d == nil {
-		return httpapi.RequestLimits{}, verdict.New(verdict.NotRun, verdict.CodeNoConfiguration,
+		return port.RequestLimits{}, verdict.New(verdict.NotRun, verdict.CodeNoConfiguration,
 			"no configuration is known yet").WithRetryAfter(time.Second)
 	}
 	c, ok := d.Customers[r.Customer]
 	if !ok {
-		return httpapi.RequestLimits{}, verdict.New(verdict.NotRun, verdict.CodeUnknownCustomer, "customer is not declared")
+		return port.RequestLimits{}, verdict.New(verdict.NotRun, verdict.CodeUnknownCustomer, "customer is not declared")
 	}
 	if err := checkTarget(d, &r); err != nil {
-		return httpapi.RequestLimits{}, err
+		return port.RequestLimits{}, err
 	}
-	return httpapi.RequestLimits{CustomerBytes: c.MaxBytes}, nil
+	return port.RequestLimits{CustomerBytes: c.MaxBytes}, nil
 }
 
-// Serve implements httpapi.Backend. The request holds its permit until the
+// Serve implements port.EntryHandler. The request holds its permit until the
 // answer is closed.
 func (e *Entry) Serve(ctx context.Context, r port.ServeRequest, begin func() error) (port.Answer, error) {
 	pc, err := e.poolConfig(poolOf(&r), &r)
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -11,9 +11,6 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
-	"github.com/masticwing/masticwing/internal/adapter/httpapi"
-	"github.com/masticwing/masticwing/internal/adapter/rpc"
-	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -89,28 +86,50 @@
 	Run(ctx context.Context)
 }
 
-// DirectoryBuilder builds the directory of a process. Tests replace it.
-type DirectoryBuilder func(c *Config, env daemon.Env, client *rpc.Client) (Directory, error)
+// CallerAPI serves the interface for callers.
+type CallerAPI interface {
+	// Serve accepts connections on lis until Close.
+	Serve(lis net.Listener) error
+	// IdleConnections returns the number of connections without a request.
+	IdleConnections() int
+	// BytesHeld returns the bytes held for callers.
+	BytesHeld() int64
+	// Drain refuses new requests and waits for those in progress, until ctx ends.
+	Drain(ctx context.Context) error
+	// Close sends the last bytes of finished answers, until ctx ends, and closes all connections.
+	Close(ctx context.Context)
+}
+
+// Parts are the parts of an entry's process.
+type Parts struct {
+	Directory Directory
+	Entry     *Entry
+	API       CallerAPI
+	// Server serves the exchange between members.
+	Server port.Server
+	// Close releases the connections to other processes.
+	Close func()
+}
+
+// Assembler creates the parts of a process.
+type Assembler func(c *Config, env daemon.Env) (Parts, error)
 
 // Role returns the daemon role of the masticwing-entry binary.
-func Role(build DirectoryBuilder) daemon.Role {
+func Role(assemble Assembler) daemon.Role {
 	c := &Config{}
 	return daemon.Role{
 		Name:     "masticwing-entry",
 		Usage:    "accept callers' requests and route them to targets",
 		Settings: c.Register,
-		Run:      func(ctx context.Context, env daemon.Env) error { return run(ctx, c, env, build) },
+		Run:      func(ctx context.Context, env daemon.Env) error { return run(ctx, c, env, assemble) },
 	}
 }
 
 // process is a running entry.
 type process struct {
-	cfg    *Config
-	env    daemon.Env
-	dir    Directory
-	entry  *Entry
-	api    *httpapi.API
-	server *rpc.Server
+	Parts
+	cfg *Config
+	env daemon.Env
 }
 
 // status is the response to GET /status.
@@ -121,26 +140,15 @@
 
 // run serves until ctx ends and then drains. The components that requests in
 // progress need keep running until those requests have finished.
-func run(ctx context.Context, c *Config, env daemon.Env, build DirectoryBuilder) error {
+func run(ctx context.Context, c *Config, env daemon.Env, assemble Assembler) error {
 	setGCPercent()
-	client := rpc.NewClient()
-	client.Source = c.Source
-	defer client.Close()
-	dir, err := build(c, env, client)
-	if err != nil {
-		return err
-	}
-	server, err := rpc.NewServer(rpc.Handlers{Member: dir.Handler(), Meter: client.Meter})
+	parts, err := assemble(c, env)
 	if err != nil {
 		return err
 	}
-	e := New(Deps{
-		ID: c.ID, Domain: c.Domain, MaxQueued: c.MaxQueued, Directory: dir, Agents: client,
-		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics,
-	})
-	api := httpapi.New(httpapi.Config{Memory: c.Memory, MaxBody: c.MaxBody}, e, env.Metrics)
-	p := &process{cfg: c, env: env, dir: dir, entry: e, api: api, server: server}
-	env.Admin.SetStatus(func() any { return status{e.State(api.BytesHeld()), dir.Traffic()} })
+	defer parts.Close()
+	env.Admin.SetStatus(func() any { return status{parts.Entry.State(parts.API.BytesHeld()), parts.Directory.Traffic()} })
+	p := &process{Parts: parts, cfg: c, env: env}
 	return p.run(ctx)
 }
 
@@ -164,12 +172,12 @@
 			}
 		})
 	}
-	start(func() error { p.dir.Run(backgroundCtx); return nil })
-	start(func() error { return p.server.Serve(backgroundCtx, rpcLis) })
-	start(func() error { return p.api.Serve(httpLis) })
-	start(func() error { p.entry.Run(backgroundCtx); return nil })
+	start(func() error { p.Directory.Run(backgroundCtx); return nil })
+	start(func() error { return p.Server.Serve(backgroundCtx, rpcLis) })
+	start(func() error { return p.API.Serve(httpLis) })
+	start(func() error { p.Entry.Run(backgroundCtx); return nil })
 	start(func() error { p.updateReadiness(ctx); return nil })
-	start(func() error { limitMemory(backgroundCtx, p.cfg.Memory, p.api.IdleConnections); return nil })
+	start(func() error { limitMemory(backgroundCtx, p.cfg.Memory, p.API.IdleConnections); return nil })
 	select {
 	case <-ctx.Done():
 		err = nil
@@ -184,13 +192,13 @@
 // updateReadiness marks the process ready once a declaration is known, unless the
 // shutdown has begun.
 func (p *process) updateReadiness(ctx context.Context) {
-	changed, unsubscribe := p.dir.Subscribe()
+	changed, unsubscribe := p.Directory.Subscribe()
 	defer unsubscribe()
 	ticker := time.NewTicker(readinessInterval)
 	defer ticker.Stop()
 	for {
-		p.env.Admin.SetNotReady(cmp.Or(p.dir.NotReadyReason(), "no configuration is known yet"))
-		if d, _ := p.dir.Declaration(); d != nil && ctx.Err() == nil {
+		p.env.Admin.SetNotReady(cmp.Or(p.Directory.NotReadyReason(), "no configuration is known yet"))
+		if d, _ := p.Directory.Declaration(); d != nil && ctx.Err() == nil {
 			p.env.Admin.SetReady()
 			p.env.Log.StateChange("ready", port.F("revision", d.Revision))
 			break
@@ -210,14 +218,14 @@
 // timeout.
 func (p *process) shutDown() {
 	p.env.Admin.SetNotReady("shutting down")
-	p.dir.UpdateSelf(func(m *port.MemberRecord) { m.State = port.MemberLeaving })
+	p.Directory.UpdateSelf(func(m *port.MemberRecord) { m.State = port.MemberLeaving })
 	p.env.Log.StateChange("draining", port.F("timeout", p.cfg.Drain.String()))
 	ctx, cancel := context.WithTimeout(context.Background(), p.cfg.Drain)
 	defer cancel()
-	if err := p.api.Drain(ctx); err != nil {
+	if err := p.API.Drain(ctx); err != nil {
 		p.env.Log.Failure("drain time passed", err)
 	}
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
-	p.api.Close(closeCtx)
+	p.API.Close(closeCtx)
 }
--- a/internal/app/entry/run_test.go
+++ b/internal/app/entry/run_test.go
@@ -16,7 +16,12 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/httpapi"
+	"github.com/masticwing/masticwing/internal/adapter/inisettings"
+	"github.com/masticwing/masticwing/internal/adapter/logging"
+	"github.com/masticwing/masticwing/internal/adapter/otelmetrics"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
+	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/port/porttest"
@@ -87,14 +92,29 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	role := Role(func(*Config, daemon.Env, *rpc.Client) (Directory, error) {
-		return fakeDirectory{h.dir}, nil
+	role := Role(func(c *Config, env daemon.Env) (Parts, error) {
+		dir, client := fakeDirectory{h.dir}, rpc.NewClient()
+		server, err := rpc.NewServer(rpc.Handlers{Meter: client.Meter})
+		e := New(Deps{
+			ID: c.ID, Domain: c.Domain, MaxQueued: c.MaxQueued, Directory: dir, Agents: client,
+			Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics,
+		})
+		api := httpapi.New(httpapi.Config{Memory: c.Memory, MaxBody: c.MaxBody}, e, env.Metrics)
+		return Parts{Directory: dir, Entry: e, API: api, Server: server, Close: client.Close}, err
 	})
+	adapters := daemon.Adapters{
+		ReadSettings: inisettings.Read,
+		NewLog:       func(out io.Writer, role, id string) (port.Log, func()) { return logging.NewAsync(out, role, id) },
+		NewMetrics: func() (port.Metrics, http.Handler, error) {
+			m, err := otelmetrics.New()
+			return m, m.Handler(), err
+		},
+	}
 	var wg conc.WaitGroup
 	var out bytes.Buffer
 	code := -1
 	wg.Go(func() {
-		code = daemon.Main(role, []string{"masticwing-entry", "run", "--config", path}, io.Discard, &out)
+		code = daemon.Main(adapters, role, []string{"masticwing-entry", "run", "--config", path}, io.Discard, &out)
 	})
 	h.waitUntil("the entry is ready", func() bool { return getStatus("http://"+admin+"/readyz") == 200 })
 
--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -89,25 +89,22 @@
 		}
 	case isUnder(p, "internal/app"):
 		return appViolation(p, imp)
+	case isUnder(p, "internal/wiring"):
+		if isUnder(imp, "internal/standin") || isUnder(imp, "test") {
+			return "product code does not import stand-ins or tests"
+		}
 	case isUnder(p, "cmd"):
 		return commandViolation(p, imp)
 	}
 	return ""
 }
 
-// wiringPackages are the packages of internal/app that choose the adapters of a program, beside
-// the commands. All others know ports only.
-var wiringPackages = map[string]bool{
-	"internal/app/agent": true, "internal/app/ctl": true, "internal/app/daemon": true,
-	"internal/app/directory": true, "internal/app/entry": true,
-}
-
 func appViolation(p, imp string) string {
 	switch {
 	case isUnder(imp, "internal/standin") || isUnder(imp, "test"):
 		return "product code does not import stand-ins or tests"
-	case isUnder(imp, "internal/adapter") && !wiringPackages[strings.TrimPrefix(p, module)]:
-		return "the application knows ports; the wiring chooses adapters"
+	case isUnder(imp, "internal/adapter") || isUnder(imp, "internal/wiring"):
+		return "the application knows ports; the wiring and the commands choose adapters"
 	}
 	return ""
 }
@@ -153,6 +150,9 @@
 		{"internal/standin/engine", module + "internal/app/agent"},
 		{"internal/app/gateway", module + "platform"},
 		{"internal/app/gateway", module + "internal/adapter/rpc"},
+		{"internal/app/agent", module + "internal/adapter/rpc"},
+		{"internal/app/daemon", module + "internal/wiring"},
+		{"internal/wiring", module + "internal/standin/engine"},
 		{"internal/app/ledger", module + "internal/adapter/ledgerdoc"},
 		{"internal/core/placement", module + "platform"},
 		{"cmd/masticwing-entry", module + "platform"},
