--- a/internal/adapter/ctl/ctl_test.go
+++ b/internal/adapter/ctl/ctl_test.go
@@ -142,7 +142,8 @@
 		args = append(args, "--platform", string(h.addr))
 	}
 	return Main(ctx, Deps{
-		KV: func(a fleet.Address) port.KV { return kvhttp.New(a) }, Members: h.peers,
+		Version: "dev",
+		KV:      func(a fleet.Address) port.KV { return kvhttp.New(a) }, Members: h.peers,
 		Clock: h.clock, Rand: h.clock, Out: out, Err: errOut, Operator: "amaya",
 	}, args)
 }
