chain: a chunk of a member that is gone is fetched before transfers from others

A chunk that a source did not have yet keeps the time of its next request, a chunk that was announced has none, so each announced chunk went first.

Change: a fetch from the origin goes first if the member is the head of the chunk's chain or all members before it are gone.

TestChunkOfLostMemberComesFirst fails before: 11 chunks of the lost member wait.

--- a/internal/core/chain/chain_test.go
+++ b/internal/core/chain/chain_test.go
@@ -280,3 +280,38 @@
 		}
 	}
 }
+
+// TestChunkOfLostMemberComesFirst guards against a chunk that waits behind transfers from
+// other members although only this member can fetch it, since the member before it in the
+// chain is gone, and all members after it wait for it.
+func TestChunkOfLostMemberComesFirst(t *testing.T) {
+	ms := members(1, 6)
+	self, lost := ms[1], ms[0].VM
+	tab, now := NewTable(64, self, ms), start
+	respondAll := func(outcome func(Fetch) Outcome) {
+		for {
+			f, ok := tab.Next(Capacity{AnnounceOnly: true}, now)
+			if !ok {
+				return
+			}
+			tab.Done(f, outcome(f), now)
+		}
+	}
+	respondAll(func(Fetch) Outcome { return Pending })
+	now = now.Add(pendingPause)
+	// The lost member ends its connections; all others have their chunks.
+	respondAll(func(f Fetch) Outcome {
+		if f.From.VM == lost {
+			return Failed
+		}
+		return Announced
+	})
+	for next, ok := tab.Next(Capacity{Data: true}, now); ok && next.Origin; next, ok = tab.Next(Capacity{Data: true}, now) {
+		tab.Done(next, Got, now)
+	}
+	for c := range 64 {
+		if tab.plan.chainOrder(self.Region, c)[0].VM == lost && !tab.chunks[c].held {
+			t.Errorf("chunk %d of the lost member waits behind transfers from others", c)
+		}
+	}
+}
--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -82,10 +82,14 @@
 // Table holds the progress of fetching one version. A single lock guards it: a
 // version has some dozens of chunks, and each decision looks at several of them.
 type Table struct {
-	mu           sync.Mutex
-	plan         *plan
-	chunks       []chunkState
-	order        []int // chunks in the order of preference
+	mu      sync.Mutex
+	self    Member
+	members []Member
+	plan    *plan
+	chunks  []chunkState
+	order   []int // chunks in the order of preference
+	// sources holds the sources of each chunk, as indexes of members.
+	sources      [][]uint16
 	skipUntil    map[fleet.VM]time.Time
 	missing      int
 	originActive int // fetches from the origin in progress
@@ -123,7 +127,12 @@
 func (t *Table) SetMembers(self Member, ms []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.plan != nil && self == t.self && slices.Equal(ms, t.members) {
+		return
+	}
+	t.self, t.members = self, slices.Clone(ms)
 	t.plan = newPlan(self, ms)
+	t.findSources()
 	t.order = t.order[:0]
 	priority := map[int]int{}
 	for c := range t.chunks {
@@ -144,6 +153,22 @@
 	})
 }
 
+// findSources derives the sources of each chunk from the plan.
+func (t *Table) findSources() {
+	index := make(map[fleet.VM]uint16, len(t.members))
+	for i, m := range t.members {
+		index[m.VM] = uint16(i)
+	}
+	t.sources = make([][]uint16, len(t.chunks))
+	for c := range t.sources {
+		ms := t.plan.sources(c)
+		t.sources[c] = make([]uint16, 0, len(ms))
+		for _, m := range ms {
+			t.sources[c] = append(t.sources[c], index[m.VM])
+		}
+	}
+}
+
 // MarkHeld records that chunk c is held, also if it was not fetched.
 func (t *Table) MarkHeld(c int) {
 	t.mu.Lock()
@@ -177,14 +202,11 @@
 		if s.held || s.active || now.Before(s.notBefore) {
 			continue
 		}
-		// The chunk that became due first goes first, so that chunks which the
-		// sources do not have yet do not hold up all others.
-		if found && !s.notBefore.Before(t.chunks[best.Chunk].notBefore) {
+		f := t.nextSource(c, now)
+		if found && !t.precedes(f, best) || !t.hasCapacity(f, capacity, now) {
 			continue
 		}
-		if f := t.nextSource(c, now); t.hasCapacity(f, capacity, now) {
-			best, found = f, true
-		}
+		best, found = f, true
 	}
 	if found {
 		t.startFetch(best, now)
@@ -192,6 +214,21 @@
 	return best, found
 }
 
+// precedes reports whether fetch f starts before fetch g, which comes first in the order of
+// preference. Other members wait for the chunks that only this one can fetch. Otherwise the
+// chunk that became due first goes first, so that chunks which the sources do not have yet do
+// not hold up all others.
+func (t *Table) precedes(f, g Fetch) bool {
+	if a, b := t.othersWait(f), t.othersWait(g); a != b {
+		return a
+	}
+	return t.chunks[f.Chunk].notBefore.Before(t.chunks[g.Chunk].notBefore)
+}
+
+// othersWait reports whether f fetches a chunk from the origin because this member is the head
+// of its chain or all members before it are gone. If they are only slow, they fetch it as well.
+func (t *Table) othersWait(f Fetch) bool { return f.Origin && len(t.chunks[f.Chunk].skip) == 0 }
+
 // hasCapacity reports whether fetch f may start with the given capacity.
 func (t *Table) hasCapacity(f Fetch, capacity Capacity, now time.Time) bool {
 	switch {
@@ -219,7 +256,8 @@
 
 // nextSource returns the fetch of chunk c from the first source that is not skipped.
 func (t *Table) nextSource(c int, now time.Time) Fetch {
-	for _, m := range t.plan.sources(c) {
+	for _, i := range t.sources[c] {
+		m := t.members[i]
 		if now.Before(t.skipUntil[m.VM]) || t.chunks[c].skip[m.VM] {
 			continue
 		}
