gateway: log for how long the chosen weights may still be used

Cause: the log can't tell whether a request that began on old weights was sent with a wrong date of the declaration, without one, or in time: its line says neither the time left nor when it was sent. Change: weights_left_ms and sent_after_ms in the line of a request whose target has replaced weights. No logic changes.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -34,7 +34,7 @@
 			c.fail(ctx, c.noTargetError(out))
 			return
 		}
-		c.lastChoice, c.weightsRequired = choice, q.MinWeightsVersion
+		c.recordChoice(choice, &q, now)
 		if c.sends == 0 {
 			c.g.budgets.RecordRequest(c.service.Name, now)
 		}
@@ -54,6 +54,14 @@
 	}
 }
 
+// recordChoice records what the log line of the request says about its last target.
+func (c *call) recordChoice(choice placement.Choice, q *placement.Query, now time.Time) {
+	c.lastChoice, c.lastSentAt, c.weightsRequired = choice, now, q.MinWeightsVersion
+	if q.WeightsTimeLeft != nil {
+		c.weightsLeft, c.weightsLimited = q.WeightsTimeLeft(choice.WeightsVersion)
+	}
+}
+
 // noTargetError returns the error for an outcome of the choice without a target.
 func (c *call) noTargetError(out placement.Outcome) *verdict.Error {
 	v := verdict.NotRun
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -34,9 +34,15 @@
 	// registered at one address.
 	sentTo     map[fleet.Address]bool
 	lastChoice placement.Choice
+	// lastSentAt is the time at which lastChoice was made.
+	lastSentAt time.Time
 	// weightsRequired is the oldest version of the weights that lastChoice could have had.
 	weightsRequired int64
-	relay           relay
+	// weightsLeft is for how long requests could still start on the weights of lastChoice when it
+	// was chosen, if weightsLimited is set.
+	weightsLeft    time.Duration
+	weightsLimited bool
+	relay          relay
 	// fallback is a target's response with a 5xx status. It is delivered if no retry
 	// succeeds.
 	fallback *bufferedResponse
@@ -271,6 +277,9 @@
 			port.F("target_load", c.lastChoice.EstimatedInFlight), port.Millis("predicted_first_ms", c.lastChoice.TimeToFirstEvent), port.Millis("load_age_ms", c.lastChoice.LoadAge))
 		if c.service.Engine != nil {
 			fs = append(fs, port.F("target_weights", c.lastChoice.WeightsVersion), port.F("weights_required", c.weightsRequired))
+			if c.weightsLimited {
+				fs = append(fs, port.Millis("weights_left_ms", c.weightsLeft), port.Millis("sent_after_ms", c.lastSentAt.Sub(c.in.ReceivedAt)))
+			}
 		}
 	}
 	if n := c.relay.events.EventCount(); n > 0 {
