targetconn: reset the connection of a request that is given up

Callers saw GONE: requests reached targets more than half a second after their callers had left, and ran there. A gateway answered 502 at 25.81 s, and the request reached the engine at 26.03 s. Cause: discarding a connection closed it in order, so that the kernel went on sending what it held of the request and put the end of the connection after it. Change: a connection whose request is given up is reset (linger 0), and the kernel drops what it has not sent. Result: TestGivenUpRequestIsNotSentLater fails without the change (the target reads the rest, then the regular end, 1 of 1 run) and passes with it (3 of 3).

--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -392,10 +392,15 @@
 	return err == nil && isQuiet
 }
 
+// discard resets the connection. The kernel drops what it has not sent of the request yet; a
+// regular close would send that first, after the caller has given up the request.
 func (c *conn) discard() {
 	if c.stopCancel != nil {
 		c.stopCancel()
 	}
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
 	_ = c.Close()
 }
 
--- a/internal/adapter/targetconn/targetconn_test.go
+++ b/internal/adapter/targetconn/targetconn_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -265,3 +266,32 @@
 		}
 	}
 }
+
+// TestGivenUpRequestIsNotSentLater guards against a request that the kernel still sends after its
+// caller has given it up, because the target or the link to it was slow.
+func TestGivenUpRequestIsNotSentLater(t *testing.T) {
+	proceed, received := make(chan struct{}), make(chan error, 1)
+	addr := startTarget(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		<-proceed
+		_, err := io.Copy(io.Discard, r)
+		received <- err
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req := request("1")
+	req.Method, req.ContentLength = http.MethodPost, 256<<10
+	req.Body = io.NopCloser(io.LimitReader(zeros{}, req.ContentLength))
+	if _, err := newPool().Do(ctx, addr, req); err == nil {
+		t.Fatal("a target that does not read has answered")
+	}
+	close(proceed)
+	if err := <-received; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the target read the rest of the request, then %v; want a reset", err)
+	}
+}
+
+// zeros is an io.Reader of zeros.
+type zeros struct{}
+
+func (zeros) Read(b []byte) (int, error) { return len(b), nil }
