gateway, loader: an unknown time of a declaration is a value of its own

Callers saw VERSION: after all gateways had restarted they used old weights for two more seconds, however old the declaration was (started at 27.78 s, requests on version 1 until 29.8 s, version 2 acknowledged at 18.0 s). Cause: the time of a declaration lived in the memory of one process; one that had started put a number in its place. Change: core/moment has ages and times that may be unknown. While the time of a declaration is unknown, older weights are not used. Loaders state in their load reports which declaration they know and how old it is, and a gateway that has just started adopts that. A loader dates declarations by what its reader has confirmed, also those of a listing, and in time that also advances while the machine is suspended. The reply of a reader says how long it held the request, so that the rest of the wait counts as time on the way; before, up to one second on the way was not counted.

--- a/internal/adapter/loadudp/loadudp.go
+++ b/internal/adapter/loadudp/loadudp.go
@@ -3,33 +3,42 @@
 // other gateways of the requests that it sends. Delivery is not guaranteed: the next
 // report replaces a lost report, and also includes the request of a lost notice.
 //
-// All numbers are in network byte order; sizes are in bytes. A report has 30 bytes:
+// All numbers are in network byte order; sizes are in bytes. A report has 42 bytes:
 // version (1), flags (1), IPv4 address and port of the target (6), start time of the
-// target in Unix milliseconds (8), version of its weights (8), and the numbers of
-// running requests, waiting requests and slots (2 each). A notice has 12 bytes:
-// version (1), reserved (1), IPv4 address and port of the target (6), and the number
-// of prompt tokens (4). The version also tells reports and notices apart.
+// target in Unix milliseconds (8), version of its weights (8), the numbers of
+// running requests, waiting requests and slots (2 each), and of the declaration that the
+// sender enforces the version (8) and the age in milliseconds (4), both zero if there is none.
+// A report without the last two fields, as older builds send it, has 30 bytes and another
+// version. A notice has 12 bytes: version (1), reserved (1), IPv4 address and port of the
+// target (6), and the number of prompt tokens (4). The version also tells reports and notices
+// apart.
 package loadudp
 
 import (
 	"context"
 	"encoding/binary"
+	"math"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
 const (
-	reportVersion = 1
-	noticeVersion = 2
-	reportBytes   = 30
-	noticeBytes   = 12
-	flagLoading   = 1
+	// undeclaredVersion is the version of reports without a declaration.
+	undeclaredVersion = 1
+	noticeVersion     = 2
+	reportVersion     = 3
+	undeclaredBytes   = 30
+	reportBytes       = 42
+	noticeBytes       = 12
+	flagLoading       = 1
 )
 
 func encodeTarget(version, flags byte, target fleet.Address) ([]byte, error) {
@@ -75,18 +84,46 @@
 	for _, n := range []int{r.Load.Running, r.Load.Waiting, r.Load.Slots} {
 		b = binary.BigEndian.AppendUint16(b, uint16(min(max(n, 0), 1<<16-1)))
 	}
-	return b, nil
+	return appendDeclared(b, r.Declared), nil
+}
+
+// appendDeclared appends a declaration. Its age is rounded up, so that the receiver never sees
+// a smaller one.
+func appendDeclared(b []byte, d port.DeclaredWeights) []byte {
+	age, known := d.Age.Get()
+	if !known {
+		d.Number = 0
+	}
+	ms := min(age/time.Millisecond+1, math.MaxUint32)
+	if d.Number <= 0 {
+		d.Number, ms = 0, 0
+	}
+	b = binary.BigEndian.AppendUint64(b, uint64(d.Number))
+	return binary.BigEndian.AppendUint32(b, uint32(ms))
+}
+
+func decodeDeclared(b []byte) port.DeclaredWeights {
+	number := int64(binary.BigEndian.Uint64(b))
+	if number <= 0 {
+		return port.DeclaredWeights{}
+	}
+	return port.DeclaredWeights{Number: number, Age: moment.KnownAge(time.Duration(binary.BigEndian.Uint32(b[8:])) * time.Millisecond)}
 }
 
 func decodeReport(b []byte) (port.LoadReport, bool) {
-	if len(b) != reportBytes || b[0] != reportVersion {
+	declared := port.DeclaredWeights{}
+	switch {
+	case len(b) == reportBytes && b[0] == reportVersion:
+		declared = decodeDeclared(b[undeclaredBytes:])
+	case len(b) != undeclaredBytes || b[0] != undeclaredVersion:
 		return port.LoadReport{}, false
 	}
 	uint16At := func(offset int) int { return int(binary.BigEndian.Uint16(b[offset:])) }
 	return port.LoadReport{
-		Target:  decodeTarget(b),
-		Started: int64(binary.BigEndian.Uint64(b[8:])),
-		Weights: int64(binary.BigEndian.Uint64(b[16:])),
+		Declared: declared,
+		Target:   decodeTarget(b),
+		Started:  int64(binary.BigEndian.Uint64(b[8:])),
+		Weights:  int64(binary.BigEndian.Uint64(b[16:])),
 		Load: placement.Load{
 			Running: uint16At(24), Waiting: uint16At(26), Slots: uint16At(28), Loading: b[1]&flagLoading != 0,
 		},
--- a/internal/adapter/loadudp/loadudp_test.go
+++ b/internal/adapter/loadudp/loadudp_test.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -55,7 +56,8 @@
 	defer func() { _ = s.Close() }()
 	report := port.LoadReport{
 		Target: "10.1.2.3:456", Started: 1767344219909, Weights: 7,
-		Load: placement.Load{Running: 12, Waiting: 3, Slots: 16, Loading: true},
+		Declared: port.DeclaredWeights{Number: 8, Age: moment.KnownAge(1500 * time.Millisecond)},
+		Load:     placement.Load{Running: 12, Waiting: 3, Slots: 16, Loading: true},
 	}
 	notice := port.LoadNotice{Target: "10.1.2.3:456", PromptTokens: 70000}
 	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
@@ -70,6 +72,8 @@
 		}
 		select {
 		case r := <-h.reports:
+			// An age is rounded up.
+			r.Declared.Age = r.Declared.Age.Plus(-time.Millisecond)
 			if n := <-h.notices; r != report || n != notice {
 				t.Errorf("received report %+v and notice %+v", r, n)
 			}
@@ -103,3 +107,27 @@
 		}
 	}
 }
+
+// TestReportWithoutDeclaration guards against a report of an older build that is dropped or says
+// that its sender enforces a declaration, and against a declaration without an age.
+func TestReportWithoutDeclaration(t *testing.T) {
+	report := port.LoadReport{Target: "10.1.2.3:456", Started: 5, Weights: 7, Load: placement.Load{Running: 1, Slots: 16}}
+	b, err := encodeReport(report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, ok := decodeReport(b); !ok || r != report {
+		t.Errorf("decoded %+v, %v", r, ok)
+	}
+	old := append([]byte{undeclaredVersion}, b[1:undeclaredBytes]...)
+	if r, ok := decodeReport(old); !ok || r != report {
+		t.Errorf("decoded %+v, %v from an older build", r, ok)
+	}
+	report.Declared.Number = 8
+	if b, err = encodeReport(report); err != nil {
+		t.Fatal(err)
+	}
+	if r, ok := decodeReport(b); !ok || r.Declared != (port.DeclaredWeights{}) {
+		t.Errorf("decoded %+v, %v; want no declaration", r, ok)
+	}
+}
--- a/internal/adapter/rpc/feed.go
+++ b/internal/adapter/rpc/feed.go
@@ -14,6 +14,7 @@
 	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/shard"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -50,7 +51,7 @@
 		// A negative age would date the confirmation of the operator keys into the future.
 		return port.FeedReply{}, errors.Errorf("reply is %d ms old", in.GetAgeMs())
 	}
-	out := port.FeedReply{At: in.GetAt(), Age: fromMillis(in.GetAgeMs())}
+	out := port.FeedReply{At: in.GetAt(), Age: fromMillis(in.GetAgeMs()), Held: max(0, fromMillis(in.GetHeldMs()))}
 	left := maxReplyBytes
 	for _, x := range in.GetChanges() {
 		value := x.GetValue()
@@ -64,12 +65,30 @@
 		}
 		out.Changes = append(out.Changes, feed.Change{
 			Key: x.GetKey(), Value: value, Revision: x.GetRevision(), Removed: x.GetRemoved(),
-			Age: max(0, fromMillis(x.GetAgeMs())),
+			Age: changeAge(x.GetAgeMs()),
 		})
 	}
 	return out, nil
 }
 
+// changeAge returns the age of a change, which is unknown if it is not positive.
+func changeAge(ms int64) moment.Age {
+	if ms <= 0 {
+		return moment.Age{}
+	}
+	return moment.KnownAge(fromMillis(ms))
+}
+
+// changeAgeMillis returns the age of a change in milliseconds, rounded up, or zero if it is
+// unknown.
+func changeAgeMillis(a moment.Age) int64 {
+	age, known := a.Get()
+	if !known {
+		return 0
+	}
+	return max(1, (age + time.Millisecond - 1).Milliseconds())
+}
+
 const (
 	// minCompressBytes is the minimum size of a value that is compressed. A
 	// configuration of 100 KB goes to all processes of a domain over the link of
@@ -144,12 +163,12 @@
 		return nil, err
 	}
 	// Ages are rounded up, so that the receiver never sees a smaller one.
-	out := &pb.FeedReply{At: reply.At, AgeMs: reply.Age.Milliseconds() + 1}
+	out := &pb.FeedReply{At: reply.At, AgeMs: reply.Age.Milliseconds() + 1, HeldMs: reply.Held.Milliseconds()}
 	for _, x := range reply.Changes {
 		value, compressed := s.compress(x)
 		out.Changes = append(out.Changes, &pb.FeedChange{
 			Key: x.Key, Value: value, Revision: x.Revision, Removed: x.Removed, Compressed: compressed,
-			AgeMs: (x.Age + time.Millisecond - 1).Milliseconds(),
+			AgeMs: changeAgeMillis(x.Age),
 		})
 	}
 	return out, nil
--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -123,7 +123,8 @@
 
 // Feed implements port.FeedHandler.
 func (s *Server) Feed(ctx context.Context, r port.FeedRequest) (port.FeedReply, error) {
-	s.lastRequest.Store(int64(s.clock.SinceBoot()))
+	received := s.clock.SinceBoot()
+	s.lastRequest.Store(int64(received))
 	p := s.findPrefix(r.Prefix)
 	if p == nil {
 		return port.FeedReply{}, ErrNotReader
@@ -144,7 +145,7 @@
 		case !known:
 			return port.FeedReply{}, ErrGap
 		case len(changes) > 0 || !waiting:
-			return port.FeedReply{Changes: changes, At: revision, Age: confirmationAge}, nil
+			return port.FeedReply{Changes: changes, At: revision, Age: confirmationAge, Held: s.clock.SinceBoot() - received}, nil
 		}
 		select {
 		case <-next:
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -8,6 +8,7 @@
 
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/shard"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -156,17 +157,11 @@
 	start := s.clock.SinceBoot()
 	changes, at, err := s.Store.Changes(ctx, prefix, after, wait)
 	for i := range changes {
-		changes[i].Age = s.delay(start, wait)
+		changes[i].Age = moment.KnownAge(s.clock.SinceBoot() - start - wait)
 	}
 	return changes, at, err
 }
 
-// delay returns by how much a call that began at start took longer than it was asked to
-// wait for changes. Its response may have been late by that time.
-func (s *Source) delay(start, wait time.Duration) time.Duration {
-	return max(0, s.clock.SinceBoot()-start-wait)
-}
-
 // askRepeatedly asks the readers until one replies, for at most preferReadersTime.
 func (s *Source) askRepeatedly(ctx context.Context, r port.FeedRequest) (port.FeedReply, bool) {
 	for end := s.clock.Now().Add(preferReadersTime); len(s.readers()) > 0 && s.clock.Now().Before(end) && ctx.Err() == nil; {
@@ -208,7 +203,8 @@
 		if err == nil {
 			s.recordReply(r.Prefix, m, start-reply.Age)
 			for i := range reply.Changes {
-				reply.Changes[i].Age += s.delay(start, r.Wait)
+				// What the reader did not hold the request for was spent on the way.
+				reply.Changes[i].Age = reply.Changes[i].Age.Plus(max(0, s.clock.SinceBoot()-start-reply.Held))
 			}
 			return reply, replied
 		}
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -52,9 +52,9 @@
 	// with one call.
 	BatchDelay func() time.Duration
 	// OnRevision is called after each response of the store was applied, also if it
-	// held no changes, with the revision up to which all changes are known. It may be
-	// nil.
-	OnRevision func(revision int64)
+	// held no changes, with the revision up to which all changes are known and the time
+	// since boot at which the call began. It may be nil.
+	OnRevision func(revision int64, calledAt time.Duration)
 	Clock      port.BootClock
 	Log        port.Log
 
@@ -112,7 +112,7 @@
 	pause := retryMin
 	listed := f.Clock.Now()
 	for ctx.Err() == nil {
-		called := f.Clock.Now()
+		called, calledAt := f.Clock.Now(), f.Clock.SinceBoot()
 		changes, next, err := f.changes(ctx, revision)
 		switch {
 		case errors.Is(err, port.ErrHistoryGone), errors.Is(err, errRelist):
@@ -132,7 +132,7 @@
 			apply(Event{Changes: changes, At: revision})
 		}
 		if f.OnRevision != nil {
-			f.OnRevision(revision)
+			f.OnRevision(revision, calledAt)
 		}
 		if stalled {
 			// The next call would return at once as well.
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -57,8 +57,8 @@
 // recordChoice records what the log line of the request says about its last target.
 func (c *call) recordChoice(choice placement.Choice, q *placement.Query, now time.Time) {
 	c.lastChoice, c.lastSentAt, c.weightsRequired = choice, now, q.MinWeightsVersion
-	if q.WeightsTimeLeft != nil {
-		c.weightsLeft, c.weightsLimited = q.WeightsTimeLeft(choice.WeightsVersion)
+	if q.WeightsLimit != nil {
+		c.weightsLimit, c.weightsLimited = q.WeightsLimit(choice.WeightsVersion)
 	}
 }
 
--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -24,6 +24,7 @@
 func (g *Gateway) HandleReport(r port.LoadReport) {
 	if id, ok := g.targets.InstanceAt(r.Target); ok {
 		g.targets.RecordLoad(id, r.Load, g.deps.Clock.Now())
+		g.view.dateDeclaration(id, r.Declared)
 	}
 }
 
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -38,9 +39,9 @@
 	lastSentAt time.Time
 	// weightsRequired is the oldest version of the weights that lastChoice could have had.
 	weightsRequired int64
-	// weightsLeft is for how long requests could still start on the weights of lastChoice when it
-	// was chosen, if weightsLimited is set.
-	weightsLeft    time.Duration
+	// weightsLimit says for how long requests could still start on the weights of lastChoice when
+	// it was chosen, if weightsLimited is set.
+	weightsLimit   weightsbound.Limit
 	weightsLimited bool
 	relay          relay
 	// fallback is a target's response with a 5xx status. It is delivered if no retry
@@ -221,8 +222,8 @@
 		q.NeedsWeights = true
 		declared, sinceBoot := d.weights[c.in.WorkEstimate.Model], c.g.deps.Clock.SinceBoot()
 		q.MinWeightsVersion = declared.Required(c.g.settings.WeightsBound-weightsMargin, sinceBoot)
-		q.WeightsTimeLeft = func(version int64) (time.Duration, bool) {
-			return declared.Left(version, c.g.settings.WeightsBound, sinceBoot)
+		q.WeightsLimit = func(version int64) (weightsbound.Limit, bool) {
+			return declared.Limit(version, c.g.settings.WeightsBound, sinceBoot)
 		}
 		q.MinQueueWeightsVersion = declared.Required(c.g.settings.WeightsBound-queuedWeightsMargin, sinceBoot)
 	} else {
@@ -278,7 +279,7 @@
 		if c.service.Engine != nil {
 			fs = append(fs, port.F("target_weights", c.lastChoice.WeightsVersion), port.F("weights_required", c.weightsRequired))
 			if c.weightsLimited {
-				fs = append(fs, port.Millis("weights_left_ms", c.weightsLeft), port.Millis("sent_after_ms", c.lastSentAt.Sub(c.in.ReceivedAt)))
+				fs = append(fs, port.Millis("weights_left_ms", c.weightsLimit.Left), port.Millis("sent_after_ms", c.lastSentAt.Sub(c.in.ReceivedAt)))
 			}
 		}
 	}
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -14,6 +14,7 @@
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/itemrevision"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/weightsbound"
@@ -29,9 +30,8 @@
 	regions map[fleet.Domain]fleet.Region
 	clock   port.BootClock
 	log     port.Log
-	// weightsBound is Settings.WeightsBound, and unknownAge the assumed age of a declaration
-	// that no confirmation dates.
-	weightsBound, unknownAge time.Duration
+	// weightsBound is Settings.WeightsBound.
+	weightsBound time.Duration
 
 	// confirmations holds when the store confirmed the operator keys.
 	confirmations confirmation.Record
@@ -79,15 +79,10 @@
 	weights map[fleet.Model]weightsbound.Declarations
 }
 
-// startupWeightsGrace is the time for which a gateway that has just started still uses weights
-// older than the declared ones. It does not know when those were declared; other gateways
-// serve requests in the meantime.
-const startupWeightsGrace = 2 * time.Second
-
 func newView(s Settings, d Deps, t *placement.Table) *view {
 	v := &view{
 		self: s.storedMember(), decoder: d.Decoder, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log,
-		weightsBound: s.WeightsBound, unknownAge: s.WeightsBound - weightsMargin - startupWeightsGrace,
+		weightsBound: s.WeightsBound,
 		operatorKeys: itemrevision.New(), members: registration.Members{}, registered: map[string]registeredTarget{},
 	}
 	v.unreadable.operator = follow.NewUnreadable("operator's item can't be read", d.Log)
@@ -259,19 +254,79 @@
 
 func (v *view) applyWeights(w port.WeightsItem, c port.StoreChange, next *declarations) {
 	l := v.learned(c)
-	now, at := l.Now, l.DeclaredAt(v.unknownAge)
-	next.weights[w.Model] = next.weights[w.Model].Add(weightsbound.Declaration{Version: w.Number, At: at}, v.weightsBound, now)
+	next.weights[w.Model] = next.weights[w.Model].Add(weightsbound.Declaration{Version: w.Number, At: l.At()}, v.weightsBound, l.Now)
 	v.log.StateChange("weights declared", port.F("model", string(w.Model)), port.F("number", w.Number), port.F("revision", c.Revision),
-		port.Millis("declared_ago_ms", now-at), port.Millis("picture_age_ms", v.ageOrNegative()))
+		millisOrNegative("declared_ago_ms", l.Age()), port.Millis("picture_age_ms", v.ageOrNegative()))
+}
+
+// dateDeclaration adopts the time of a declaration that the loader of a target states, if this
+// gateway does not know it: one that has just started has not seen the declaration made.
+func (v *view) dateDeclaration(target fleet.Instance, stated port.DeclaredWeights) {
+	at := stated.Age.Before(v.clock.SinceBoot())
+	if _, known := at.Get(); !known || !v.hasUndated() {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	next := v.declarations.Load().copy()
+	for _, m := range v.modelsOf(target) {
+		dated, changed := next.weights[m].Date(stated.Number, at)
+		if changed {
+			next.weights[m] = dated
+			v.log.StateChange("weights dated", port.F("model", string(m)), port.F("number", stated.Number),
+				port.F("target", string(target)), millisOrNegative("declared_ago_ms", stated.Age))
+		}
+	}
+	v.declarations.Store(next)
+}
+
+// hasUndated reports whether the time of a declaration is not known.
+func (v *view) hasUndated() bool {
+	for _, ds := range v.declarations.Load().weights {
+		for _, d := range ds {
+			if _, known := d.At.Get(); !known {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// modelsOf returns the models of a target's service. The caller holds mu.
+func (v *view) modelsOf(target fleet.Instance) []fleet.Model {
+	t := v.routeTable.Load()
+	if t == nil {
+		return nil
+	}
+	for _, r := range v.registered {
+		if r.instance != target {
+			continue
+		}
+		if s, ok := t.Service(r.service); ok && s.Engine != nil {
+			return s.Engine.Models
+		}
+	}
+	return nil
 }
 
 // learned returns what this gateway knows of the time of a change.
 func (v *view) learned(c port.StoreChange) weightsbound.Learned {
-	l := weightsbound.Learned{Now: v.clock.SinceBoot(), StatedAge: c.Age}
-	l.Confirmed, l.HasConfirmation = v.confirmations.NewestOf(c.Key)
+	l := weightsbound.Learned{Now: v.clock.SinceBoot(), Stated: c.Age}
+	if at, ok := v.confirmations.NewestOf(c.Key); ok {
+		l.Confirmed = moment.KnownTime(at)
+	}
 	return l
 }
 
+// millisOrNegative returns a log field with an age, or -1 ms if it is unknown.
+func millisOrNegative(key string, a moment.Age) port.Field {
+	age, known := a.Get()
+	if !known {
+		age = -time.Millisecond
+	}
+	return port.Millis(key, age)
+}
+
 // dated returns the event with the ages that this gateway knows, for the processes that
 // follow it.
 func (v *view) dated(e follow.Event) follow.Event {
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -9,6 +9,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/loadschedule"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -135,7 +136,17 @@
 
 // turnReached reports whether the engine may leave service to load weights.
 func (l *Loader) turnReached(g goal) bool {
-	return g.immediate || !l.deps.Clock.Now().Before(loadschedule.ChangeTime(g.declaredAt, l.settings.WeightsBound, g.rank, g.count))
+	declaredAt, known := g.declaredAt.Get()
+	return g.immediate || !known || l.deps.Clock.SinceBoot() >= loadschedule.ChangeTime(declaredAt, l.settings.WeightsBound, g.rank, g.count)
+}
+
+// since returns the time that has passed since a moment, or -1 ms if that is unknown.
+func (l *Loader) since(t moment.Time) time.Duration {
+	age, known := t.Age(l.deps.Clock.SinceBoot()).Get()
+	if !known {
+		return -time.Millisecond
+	}
+	return age
 }
 
 // isComplete reports whether all chunks of a version are held.
@@ -169,7 +180,7 @@
 	}
 	l.deps.Log.StateChange("ordering the engine to load", port.F("model", string(v.Model)), port.F("number", v.Number),
 		port.F("declared", g.Number), port.Millis("stage_ms", l.deps.Clock.Now().Sub(start)),
-		port.Millis("since_ms", start.Sub(g.declaredAt)), port.F("rank", g.rank), port.F("of", g.count))
+		port.Millis("since_ms", l.since(g.declaredAt)), port.F("rank", g.rank), port.F("of", g.count))
 	return l.orderLoad(ctx, g, v)
 }
 
@@ -235,6 +246,18 @@
 	return nil
 }
 
+// newOrder returns an order to an engine in the reported state.
+func newOrder(w port.ModelWeights, r *port.EngineReport, fenced bool) port.StagedLoadOrder {
+	o := port.StagedLoadOrder{ModelWeights: w, ExpectOrderCount: r.OrderCount}
+	if fenced {
+		// The next order count serves as the fencing number: only this process orders its
+		// engine, and the count rises until the engine restarts, when the engine also
+		// forgets the fencing numbers that it has seen.
+		o.Fence = r.OrderCount + 1
+	}
+	return o
+}
+
 // orderLoad orders the engine to load the staged weights and waits until it holds
 // them. An order without a response may have been accepted, so the engine's report
 // decides whether to order again.
@@ -246,14 +269,7 @@
 	if newestHeld(&r).Number >= v.Number {
 		return nil
 	}
-	o := port.StagedLoadOrder{ModelWeights: v.ModelWeights, ExpectOrderCount: r.OrderCount}
-	if g.fenced {
-		// The next order count serves as the fencing number: only this process orders its
-		// engine, and the count rises until the engine restarts, when the engine also
-		// forgets the fencing numbers that it has seen.
-		o.Fence = r.OrderCount + 1
-	}
-	if err := l.deps.Engine.LoadStaged(ctx, o); err != nil {
+	if err := l.deps.Engine.LoadStaged(ctx, newOrder(v.ModelWeights, &r, g.fenced)); err != nil {
 		return err
 	}
 	for {
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -18,6 +18,7 @@
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/core/chain"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -141,7 +142,7 @@
 		l.wait(ctx, l.view.membersListed, membersListTimeout)
 		l.newFollower(ps.Config, configBatchDelay).Run(ctx, l.view.applyOperatorKeys)
 	})
-	wg.Go(func() { l.newFollower(ps.Weights, weightsBatchDelay).Run(ctx, l.view.applyOperatorKeys) })
+	wg.Go(func() { l.newWeightsFollower(ps.Weights).Run(ctx, l.applyWeights) })
 	wg.Go(func() { l.newFollower(ps.Members, membersBatchDelay).Run(ctx, l.view.applyMembers) })
 	wg.Go(func() { l.reportLoad(ctx, sender) })
 	wg.Go(func() { l.fetchDeclared(ctx) })
@@ -151,6 +152,29 @@
 	return nil
 }
 
+// newWeightsFollower returns a follower of the declared weights that records when all of them
+// were known.
+func (l *Loader) newWeightsFollower(prefix string) *follow.Follower {
+	f := l.newFollower(prefix, weightsBatchDelay)
+	f.OnRevision = func(_ int64, calledAt time.Duration) {
+		// A reader may not have seen the newest declaration; its confirmation says up to when
+		// it has seen all.
+		if confirmedAt, fromReader := l.source.FromReader(prefix); fromReader {
+			calledAt = confirmedAt
+		}
+		l.view.confirmWeights(calledAt)
+	}
+	return f
+}
+
+// applyWeights applies an event of the declared weights.
+func (l *Loader) applyWeights(e follow.Event) {
+	l.view.applyOperatorKeys(e)
+	if e.Reset {
+		l.view.confirmWeights(e.ReadAt)
+	}
+}
+
 // newFollower returns a follower of a prefix that pauses for delay between two reads.
 func (l *Loader) newFollower(prefix string, delay time.Duration) *follow.Follower {
 	return follow.New(l.source, prefix, watchTimeout, func() time.Duration { return delay }, l.deps.Clock, l.deps.Log)
@@ -186,7 +210,7 @@
 			l.engineReport.set(&r)
 			l.recordGauges(&r, now)
 			report := l.loadReport(r)
-			if report != last || now.Sub(lastAt) >= maxReportInterval {
+			if !sameLoad(report, last) || now.Sub(lastAt) >= maxReportInterval {
 				last, lastAt = report, now
 				if err := sender.SendReport(report, l.view.gateways()); err != nil {
 					l.deps.Metrics.Count("loader_reports_unsent_total", 1)
@@ -221,13 +245,19 @@
 func (l *Loader) loadReport(r port.EngineReport) port.LoadReport {
 	out := port.LoadReport{Target: l.settings.Engine, Started: r.Started, Load: placement.Load{
 		Running: r.Running, Waiting: r.Waiting, Slots: l.view.slots(), Loading: r.Busy,
-	}}
+	}, Declared: l.view.enforced()}
 	for _, h := range r.Held {
 		out.Weights = max(out.Weights, h.Number)
 	}
 	return out
 }
 
+// sameLoad reports whether two reports differ only in the age of the declaration.
+func sameLoad(a, b port.LoadReport) bool {
+	a.Declared.Age, b.Declared.Age = moment.Age{}, moment.Age{}
+	return a == b
+}
+
 func (l *Loader) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -17,7 +17,9 @@
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/manifest"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/routes"
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -25,13 +27,17 @@
 type view struct {
 	settings Settings
 	decoder  port.ItemDecoder
-	clock    port.Clock
+	clock    port.BootClock
 	log      port.Log
 
 	mu           sync.Mutex // guards the following
 	routeTable   *routes.Table
 	declarations []declaredWeights
-	members      registration.Members
+	// bounds holds the same declarations by model, as long as they bound the use of older weights.
+	bounds map[fleet.Model]weightsbound.Declarations
+	// weightsConfirmed is the newest time at which all declarations were known.
+	weightsConfirmed moment.Time
+	members          registration.Members
 	// unreadable holds the items of the operators and the members that can't be decoded.
 	unreadable          struct{ operator, members *follow.Unreadable }
 	gatewayAddresses    []netip.AddrPort
@@ -45,18 +51,17 @@
 // declaredWeights is a declaration of weights.
 type declaredWeights struct {
 	port.ModelWeights
-	// declaredAt is the earliest time at which the declaration may have been made, as far
-	// as the loader knows.
-	declaredAt time.Time
-	// fromListing is set if the declaration was read from a listing, so that it may be
-	// older than declaredAt.
+	// at is the earliest time at which the declaration may have been made, as far as the
+	// loader knows.
+	at moment.Time
+	// fromListing is set if the declaration was read from a listing.
 	fromListing bool
 }
 
-func newView(s Settings, d port.ItemDecoder, c port.Clock, l port.Log) *view {
+func newView(s Settings, d port.ItemDecoder, c port.BootClock, l port.Log) *view {
 	v := &view{
 		settings: s, decoder: d, clock: c, log: l,
-		members: registration.Members{}, declarationsChanged: make(chan struct{}, 1), membersListed: make(chan struct{}),
+		bounds: map[fleet.Model]weightsbound.Declarations{}, members: registration.Members{}, declarationsChanged: make(chan struct{}, 1), membersListed: make(chan struct{}),
 	}
 	v.unreadable.operator = follow.NewUnreadable("operator's item can't be read", l)
 	v.unreadable.members = follow.NewUnreadable("entry of a process can't be read", l)
@@ -87,7 +92,6 @@
 func (v *view) applyOperatorKeys(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now := v.clock.Now()
 	v.unreadable.operator.Begin(e)
 	for _, c := range e.Changes {
 		if c.Removed {
@@ -104,7 +108,8 @@
 				v.routeTable = routes.Compile(it.Config)
 			}
 		case port.WeightsItem:
-			v.addDeclaration(declaredWeights{port.ModelWeights(it), now.Add(-c.Age), e.Reset}, c.Revision)
+			l := weightsbound.Learned{Now: v.clock.SinceBoot(), Confirmed: v.weightsConfirmed, Stated: c.Age}
+			v.addDeclaration(declaredWeights{port.ModelWeights(it), l.At(), e.Reset}, c.Revision)
 		}
 	}
 	signal(v.declarationsChanged)
@@ -121,8 +126,33 @@
 	const maxKept = 8 // more than are declared within one WeightsBound
 	v.declarations = append(v.declarations, d)
 	v.declarations = v.declarations[max(0, len(v.declarations)-maxKept):]
+	now := v.clock.SinceBoot()
+	v.bounds[d.Model] = v.bounds[d.Model].Add(weightsbound.Declaration{Version: d.Number, At: d.at}, v.settings.WeightsBound, now)
+	age, known := d.at.Age(now).Get()
 	v.log.StateChange("weights declared", port.F("model", string(d.Model)), port.F("number", d.Number), port.F("revision", revision),
-		port.Millis("declared_ago_ms", v.clock.Now().Sub(d.declaredAt)), port.F("from_listing", d.fromListing))
+		port.F("dated", known), port.Millis("declared_ago_ms", age), port.F("from_listing", d.fromListing))
+}
+
+// confirmWeights records that all declarations up to a time are known.
+func (v *view) confirmWeights(at time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if old, known := v.weightsConfirmed.Get(); !known || at > old {
+		v.weightsConfirmed = moment.KnownTime(at)
+	}
+}
+
+// enforced returns the declaration that this loader enforces, for its load reports.
+func (v *view) enforced() port.DeclaredWeights {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := v.service()
+	if s == nil || s.Engine == nil || len(s.Engine.Models) == 0 {
+		return port.DeclaredWeights{}
+	}
+	now := v.clock.SinceBoot()
+	d := v.bounds[s.Engine.Models[0]].Statement(v.settings.WeightsBound, now)
+	return port.DeclaredWeights{Number: d.Version, Age: d.At.Age(now)}
 }
 
 func (v *view) applyMembers(e follow.Event) {
@@ -173,8 +203,9 @@
 // goal describes the weights that the engine has to hold, and when it may load them.
 type goal struct {
 	port.ModelWeights
-	// declaredAt is that of the oldest declaration that is newer than the weights held.
-	declaredAt time.Time
+	// declaredAt is the time of the oldest declaration that is newer than the weights held, or
+	// unknown if there is none.
+	declaredAt moment.Time
 	// mayBeStaged means that the chunks may be in the engine's staging area: the engine
 	// holds these weights, or has restarted.
 	mayBeStaged bool
@@ -202,12 +233,14 @@
 		return goal{}, false
 	}
 	g := goal{ModelWeights: port.ModelWeights{Model: s.Engine.Models[0], Number: initialNumber}, immediate: held.Number == 0, fenced: s.Engine.Fenced}
+	replaced := false
 	for _, d := range v.declarations {
 		if d.Model != g.Model {
 			continue
 		}
-		if d.Number > held.Number && g.declaredAt.IsZero() {
-			g.declaredAt = d.declaredAt
+		if d.Number > held.Number && !replaced {
+			replaced = true
+			g.declaredAt = d.at
 			g.immediate = g.immediate || d.fromListing
 		}
 		if d.Number > g.Number {
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 )
 
 // Member is a process that may follow others.
@@ -31,8 +32,8 @@
 	Revision int64
 	Removed  bool
 	// Age is the longest time since the change may have been made, as far as the process
-	// that states it knows, or zero.
-	Age time.Duration
+	// that states it knows.
+	Age moment.Age
 }
 
 // maxReaders bounds the readers that a process asks before it reads the store
@@ -78,7 +79,7 @@
 type logged struct {
 	Change
 	// madeAt is the earliest time at which the change may have been made.
-	madeAt time.Duration
+	madeAt moment.Time
 	// position is the revision after which followers still need the change. It is higher than
 	// that of a change which the log learned of after it had passed the revision.
 	position int64
@@ -136,7 +137,7 @@
 	if ok && old.Revision >= c.Revision {
 		return
 	}
-	l.keys[c.Key] = logged{c, now - c.Age, max(c.Revision, l.revision+1)}
+	l.keys[c.Key] = logged{c, c.Age.Before(now), max(c.Revision, l.revision+1)}
 	if !c.Removed {
 		return
 	}
@@ -174,7 +175,7 @@
 	}
 	for k, c := range l.keys {
 		if c.position > after && !(after == FromStart && c.Removed) && strings.HasPrefix(k, prefix) {
-			c.Age = now - c.madeAt
+			c.Age = c.madeAt.Age(now)
 			changes = append(changes, c.Change)
 		}
 	}
--- a/internal/core/loadschedule/loadschedule.go
+++ b/internal/core/loadschedule/loadschedule.go
@@ -19,13 +19,13 @@
 
 // ChangeTime returns the earliest time at which the engine with the given rank
 // among count engines may be ordered to change to weights that were declared at
-// declared and must be in use within bound. Callers need not wait for it if the
-// engine serves nothing.
-func ChangeTime(declared time.Time, bound time.Duration, rank, count int) time.Time {
+// declared and must be in use within bound. Times are times since the machine booted.
+// Callers need not wait for it if the engine serves nothing.
+func ChangeTime(declared, bound time.Duration, rank, count int) time.Duration {
 	if count <= 1 {
 		return declared
 	}
 	first := time.Duration(firstChangeFraction * float64(bound))
 	last := time.Duration(lastChangeFraction * float64(bound))
-	return declared.Add(first + (last-first)*time.Duration(rank)/time.Duration(count-1))
+	return declared + first + (last-first)*time.Duration(rank)/time.Duration(count-1)
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 )
 
 // Query holds the requirements of a request on its target.
@@ -32,9 +33,9 @@
 	// request may wait at a target. Older weights may become too old to serve the
 	// request while it waits.
 	MinQueueWeightsVersion int64
-	// WeightsTimeLeft returns for how long requests may still start on a version of the
-	// weights, or false if there is no limit; nil means no limit for all versions.
-	WeightsTimeLeft func(version int64) (time.Duration, bool)
+	// WeightsLimit returns for how long requests may still start on a version of the weights,
+	// or false if there is no limit; nil means no limit for all versions.
+	WeightsLimit func(version int64) (weightsbound.Limit, bool)
 	// Prefill is the time that an engine needs for the prefill of the
 	// request's prompt, and Decode the time that one iteration spends on
 	// decoding. Both are zero for plain services.
@@ -219,12 +220,15 @@
 // startsInTime reports whether a request that is sent now starts before the weights of the
 // target may no longer serve requests.
 func (s *targetState) startsInTime(q *Query, inFlight float64, now time.Time) bool {
-	if q.WeightsTimeLeft == nil {
+	if q.WeightsLimit == nil {
+		return true
+	}
+	limit, limited := q.WeightsLimit(s.WeightsVersion)
+	if !limited {
 		return true
 	}
-	left, limited := q.WeightsTimeLeft(s.WeightsVersion)
 	predicted := s.timeToFirstEvent(q, inFlight, now) + s.expectedLateness(now)
-	return !limited || left >= time.Duration(startTimeFactor*float64(predicted))
+	return limit.Left >= time.Duration(startTimeFactor*float64(predicted))
 }
 
 // coldRateFraction is the fraction of a cold target's request rate that all
--- a/internal/core/weightsbound/weightsbound.go
+++ b/internal/core/weightsbound/weightsbound.go
@@ -8,13 +8,16 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/masticwing/masticwing/internal/core/moment"
 )
 
 // Declaration is a declared version of a model's weights.
 type Declaration struct {
 	Version int64
-	// At is the earliest time at which it may have been made.
-	At time.Duration
+	// At is the earliest time at which it may have been made. While it is unknown, the bound
+	// counts as over.
+	At moment.Time
 }
 
 // Declarations holds the declarations of one model by increasing version. It is immutable.
@@ -28,69 +31,120 @@
 	case n == 0 || out[n-1].Version < d.Version:
 		out = append(out, d)
 	case out[n-1].Version == d.Version:
-		out[n-1].At = min(out[n-1].At, d.At)
+		out[n-1].At = moment.Earlier(out[n-1].At, d.At)
 	}
 	for i := len(out) - 1; i > 0; i-- {
-		if now-out[i].At >= bound {
+		if out[i].expired(bound, now) {
 			return out[i:]
 		}
 	}
 	return out
 }
 
+// Date returns ds with the time of a declaration that another process states, and whether that
+// differs from ds. Times that are known are kept: the other process may know less.
+func (ds Declarations) Date(version int64, at moment.Time) (Declarations, bool) {
+	i := slices.IndexFunc(ds, func(d Declaration) bool { return d.Version == version })
+	if i < 0 {
+		return ds, false
+	}
+	if _, known := ds[i].At.Get(); known {
+		return ds, false
+	}
+	if _, known := at.Get(); !known {
+		return ds, false
+	}
+	out := slices.Clone(ds)
+	out[i].At = at
+	return out, true
+}
+
+// Statement returns what a process tells others that may not know when versions were declared:
+// the newest version, and the earliest time of a declaration whose bound is not over. The
+// version is zero if its time is not known.
+func (ds Declarations) Statement(bound, now time.Duration) Declaration {
+	if len(ds) == 0 {
+		return Declaration{}
+	}
+	newest := ds[len(ds)-1]
+	if _, known := newest.At.Get(); !known {
+		return Declaration{}
+	}
+	for _, d := range ds {
+		if !d.expired(bound, now) {
+			newest.At = moment.Earlier(newest.At, d.At)
+		}
+	}
+	return newest
+}
+
+// expired reports whether the bound of a declaration is over at now.
+func (d Declaration) expired(bound, now time.Duration) bool {
+	at, known := d.At.Get()
+	return !known || now-at >= bound
+}
+
 // Required returns the oldest version that may serve requests at now, or zero for any.
 func (ds Declarations) Required(bound, now time.Duration) int64 {
 	required := int64(0)
 	for _, d := range ds {
-		if now-d.At >= bound {
+		if d.expired(bound, now) {
 			required = max(required, d.Version)
 		}
 	}
 	return required
 }
 
-// Left returns for how long requests may still start on a version, or false if no newer one is
-// declared. It allows for the error of DeclaredAt.
-func (ds Declarations) Left(version int64, bound, now time.Duration) (time.Duration, bool) {
-	left, limited := time.Duration(0), false
+// Limit says for how long requests may still start on a version.
+type Limit struct {
+	// Left is the time left; it is not positive once no request may start.
+	Left time.Duration
+	// Declared is the version of the declaration that ends the use of the version.
+	Declared int64
+}
+
+// Limit returns for how long requests may still start on a version, or false if no newer one is
+// declared. It allows for the error of Learned.Age.
+func (ds Declarations) Limit(version int64, bound, now time.Duration) (Limit, bool) {
+	limit, limited := Limit{}, false
 	for _, d := range ds {
-		if l := d.At + bound - usualConfirmationAge - now; d.Version > version && (!limited || l < left) {
-			left, limited = l, true
+		if d.Version <= version {
+			continue
+		}
+		left := time.Duration(0)
+		if at, known := d.At.Get(); known {
+			left = at + bound - usualConfirmationAge - now
+		}
+		if !limited || left < limit.Left {
+			limit, limited = Limit{left, d.Version}, true
 		}
 	}
-	return left, limited
+	return limit, limited
 }
 
 // Learned is what a process knows when it learns of a declaration.
 type Learned struct {
 	Now time.Duration
 	// Confirmed is the time at which the store last confirmed that the declaration did not
-	// exist; it is only meaningful if HasConfirmation is set.
-	Confirmed       time.Duration
-	HasConfirmation bool
-	// StatedAge is the longest time since the declaration may have been made according to
-	// the process from which this one learned of it, or zero.
-	StatedAge time.Duration
+	// exist.
+	Confirmed moment.Time
+	// Stated is the age according to the process from which this one learned of it.
+	Stated moment.Age
 }
 
 // usualConfirmationAge is the age of the last confirmation when a declaration arrives in
 // normal operation. Callers cover this time with a margin.
 const usualConfirmationAge = 700 * time.Millisecond
 
-// Age returns the longest time since the declaration may have been made, too short by at most
-// usualConfirmationAge. Without a confirmation it is the age stated by the other process.
-func (l Learned) Age() time.Duration {
-	if !l.HasConfirmation {
-		return max(0, l.StatedAge)
+// Age returns the age of the declaration, too short by at most usualConfirmationAge. Without a
+// confirmation it is the age stated by the other process.
+func (l Learned) Age() moment.Age {
+	since, ok := l.Confirmed.Age(l.Now).Get()
+	if !ok {
+		return l.Stated
 	}
-	return max(0, l.StatedAge, l.Now-l.Confirmed-usualConfirmationAge)
+	return moment.Longer(l.Stated, moment.KnownAge(since-usualConfirmationAge))
 }
 
-// DeclaredAt returns the earliest time at which the declaration may have been made. Without a
-// confirmation, that is at least the time unknown before now.
-func (l Learned) DeclaredAt(unknown time.Duration) time.Duration {
-	if !l.HasConfirmation {
-		return l.Now - max(unknown, l.Age())
-	}
-	return l.Now - l.Age()
-}
+// At returns the earliest time at which the declaration may have been made.
+func (l Learned) At() moment.Time { return l.Age().Before(l.Now) }
--- a/internal/port/loads.go
+++ b/internal/port/loads.go
@@ -5,6 +5,7 @@
 	"net/netip"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 )
 
@@ -21,7 +22,20 @@
 	Started int64
 	// Weights is the version of the weights that the target holds.
 	Weights int64
-	Load    placement.Load
+	// Declared is the declaration that the sender enforces.
+	Declared DeclaredWeights
+	Load     placement.Load
+}
+
+// DeclaredWeights is a declaration of weights that a loader enforces: it keeps older ones out of
+// service before their bound is over. It states when they were declared, for gateways that have
+// started since.
+type DeclaredWeights struct {
+	// Number is zero if the loader enforces no declaration.
+	Number int64
+	// Age is that of the oldest declaration whose bound is not over, as a time when the report
+	// was sent.
+	Age moment.Age
 }
 
 // LoadSender sends reports and notices, which may be lost.
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -8,6 +8,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/routes"
 )
 
@@ -41,8 +42,8 @@
 	StoreItem
 	Removed bool
 	// Age is the longest time since the change may have been made, as far as this process
-	// knows, or zero. It is not known for items of a listing.
-	Age time.Duration
+	// knows. It is not known for items of a listing.
+	Age moment.Age
 }
 
 // Precondition is a condition of a commit: the key has the revision, or is absent
@@ -100,6 +101,9 @@
 	// Age is the time since the store last confirmed operator keys: those in the
 	// reply are at least as new. It is measured between request and reply.
 	Age time.Duration
+	// Held is the time from the receipt of the request to the reply. The rest of the time that
+	// the caller waited was spent on the way. It is zero in older builds.
+	Held time.Duration
 }
 
 // ErrFeedRefused means that the other process replied that it cannot serve changes
