loader: withdraw old weights from the engine before their bound ends

Callers saw VERSION: requests began on old weights up to 8,093 ms after the declaration, although they were sent in time. With the links of the engines' machines full, a request started 0.8 to 2.0 s after it was chosen. Cause: a gateway decided, when it sent, about an event that happens later at another machine, and its margins were guesses about that machine's link and queue. Nothing at the engine kept the bound. The engine accepts the order while it serves, refuses what waits in it and what arrives later, and ends what runs. In the last 4 s of a bound a gateway uses old weights only where a report of the last second states that the loader enforces the declaration. A loader orders no weights whose bound ends before they are loaded. Ruled out: Expect-Version, which the engine compares for equality and which can't say 'until'; shorter deadlines, which the engine counts from the arrival; larger margins, which any longer queue exceeds.

--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -23,7 +23,9 @@
 // HandleReport records the load that a target reports. It implements port.LoadHandler.
 func (g *Gateway) HandleReport(r port.LoadReport) {
 	if id, ok := g.targets.InstanceAt(r.Target); ok {
-		g.targets.RecordLoad(id, r.Load, g.deps.Clock.Now())
+		load := r.Load
+		load.EnforcedWeights = r.Declared.Number
+		g.targets.RecordLoad(id, load, g.deps.Clock.Now())
 		g.view.dateDeclaration(id, r.Declared)
 	}
 }
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -120,7 +120,7 @@
 			continue
 		}
 		v, ok := l.origin.newestComplete(g.Model, held.Number, l.isComplete)
-		if !ok {
+		if !ok || !l.mayLoad(v.ModelWeights) {
 			l.sleep(ctx, turnCheckInterval)
 			continue
 		}
@@ -247,8 +247,8 @@
 }
 
 // newOrder returns an order to an engine in the reported state.
-func newOrder(w port.ModelWeights, r *port.EngineReport, fenced bool) port.StagedLoadOrder {
-	o := port.StagedLoadOrder{ModelWeights: w, ExpectOrderCount: r.OrderCount}
+func newOrder(w port.ModelWeights, r *port.EngineReport, fenced bool) port.StagedOrder {
+	o := port.StagedOrder{ModelWeights: w, ExpectOrderCount: r.OrderCount}
 	if fenced {
 		// The next order count serves as the fencing number: only this process orders its
 		// engine, and the count rises until the engine restarts, when the engine also
--- /dev/null
+++ b/internal/app/loader/enforce.go
@@ -0,0 +1,82 @@
+package loader
+
+import (
+	"context"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+const (
+	// enforceInterval bounds the time until a change of the declarations or of the engine's
+	// state is noticed.
+	enforceInterval = 100 * time.Millisecond
+	// enforceRetryDelay is the pause after an order that failed.
+	enforceRetryDelay = 50 * time.Millisecond
+	// maxLoadTime is the longest time from a load order until the engine has the weights: it
+	// first ends the requests in progress.
+	maxLoadTime = 3 * time.Second
+)
+
+// enforceBound takes the engine's weights out of service before newer declared ones must be in
+// use, until ctx ends. Gateways decide earlier which requests they send, and can't know when the
+// engine begins them: that depends on the link and on the engine's queue.
+func (l *Loader) enforceBound(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.sleep(ctx, l.enforceOnce(ctx))
+	}
+}
+
+// enforceOnce withdraws the engine's weights if that is due, and returns the time until the next
+// check.
+func (l *Loader) enforceOnce(ctx context.Context) time.Duration {
+	r := l.engineReport.get()
+	if r == nil || r.Busy || len(r.Held) == 0 {
+		return enforceInterval
+	}
+	held := newestHeld(r)
+	until, limited := l.view.untilWithdrawal(held)
+	switch {
+	case !limited:
+		return enforceInterval
+	case until > 0:
+		return min(until, enforceInterval)
+	}
+	if err := l.withdraw(ctx, held, until); err != nil {
+		if ctx.Err() == nil {
+			l.deps.Log.Failure("weights are not withdrawn yet", err, port.F("number", held.Number))
+		}
+		return enforceRetryDelay
+	}
+	return enforceInterval
+}
+
+// withdraw orders the engine to release weights, unless its state has changed since they were
+// reported. The engine then begins no request, also none that waits there.
+func (l *Loader) withdraw(ctx context.Context, held port.ModelWeights, until time.Duration) error {
+	r, err := l.deps.Engine.Report(ctx)
+	if err != nil {
+		return err
+	}
+	l.engineReport.set(&r)
+	if r.Busy || newestHeld(&r) != held {
+		return nil
+	}
+	g, _ := l.view.goal(held)
+	if err := l.deps.Engine.Withdraw(ctx, newOrder(held, &r, g.fenced)); err != nil {
+		return err
+	}
+	r.Busy = true
+	l.engineReport.set(&r)
+	l.deps.Metrics.Count("loader_withdrawals_total", 1)
+	l.deps.Log.StateChange("weights withdrawn from service", port.F("model", string(held.Model)), port.F("number", held.Number),
+		port.F("declared", g.Number), port.Millis("since_ms", l.since(g.declaredAt)), port.Millis("late_ms", -until),
+		port.F("running", r.Running), port.F("waiting", r.Waiting))
+	return nil
+}
+
+// mayLoad reports whether weights would be in use for longer than it takes to load them.
+func (l *Loader) mayLoad(w port.ModelWeights) bool {
+	until, limited := l.view.untilWithdrawal(w)
+	return !limited || until >= maxLoadTime
+}
--- /dev/null
+++ b/internal/app/loader/enforce_test.go
@@ -0,0 +1,121 @@
+package loader
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/moment"
+	"github.com/masticwing/masticwing/internal/port"
+)
+
+// runUntil runs the loader, whose weights can't be fetched, until done returns true or the time
+// is over.
+func (l *Loader) runUntil(e *fakeEngine, d time.Duration, done func(port.EngineReport) bool) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { l.converge(ctx) })
+	wg.Go(func() { l.enforceBound(ctx) })
+	for ctx.Err() == nil {
+		r, _ := e.Report(ctx)
+		l.engineReport.set(&r)
+		if done(r) {
+			return true
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return false
+}
+
+func holdsNothing(r port.EngineReport) bool { return len(r.Held) == 0 }
+
+// TestOldWeightsAreWithdrawnBeforeBound guards against an engine that begins requests on old
+// weights after their bound: those that were sent in time and arrived or waited longer.
+func TestOldWeightsAreWithdrawnBeforeBound(t *testing.T) {
+	e := newEngine(1)
+	e.refuseOrders = 2
+	l := newLoader(e, &fakeOrigin{})
+	l.settings.WeightsBound, l.view.settings.WeightsBound = 1500*time.Millisecond, 1500*time.Millisecond
+	l.declareForTest(2)
+	declared := time.Now()
+	if !l.runUntil(e, 5*time.Second, holdsNothing) {
+		t.Fatal("the engine still holds weights 1")
+	}
+	if d := time.Since(declared); d < 300*time.Millisecond || d > 1500*time.Millisecond {
+		t.Errorf("weights were withdrawn after %v, with a bound of 1.5 s", d)
+	}
+	if w := e.withdrawals; len(w) != 1 || w[0].Number != 1 {
+		t.Errorf("withdrawals %+v", w)
+	}
+}
+
+// TestWeightsWithoutDateAreWithdrawn guards against an engine that keeps serving old weights
+// because its loader has just started and does not know when newer ones were declared.
+func TestWeightsWithoutDateAreWithdrawn(t *testing.T) {
+	e := newEngine(1)
+	l := newLoader(e, &fakeOrigin{})
+	l.view.decoder = weightsDecoder{}
+	l.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
+	if d := l.view.enforced(); d.Number != 0 {
+		t.Errorf("the loader states the declaration %+v, whose age it does not know", d)
+	}
+	if !l.runUntil(e, 3*time.Second, holdsNothing) {
+		t.Error("the engine still holds weights 1")
+	}
+}
+
+// TestListingIsDatedByConfirmation guards against an engine that is taken out of service too
+// early because its loader lists the declarations again, although it knew shortly before that
+// there were no others.
+func TestListingIsDatedByConfirmation(t *testing.T) {
+	l := newLoader(newEngine(1), &fakeOrigin{})
+	l.view.decoder = weightsDecoder{}
+	const ago = 2 * time.Second
+	l.view.confirmWeights(l.deps.Clock.SinceBoot() - ago)
+	l.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
+	g, _ := l.view.goal(port.ModelWeights{Model: "m", Number: 1})
+	if age, known := g.declaredAt.Age(l.deps.Clock.SinceBoot()).Get(); !known || age > ago+time.Second {
+		t.Errorf("declared %v ago (known: %v), want at most %v", age, known, ago)
+	}
+}
+
+// TestExpiredWeightsAreNotLoaded guards against an engine that is ordered to load weights whose
+// bound ends before or shortly after they are loaded.
+func TestExpiredWeightsAreNotLoaded(t *testing.T) {
+	for left, want := range map[time.Duration]bool{-time.Second: false, maxLoadTime / 2: false, 2 * maxLoadTime: true} {
+		l := newLoader(newEngine(0), &fakeOrigin{})
+		l.settings.WeightsBound, l.view.settings.WeightsBound = 8*time.Second, 8*time.Second
+		l.view.mu.Lock()
+		at := moment.KnownTime(l.deps.Clock.SinceBoot() - 8*time.Second + left)
+		l.view.addDeclaration(declaredWeights{port.ModelWeights{Model: "m", Number: 3}, at, false}, 3)
+		l.view.mu.Unlock()
+		if ok := l.mayLoad(port.ModelWeights{Model: "m", Number: 2}); ok != want {
+			t.Errorf("weights 2 may be loaded with %v left: %v, want %v", left, ok, want)
+		}
+		if !l.mayLoad(port.ModelWeights{Model: "m", Number: 3}) {
+			t.Error("the newest weights may not be loaded")
+		}
+	}
+}
+
+// TestWithdrawalChecksEngine guards against an order for weights that the engine no longer
+// holds, since a load has begun after its last report.
+func TestWithdrawalChecksEngine(t *testing.T) {
+	e := newEngine(1)
+	l := newLoader(e, &fakeOrigin{})
+	old, _ := e.Report(context.Background())
+	l.engineReport.set(&old)
+	l.view.mu.Lock()
+	l.view.addDeclaration(declaredWeights{port.ModelWeights{Model: "m", Number: 2}, moment.KnownTime(l.deps.Clock.SinceBoot() - time.Minute), false}, 2)
+	l.view.mu.Unlock()
+	e.report.Busy = true
+	l.enforceOnce(context.Background())
+	if len(e.withdrawals) > 0 {
+		t.Error("an engine that loads was ordered to release its weights")
+	}
+}
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -147,6 +147,7 @@
 	wg.Go(func() { l.reportLoad(ctx, sender) })
 	wg.Go(func() { l.fetchDeclared(ctx) })
 	wg.Go(func() { l.converge(ctx) })
+	wg.Go(func() { l.enforceBound(ctx) })
 	registrar := registration.Registrar{Store: l.deps.Store, Prefix: ps.Members, Self: l.settings.storedMember(), Clock: l.deps.Clock, Log: l.deps.Log}
 	wg.Go(func() { registrar.Run(ctx) })
 	return nil
@@ -244,7 +245,7 @@
 // loadReport returns the load report for the gateways.
 func (l *Loader) loadReport(r port.EngineReport) port.LoadReport {
 	out := port.LoadReport{Target: l.settings.Engine, Started: r.Started, Load: placement.Load{
-		Running: r.Running, Waiting: r.Waiting, Slots: l.view.slots(), Loading: r.Busy,
+		Running: r.Running, Waiting: r.Waiting, Slots: l.view.slots(), Loading: r.Busy || len(r.Held) == 0,
 	}, Declared: l.view.enforced()}
 	for _, h := range r.Held {
 		out.Weights = max(out.Weights, h.Number)
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -142,6 +142,14 @@
 	}
 }
 
+// untilWithdrawal returns the time until weights have to be taken out of service, or false if no
+// newer ones are declared.
+func (v *view) untilWithdrawal(w port.ModelWeights) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.bounds[w.Model].UntilWithdrawal(w.Number, v.settings.WeightsBound, v.clock.SinceBoot())
+}
+
 // enforced returns the declaration that this loader enforces, for its load reports.
 func (v *view) enforced() port.DeclaredWeights {
 	v.mu.Lock()
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -224,13 +224,28 @@
 		return true
 	}
 	limit, limited := q.WeightsLimit(s.WeightsVersion)
-	if !limited {
+	switch {
+	case !limited:
 		return true
+	case limit.Left < enforcedTime && !s.enforces(limit.Declared, now):
+		return false
 	}
 	predicted := s.timeToFirstEvent(q, inFlight, now) + s.expectedLateness(now)
 	return limit.Left >= time.Duration(startTimeFactor*float64(predicted))
 }
 
+// enforcedTime is the time before the end of a version's use in which a target with it gets
+// requests only if its loader enforces that end. Until then a request that is delayed on its way
+// or in the target's queue starts in time or has been given up: callers of streams leave after
+// 3.2 s without an event.
+const enforcedTime = 4 * time.Second
+
+// enforces reports whether the target's loader keeps it from starting requests on weights that
+// a declaration has replaced. A report that is too old says nothing: the loader may have stopped.
+func (s *targetState) enforces(declared int64, now time.Time) bool {
+	return !s.reportedAt.IsZero() && now.Sub(s.reportedAt) <= maxReportAge && s.load.EnforcedWeights >= declared
+}
+
 // coldRateFraction is the fraction of a cold target's request rate that all
 // processes together use. The rest is headroom for requests that arrive closer
 // together than they were sent.
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -40,8 +40,11 @@
 // Load is the load that a target reports.
 type Load struct {
 	Running, Waiting, Slots int
-	// Loading is set while the target replaces its weights and takes no requests.
+	// Loading is set while the target replaces or releases its weights and takes no requests.
 	Loading bool
+	// EnforcedWeights is the newest declared version of the weights for which the target's
+	// loader takes older ones out of service in time, or zero.
+	EnforcedWeights int64
 }
 
 func (l Load) total() int { return l.Running + l.Waiting }
--- a/internal/core/weightsbound/weightsbound.go
+++ b/internal/core/weightsbound/weightsbound.go
@@ -148,3 +148,15 @@
 
 // At returns the earliest time at which the declaration may have been made.
 func (l Learned) At() moment.Time { return l.Age().Before(l.Now) }
+
+// withdrawalLead is how long before the end of the time left the loader takes weights out of
+// service: the engine's report that shows them may be 0.1 s old, and the order itself takes a
+// call on the same machine.
+const withdrawalLead = 300 * time.Millisecond
+
+// UntilWithdrawal returns the time until the engine's weights have to be taken out of service,
+// or false if no newer version is declared. It is not positive once that is due.
+func (ds Declarations) UntilWithdrawal(version int64, bound, now time.Duration) (time.Duration, bool) {
+	limit, limited := ds.Limit(version, bound, now)
+	return limit.Left - withdrawalLead, limited
+}
--- a/internal/port/loads.go
+++ b/internal/port/loads.go
@@ -27,7 +27,7 @@
 	Load     placement.Load
 }
 
-// DeclaredWeights is a declaration of weights that a loader enforces: it keeps older ones out of
+// DeclaredWeights is a declaration of weights that a loader enforces: it takes older ones out of
 // service before their bound is over. It states when they were declared, for gateways that have
 // started since.
 type DeclaredWeights struct {
--- a/internal/port/stage.go
+++ b/internal/port/stage.go
@@ -29,8 +29,8 @@
 	Running, Waiting int
 }
 
-// StagedLoadOrder tells an engine to load weights from its staging area.
-type StagedLoadOrder struct {
+// StagedOrder tells an engine to load weights from its staging area, or to release them.
+type StagedOrder struct {
 	ModelWeights
 	// ExpectOrderCount is EngineReport.OrderCount at the time of the decision. The
 	// engine refuses the order if its count differs, since its state has changed.
@@ -54,7 +54,11 @@
 	// LoadStaged orders the engine to load the contents of the staging area once
 	// the requests in progress have ended. It returns ErrOrderRefused if the engine
 	// rejected the order. After any other error the engine may have accepted it.
-	LoadStaged(ctx context.Context, o StagedLoadOrder) error
+	LoadStaged(ctx context.Context, o StagedOrder) error
+	// Withdraw orders the engine to release weights. From the acceptance of the order on it
+	// begins no request with them, also none that waits in it; requests in progress end
+	// first. It returns errors like LoadStaged.
+	Withdraw(ctx context.Context, o StagedOrder) error
 }
 
 // NumberedOrigin is an origin of weights whose versions have numbers that are
