loader: date a declaration by the age that the reader states

Cause: a loader dated it by the older of the age that its reader states and the reader's last confirmation, which the loader has from the reply before, and the store's changes passed for dated although the store states no age. Change: the age that a reader states counts; without one, the last confirmation does. Changes from the store have no age.

--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -8,7 +8,6 @@
 
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
-	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/shard"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -154,12 +153,7 @@
 	// From here on other processes may follow this one: its state is complete, and
 	// the next change comes from the store.
 	s.state.Put(prefix, prefixState{})
-	start := s.clock.SinceBoot()
-	changes, at, err := s.Store.Changes(ctx, prefix, after, wait)
-	for i := range changes {
-		changes[i].Age = moment.KnownAge(s.clock.SinceBoot() - start - wait)
-	}
-	return changes, at, err
+	return s.Store.Changes(ctx, prefix, after, wait)
 }
 
 // askRepeatedly asks the readers until one replies, for at most preferReadersTime.
--- a/internal/app/loader/enforce_test.go
+++ b/internal/app/loader/enforce_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// TestStatedAgeIsUsed guards against an engine that is taken out of service too early because its
+// loader dates a declaration by a reader's confirmation, which is older than the reader's own.
+func TestStatedAgeIsUsed(t *testing.T) {
+	l := newLoader(newEngine(1), &fakeOrigin{})
+	l.view.decoder = weightsDecoder{}
+	l.view.confirmWeights(l.deps.Clock.SinceBoot() - 2*time.Second)
+	const stated = 100 * time.Millisecond
+	l.applyWeights(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}, Age: moment.KnownAge(stated)}}})
+	g, _ := l.view.goal(port.ModelWeights{Model: "m", Number: 1})
+	if age, known := g.declaredAt.Age(l.deps.Clock.SinceBoot()).Get(); !known || age < stated || age > stated+time.Second {
+		t.Errorf("declared %v ago (known: %v), want %v", age, known, stated)
+	}
+}
+
 // TestExpiredWeightsAreNotLoaded guards against an engine that is ordered to load weights whose
 // bound ends before or shortly after they are loaded.
 func TestExpiredWeightsAreNotLoaded(t *testing.T) {
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -108,13 +108,22 @@
 				v.routeTable = routes.Compile(it.Config)
 			}
 		case port.WeightsItem:
-			l := weightsbound.Learned{Now: v.clock.SinceBoot(), Confirmed: v.weightsConfirmed, Stated: c.Age}
-			v.addDeclaration(declaredWeights{port.ModelWeights(it), l.At(), e.Reset}, c.Revision)
+			v.addDeclaration(declaredWeights{port.ModelWeights(it), v.declaredAt(c), e.Reset}, c.Revision)
 		}
 	}
 	signal(v.declarationsChanged)
 }
 
+// declaredAt returns the earliest time at which a change may have been made. A gateway states it
+// from confirmations that are newer than those that reach this process. The caller holds mu.
+func (v *view) declaredAt(c port.StoreChange) moment.Time {
+	l := weightsbound.Learned{Now: v.clock.SinceBoot(), Stated: c.Age}
+	if _, known := c.Age.Get(); !known {
+		l.Confirmed = v.weightsConfirmed
+	}
+	return l.At()
+}
+
 // addDeclaration adds a declaration unless one with the same or a higher number is
 // known for its model. The caller holds mu.
 func (v *view) addDeclaration(d declaredWeights, revision int64) {
