--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -153,18 +153,7 @@
 	// From here on other processes may follow this one: its state is complete, and
 	// the next change comes from the store.
 	s.state.Put(prefix, prefixState{})
-	start := s.clock.SinceBoot()
-	changes, at, err := s.Store.Changes(ctx, prefix, after, wait)
-	for i := range changes {
-		changes[i].Age = s.delay(start, wait)
-	}
-	return changes, at, err
-}
-
-// delay returns by how much a call that began at start took longer than it was asked to
-// wait for changes. Its response may have been late by that time.
-func (s *Source) delay(start, wait time.Duration) time.Duration {
-	return max(0, s.clock.SinceBoot()-start-wait)
+	return s.Store.Changes(ctx, prefix, after, wait)
 }
 
 // askRepeatedly asks the readers until one replies, for at most preferReadersTime.
@@ -208,7 +197,8 @@
 		if err == nil {
 			s.recordReply(r.Prefix, m, start-reply.Age)
 			for i := range reply.Changes {
-				reply.Changes[i].Age += s.delay(start, r.Wait)
+				// What the reader did not hold the request for was spent on the way.
+				reply.Changes[i].Age = reply.Changes[i].Age.Plus(max(0, s.clock.SinceBoot()-start-reply.Held))
 			}
 			return reply, replied
 		}
