gateway: cancel requests that have no response when their target's weights expire

Cause: the withdrawal needs a loader that runs; a report of the last second does not show that it still does. Change: an attempt at a target whose weights expire is canceled, and its connection reset, if the target has not responded by then (0.7 s before the bound). The loader's withdrawal, 0.3 s earlier, has normally refused it by then. The age that a loader states is used for the first model of the service only, whose weights it manages.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -150,7 +151,9 @@
 	}
 	sendCtx, watch := c.startStallWatch(ctx)
 	defer func() { c.retryTaken = watch.stop() }()
+	expiry := c.cancelAtExpiry(watch)
 	resp, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
+	expiry.Stop()
 	if err != nil {
 		return c.recordSendFailure(ctx, choice, verdict.FromError(err))
 	}
@@ -173,6 +176,16 @@
 	}
 }
 
+// cancelAtExpiry cancels the attempt if the target has not responded when it may no longer start
+// requests on its weights. The loader withdraws them before that; this covers one that has
+// stopped since it stated so.
+func (c *call) cancelAtExpiry(watch *stallWatch) *time.Timer {
+	if !c.weightsLimited {
+		return time.AfterFunc(math.MaxInt64, func() {})
+	}
+	return time.AfterFunc(c.weightsLimit.Left, watch.cancel)
+}
+
 // recordLoad records the load stated in the response of a plain service. Engines are left
 // out: their loaders report the load more often than responses do.
 func (c *call) recordLoad(choice placement.Choice, l *port.TargetLoad) {
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -269,15 +269,15 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	next := v.declarations.Load().copy()
-	for _, m := range v.modelsOf(target) {
-		dated, changed := next.weights[m].Date(stated.Number, at)
-		if changed {
-			next.weights[m] = dated
-			v.log.StateChange("weights dated", port.F("model", string(m)), port.F("number", stated.Number),
-				port.F("target", string(target)), millisOrNegative("declared_ago_ms", stated.Age))
-		}
+	m := v.modelOf(target)
+	dated, changed := next.weights[m].Date(stated.Number, at)
+	if !changed {
+		return
 	}
+	next.weights[m] = dated
 	v.declarations.Store(next)
+	v.log.StateChange("weights dated", port.F("model", string(m)), port.F("number", stated.Number),
+		port.F("target", string(target)), millisOrNegative("declared_ago_ms", stated.Age))
 }
 
 // hasUndated reports whether the time of a declaration is not known.
@@ -292,21 +292,22 @@
 	return false
 }
 
-// modelsOf returns the models of a target's service. The caller holds mu.
-func (v *view) modelsOf(target fleet.Instance) []fleet.Model {
+// modelOf returns the model whose weights the loader of a target manages, the first one of the
+// target's service, or an empty one if it is not known. The caller holds mu.
+func (v *view) modelOf(target fleet.Instance) fleet.Model {
 	t := v.routeTable.Load()
 	if t == nil {
-		return nil
+		return ""
 	}
 	for _, r := range v.registered {
 		if r.instance != target {
 			continue
 		}
-		if s, ok := t.Service(r.service); ok && s.Engine != nil {
-			return s.Engine.Models
+		if s, ok := t.Service(r.service); ok && s.Engine != nil && len(s.Engine.Models) > 0 {
+			return s.Engine.Models[0]
 		}
 	}
-	return nil
+	return ""
 }
 
 // learned returns what this gateway knows of the time of a change.
--- a/internal/port/loads.go
+++ b/internal/port/loads.go
@@ -22,7 +22,8 @@
 	Started int64
 	// Weights is the version of the weights that the target holds.
 	Weights int64
-	// Declared is the declaration that the sender enforces.
+	// Declared is the declaration that the sender enforces, of the first model of the target's
+	// service.
 	Declared DeclaredWeights
 	Load     placement.Load
 }
