soak: requests that begin late around the end of a weights' bound

Change: a set of faults in which declared weights can't be fetched before their bound ends and the engines' stand-ins begin requests 1 to 2.5 s late from 2 s before that, while a loader or a gateway may be disrupted. The origin's stand-in can refuse.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -151,9 +150,9 @@
 	}
 	sendCtx, watch := c.startStallWatch(ctx)
 	defer func() { c.retryTaken = watch.stop() }()
-	expiry := c.cancelAtExpiry(watch)
+	responded := c.cancelAtExpiry(watch)
 	resp, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
-	expiry.Stop()
+	responded()
 	if err != nil {
 		return c.recordSendFailure(ctx, choice, verdict.FromError(err))
 	}
@@ -178,12 +177,13 @@
 
 // cancelAtExpiry cancels the attempt if the target has not responded when it may no longer start
 // requests on its weights. The loader withdraws them before that; this covers one that has
-// stopped since it stated so.
-func (c *call) cancelAtExpiry(watch *stallWatch) *time.Timer {
+// stopped since it stated so. The returned function is called after the response.
+func (c *call) cancelAtExpiry(watch *stallWatch) (responded func()) {
 	if !c.weightsLimited {
-		return time.AfterFunc(math.MaxInt64, func() {})
+		return func() {}
 	}
-	return time.AfterFunc(c.weightsLimit.Left, watch.cancel)
+	t := time.AfterFunc(c.weightsLimit.Left, watch.cancel)
+	return func() { t.Stop() }
 }
 
 // recordLoad records the load stated in the response of a plain service. Engines are left
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -37,6 +37,9 @@
 	weightsFaults = faultSet{"weights", []int{0, 4, 6, 14, 14, 14, 14, 15, 16, 16}, 1, 2 * time.Second, 6 * time.Second}
 )
 
+// lateStartFaults has requests that are sent in time and begin after the end of the bound.
+var lateStartFaults = faultSet{"late", []int{17}, 1, 3 * time.Second, 4 * time.Second}
+
 // faultInjector injects random faults, several of which may be in effect at once.
 type faultInjector struct {
 	f        *fleet
@@ -157,7 +160,38 @@
 		if len(f.engines) < maxEngines {
 			inj.injected = append(inj.injected, "engine added "+f.addEmptyEngine(pickRandom(inj, domains)))
 		}
+	case 17:
+		inj.declareBeforeLateStarts()
+	}
+}
+
+// declareBeforeLateStarts declares weights that can't be fetched before their bound ends, and makes
+// the engines begin requests late around its end. In half of the cases a loader or a gateway is
+// disrupted shortly before.
+func (inj *faultInjector) declareBeforeLateStarts() {
+	// The delay begins so late that gateways have not seen a delayed response yet.
+	const lead, minDelay, delayRange = weightsBound - 2*time.Second, time.Second, 1500 * time.Millisecond
+	f := inj.f
+	inj.injected = append(inj.injected, "weights declared that the origin refuses")
+	f.weightsOrigin.SetRefusing(true)
+	f.declareWeights()
+	time.Sleep(lead)
+	for _, e := range f.engines {
+		d := minDelay + inj.randomMillis(delayRange)
+		inj.injected = append(inj.injected, fmt.Sprintf("%s begins requests %v late", e.ID, d))
+		e.SetStartDelay(d)
+	}
+	switch inj.rng.IntN(4) {
+	case 0:
+		inj.pauseInSeries(pickRandom(inj, f.loaders), 1)
+	case 1:
+		inj.disruptProcess(pickRandom(inj, f.gateways))
+	}
+	time.Sleep(weightsBound - lead)
+	for _, e := range f.engines {
+		e.SetStartDelay(0)
 	}
+	f.weightsOrigin.SetRefusing(false)
 }
 
 // setTargetFault puts a fault of a target into effect for every n-th request.
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -63,6 +63,8 @@
 	engines    []*platformtest.Target
 	services   []*platformtest.Target
 	origin     string
+	// weightsOrigin serves at origin.
+	weightsOrigin platformtest.Origin
 	// storeAddress is the address of the store, without the relay.
 	storeAddress string
 	history      history
@@ -91,7 +93,7 @@
 	t.Cleanup(f.relay.Close)
 	storeServer := httptest.NewServer(f.store)
 	t.Cleanup(func() { go storeServer.Close() })
-	origin := httptest.NewServer(platformtest.Origin{})
+	origin := httptest.NewServer(&f.weightsOrigin)
 	t.Cleanup(func() { go origin.Close() })
 	f.origin = strings.TrimPrefix(origin.URL, "http://")
 	f.writeConfig()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -71,7 +71,7 @@
 	seconds := envUint(t, "SOAK_SECONDS", 10)
 	seed := envUint(t, "SOAK_SEED", 1)
 	for i := range envUint(t, "SOAK_RUNS", 1) {
-		for _, faults := range []*faultSet{&allFaults, &weightsFaults} {
+		for _, faults := range []*faultSet{&allFaults, &weightsFaults, &lateStartFaults} {
 			t.Run(fmt.Sprint(faults.name, " seed ", seed+i), func(t *testing.T) { runSoak(t, seed+i, faults, time.Duration(seconds)*time.Second) })
 		}
 	}
