--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -150,7 +150,9 @@
 	}
 	sendCtx, watch := c.startStallWatch(ctx)
 	defer func() { c.retryTaken = watch.stop() }()
+	responded := c.cancelAtExpiry(watch)
 	resp, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
+	responded()
 	if err != nil {
 		return c.recordSendFailure(ctx, choice, verdict.FromError(err))
 	}
@@ -173,6 +175,17 @@
 	}
 }
 
+// cancelAtExpiry cancels the attempt if the target has not responded when it may no longer start
+// requests on its weights. The loader withdraws them before that; this covers one that has
+// stopped since it stated so. The returned function is called after the response.
+func (c *call) cancelAtExpiry(watch *stallWatch) (responded func()) {
+	if !c.weightsLimited {
+		return func() {}
+	}
+	t := time.AfterFunc(c.weightsLimit.Left, watch.cancel)
+	return func() { t.Stop() }
+}
+
 // recordLoad records the load stated in the response of a plain service. Engines are left
 // out: their loaders report the load more often than responses do.
 func (c *call) recordLoad(choice placement.Choice, l *port.TargetLoad) {
