feed: don't count the time for which a reader held the request as age of its confirmation

Callers saw: all loaders dated a declaration 1.0 to 1.6 s too early, although neither they nor the store were harmed, and withdrew old weights from all engines at 5.4 s and 6.0 s of 8 s, each group of engines within 40 ms. Cause: a follower dated the confirmation of its reader from the start of its call, which waits up to 1 s for changes. Change: the date is the start of the call, plus the time for which the reader held the request, less the age of the confirmation at the reply. The reader states that age for the time of the reply. The time held counts for at most the wait. TestHeldRequestDoesNotAgeConfirmation and TestAgeCountsUntilReply state the rule.

--- a/internal/app/feed/feed_test.go
+++ b/internal/app/feed/feed_test.go
@@ -347,3 +347,56 @@
 		}
 	}
 }
+
+// heldFeed is a port.FeedClient whose replies say that the reader held the request for held.
+type heldFeed struct{ age, held time.Duration }
+
+func (f heldFeed) Feed(context.Context, fleet.Address, port.FeedRequest) (port.FeedReply, error) {
+	return port.FeedReply{At: 1, Age: f.age, Held: f.held}, nil
+}
+
+// steppingClock advances by step whenever the time since boot is read.
+type steppingClock struct {
+	sysclock.Clock
+	now  *time.Duration
+	step time.Duration
+}
+
+func (c steppingClock) SinceBoot() time.Duration {
+	*c.now += c.step
+	return *c.now
+}
+
+// TestHeldRequestDoesNotAgeConfirmation guards against a follower that takes a confirmation to be
+// older by the time for which its reader waited for changes, and against a reader's statement
+// that dates the confirmation after the reply.
+func TestHeldRequestDoesNotAgeConfirmation(t *testing.T) {
+	const waited, age = time.Second, 200 * time.Millisecond
+	for held, want := range map[time.Duration]time.Duration{
+		0: age + waited, 900 * time.Millisecond: age + 100*time.Millisecond, 5 * time.Second: age,
+	} {
+		now := time.Hour
+		readers := func() []core.Member { return []core.Member{{ID: "r", Address: "r"}} }
+		s := NewSource(nil, heldFeed{age, held}, steppingClock{now: &now, step: waited}, logging.New(io.Discard, "x", "1"), readers, nil)
+		if _, _, err := s.Changes(context.Background(), "p/", 0, waited); err != nil {
+			t.Fatal(err)
+		}
+		if at, _ := s.FromReader("p/"); now-at != want {
+			t.Errorf("held for %v: confirmed %v ago, want %v", held, now-at, want)
+		}
+	}
+}
+
+// TestAgeCountsUntilReply guards against a reader that stands still between the check of its
+// confirmation and the reply, and states a time of the reply at which it was older.
+func TestAgeCountsUntilReply(t *testing.T) {
+	now := time.Hour
+	const step, age = 10 * time.Millisecond, 200 * time.Millisecond
+	s := NewServer(steppingClock{now: &now, step: step}, func() (time.Duration, bool) { return age, true })
+	apply, _ := s.AddPrefix("p/", func() bool { return true }, 0)
+	apply(follow.Event{Reset: true, At: 1, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "p/k", Revision: 1}}}})
+	reply, err := s.Feed(context.Background(), port.FeedRequest{Prefix: "p/", After: core.FromStart})
+	if err != nil || reply.Age < age+step {
+		t.Errorf("the confirmation is %v old at the reply, error %v; want at least %v", reply.Age, err, age+step)
+	}
+}
--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -136,6 +136,7 @@
 		}
 		// The age is read before the changes, so that the changes are at least as new
 		// as the view that was confirmed.
+		readAt := s.clock.SinceBoot()
 		confirmationAge, confirmed := s.confirmationAge()
 		if !confirmed || confirmationAge >= maxConfirmationAge || p.silent() {
 			return port.FeedReply{}, ErrStale
@@ -145,7 +146,8 @@
 		case !known:
 			return port.FeedReply{}, ErrGap
 		case len(changes) > 0 || !waiting:
-			return port.FeedReply{Changes: changes, At: revision, Age: confirmationAge, Held: s.clock.SinceBoot() - received}, nil
+			now := s.clock.SinceBoot()
+			return port.FeedReply{Changes: changes, At: revision, Age: confirmationAge + now - readAt, Held: now - received}, nil
 		}
 		select {
 		case <-next:
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -201,10 +201,13 @@
 			return reply, result
 		}
 		if err == nil {
-			s.recordReply(r.Prefix, m, start-reply.Age)
+			// The reader replied at the earliest after it had held the request; the rest of the
+			// wait was spent on the way.
+			waited := s.clock.SinceBoot() - start
+			held := min(reply.Held, waited)
+			s.recordReply(r.Prefix, m, start+held-reply.Age)
 			for i := range reply.Changes {
-				// What the reader did not hold the request for was spent on the way.
-				reply.Changes[i].Age = reply.Changes[i].Age.Plus(max(0, s.clock.SinceBoot()-start-reply.Held))
+				reply.Changes[i].Age = reply.Changes[i].Age.Plus(waited - held)
 			}
 			return reply, replied
 		}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -99,7 +99,7 @@
 	// At is the revision to pass as FeedRequest.After in the next request.
 	At int64
 	// Age is the time since the store last confirmed operator keys: those in the
-	// reply are at least as new. It is measured between request and reply.
+	// reply are at least as new. It is measured when the reply is made.
 	Age time.Duration
 	// Held is the time from the receipt of the request to the reply. The rest of the time that
 	// the caller waited was spent on the way. It is zero in older builds.
