loader: break off the requests in an engine if its weights are withdrawn after the bound

Callers saw VERSION with loaders that enforce the bound: engines and loaders stood still from before the withdrawal until after the bound, and requests that the engine had admitted began 20 and 171 ms after the withdrawal was accepted, 8,316 and 8,466 ms after the declaration. Cause: an engine that is ordered to release its weights refuses what waits in it, but ends what it has admitted, also where the prompt is still being prefilled and no token was made. A request begins with its first token. An order in time lets them end as before. The description of port.StagedEngine.Withdraw says what is not begun. TestLateWithdrawalBreaksOffRequests fails without the change.

--- a/internal/app/loader/enforce.go
+++ b/internal/app/loader/enforce.go
@@ -52,7 +52,9 @@
 }
 
 // withdraw orders the engine to release weights, unless its state has changed since they were
-// reported. The engine then begins no request, also none that waits there.
+// reported. The engine then admits no request, also none that waits there. If the bound may be
+// over already, the order also breaks off the requests in the engine, since any of them may not
+// have begun: the machine may have stood still with them.
 func (l *Loader) withdraw(ctx context.Context, held port.ModelWeights, until time.Duration) error {
 	r, err := l.deps.Engine.Report(ctx)
 	if err != nil {
@@ -63,7 +65,9 @@
 		return nil
 	}
 	g, _ := l.view.goal(held)
-	if err := l.deps.Engine.Withdraw(ctx, newOrder(held, &r, g.fenced)); err != nil {
+	o := newOrder(held, &r, g.fenced)
+	o.Abort = l.view.boundIsOver(held)
+	if err := l.deps.Engine.Withdraw(ctx, o); err != nil {
 		return err
 	}
 	r.Busy = true
@@ -71,7 +75,7 @@
 	l.deps.Metrics.Count("loader_withdrawals_total", 1)
 	l.deps.Log.StateChange("weights withdrawn from service", port.F("model", string(held.Model)), port.F("number", held.Number),
 		port.F("declared", g.Number), port.Millis("since_ms", l.since(g.declaredAt)), port.Millis("late_ms", -until),
-		port.F("running", r.Running), port.F("waiting", r.Waiting))
+		port.F("running", r.Running), port.F("waiting", r.Waiting), port.F("aborted", o.Abort))
 	return nil
 }
 
--- a/internal/app/loader/enforce_test.go
+++ b/internal/app/loader/enforce_test.go
@@ -119,3 +119,23 @@
 		t.Error("an engine that loads was ordered to release its weights")
 	}
 }
+
+// TestLateWithdrawalBreaksOffRequests guards against requests that an engine had admitted before
+// its machine stood still, and begins on old weights after their bound; and against a withdrawal
+// in time that breaks off responses.
+func TestLateWithdrawalBreaksOffRequests(t *testing.T) {
+	for ago, want := range map[time.Duration]bool{7200 * time.Millisecond: false, 8100 * time.Millisecond: true} {
+		e := newEngine(1)
+		l := newLoader(e, &fakeOrigin{})
+		l.settings.WeightsBound, l.view.settings.WeightsBound = 8*time.Second, 8*time.Second
+		r, _ := e.Report(context.Background())
+		l.engineReport.set(&r)
+		l.view.mu.Lock()
+		l.view.addDeclaration(declaredWeights{port.ModelWeights{Model: "m", Number: 2}, moment.KnownTime(l.deps.Clock.SinceBoot() - ago), false}, 2)
+		l.view.mu.Unlock()
+		l.enforceOnce(context.Background())
+		if w := e.withdrawals; len(w) != 1 || w[0].Abort != want {
+			t.Errorf("declared %v ago: withdrawals %+v; want one that breaks off requests: %v", ago, w, want)
+		}
+	}
+}
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -150,6 +150,14 @@
 	return v.bounds[w.Model].UntilWithdrawal(w.Number, v.settings.WeightsBound, v.clock.SinceBoot())
 }
 
+// boundIsOver reports whether the bound for the use of weights may be over.
+func (v *view) boundIsOver(w port.ModelWeights) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	limit, limited := v.bounds[w.Model].Limit(w.Number, v.settings.WeightsBound, v.clock.SinceBoot())
+	return limited && limit.Left <= 0
+}
+
 // enforced returns the declaration that this loader enforces, for its load reports.
 func (v *view) enforced() port.DeclaredWeights {
 	v.mu.Lock()
--- a/internal/port/stage.go
+++ b/internal/port/stage.go
@@ -37,6 +37,8 @@
 	ExpectOrderCount int64
 	// Fence is the fencing number, or zero for none.
 	Fence int64
+	// Abort breaks off the requests in progress. They end first otherwise.
+	Abort bool
 }
 
 // StagedEngine is a model engine that loads weights from a staging area on its
@@ -56,8 +58,9 @@
 	// rejected the order. After any other error the engine may have accepted it.
 	LoadStaged(ctx context.Context, o StagedOrder) error
 	// Withdraw orders the engine to release weights. From the acceptance of the order on it
-	// begins no request with them, also none that waits in it; requests in progress end
-	// first. It returns errors like LoadStaged.
+	// admits no request, also none that waits in it. Requests in progress end first; those
+	// whose prompt is still being prefilled begin their response after the order. It returns
+	// errors like LoadStaged.
 	Withdraw(ctx context.Context, o StagedOrder) error
 }
 
