loader, gateway: guard the parts of the bound's enforcement that no package test covered

Removing one of these parts failed no test of its package: the declaration in the loader's report, its state without weights, the gateway's use of the declaration, the reader's confirmation and the listing as date of a declaration. TestReportStatesEnforcedDeclaration, TestReportedEnforcementIsUsed and TestDeclarationsAreConfirmedByReader each fail with their part removed.

--- a/internal/app/gateway/feed_test.go
+++ b/internal/app/gateway/feed_test.go
@@ -13,7 +13,9 @@
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
+	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/port/porttest"
 )
@@ -192,3 +194,23 @@
 		t.Errorf("changes %v, error %v, calls with a shorter deadline %v", cs, err, client.bounded)
 	}
 }
+
+// TestReportedEnforcementIsUsed guards against a gateway that ignores which declaration the loader
+// of a target enforces, and refuses all requests for old weights near their bound.
+func TestReportedEnforcementIsUsed(t *testing.T) {
+	gw := newTestGateway(t, route)
+	limit := func(int64) (weightsbound.Limit, bool) {
+		return weightsbound.Limit{Left: 2 * time.Second, Declared: 2}, true
+	}
+	choose := func() placement.Outcome {
+		_, out := gw.targets.Choose(placement.Query{Service: route.Shares[0].Service, Processes: 1, WeightsLimit: limit}, gw.clock.Now(), func(int) int { return 0 })
+		return out
+	}
+	if out := choose(); out != placement.AllFull {
+		t.Errorf("%v near the bound without a report, want %v", out, placement.AllFull)
+	}
+	gw.HandleReport(port.LoadReport{Target: "a", Load: placement.Load{Slots: 4}, Declared: port.DeclaredWeights{Number: 2, Age: moment.KnownAge(time.Second)}})
+	if out := choose(); out != placement.Chosen {
+		t.Errorf("%v near the bound although the loader enforces it", out)
+	}
+}
--- a/internal/app/loader/enforce_test.go
+++ b/internal/app/loader/enforce_test.go
@@ -7,7 +7,10 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/app/feed"
 	"github.com/masticwing/masticwing/internal/app/follow"
+	core "github.com/masticwing/masticwing/internal/core/feed"
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -139,3 +142,52 @@
 		}
 	}
 }
+
+// TestReportStatesEnforcedDeclaration guards against gateways that send nothing to an engine near
+// the bound because its loader does not state that it enforces it, and against requests for an
+// engine that has released its weights.
+func TestReportStatesEnforcedDeclaration(t *testing.T) {
+	e := newEngine(1)
+	l := newLoader(e, &fakeOrigin{})
+	l.declareForTest(2)
+	r, _ := e.Report(context.Background())
+	out := l.loadReport(r)
+	if _, known := out.Declared.Age.Get(); out.Declared.Number != 2 || !known || out.Load.Loading {
+		t.Errorf("report %+v, want declaration 2 with its age and an engine that serves", out)
+	}
+	r.Held = nil
+	if out = l.loadReport(r); !out.Load.Loading {
+		t.Error("an engine without weights is reported as serving")
+	}
+}
+
+// confirmedFeed is a port.FeedClient whose replies carry no changes and a confirmation of this
+// age.
+type confirmedFeed time.Duration
+
+func (f confirmedFeed) Feed(context.Context, fleet.Address, port.FeedRequest) (port.FeedReply, error) {
+	return port.FeedReply{At: 1, Age: time.Duration(f)}, nil
+}
+
+// TestDeclarationsAreConfirmedByReader guards against a loader that dates declarations by its own
+// call to a reader that stands still, which is too late, and against one that dates none because
+// it takes no listing as a confirmation.
+func TestDeclarationsAreConfirmedByReader(t *testing.T) {
+	const age = 3 * time.Second
+	l := newLoader(newEngine(1), &fakeOrigin{})
+	readers := func() []core.Member { return []core.Member{{ID: "r", Address: "r"}} }
+	l.source = feed.NewSource(nil, confirmedFeed(age), l.deps.Clock, l.deps.Log, readers, nil)
+	if _, _, err := l.source.Changes(context.Background(), "weights/", 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	f := l.newWeightsFollower("weights/")
+	f.OnRevision(1, l.deps.Clock.SinceBoot())
+	if at, known := l.view.weightsConfirmed.Get(); !known || l.deps.Clock.SinceBoot()-at < age {
+		t.Errorf("confirmed at %v (known: %v), want %v ago", at, known, age)
+	}
+	readAt := l.deps.Clock.SinceBoot()
+	l.applyWeights(follow.Event{Reset: true, ReadAt: readAt})
+	if at, _ := l.view.weightsConfirmed.Get(); at != readAt {
+		t.Errorf("confirmed at %v after a listing that began at %v", at, readAt)
+	}
+}
