--- a/internal/adapter/loadudp/loadudp.go
+++ b/internal/adapter/loadudp/loadudp.go
@@ -3,12 +3,12 @@
 // other gateways of the requests that it sends. Delivery is not guaranteed: the next
 // report replaces a lost report, and also includes the request of a lost notice.
 //
-// All numbers are in network byte order; sizes are in bytes. A report has 42 bytes:
+// All numbers are in network byte order; sizes are in bytes. A report has 50 bytes:
 // version (1), flags (1), IPv4 address and port of the target (6), start time of the
 // target in Unix milliseconds (8), version of its weights (8), the numbers of
 // running requests, waiting requests and slots (2 each), and of the declaration that the
-// sender enforces the version (8) and the age in milliseconds (4), both zero if there is none.
-// A report without the last two fields, as older builds send it, has 30 bytes and another
+// sender enforces the version (8), the oldest version that may serve requests (8) and the age
+// in milliseconds (4), all zero if there is none. A report without the last three fields, as older builds send it, has 30 bytes and another
 // version. A notice has 12 bytes: version (1), reserved (1), IPv4 address and port of the
 // target (6), and the number of prompt tokens (4). The version also tells reports and notices
 // apart.
@@ -36,7 +36,7 @@
 	noticeVersion     = 2
 	reportVersion     = 3
 	undeclaredBytes   = 30
-	reportBytes       = 42
+	reportBytes       = 50
 	noticeBytes       = 12
 	flagLoading       = 1
 )
@@ -96,18 +96,22 @@
 	}
 	ms := min(age/time.Millisecond+1, math.MaxUint32)
 	if d.Number <= 0 {
-		d.Number, ms = 0, 0
+		d.Number, d.Required, ms = 0, 0, 0
 	}
 	b = binary.BigEndian.AppendUint64(b, uint64(d.Number))
+	b = binary.BigEndian.AppendUint64(b, uint64(d.Required))
 	return binary.BigEndian.AppendUint32(b, uint32(ms))
 }
 
 func decodeDeclared(b []byte) port.DeclaredWeights {
-	number := int64(binary.BigEndian.Uint64(b))
-	if number <= 0 {
+	d := port.DeclaredWeights{
+		Number: int64(binary.BigEndian.Uint64(b)), Required: int64(binary.BigEndian.Uint64(b[8:])),
+		Age: moment.KnownAge(time.Duration(binary.BigEndian.Uint32(b[16:])) * time.Millisecond),
+	}
+	if d.Number <= 0 || d.Required < 0 {
 		return port.DeclaredWeights{}
 	}
-	return port.DeclaredWeights{Number: number, Age: moment.KnownAge(time.Duration(binary.BigEndian.Uint32(b[8:])) * time.Millisecond)}
+	return d
 }
 
 func decodeReport(b []byte) (port.LoadReport, bool) {
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -270,7 +270,9 @@
 	defer v.mu.Unlock()
 	next := v.declarations.Load().copy()
 	m := v.modelOf(target)
-	dated, changed := next.weights[m].Date(stated.Number, at)
+	dated, changed := next.weights[m].Adopt(weightsbound.Statement{
+		Newest: weightsbound.Declaration{Version: stated.Number, At: at}, Required: stated.Required,
+	})
 	if !changed {
 		return
 	}
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -159,12 +159,14 @@
 	return v.bounds[w.Model].UntilWithdrawal(w.Number, v.settings.WeightsBound, v.clock.SinceBoot())
 }
 
-// boundIsOver reports whether the bound for the use of weights may be over.
+// boundIsOver reports whether the bound for the use of weights may be over. It returns false while
+// that is not known: requests in the engine probably began in time, since gateways that know
+// the bound sent them.
 func (v *view) boundIsOver(w port.ModelWeights) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	limit, limited := v.bounds[w.Model].Limit(w.Number, v.settings.WeightsBound, v.clock.SinceBoot())
-	return limited && limit.Left <= 0
+	return limited && limit.Dated && limit.Left <= 0
 }
 
 // enforced returns the declaration that this loader enforces, for its load reports.
@@ -176,8 +178,8 @@
 		return port.DeclaredWeights{}
 	}
 	now := v.clock.SinceBoot()
-	d := v.bounds[s.Engine.Models[0]].Statement(v.settings.WeightsBound, now)
-	return port.DeclaredWeights{Number: d.Version, Age: d.At.Age(now)}
+	stated := v.bounds[s.Engine.Models[0]].Statement(v.settings.WeightsBound, now)
+	return port.DeclaredWeights{Number: stated.Newest.Version, Required: stated.Required, Age: stated.Newest.At.Age(now)}
 }
 
 func (v *view) applyMembers(e follow.Event) {
--- a/internal/core/weightsbound/weightsbound.go
+++ b/internal/core/weightsbound/weightsbound.go
@@ -41,41 +41,53 @@
 	return out
 }
 
-// Date returns ds with the time of a declaration that another process states, and whether that
-// differs from ds. Times that are known are kept: the other process may know less.
-func (ds Declarations) Date(version int64, at moment.Time) (Declarations, bool) {
-	i := slices.IndexFunc(ds, func(d Declaration) bool { return d.Version == version })
+// Statement is what a process tells others that may not know when versions were declared.
+type Statement struct {
+	// Newest is the newest version with the earliest time of a declaration whose bound is not
+	// over.
+	Newest Declaration
+	// Required is the oldest version that may serve requests, or zero for any.
+	Required int64
+}
+
+// Adopt returns ds with the statement of another process, and whether that differs from ds. Times
+// that are known are kept: the other process may know less.
+func (ds Declarations) Adopt(s Statement) (Declarations, bool) {
+	i := slices.IndexFunc(ds, func(d Declaration) bool { return d.Version == s.Newest.Version })
 	if i < 0 {
 		return ds, false
 	}
 	if _, known := ds[i].At.Get(); known {
 		return ds, false
 	}
-	if _, known := at.Get(); !known {
+	if _, known := s.Newest.At.Get(); !known {
 		return ds, false
 	}
 	out := slices.Clone(ds)
-	out[i].At = at
+	out[i].At = s.Newest.At
+	if s.Required > 0 && s.Required < s.Newest.Version {
+		// The unknown time ends the use of older weights at once.
+		out = slices.Insert(out, i, Declaration{Version: s.Required})
+	}
 	return out, true
 }
 
-// Statement returns what a process tells others that may not know when versions were declared:
-// the newest version, and the earliest time of a declaration whose bound is not over. The
-// version is zero if its time is not known.
-func (ds Declarations) Statement(bound, now time.Duration) Declaration {
+// Statement returns what a process with these declarations states. It is zero if the time of the
+// newest one is not known.
+func (ds Declarations) Statement(bound, now time.Duration) Statement {
 	if len(ds) == 0 {
-		return Declaration{}
+		return Statement{}
 	}
 	newest := ds[len(ds)-1]
 	if _, known := newest.At.Get(); !known {
-		return Declaration{}
+		return Statement{}
 	}
 	for _, d := range ds {
 		if !d.expired(bound, now) {
 			newest.At = moment.Earlier(newest.At, d.At)
 		}
 	}
-	return newest
+	return Statement{newest, ds.Required(bound, now)}
 }
 
 // expired reports whether the bound of a declaration is over at now.
@@ -101,6 +113,8 @@
 	Left time.Duration
 	// Declared is the version of the declaration that ends the use of the version.
 	Declared int64
+	// Dated is set if the time of that declaration is known.
+	Dated bool
 }
 
 // Limit returns for how long requests may still start on a version, or false if no newer one is
@@ -111,12 +125,12 @@
 		if d.Version <= version {
 			continue
 		}
-		left := time.Duration(0)
-		if at, known := d.At.Get(); known {
+		left, at, dated := time.Duration(0), time.Duration(0), false
+		if at, dated = d.At.Get(); dated {
 			left = at + bound - usualConfirmationAge - now
 		}
 		if !limited || left < limit.Left {
-			limit, limited = Limit{left, d.Version}, true
+			limit, limited = Limit{left, d.Version, dated}, true
 		}
 	}
 	return limit, limited
@@ -150,9 +164,9 @@
 func (l Learned) At() moment.Time { return l.Age().Before(l.Now) }
 
 // withdrawalLead is how long before the end of the time left the loader takes weights out of
-// service: the engine's report that shows them may be 0.1 s old, and the order itself takes a
-// call on the same machine.
-const withdrawalLead = 300 * time.Millisecond
+// service. Requests that the engine is prefilling then still begin, up to 0.8 s later on a play
+// with full links.
+const withdrawalLead = 800 * time.Millisecond
 
 // UntilWithdrawal returns the time until the engine's weights have to be taken out of service,
 // or false if no newer version is declared. It is not positive once that is due.
--- a/internal/port/loads.go
+++ b/internal/port/loads.go
@@ -34,6 +34,8 @@
 type DeclaredWeights struct {
 	// Number is zero if the loader enforces no declaration.
 	Number int64
+	// Required is the oldest weights that may serve requests, or zero for any.
+	Required int64
 	// Age is that of the oldest declaration whose bound is not over, as a time when the report
 	// was sent.
 	Age moment.Age
