gateway: a target that sends no event until its request is given up counts as late

Cause: the lateness of a target was recorded with its first events only. Requests that were given up after 1.3 s, or whose callers left, without one left no trace, so that the slowest targets looked punctual. Change: such an attempt counts as late by at least the time that was waited, if that is more than the estimate. The log line of a request has the expected lateness of its target.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -149,7 +149,11 @@
 		f.Customer = c.account.Name
 	}
 	sendCtx, watch := c.startStallWatch(ctx)
-	defer func() { c.retryTaken = watch.stop() }()
+	eventsBefore := c.relay.events.EventCount()
+	defer func() {
+		c.recordNoEvent(sendCtx, choice, watch, eventsBefore)
+		c.retryTaken = watch.stop()
+	}()
 	resp, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
 	if err != nil {
 		return c.recordSendFailure(ctx, choice, verdict.FromError(err))
@@ -173,6 +177,16 @@
 	}
 }
 
+// recordNoEvent records how late the first event of an attempt was at least if the attempt was
+// given up without one. eventsBefore is the number of events before the attempt.
+func (c *call) recordNoEvent(sendCtx context.Context, choice placement.Choice, watch *stallWatch, eventsBefore int) {
+	if c.route.Kind != routes.Streaming || sendCtx.Err() == nil || c.relay.events.EventCount() > eventsBefore {
+		return
+	}
+	now := c.g.deps.Clock.Now()
+	c.g.targets.RecordNoEvent(choice.Instance, now.Sub(watch.start), choice.TimeToFirstEvent, now)
+}
+
 // recordLoad records the load stated in the response of a plain service. Engines are left
 // out: their loaders report the load more often than responses do.
 func (c *call) recordLoad(choice placement.Choice, l *port.TargetLoad) {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -275,7 +275,7 @@
 	}
 	if c.lastChoice.Instance != "" {
 		fs = append(fs, port.F("target", string(c.lastChoice.Instance)), port.F("target_domain", string(c.lastChoice.Domain)),
-			port.F("target_load", c.lastChoice.EstimatedInFlight), port.Millis("predicted_first_ms", c.lastChoice.TimeToFirstEvent), port.Millis("load_age_ms", c.lastChoice.LoadAge))
+			port.F("target_load", c.lastChoice.EstimatedInFlight), port.Millis("predicted_first_ms", c.lastChoice.TimeToFirstEvent), port.Millis("expected_late_ms", c.lastChoice.ExpectedLateness), port.Millis("load_age_ms", c.lastChoice.LoadAge))
 		if c.service.Engine != nil {
 			fs = append(fs, port.F("target_weights", c.lastChoice.WeightsVersion), port.F("weights_required", c.weightsRequired))
 			if c.weightsLimited {
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -60,6 +60,9 @@
 	EstimatedInFlight float64
 	// TimeToFirstEvent is the predicted time to the first event of the response.
 	TimeToFirstEvent time.Duration
+	// ExpectedLateness is the time by which the first event is probably later than
+	// predicted.
+	ExpectedLateness time.Duration
 	// LoadAge is the age of the last load report, or negative if there is none.
 	LoadAge time.Duration
 }
@@ -151,12 +154,13 @@
 			c.LoadAge = now.Sub(s.reportedAt)
 		}
 		c.TimeToFirstEvent = s.timeToFirstEvent(&q, c.EstimatedInFlight, now)
+		c.ExpectedLateness = s.expectedLateness(now)
 		score := c.TimeToFirstEvent + time.Duration(c.EstimatedInFlight*float64(inFlightCost))
 		if s.Domain != q.OwnDomain {
 			score += crossDomainCost
 		}
 		if q.NeedsWeights {
-			score += s.staleness(now) + s.expectedLateness(now)
+			score += s.staleness(now) + c.ExpectedLateness
 		}
 		if len(best) == 0 || score < bestScore {
 			best, bestScore = append(best[:0], c), score
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -374,3 +374,41 @@
 		t.Errorf("usage %+v", u)
 	}
 }
+
+// TestSilentEngineCountsAsLate guards against requests that are sent again and again to an engine
+// whose link is so slow that no event arrives before its requests are given up, and against an
+// estimate that falls because a caller left early.
+func TestSilentEngineCountsAsLate(t *testing.T) {
+	const predicted = 100 * time.Millisecond
+	table := NewTable()
+	table.Set(engine("silent", 16))
+	table.Set(engine("other", 16))
+	for _, id := range []string{"silent", "other"} {
+		report(table, id, Load{Slots: 16}, start)
+	}
+	q := Query{Service: "llm", OwnDomain: "a", NeedsWeights: true, Processes: 1}
+	lateness := func() time.Duration {
+		c, out := table.Choose(Query{Service: "llm", OwnDomain: "a", NeedsWeights: true, Processes: 1, Tried: map[fleet.Instance]bool{"other": true}}, start, rand.IntN)
+		if out != Chosen {
+			t.Fatalf("outcome %v", out)
+		}
+		table.Release("silent")
+		return c.ExpectedLateness
+	}
+	table.RecordNoEvent("silent", 1300*time.Millisecond, predicted, start)
+	late := lateness()
+	if late < 300*time.Millisecond {
+		t.Errorf("an engine that sent nothing for 1.3 s is expected to be %v late", late)
+	}
+	for range 10 {
+		c, _ := table.Choose(q, start, rand.IntN)
+		if c.Instance != "other" {
+			t.Fatal("the silent engine is chosen although another one has capacity")
+		}
+		table.Release("other")
+	}
+	table.RecordNoEvent("silent", predicted, predicted, start)
+	if got := lateness(); got < late {
+		t.Errorf("after a caller left early: %v instead of %v", got, late)
+	}
+}
--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -136,6 +136,16 @@
 	t.update(id, func(s *targetState) { s.recordLateness(actual-predicted, now) })
 }
 
+// RecordNoEvent records that a response had no event after a time, and the predicted time to its
+// first event. The first event would have been at least that late.
+func (t *Table) RecordNoEvent(id fleet.Instance, waited, predicted time.Duration, now time.Time) {
+	t.update(id, func(s *targetState) {
+		if waited-predicted-latenessTolerance > s.expectedLateness(now) {
+			s.recordLateness(waited-predicted, now)
+		}
+	})
+}
+
 // RecordSuccess records an answered request, which resets the failure pause.
 func (t *Table) RecordSuccess(id fleet.Instance) {
 	t.update(id, func(s *targetState) { s.failures = 0 })
