rpc: reset the connection of a request that is given up

Agents could get a request after its caller had given it up: an entry that canceled a request closed its connection in order, so that the kernel went on sending what it held of the request, over links that all traffic between regions shares. Cause: as in for targets: drpc closes the connection of a canceled stream, and the close was a regular one. Change: package tcpreset has the reset for all adapters. Connections to other processes are closed only when a stream is canceled or they are idle, so each close resets them. targetconn uses the same function.

--- a/internal/adapter/rpc/pool.go
+++ b/internal/adapter/rpc/pool.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/masticwing/masticwing/internal/adapter/tcpreset"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
 )
@@ -74,6 +75,8 @@
 	if err != nil {
 		return nil, dialError{err}
 	}
+	// A connection is closed if its stream is canceled, or while it is idle.
+	tcpreset.OnClose(conn)
 	return drpcconn.NewWithOptions(countedConn{conn, &c.Meter.connections}, connOptions()), nil
 }
 
--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/masticwing/masticwing/internal/adapter/tcpreset"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
 )
@@ -392,16 +393,12 @@
 	return err == nil && isQuiet
 }
 
-// discard resets the connection. The kernel drops what it has not sent of the request yet; a
-// regular close would send that first, after the caller has given up the request.
+// discard resets the connection of a request that is given up.
 func (c *conn) discard() {
 	if c.stopCancel != nil {
 		c.stopCancel()
 	}
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = c.Close()
+	tcpreset.Close(c.Conn)
 }
 
 // responseBody returns the connection to the pool after a complete response was
