targethttp: reset the connection of a request that is given up

An engine or a service that did not read for a while got the rest of a request that was given up meanwhile, up to what the kernel holds, and could run it. Cause: net/http closes the connection of a canceled request in order. Change: connections that carry one request are reset at their close, which follows a complete response or the end of the request. Connections that are kept, for status and health checks, are closed as before.

--- a/internal/adapter/targethttp/targethttp.go
+++ b/internal/adapter/targethttp/targethttp.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
+	"github.com/masticwing/masticwing/internal/adapter/tcpreset"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 )
 
@@ -29,12 +30,18 @@
 // NewTransport returns a transport for one target. SendError distinguishes its
 // failures to connect from other failures.
 func NewTransport() *http.Transport {
+	return newTransport(func(net.Conn) {})
+}
+
+// newTransport returns a transport for one target. It calls onOpen for each new connection.
+func newTransport(onOpen func(net.Conn)) *http.Transport {
 	d := net.Dialer{Timeout: dialTimeout}
 	t := boundedhttp.NewTransport(func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, dialError{err}
 		}
+		onOpen(c)
 		return c, nil
 	})
 	t.MaxIdleConnsPerHost = maxIdleConns
@@ -44,8 +51,10 @@
 // NewSingleUseTransport returns a transport like NewTransport that opens a connection for
 // each request. net/http closes an idle connection on which bytes arrive, but takes those
 // that arrive once the next request was sent for its response.
+//
+// The close resets the connection. It follows a complete response, or the request is given up.
 func NewSingleUseTransport() *http.Transport {
-	t := NewTransport()
+	t := newTransport(tcpreset.OnClose)
 	t.DisableKeepAlives = true
 	return t
 }
