--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -201,7 +201,7 @@
 	serviceQueueLimit = 12
 	// weightsMargin is how long before WeightsBound targets with older weights stop
 	// getting requests. A request for a free slot starts within 0.4 s.
-	weightsMargin = 1700 * time.Millisecond
+	weightsMargin = 1400 * time.Millisecond
 	// queuedWeightsMargin is the same for requests that would wait at a full engine,
 	// which sometimes takes more than a second.
 	queuedWeightsMargin = 3 * time.Second
--- a/internal/core/loadschedule/loadschedule.go
+++ b/internal/core/loadschedule/loadschedule.go
@@ -12,7 +12,7 @@
 	firstChangeFraction = 0.35
 	// lastChangeFraction is the fraction of the bound after which the last engine is
 	// ordered to change. An engine starts no request on the old weights once it has
-	// the order, and gateways send no request to old weights in the last fifth of
+	// the order, and gateways send no request to old weights in the last sixth of
 	// the bound.
 	lastChangeFraction = 0.8
 )
--- a/internal/core/weightsbound/weightsbound.go
+++ b/internal/core/weightsbound/weightsbound.go
@@ -164,9 +164,9 @@
 func (l Learned) At() moment.Time { return l.Age().Before(l.Now) }
 
 // withdrawalLead is how long before the end of the time left the loader takes weights out of
-// service. Requests that the engine is prefilling then still begin, up to 0.8 s later on a play
-// with full links.
-const withdrawalLead = 800 * time.Millisecond
+// service. Requests that the engine is prefilling then still begin. On plays with full links their
+// first events reached gateways up to 0.8 s later, most of it on the way.
+const withdrawalLead = 500 * time.Millisecond
 
 // UntilWithdrawal returns the time until the engine's weights have to be taken out of service,
 // or false if no newer version is declared. It is not positive once that is due.
