feed, gateway: adopt a reader's confirmation only for the keys and revisions it covers

Callers could get old weights after their bound: a gateway that follows a reader dated a declaration by a confirmation that did not cover it, or never learned of the declaration and did not check its view itself.

Cause: a follower adopted its reader's confirmation for all keys that it covers itself, and the reply did not say which keys and revisions were confirmed. The two differ if the reader is at a lower revision than the follower and finds a change by its check (the change is below the revision from which the follower asks), if the follower holds a key that the reader neither has nor checks, and if a key was removed that only the follower had.

A reply now states a digest of the keys that the confirmation covers, at their revisions with the changes of the reply (9 bytes). confirmation.Record holds the revisions of its keys and adopts a statement only if its own digest is the same. An item that appears is not confirmed by earlier checks of its absence: it may have been removed before them.

--- a/internal/adapter/rpc/feed.go
+++ b/internal/adapter/rpc/feed.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcerr"
 
 	"github.com/masticwing/masticwing/internal/adapter/rpc/pb"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -51,7 +52,9 @@
 		// A negative age would date the confirmation of the operator keys into the future.
 		return port.FeedReply{}, errors.Errorf("reply is %d ms old", in.GetAgeMs())
 	}
-	out := port.FeedReply{At: in.GetAt(), Age: fromMillis(in.GetAgeMs()), Held: max(0, fromMillis(in.GetHeldMs()))}
+	out := port.FeedReply{
+		At: in.GetAt(), Age: fromMillis(in.GetAgeMs()), View: confirmation.Digest(in.GetView()), Held: max(0, fromMillis(in.GetHeldMs())),
+	}
 	left := maxReplyBytes
 	for _, x := range in.GetChanges() {
 		value := x.GetValue()
@@ -163,7 +166,7 @@
 		return nil, err
 	}
 	// Ages are rounded up, so that the receiver never sees a smaller one.
-	out := &pb.FeedReply{At: reply.At, AgeMs: reply.Age.Milliseconds() + 1, HeldMs: reply.Held.Milliseconds()}
+	out := &pb.FeedReply{At: reply.At, AgeMs: reply.Age.Milliseconds() + 1, HeldMs: reply.Held.Milliseconds(), View: uint64(reply.View)}
 	for _, x := range reply.Changes {
 		value, compressed := s.compress(x)
 		out.Changes = append(out.Changes, &pb.FeedChange{
--- a/internal/adapter/rpc/feed_test.go
+++ b/internal/adapter/rpc/feed_test.go
@@ -26,7 +26,7 @@
 // TestFeedRoundTrip guards against a change that loses a field in conversion, and
 // against an age that gets smaller.
 func TestFeedRoundTrip(t *testing.T) {
-	want := port.FeedReply{At: 9, Age: 1500 * time.Microsecond, Held: 10 * time.Millisecond, Changes: []feed.Change{
+	want := port.FeedReply{At: 9, Age: 1500 * time.Microsecond, Held: 10 * time.Millisecond, View: 1<<63 + 5, Changes: []feed.Change{
 		{Key: "p/a", Value: []byte("1"), Revision: 7}, {Key: "p/b", Revision: 8, Removed: true, Age: moment.KnownAge(2 * time.Second)},
 	}}
 	addr := startServer(t, Handlers{Feed: feedHandlerFunc(func(_ context.Context, r port.FeedRequest) (port.FeedReply, error) {
@@ -38,7 +38,7 @@
 	c := NewClient()
 	defer c.Close()
 	got, err := c.Feed(t.Context(), addr, port.FeedRequest{Prefix: "p/", After: 5, Wait: 20 * time.Millisecond})
-	if err != nil || got.At != want.At || got.Age < want.Age || got.Held != want.Held || !reflect.DeepEqual(got.Changes, want.Changes) {
+	if err != nil || got.At != want.At || got.Age < want.Age || got.Held != want.Held || got.View != want.View || !reflect.DeepEqual(got.Changes, want.Changes) {
 		t.Errorf("reply %+v, %v", got, err)
 	}
 }
--- a/internal/app/feed/feed_test.go
+++ b/internal/app/feed/feed_test.go
@@ -13,6 +13,7 @@
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -109,7 +110,9 @@
 	log := logging.New(io.Discard, "x", name)
 	p.source = NewSource(p.store, tn.net, sysclock.Clock{}, log, func() []core.Member { return ms },
 		map[string]PrefixOptions{"p/": options})
-	p.server = NewServer(sysclock.Clock{}, func() (time.Duration, bool) { return time.Duration(p.confirmationAge.Load()), true })
+	p.server = NewServer(sysclock.Clock{}, func(string) (confirmation.Coverage, bool) {
+		return confirmation.Coverage{At: sysclock.Clock{}.SinceBoot() - time.Duration(p.confirmationAge.Load())}, true
+	})
 	apply, seen := p.server.AddPrefix("p/", func() bool { return p.source.FromStore("p/") }, 0)
 	f := follow.New(p.source, "p/", 100*time.Millisecond, func() time.Duration { return time.Millisecond }, sysclock.Clock{}, log)
 	f.OnRevision = func(revision int64, _ time.Duration) { seen(revision) }
@@ -201,8 +204,8 @@
 	follower := tn.add("f", "r")
 	tn.waitUntilFollowing(follower)
 	now := sysclock.Clock{}.SinceBoot()
-	if at, _ := follower.source.FromReader("p/"); now-at < confirmationAge || now-at > confirmationAge+2*time.Second {
-		t.Errorf("confirmed %v ago, want at least %v", now-at, confirmationAge)
+	if c, _ := follower.source.FromReader("p/"); now-c.At < confirmationAge || now-c.At > confirmationAge+2*time.Second {
+		t.Errorf("confirmed %v ago, want at least %v", now-c.At, confirmationAge)
 	}
 }
 
@@ -336,7 +339,7 @@
 // followers after a step of the time of day, and then confirms its view too rarely for them.
 func TestFollowersAreCountedAcrossClockSteps(t *testing.T) {
 	clock := &steppedClock{}
-	s := NewServer(clock, func() (time.Duration, bool) { return 0, true })
+	s := NewServer(clock, func(string) (confirmation.Coverage, bool) { return confirmation.Coverage{At: clock.SinceBoot()}, true })
 	if s.HasFollowers() {
 		t.Error("a server without requests has followers")
 	}
--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -39,10 +40,10 @@
 // that follow it. It implements port.FeedHandler.
 type Server struct {
 	clock port.BootClock
-	// confirmationAge returns the time since the store confirmed the process's view, or
-	// false if it never did.
-	confirmationAge func() (time.Duration, bool)
-	logs            []*prefixLog
+	// confirmed returns when the store last confirmed the process's view and which keys under a
+	// prefix that covers, or false if it never did.
+	confirmed func(prefix string) (confirmation.Coverage, bool)
+	logs      []*prefixLog
 	// lastRequest is the time of the last request since boot in nanoseconds, or zero.
 	lastRequest atomic.Int64
 }
@@ -62,10 +63,10 @@
 	respondedAt atomic.Int64
 }
 
-// NewServer returns a server without prefixes. confirmationAge returns the time
-// since the store confirmed the process's view, or false if it never did.
-func NewServer(clock port.BootClock, confirmationAge func() (time.Duration, bool)) *Server {
-	return &Server{clock: clock, confirmationAge: confirmationAge}
+// NewServer returns a server without prefixes. confirmed returns when the store last confirmed
+// the process's view and which keys under a prefix that covers, or false if it never did.
+func NewServer(clock port.BootClock, confirmed func(prefix string) (confirmation.Coverage, bool)) *Server {
+	return &Server{clock: clock, confirmed: confirmed}
 }
 
 // AddPrefix adds a prefix that is served while fromStore returns true, unless the store has
@@ -134,9 +135,10 @@
 		if !p.fromStore() {
 			return port.FeedReply{}, ErrNotReader
 		}
-		// The age is read before the changes, so that the changes are at least as new
+		// The confirmation is read before the changes, so that the changes are at least as new
 		// as the view that was confirmed.
-		confirmationAge, confirmed := s.confirmationAge()
+		coverage, confirmed := s.confirmed(r.Prefix)
+		confirmationAge := s.clock.SinceBoot() - coverage.At
 		if !confirmed || confirmationAge >= maxConfirmationAge || p.silent() {
 			return port.FeedReply{}, ErrStale
 		}
@@ -145,7 +147,10 @@
 		case !known:
 			return port.FeedReply{}, ErrGap
 		case len(changes) > 0 || !waiting:
-			return port.FeedReply{Changes: changes, At: revision, Age: confirmationAge, Held: s.clock.SinceBoot() - received}, nil
+			return port.FeedReply{
+				Changes: changes, At: revision, Age: confirmationAge,
+				View: confirmation.DigestOf(p.log.Revisions(coverage.Keys)), Held: s.clock.SinceBoot() - received,
+			}, nil
 		}
 		select {
 		case <-next:
--- a/internal/app/feed/silent_test.go
+++ b/internal/app/feed/silent_test.go
@@ -12,6 +12,7 @@
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
 	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
@@ -99,8 +100,9 @@
 // has lost the store, past the age from which the reader serves none.
 func TestWaitingCallEndsWhenStale(t *testing.T) {
 	start := time.Now()
-	s := NewServer(sysclock.Clock{}, func() (time.Duration, bool) {
-		return maxConfirmationAge - 50*time.Millisecond + time.Since(start), true
+	confirmedAt := sysclock.Clock{}.SinceBoot() - maxConfirmationAge + 50*time.Millisecond
+	s := NewServer(sysclock.Clock{}, func(string) (confirmation.Coverage, bool) {
+		return confirmation.Coverage{At: confirmedAt}, true
 	})
 	publish, _ := s.AddPrefix("p/", func() bool { return true }, 0)
 	publish(follow.Event{Reset: true, At: 1})
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -73,9 +74,8 @@
 type prefixState struct {
 	// fromReader is set if the changes came from another process.
 	fromReader bool
-	// confirmedAt is the time since boot at which the store last confirmed the view
-	// of that process.
-	confirmedAt time.Duration
+	// confirmed is the last confirmation of that process's view by the store.
+	confirmed confirmation.Statement
 }
 
 // NewSource returns a source that reads from the given readers before it reads from
@@ -88,10 +88,10 @@
 }
 
 // FromReader reports whether the last changes of a prefix came from another process,
-// and the time since boot at which the store confirmed them.
-func (s *Source) FromReader(prefix string) (confirmedAt time.Duration, fromReader bool) {
+// and the confirmation that this one passed on with them.
+func (s *Source) FromReader(prefix string) (confirmed confirmation.Statement, fromReader bool) {
 	st, _ := s.state.Get(prefix)
-	return st.confirmedAt, st.fromReader
+	return st.confirmed, st.fromReader
 }
 
 // FromStore reports whether the prefix was last read from the store.
@@ -201,7 +201,7 @@
 			return reply, result
 		}
 		if err == nil {
-			s.recordReply(r.Prefix, m, start-reply.Age)
+			s.recordReply(r.Prefix, m, confirmation.Statement{At: start - reply.Age, View: reply.View})
 			for i := range reply.Changes {
 				// What the reader did not hold the request for was spent on the way.
 				reply.Changes[i].Age = reply.Changes[i].Age.Plus(max(0, s.clock.SinceBoot()-start-reply.Held))
@@ -246,11 +246,11 @@
 }
 
 // recordReply records that the changes of a prefix come from reader m.
-func (s *Source) recordReply(prefix string, m core.Member, confirmedAt time.Duration) {
+func (s *Source) recordReply(prefix string, m core.Member, confirmed confirmation.Statement) {
 	if _, fromReader := s.FromReader(prefix); !fromReader {
 		s.log.StateChange("following a reader", port.F("prefix", prefix), port.F("reader", m.ID))
 	}
-	s.state.Put(prefix, prefixState{fromReader: true, confirmedAt: confirmedAt})
+	s.state.Put(prefix, prefixState{fromReader: true, confirmed: confirmed})
 }
 
 func changesOf(r port.FeedReply) []port.StoreChange {
--- a/internal/app/gateway/feed_test.go
+++ b/internal/app/gateway/feed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/app/feed"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -19,11 +20,14 @@
 )
 
 // fixedAgeFeed is a port.FeedClient whose replies carry no changes and a confirmation of
-// this age.
-type fixedAgeFeed time.Duration
+// this age for a view.
+type fixedAgeFeed struct {
+	age  time.Duration
+	view confirmation.Digest
+}
 
 func (f fixedAgeFeed) Feed(context.Context, fleet.Address, port.FeedRequest) (port.FeedReply, error) {
-	return port.FeedReply{At: 1, Age: time.Duration(f)}, nil
+	return port.FeedReply{At: 1, Age: f.age, View: f.view}, nil
 }
 
 // TestReaderConfirmationIsAdopted guards against a gateway that refuses requests with API
@@ -35,22 +39,31 @@
 	if c := gw.request(newInbound()); c.refused == nil {
 		t.Fatal("a request with an API key was served from a view confirmed 6 s ago")
 	}
-	adopt := func(age time.Duration) {
+	revisions := map[string]int64{}
+	for _, p := range gw.view.expectedRevisions() {
+		revisions[p.Key] = p.Revision
+	}
+	adopt := func(age time.Duration, view confirmation.Digest) {
 		readers := func() []core.Member { return []core.Member{{ID: "r", Address: "r"}} }
-		gw.source = feed.NewSource(nil, fixedAgeFeed(age), gw.clock, logging.New(gw.log, "x", "1"), readers, nil)
+		gw.source = feed.NewSource(nil, fixedAgeFeed{age, view}, gw.clock, logging.New(gw.log, "x", "1"), readers, nil)
 		if _, _, err := gw.source.Changes(context.Background(), gw.operatorFollower.Prefix, 0, time.Second); err != nil {
 			t.Fatal(err)
 		}
 		gw.adoptReaderConfirmation()
 	}
-	adopt(time.Second)
+	adopt(time.Second, 0)                            // from an older build, which does not state its view
+	adopt(time.Second, confirmation.DigestOf(nil)+1) // of another view
+	if age, ok := gw.viewAge(); !ok || age != 6*time.Second {
+		t.Errorf("confirmed %v ago after confirmations of other views, want 6 s", age)
+	}
+	adopt(time.Second, confirmation.DigestOf(revisions))
 	if age, ok := gw.viewAge(); !ok || age != time.Second {
 		t.Errorf("confirmed %v ago, want 1 s", age)
 	}
 	if c := gw.request(newInbound()); c.status != 200 {
 		t.Errorf("refused: %v", c.refused)
 	}
-	adopt(3 * time.Second)
+	adopt(3*time.Second, confirmation.DigestOf(revisions))
 	if age, ok := gw.viewAge(); !ok || age != time.Second {
 		t.Errorf("confirmed %v ago after an older confirmation, want 1 s", age)
 	}
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -156,10 +156,11 @@
 }
 
 // adoptReaderConfirmation adopts the confirmation of the gateway that this one follows,
-// if it is newer than its own.
+// if it is newer than its own and covers the keys and revisions of this view. Otherwise this
+// gateway checks its view itself.
 func (g *Gateway) adoptReaderConfirmation() {
-	if at, fromReader := g.source.FromReader(g.operatorFollower.Prefix); fromReader {
-		g.view.confirmations.Check(at)
+	if confirmed, fromReader := g.source.FromReader(g.operatorFollower.Prefix); fromReader {
+		g.view.confirmations.Adopt(confirmed)
 	}
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -85,7 +85,7 @@
 		ps.Targets:  {Wait: feedWaitTargets, MaxStoreWait: storeWaitTargets, Urgent: true},
 		ps.Members:  {Wait: feedWaitMembers, MaxStoreWait: storeWaitMembers},
 	})
-	g.feedServer = feed.NewServer(d.Clock, g.viewAge)
+	g.feedServer = feed.NewServer(d.Clock, g.view.confirmations.Coverage)
 	g.operatorFollower = g.newFollower(ps.Operator, operatorBatchDelay)
 	publishThenApply := g.publishThenApply(g.operatorFollower, g.view.applyOperatorKeys)
 	g.applyOperatorKeys = func(e follow.Event) { publishThenApply(g.view.dated(e)) }
--- a/internal/app/gateway/reader_test.go
+++ b/internal/app/gateway/reader_test.go
@@ -15,10 +15,10 @@
 )
 
 // readerFeed is a port.FeedClient that asks one gateway.
-type readerFeed struct{ reader *Gateway }
+type readerFeed struct{ *Gateway }
 
-func (f readerFeed) Feed(ctx context.Context, _ fleet.Address, r port.FeedRequest) (port.FeedReply, error) {
-	return f.reader.feedServer.Feed(ctx, r)
+func (f *readerFeed) Feed(ctx context.Context, _ fleet.Address, r port.FeedRequest) (port.FeedReply, error) {
+	return f.feedServer.Feed(ctx, r)
 }
 
 // conflictStore is a store whose conflicts contain the current items, as those of the
@@ -48,8 +48,9 @@
 // following is a gateway whose operator keys a test reads step by step, as its follower does.
 type following struct {
 	*Gateway
-	t     *testing.T
-	after int64
+	t      *testing.T
+	after  int64
+	reader *readerFeed
 }
 
 // newFollowing returns a gateway that has listed the operator keys of a store. It asks a reader
@@ -57,7 +58,8 @@
 func newFollowing(t *testing.T, base *testGateway, store port.Store, reader *Gateway) *following {
 	t.Helper()
 	deps := base.deps
-	deps.Store, deps.Feed = store, readerFeed{reader}
+	feed := &readerFeed{reader}
+	deps.Store, deps.Feed = store, feed
 	g := New(base.settings, deps)
 	if reader != nil {
 		g.view.readers.Store(&[]core.Member{{ID: "r", Address: "r"}})
@@ -71,7 +73,7 @@
 		e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
 	}
 	g.applyOperatorKeys(e)
-	return &following{g, t, at}
+	return &following{g, t, at, feed}
 }
 
 // poll makes one call for changes and applies the reply.
@@ -81,6 +83,11 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.apply(changes, at)
+}
+
+// apply applies a reply, as the gateway's follower does.
+func (f *following) apply(changes []port.StoreChange, at int64) {
 	f.after = at
 	if len(changes) > 0 {
 		f.applyOperatorKeys(follow.Event{Changes: changes, At: at})
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -226,11 +226,11 @@
 // recordCoverage records which keys the next checks cover, and a listing as a confirmation.
 // The caller holds mu, so that a check covers exactly the keys of expectedRevisions.
 func (v *view) recordCoverage(e follow.Event) {
-	var keys []string
+	revisions := map[string]int64{}
 	for _, p := range v.preconditions() {
-		keys = append(keys, p.Key)
+		revisions[p.Key] = p.Revision
 	}
-	v.confirmations.SetChecked(keys, v.clock.SinceBoot())
+	v.confirmations.SetChecked(revisions, v.clock.SinceBoot())
 	if e.Reset {
 		v.confirmations.List(e.ReadAt)
 	}
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -161,7 +161,7 @@
 		// A reader may not have seen the newest declaration; its confirmation says up to when
 		// it has seen all.
 		if confirmedAt, fromReader := l.source.FromReader(prefix); fromReader {
-			calledAt = confirmedAt
+			calledAt = confirmedAt.At
 		}
 		l.view.confirmWeights(calledAt)
 	}
--- a/internal/core/confirmation/confirmation.go
+++ b/internal/core/confirmation/confirmation.go
@@ -1,12 +1,14 @@
 // Package confirmation records when the platform's store last confirmed a process's view of
 // its keys, and which keys each confirmation covers. A check of some keys says nothing about
-// the others, not even that they do not exist.
+// the others, not even that they do not exist. A process may adopt the confirmation of another
+// one, but only if it holds exactly the keys and revisions that this one covers.
 //
 // All times are times since the machine booted. One lock guards a record; it is held for map
 // operations only.
 package confirmation
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,23 +22,34 @@
 	mu sync.Mutex // guards the fields below
 	// listedAt and checkedAt are the times of the newest confirmations of each kind.
 	listedAt, checkedAt time.Duration
-	// checkedSince maps each key that checks cover to the time since when they do.
-	checkedSince map[string]time.Duration
+	// checked holds the keys that checks cover.
+	checked map[string]checkedKey
 }
 
-// SetChecked sets the keys that checks cover from now on, among them keys that are checked
-// to be absent. Keys that were covered before keep the time since when they are.
-func (r *Record) SetChecked(keys []string, now time.Duration) {
+// checkedKey is the state of a key that checks cover.
+type checkedKey struct {
+	// revision is that of the key in the view, or zero if the key is absent.
+	revision int64
+	// since is when checks began to cover the key.
+	since time.Duration
+}
+
+// SetChecked sets the keys that checks cover from now on, with their revisions in the view; keys
+// that are checked to be absent have revision zero. Keys that were covered before keep the time
+// since when they are, except those that were absent: the item may be older than the check and
+// have been removed before it.
+func (r *Record) SetChecked(revisions map[string]int64, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	next := make(map[string]time.Duration, len(keys))
-	for _, k := range keys {
-		next[k] = now
-		if since, ok := r.checkedSince[k]; ok {
-			next[k] = since
+	next := make(map[string]checkedKey, len(revisions))
+	for k, revision := range revisions {
+		since := now
+		if old, ok := r.checked[k]; ok && (old.revision > 0 || revision == 0) {
+			since = old.since
 		}
+		next[k] = checkedKey{revision, since}
 	}
-	r.checkedSince = next
+	r.checked = next
 }
 
 // Check records that all covered keys were as in the view at a time, which is the start of
@@ -70,8 +83,55 @@
 	defer r.mu.Unlock()
 	at := r.listedAt
 	// A check that another process passes on may be older than the coverage of the key.
-	if since, ok := r.checkedSince[key]; ok && since <= r.checkedAt {
+	if c, ok := r.checked[key]; ok && c.since <= r.checkedAt {
 		at = max(at, r.checkedAt)
 	}
 	return at, at > 0
 }
+
+// Coverage is the newest confirmation of a view and the keys that it covers.
+type Coverage struct {
+	At   time.Duration
+	Keys []string
+}
+
+// Coverage returns the newest confirmation and the keys under a prefix that it covers, or false
+// if there is none.
+func (r *Record) Coverage(prefix string) (Coverage, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := Coverage{At: max(r.checkedAt, r.listedAt)}
+	for k, key := range r.checked {
+		if strings.HasPrefix(k, prefix) && (r.listedAt >= r.checkedAt || key.since <= r.checkedAt) {
+			c.Keys = append(c.Keys, k)
+		}
+	}
+	return c, c.At > 0
+}
+
+// Statement is a confirmation that another process passes on: at a time, no key of a view was
+// newer in the store.
+type Statement struct {
+	At   time.Duration
+	View Digest
+}
+
+// Adopt adopts the confirmation of another process if this one covers the same keys and has them
+// at the same revisions, and reports whether it does.
+func (r *Record) Adopt(s Statement) bool {
+	if s.View == 0 || s.View != r.digest() {
+		return false
+	}
+	r.Check(s.At)
+	return true
+}
+
+func (r *Record) digest() Digest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	revisions := make(map[string]int64, len(r.checked))
+	for k, c := range r.checked {
+		revisions[k] = c.revision
+	}
+	return DigestOf(revisions)
+}
--- a/internal/core/confirmation/confirmation_test.go
+++ b/internal/core/confirmation/confirmation_test.go
@@ -14,9 +14,9 @@
 	if _, ok := r.NewestOf("a"); ok {
 		t.Error("an empty record confirms a key")
 	}
-	r.SetChecked([]string{"a"}, 10)
+	r.SetChecked(map[string]int64{"a": 1}, 10)
 	r.Check(20)
-	r.SetChecked([]string{"a", "b"}, 30)
+	r.SetChecked(map[string]int64{"a": 1, "b": 0}, 30)
 	r.Check(25) // passed on by another process after b was added
 	if at, ok := r.NewestOf("a"); !ok || at != 25 {
 		t.Errorf("a is confirmed at %v, want 25", at)
@@ -55,10 +55,10 @@
 				}
 			case 1:
 				checked[key] = !checked[key]
-				var set []string
+				set := map[string]int64{}
 				for k, ok := range checked {
 					if ok {
-						set = append(set, k)
+						set[k] = 0
 					}
 				}
 				r.SetChecked(set, now)
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -182,3 +182,17 @@
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
 	return changes, max(l.revision, after), true, l.changed
 }
+
+// Revisions returns the revisions of keys, which are zero for keys that do not exist.
+func (l *Log) Revisions(keys []string) map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]int64, len(keys))
+	for _, k := range keys {
+		out[k] = 0
+		if c := l.keys[k]; !c.Removed {
+			out[k] = c.Revision
+		}
+	}
+	return out
+}
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -205,3 +205,15 @@
 		t.Errorf("%v is sent again", cs)
 	}
 }
+
+// TestRevisionsOfRemovedKeysAreZero guards against a reader that states a removed key as existing,
+// whose confirmations no follower adopts.
+func TestRevisionsOfRemovedKeysAreZero(t *testing.T) {
+	l := NewLog()
+	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}, {Key: "p/b", Revision: 4}}, 5, 0)
+	l.ApplyChanges([]Change{{Key: "p/b", Revision: 6, Removed: true}}, 6, 0)
+	got := l.Revisions([]string{"p/a", "p/b", "p/c"})
+	if len(got) != 3 || got["p/a"] != 3 || got["p/b"] != 0 || got["p/c"] != 0 {
+		t.Errorf("got %v", got)
+	}
+}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -101,6 +102,9 @@
 	// Age is the time since the store last confirmed operator keys: those in the
 	// reply are at least as new. It is measured between request and reply.
 	Age time.Duration
+	// View identifies the keys under the prefix that this confirmation covers, and their
+	// revisions with the changes of this reply. It is zero in older builds.
+	View confirmation.Digest
 	// Held is the time from the receipt of the request to the reply. The rest of the time that
 	// the caller waited was spent on the way. It is zero in older builds.
 	Held time.Duration
