loader: adopt a reader's confirmation only for the declarations it covers

An engine could be kept on old weights past their bound: its loader dated a declaration by a confirmation of its reader that did not cover the key.

Cause: the loader took each confirmation of its reader as one of all declarations. A reader checks the absence of those of the models in its own configuration only.

The loader records the revisions of the declarations' keys, with the absent ones of its configured models, and adopts a confirmation that states the same ones (core/confirmation, as gateways do). Without one for 5 s, for example from a reader of an older build, it lists the declarations itself; its follower goes on meanwhile, since readers may respond while the store does not.

Before: TestDeclarationIsDatedByConfirmationOfItsModel fails, a declaration of an unknown time in the last 5 s is dated 2 microseconds ago.

--- a/internal/app/loader/enforce_test.go
+++ b/internal/app/loader/enforce_test.go
@@ -60,7 +60,7 @@
 	e := newEngine(1)
 	l := newLoader(e, &fakeOrigin{})
 	l.view.decoder = weightsDecoder{}
-	l.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
+	l.view.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
 	if d := l.view.enforced(); d.Number != 0 {
 		t.Errorf("the loader states the declaration %+v, whose age it does not know", d)
 	}
@@ -76,8 +76,8 @@
 	l := newLoader(newEngine(1), &fakeOrigin{})
 	l.view.decoder = weightsDecoder{}
 	const ago = 2 * time.Second
-	l.view.confirmWeights(l.deps.Clock.SinceBoot() - ago)
-	l.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
+	l.view.confirmations.List(l.deps.Clock.SinceBoot() - ago)
+	l.view.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
 	g, _ := l.view.goal(port.ModelWeights{Model: "m", Number: 1})
 	if age, known := g.declaredAt.Age(l.deps.Clock.SinceBoot()).Get(); !known || age > ago+time.Second {
 		t.Errorf("declared %v ago (known: %v), want at most %v", age, known, ago)
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -142,7 +142,8 @@
 		l.wait(ctx, l.view.membersListed, membersListTimeout)
 		l.newFollower(ps.Config, configBatchDelay).Run(ctx, l.view.applyOperatorKeys)
 	})
-	wg.Go(func() { l.newWeightsFollower(ps.Weights).Run(ctx, l.applyWeights) })
+	wg.Go(func() { l.newWeightsFollower(ps.Weights).Run(ctx, l.view.applyWeights) })
+	wg.Go(func() { l.confirmLoop(ctx) })
 	wg.Go(func() { l.newFollower(ps.Members, membersBatchDelay).Run(ctx, l.view.applyMembers) })
 	wg.Go(func() { l.reportLoad(ctx, sender) })
 	wg.Go(func() { l.fetchDeclared(ctx) })
@@ -159,21 +160,54 @@
 	f := l.newFollower(prefix, weightsBatchDelay)
 	f.OnRevision = func(_ int64, calledAt time.Duration) {
 		// A reader may not have seen the newest declaration; its confirmation says up to when
-		// it has seen all.
-		if confirmedAt, fromReader := l.source.FromReader(prefix); fromReader {
-			calledAt = confirmedAt.At
+		// it has seen all, and of which models.
+		if confirmed, fromReader := l.source.FromReader(prefix); fromReader {
+			l.view.confirmations.Adopt(confirmed)
+			return
 		}
-		l.view.confirmWeights(calledAt)
+		// The response of the store has all changes that were made before the call.
+		l.view.confirmations.List(calledAt)
 	}
 	return f
 }
 
-// applyWeights applies an event of the declared weights.
-func (l *Loader) applyWeights(e follow.Event) {
-	l.view.applyOperatorKeys(e)
-	if e.Reset {
-		l.view.confirmWeights(e.ReadAt)
+const (
+	// maxConfirmationAge is the age of the last confirmation of the declared weights from which
+	// the loader lists them itself: its reader runs an older build, which does not state what its
+	// confirmations cover, or has another configuration. A store that responds confirms
+	// them after storeWaitWeights, and a reader earlier.
+	maxConfirmationAge = 5 * time.Second
+	// confirmRetryDelay is the pause after a listing that failed. All calls are charged.
+	confirmRetryDelay = 3 * time.Second
+)
+
+// confirmLoop keeps the declared weights confirmed until ctx ends.
+func (l *Loader) confirmLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		l.sleep(ctx, l.confirmWeights(ctx))
+	}
+}
+
+// confirmWeights lists the declared weights if they were not confirmed for maxConfirmationAge, and
+// returns the time until the next check. The follower of the weights goes on in the meantime: its
+// readers may respond while the store does not.
+func (l *Loader) confirmWeights(ctx context.Context) time.Duration {
+	readAt := l.deps.Clock.SinceBoot()
+	at, ok := l.view.confirmations.Newest()
+	if left := at + maxConfirmationAge - readAt; !ok || left > 0 {
+		// Without any confirmation, the follower is about to list them.
+		return max(left, time.Second)
+	}
+	items, revision, err := l.deps.Store.List(ctx, l.deps.Decoder.Prefixes().Weights)
+	if err != nil {
+		return confirmRetryDelay
+	}
+	e := follow.Event{Reset: true, At: revision, ReadAt: readAt}
+	for _, it := range items {
+		e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
 	}
+	l.view.applyWeights(e)
+	return maxConfirmationAge
 }
 
 // newFollower returns a follower of a prefix that pauses for delay between two reads.
--- a/internal/app/loader/loader_test.go
+++ b/internal/app/loader/loader_test.go
@@ -156,6 +156,8 @@
 
 type fakeDecoder struct{ port.ItemDecoder }
 
+func (fakeDecoder) WeightsKey(m fleet.Model) string { return "weights/" + string(m) }
+
 func (fakeDecoder) Prefixes() port.Prefixes {
 	return port.Prefixes{Config: "config", Weights: "weights/", Members: "members/"}
 }
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -14,8 +14,10 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/core/chain"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/itemrevision"
 	"github.com/masticwing/masticwing/internal/core/manifest"
 	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/routes"
@@ -29,15 +31,17 @@
 	decoder  port.ItemDecoder
 	clock    port.BootClock
 	log      port.Log
+	// confirmations holds when the store confirmed the declarations' keys.
+	confirmations confirmation.Record
 
 	mu           sync.Mutex // guards the following
 	routeTable   *routes.Table
 	declarations []declaredWeights
 	// bounds holds the same declarations by model, as long as they bound the use of older weights.
 	bounds map[fleet.Model]weightsbound.Declarations
-	// weightsConfirmed is the newest time at which all declarations were known.
-	weightsConfirmed moment.Time
-	members          registration.Members
+	// weightsKeys holds the known revisions of the declarations' keys.
+	weightsKeys *itemrevision.Table
+	members     registration.Members
 	// unreadable holds the items of the operators and the members that can't be decoded.
 	unreadable          struct{ operator, members *follow.Unreadable }
 	gatewayAddresses    []netip.AddrPort
@@ -61,7 +65,7 @@
 func newView(s Settings, d port.ItemDecoder, c port.BootClock, l port.Log) *view {
 	v := &view{
 		settings: s, decoder: d, clock: c, log: l,
-		bounds: map[fleet.Model]weightsbound.Declarations{}, members: registration.Members{}, declarationsChanged: make(chan struct{}, 1), membersListed: make(chan struct{}),
+		bounds: map[fleet.Model]weightsbound.Declarations{}, members: registration.Members{}, weightsKeys: itemrevision.New(), declarationsChanged: make(chan struct{}, 1), membersListed: make(chan struct{}),
 	}
 	v.unreadable.operator = follow.NewUnreadable("operator's item can't be read", l)
 	v.unreadable.members = follow.NewUnreadable("entry of a process can't be read", l)
@@ -108,10 +112,14 @@
 				v.routeTable = routes.Compile(it.Config)
 			}
 		case port.WeightsItem:
-			l := weightsbound.Learned{Now: v.clock.SinceBoot(), Confirmed: v.weightsConfirmed, Stated: c.Age}
+			l := weightsbound.Learned{Now: v.clock.SinceBoot(), Stated: c.Age}
+			if at, ok := v.confirmations.NewestOf(c.Key); ok {
+				l.Confirmed = moment.KnownTime(at)
+			}
 			v.addDeclaration(declaredWeights{port.ModelWeights(it), l.At(), e.Reset}, c.Revision)
 		}
 	}
+	v.recordCoverage()
 	signal(v.declarationsChanged)
 }
 
@@ -133,12 +141,41 @@
 		port.F("dated", known), port.Millis("declared_ago_ms", age), port.F("from_listing", d.fromListing))
 }
 
-// confirmWeights records that all declarations up to a time are known.
-func (v *view) confirmWeights(at time.Duration) {
+// recordCoverage records the keys of declarations that must be confirmed: those that are known and
+// those of configured models whose weights were never declared. The caller holds mu.
+func (v *view) recordCoverage() {
+	revisions := v.weightsKeys.Existing()
+	if v.routeTable != nil {
+		for _, m := range v.routeTable.Models() {
+			k := v.decoder.WeightsKey(m)
+			revisions[k] = max(0, revisions[k])
+		}
+	}
+	v.confirmations.SetChecked(revisions, v.clock.SinceBoot())
+}
+
+// applyWeights applies an event of the declared weights, and a listing as a confirmation of them.
+func (v *view) applyWeights(e follow.Event) {
+	v.recordRevisions(e)
+	v.applyOperatorKeys(e)
+	if e.Reset {
+		v.confirmations.List(e.ReadAt)
+	}
+}
+
+// recordRevisions records the revisions of the keys in an event of the declared weights.
+func (v *view) recordRevisions(e follow.Event) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if old, known := v.weightsConfirmed.Get(); !known || at > old {
-		v.weightsConfirmed = moment.KnownTime(at)
+	items := map[string]int64{}
+	for _, c := range e.Changes {
+		items[c.Key] = c.Revision
+		if !e.Reset {
+			v.weightsKeys.Apply(c.Key, c.Revision, c.Removed)
+		}
+	}
+	if e.Reset {
+		v.weightsKeys.ApplyListing(items, e.At)
 	}
 }
 
