confirmation: a key that appears or is new to a process keeps what confirms it

Cause: the first declaration makes the key appear, and the key then counted as confirmed by the last listing only, until a confirmation later than that. Such a confirmation comes late, since it counts from the start of a request that waits. The rule was for items that are learned after their removal, which a check of a key's absence does not tell from new ones.

Each key now has the time of its own newest confirmation, which it keeps when it appears; an adopted confirmation holds for all keys of the view, however short the process has covered them, since the digest names them. The property tests leave out items that are learned after they were removed: only the store's revision of each check would tell, which the port does not return.

--- a/internal/core/confirmation/confirmation.go
+++ b/internal/core/confirmation/confirmation.go
@@ -30,24 +30,26 @@
 type checkedKey struct {
 	// revision is that of the key in the view, or zero if the key is absent.
 	revision int64
-	// since is when checks began to cover the key.
+	// since is when this process's checks began to cover the key.
 	since time.Duration
+	// at is the time of the newest check that covered the key, or zero if none did.
+	at time.Duration
 }
 
 // SetChecked sets the keys that checks cover from now on, with their revisions in the view; keys
 // that are checked to be absent have revision zero. Keys that were covered before keep the time
-// since when they are, except those that were absent: the item may be older than the check and
-// have been removed before it.
+// since when they are.
 func (r *Record) SetChecked(revisions map[string]int64, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := make(map[string]checkedKey, len(revisions))
 	for k, revision := range revisions {
-		since := now
-		if old, ok := r.checked[k]; ok && (old.revision > 0 || revision == 0) {
-			since = old.since
+		c, ok := r.checked[k]
+		if !ok {
+			c.since = now
 		}
-		next[k] = checkedKey{revision, since}
+		c.revision = revision
+		next[k] = c
 	}
 	r.checked = next
 }
@@ -57,6 +59,17 @@
 func (r *Record) Check(at time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.confirm(at, func(c checkedKey) bool { return c.since <= at })
+}
+
+// confirm records a check of the covered keys that are selected. The caller holds mu.
+func (r *Record) confirm(at time.Duration, selected func(checkedKey) bool) {
+	for k, c := range r.checked {
+		if selected(c) {
+			c.at = max(c.at, at)
+			r.checked[k] = c
+		}
+	}
 	r.checkedAt = max(r.checkedAt, at)
 	r.newest.Store(int64(max(r.checkedAt, r.listedAt)))
 }
@@ -81,11 +94,7 @@
 func (r *Record) NewestOf(key string) (time.Duration, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	at := r.listedAt
-	// A check that another process passes on may be older than the coverage of the key.
-	if c, ok := r.checked[key]; ok && c.since <= r.checkedAt {
-		at = max(at, r.checkedAt)
-	}
+	at := max(r.listedAt, r.checked[key].at)
 	return at, at > 0
 }
 
@@ -102,7 +111,7 @@
 	defer r.mu.Unlock()
 	c := Coverage{At: max(r.checkedAt, r.listedAt)}
 	for k, key := range r.checked {
-		if strings.HasPrefix(k, prefix) && (r.listedAt >= r.checkedAt || key.since <= r.checkedAt) {
+		if strings.HasPrefix(k, prefix) && max(r.listedAt, key.at) == c.At {
 			c.Keys = append(c.Keys, k)
 		}
 	}
@@ -117,21 +126,18 @@
 }
 
 // Adopt adopts the confirmation of another process if this one covers the same keys and has them
-// at the same revisions, and reports whether it does.
+// at the same revisions, and reports whether it does. It then holds for all these keys, however
+// short this process has covered them.
 func (r *Record) Adopt(s Statement) bool {
-	if s.View == 0 || s.View != r.digest() {
-		return false
-	}
-	r.Check(s.At)
-	return true
-}
-
-func (r *Record) digest() Digest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	revisions := make(map[string]int64, len(r.checked))
 	for k, c := range r.checked {
 		revisions[k] = c.revision
 	}
-	return DigestOf(revisions)
+	if s.View == 0 || s.View != DigestOf(revisions) {
+		return false
+	}
+	r.confirm(s.At, func(checkedKey) bool { return true })
+	return true
 }
