--- a/internal/core/confirmation/digest.go
+++ b/internal/core/confirmation/digest.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"maps"
 	"slices"
 )
@@ -16,10 +15,22 @@
 func DigestOf(revisions map[string]int64) Digest {
 	var b []byte
 	for _, k := range slices.Sorted(maps.Keys(revisions)) {
-		b = binary.BigEndian.AppendUint32(b, uint32(len(k)))
+		b = appendNumber(b, uint64(len(k)), 4)
 		b = append(b, k...)
-		b = binary.BigEndian.AppendUint64(b, uint64(revisions[k]))
+		b = appendNumber(b, uint64(revisions[k]), 8)
 	}
+	d := Digest(0)
 	sum := sha256.Sum256(b)
-	return Digest(max(1, binary.BigEndian.Uint64(sum[:])))
+	for _, x := range sum[:8] {
+		d = d<<8 | Digest(x)
+	}
+	return max(1, d)
+}
+
+// appendNumber appends the lowest bytes of a number, the highest one first.
+func appendNumber(b []byte, n uint64, bytes int) []byte {
+	for i := bytes - 1; i >= 0; i-- {
+		b = append(b, byte(n>>(8*i)))
+	}
+	return b
 }
