feed: ignore an item that a listing shows to be removed

Followers of a reader could get a cordon, or a declaration, that no longer exists, and never its removal.

Cause: the reply to a check has items; if it arrives after a listing without one of them, the reader's view ignores it, but its log of changes did not.

The log ignores unknown items that are not newer than a listing, as core/itemrevision does. TestItemRemovedBeforeListingStaysAbsent fails before.

--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -68,6 +68,8 @@
 	mu       sync.Mutex
 	listed   bool
 	revision int64
+	// listedAt is the highest revision of a listing.
+	listedAt int64
 	// completeAfter is the revision after which all changes are known.
 	completeAfter int64
 	keys          map[string]logged
@@ -108,17 +110,21 @@
 	if !l.listed {
 		l.listed, l.completeAfter = true, revision
 	}
+	l.listedAt = max(l.listedAt, revision)
 	l.advance(revision)
 }
 
 // ApplyChanges applies changes, after which all changes up to a revision are known. The
 // revision is zero for changes that were learned ahead of others: until these are known too,
-// followers get the changes again with each read.
+// followers get the changes again with each read. An unknown item that is not newer than a
+// listing was removed before it, and is ignored.
 func (l *Log) ApplyChanges(changes []Change, revision int64, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range changes {
-		l.put(c, now)
+		if _, known := l.keys[c.Key]; known || c.Revision > l.listedAt {
+			l.put(c, now)
+		}
 	}
 	l.advance(revision)
 }
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -217,3 +217,19 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+// TestItemRemovedBeforeListingStaysAbsent guards against followers that get an item which was
+// removed: the reply to a check had it, and arrived after a listing without it.
+func TestItemRemovedBeforeListingStaysAbsent(t *testing.T) {
+	l := NewLog()
+	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}}, 4, 0)
+	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}}, 9, 0)
+	l.ApplyChanges([]Change{{Key: "p/cordon", Revision: 5}}, 0, 0)
+	if cs, _, _, _ := l.Since("p/", 4, 0); len(cs) != 0 || l.Revisions([]string{"p/cordon"})["p/cordon"] != 0 {
+		t.Errorf("followers get %v", cs)
+	}
+	l.ApplyChanges([]Change{{Key: "p/cordon", Revision: 10}}, 0, 0)
+	if l.Revisions([]string{"p/cordon"})["p/cordon"] != 10 {
+		t.Error("an item that was written after the listing is ignored")
+	}
+}
