--- a/internal/app/loader/enforce_test.go
+++ b/internal/app/loader/enforce_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/masticwing/masticwing/internal/app/feed"
 	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/confirmation"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -64,7 +65,7 @@
 	e := newEngine(1)
 	l := newLoader(e, &fakeOrigin{})
 	l.view.decoder = weightsDecoder{}
-	l.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
+	l.view.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
 	if d := l.view.enforced(); d.Number != 0 {
 		t.Errorf("the loader states the declaration %+v, whose age it does not know", d)
 	}
@@ -83,8 +84,8 @@
 	l := newLoader(newEngine(1), &fakeOrigin{})
 	l.view.decoder = weightsDecoder{}
 	const ago = 2 * time.Second
-	l.view.confirmWeights(l.deps.Clock.SinceBoot() - ago)
-	l.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
+	l.view.confirmations.List(l.deps.Clock.SinceBoot() - ago)
+	l.view.applyWeights(follow.Event{Reset: true, Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}}}})
 	g, _ := l.view.goal(port.ModelWeights{Model: "m", Number: 1})
 	if age, known := g.declaredAt.Age(l.deps.Clock.SinceBoot()).Get(); !known || age > ago+time.Second {
 		t.Errorf("declared %v ago (known: %v), want at most %v", age, known, ago)
@@ -96,9 +97,9 @@
 func TestStatedAgeIsUsed(t *testing.T) {
 	l := newLoader(newEngine(1), &fakeOrigin{})
 	l.view.decoder = weightsDecoder{}
-	l.view.confirmWeights(l.deps.Clock.SinceBoot() - 2*time.Second)
+	l.view.confirmations.List(l.deps.Clock.SinceBoot() - 2*time.Second)
 	const stated = 100 * time.Millisecond
-	l.applyWeights(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m"}, Age: moment.KnownAge(stated)}}})
+	l.view.applyWeights(follow.Event{Changes: []port.StoreChange{{StoreItem: port.StoreItem{Key: "weights/m", Revision: 2}, Age: moment.KnownAge(stated)}}})
 	g, _ := l.view.goal(port.ModelWeights{Model: "m", Number: 1})
 	if age, known := g.declaredAt.Age(l.deps.Clock.SinceBoot()).Get(); !known || age < stated || age > stated+time.Second {
 		t.Errorf("declared %v ago (known: %v), want %v", age, known, stated)
@@ -184,7 +185,7 @@
 type confirmedFeed time.Duration
 
 func (f confirmedFeed) Feed(context.Context, fleet.Address, port.FeedRequest) (port.FeedReply, error) {
-	return port.FeedReply{At: 1, Age: time.Duration(f)}, nil
+	return port.FeedReply{At: 1, Age: time.Duration(f), View: confirmation.DigestOf(map[string]int64{"weights/m": 0})}, nil
 }
 
 // TestDeclarationsAreConfirmedByReader guards against a loader that dates declarations by its own
@@ -193,6 +194,8 @@
 func TestDeclarationsAreConfirmedByReader(t *testing.T) {
 	const age = 3 * time.Second
 	l := newLoader(newEngine(1), &fakeOrigin{})
+	l.view.decoder = weightsDecoder{}
+	l.view.applyWeights(follow.Event{Reset: true, At: 1, ReadAt: l.deps.Clock.SinceBoot() - 2*age})
 	readers := func() []core.Member { return []core.Member{{ID: "r", Address: "r"}} }
 	l.source = feed.NewSource(nil, confirmedFeed(age), l.deps.Clock, l.deps.Log, readers, nil)
 	if _, _, err := l.source.Changes(context.Background(), "weights/", 0, 0); err != nil {
@@ -200,12 +203,12 @@
 	}
 	f := l.newWeightsFollower("weights/")
 	f.OnRevision(1, l.deps.Clock.SinceBoot())
-	if at, known := l.view.weightsConfirmed.Get(); !known || l.deps.Clock.SinceBoot()-at < age {
-		t.Errorf("confirmed at %v (known: %v), want %v ago", at, known, age)
+	if at, ok := l.view.confirmations.NewestOf("weights/m"); !ok || l.deps.Clock.SinceBoot()-at < age || l.deps.Clock.SinceBoot()-at > age+time.Second {
+		t.Errorf("confirmed at %v (known: %v), want %v ago", at, ok, age)
 	}
 	readAt := l.deps.Clock.SinceBoot()
-	l.applyWeights(follow.Event{Reset: true, ReadAt: readAt})
-	if at, _ := l.view.weightsConfirmed.Get(); at != readAt {
+	l.view.applyWeights(follow.Event{Reset: true, At: 1, ReadAt: readAt})
+	if at, _ := l.view.confirmations.NewestOf("weights/m"); at != readAt {
 		t.Errorf("confirmed at %v after a listing that began at %v", at, readAt)
 	}
 }
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -205,3 +205,31 @@
 		t.Errorf("%v is sent again", cs)
 	}
 }
+
+// TestRevisionsOfRemovedKeysAreZero guards against a reader that states a removed key as existing,
+// whose confirmations no follower adopts.
+func TestRevisionsOfRemovedKeysAreZero(t *testing.T) {
+	l := NewLog()
+	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}, {Key: "p/b", Revision: 4}}, 5, 0)
+	l.ApplyChanges([]Change{{Key: "p/b", Revision: 6, Removed: true}}, 6, 0)
+	got := l.Revisions([]string{"p/a", "p/b", "p/c"})
+	if len(got) != 3 || got["p/a"] != 3 || got["p/b"] != 0 || got["p/c"] != 0 {
+		t.Errorf("got %v", got)
+	}
+}
+
+// TestItemRemovedBeforeListingStaysAbsent guards against followers that get an item which was
+// removed: the reply to a check had it, and arrived after a listing without it.
+func TestItemRemovedBeforeListingStaysAbsent(t *testing.T) {
+	l := NewLog()
+	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}}, 4, 0)
+	l.ApplyListing([]Change{{Key: "p/a", Revision: 3}}, 9, 0)
+	l.ApplyChanges([]Change{{Key: "p/cordon", Revision: 5}}, 0, 0)
+	if cs, _, _, _ := l.Since("p/", 4, 0); len(cs) != 0 || l.Revisions([]string{"p/cordon"})["p/cordon"] != 0 {
+		t.Errorf("followers get %v", cs)
+	}
+	l.ApplyChanges([]Change{{Key: "p/cordon", Revision: 10}}, 0, 0)
+	if l.Revisions([]string{"p/cordon"})["p/cordon"] != 10 {
+		t.Error("an item that was written after the listing is ignored")
+	}
+}
