gateway: answer requests that are in progress at the end of the grace

Callers saw LOST: requests that a gateway accepted after SIGTERM, or shortly before it, were passed on to a target and got no answer, also if they may not be repeated. With HTTP/1.0 a stream that was cut in this way looked complete. Cause: a request kept its whole time after SIGTERM, and Stop returned at its limit with requests in progress, whose connections the server then closed. Change: a target that gets a request after SIGTERM is told a deadline that lies before the end. 0.8 s before the end of the grace the requests in progress end with an error that says whether they may have run (502) or have not (503), and streams that have begun are aborted; 0.3 s are reserved for that, as before 0.3 s for writing and 0.2 s to exit. The state of the stop is in one type. TestRefusalCodes sets the same states through it. Result: of the new tests, TestStopAnswersRequestInProgress fails without the change ("unexpected EOF" instead of a response, Deadline-Ms 19999 with 2 s left), TestStopEndsStreamAsAborted for HTTP/1.0 (regular end after 38 events), and all six cases of TestStopRefusesLateRequest (the request in progress beside the late one); with it they pass. The routes of the test gateway have a timeout of 20 s instead of 3 s, so that a request can outlive the grace; the other tests state their own deadlines of 2 and 3 s.

--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -70,6 +70,13 @@
 	if err != nil {
 		return err
 	}
+	env.Admin.SetReady()
+	serve(ctx, g, callerListener, readinessListener)
+	return nil
+}
+
+// serve runs the gateway and its servers until ctx ends, and then stops them.
+func serve(ctx context.Context, g *gateway.Gateway, callers, readiness net.Listener) {
 	idle := idleconns.New(func() time.Duration { return g.RequestLimits().IdleTimeout })
 	callerServer := &http.Server{Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: idle.OnStateChange}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(g), ReadHeaderTimeout: headerTimeout}
@@ -78,9 +85,8 @@
 	defer wg.Wait()
 	defer stop()
 	wg.Go(func() { g.Run(runCtx) })
-	wg.Go(func() { _ = callerServer.Serve(callerListener) })
-	wg.Go(func() { _ = readinessServer.Serve(readinessListener) })
-	env.Admin.SetReady()
+	wg.Go(func() { _ = callerServer.Serve(callers) })
+	wg.Go(func() { _ = readinessServer.Serve(readiness) })
 	<-ctx.Done()
 	g.Stop()
 	// A handler returns before the end of its response has been written.
@@ -89,7 +95,6 @@
 	_ = callerServer.Shutdown(flushCtx)
 	_ = callerServer.Close()
 	_ = readinessServer.Close()
-	return nil
 }
 
 func listen(a fleet.Address) (net.Listener, error) {
--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -98,14 +98,14 @@
 	return l.Addr().String(), requests
 }
 
-// startGateway starts a gateway with a resumable streaming route, an unsafe one and two
-// targets, of which it prefers a. It returns the address for callers.
-func startGateway(t *testing.T, a, b string) string {
+// newGateway returns a gateway with a resumable streaming route, an unsafe one and two
+// targets, of which it prefers a.
+func newGateway(t *testing.T, grace time.Duration, a, b string) *gateway.Gateway {
 	t.Helper()
 	store := porttest.NewStore()
 	store.Put("op/config", `{"Version":1,"Routes":[
-		{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":3000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true},
-		{"Name":"u","Host":"h","Prefix":"/u/","Kind":"unsafe","TimeoutMs":3000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":1,"Anonymous":true}],
+		{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true},
+		{"Name":"u","Host":"h","Prefix":"/u/","Kind":"unsafe","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":1,"Anonymous":true}],
 		"Services":[{"Name":"s"}]}`)
 	for id, addr := range map[string]string{"a": a, "b": b} {
 		store.Put("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":%q,"Slots":8,"State":"ready","born":1}`, addr, "zone-"+id))
@@ -114,25 +114,37 @@
 		Settings: registration.Settings{
 			Domain: "zone-a", Regions: map[fleet.Domain]fleet.Region{"zone-a": "r", "zone-b": "r"}, Internal: "127.0.0.1:0",
 		},
-		KeyBound: 5 * time.Second, WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, Memory: 64 << 20,
+		KeyBound: 5 * time.Second, WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, Memory: 64 << 20, Grace: grace,
 	}
 	set.ID = "g"
 	peers := rpc.NewClient()
 	t.Cleanup(peers.Close)
-	g := gateway.New(set, gateway.Deps{
+	return gateway.New(set, gateway.Deps{
 		Store: store, Feed: peers, NewFeedServer: newFeedServer, Loads: loadudp.Network{}, Decoder: platform.Decoder{}, Targets: platform.NewTargetClient(nil),
 		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: noMetrics{}, Log: logging.New(io.Discard, "masticwing-gateway", "g"),
 	})
+}
+
+// startGateway starts the gateway of newGateway and returns its address for callers.
+func startGateway(t *testing.T, a, b string) string {
+	t.Helper()
+	g := newGateway(t, 0, a, b)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { g.Run(ctx) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
 	srv := httptest.NewServer(platform.IngressHandler(g, g.Closing))
 	t.Cleanup(srv.Close)
+	awaitReady(t, g)
+	return srv.Listener.Addr().String()
+}
+
+func awaitReady(t *testing.T, g *gateway.Gateway) {
+	t.Helper()
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		ok, reason := g.Ready()
 		if ok {
-			return srv.Listener.Addr().String()
+			return
 		}
 		if time.Now().After(end) {
 			t.Fatalf("the gateway is not ready: %s", reason)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	core "github.com/masticwing/masticwing/internal/core/feed"
-	"github.com/masticwing/masticwing/internal/core/inflight"
 	"github.com/masticwing/masticwing/internal/core/memlimit"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/retrytime"
@@ -48,11 +47,8 @@
 	// buffers bounds the memory of all responses that are read before they are delivered.
 	buffers *memlimit.Budget
 	// coldPhase is placement.Query.ColdPhase of this process.
-	coldPhase float64
-	// closing is set when Stop begins, refusing once new requests are refused.
-	closing          atomic.Bool
-	refusing         atomic.Bool
-	active           *inflight.Counter
+	coldPhase        float64
+	shutdown         *shutdown
 	source           *feed.Source
 	feedServer       *feed.Server
 	operatorFollower *follow.Follower
@@ -70,11 +66,11 @@
 	t := placement.NewTable()
 	g := &Gateway{
 		settings: s, deps: d, targets: t,
-		view:    newView(s, d, t),
-		budgets: placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
-		drain:   retrytime.NewDrain(d.Clock.Now()),
-		buffers: memlimit.New(int64(bufferedFraction * float64(s.Memory))),
-		active:  inflight.New(),
+		view:     newView(s, d, t),
+		budgets:  placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
+		drain:    retrytime.NewDrain(d.Clock.Now()),
+		buffers:  memlimit.New(int64(bufferedFraction * float64(s.Memory))),
+		shutdown: newShutdown(),
 		// The 53 high bits fill the mantissa of a float64.
 		coldPhase: float64(d.Rand.Uint64()>>11) / (1 << 53),
 	}
@@ -116,7 +112,7 @@
 // port.InboundHandler.
 func (g *Gateway) Ready() (bool, string) {
 	switch {
-	case g.closing.Load():
+	case g.shutdown.begun():
 		return false, "shutting down"
 	case g.view.routeTable.Load() == nil:
 		return false, "no configuration"
@@ -138,37 +134,6 @@
 	return port.CallerLimits{HeaderBytes: t.Limits.HeaderBytes, BodyBytes: t.Limits.BodyBytes, IdleTimeout: t.Limits.IdleTimeout}
 }
 
-// Closing reports whether to close each connection after its response.
-func (g *Gateway) Closing() bool { return g.closing.Load() }
-
-const (
-	// shutdownDelay is the time for which a stopping gateway still accepts requests
-	// on open connections. The platform takes it out of rotation within 2 s.
-	shutdownDelay = 2500 * time.Millisecond
-	// exitMargin is the part of the grace period reserved for the process to exit.
-	exitMargin = 500 * time.Millisecond
-)
-
-// Stop takes the gateway out of service. It reports that it is not ready, accepts
-// requests for shutdownDelay, then refuses new ones and waits for those in progress,
-// at most until the grace period ends.
-func (g *Gateway) Stop() {
-	start := g.deps.Clock.Now()
-	g.closing.Store(true)
-	g.deps.Log.StateChange("stopping", port.Millis("grace_ms", g.settings.Grace))
-	<-g.deps.Clock.After(shutdownDelay)
-	g.refusing.Store(true)
-	deadline := g.deps.Clock.After(max(0, g.settings.Grace-exitMargin-g.deps.Clock.Now().Sub(start)))
-	for !g.active.Idle() {
-		select {
-		case <-g.active.IdleSignal():
-		case <-deadline:
-			g.deps.Log.StateChange("stopping with requests in progress")
-			return
-		}
-	}
-}
-
 func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -59,13 +59,15 @@
 
 // Serve answers a caller's request. It implements port.InboundHandler.
 func (g *Gateway) Serve(ctx context.Context, in *port.InboundRequest, out port.ResponseWriter) {
-	g.active.Start()
-	defer g.active.Done()
+	g.shutdown.active.Start()
+	defer g.shutdown.active.Done()
 	c := &call{g: g, in: in, out: out, tried: map[fleet.Instance]bool{}, sentTo: map[fleet.Address]bool{}, relay: relay{events: eventstream.New(in.ResumeAfter)}}
 	if e := c.resolve(); e != nil {
 		c.refuse(e)
 		return
 	}
+	ctx, release := g.shutdown.withEnd(ctx)
+	defer release()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	defer func() { g.buffers.Release(c.reserved) }()
@@ -84,9 +86,10 @@
 func (c *call) resolve() *verdict.Error {
 	g := c.g
 	c.routeTable = g.view.routeTable.Load()
+	e := g.shutdown.refusal()
 	switch {
-	case g.refusing.Load():
-		return verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "gateway is shutting down").WithRetryAfter(localRetryAfter)
+	case e != nil:
+		return e
 	case c.routeTable == nil:
 		return verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "no configuration is known").WithRetryAfter(localRetryAfter)
 	case !g.view.membersListed.Load():
