gateway: refuse requests whose body has not arrived when requests are refused

Callers saw: a request whose body was still on its way when a stopping gateway had nothing else to do got no answer, as the gateway waited only for requests with a complete body. Change: port.InboundHandler has a context that ends when requests are refused. Its end interrupts the reading of bodies, and the requests are refused with its cause (503, not run). Result: TestStopRefusesUnreadBody fails without the change ("unexpected EOF" instead of a response) and passes with it.

--- a/cmd/masticwing-gateway/stop_test.go
+++ b/cmd/masticwing-gateway/stop_test.go
@@ -208,3 +208,14 @@
 		}
 	}
 }
+
+// TestStopRefusesUnreadBody guards against a request that gets no answer because the rest of
+// its body would arrive after the gateway has ended.
+func TestStopRefusesUnreadBody(t *testing.T) {
+	s := startStoppable(t, nil)
+	c := s.dial()
+	post(c, 2)
+	s.stop()
+	checkStatus(t, c, http.StatusServiceUnavailable)
+	s.awaitEnd()
+}
--- a/internal/app/gateway/stop.go
+++ b/internal/app/gateway/stop.go
@@ -98,6 +98,9 @@
 // Closing reports whether to close each connection after its response.
 func (g *Gateway) Closing() bool { return g.shutdown.begun() }
 
+// Admission implements port.InboundHandler.
+func (g *Gateway) Admission() context.Context { return g.shutdown.admission }
+
 // Stop takes the gateway out of service. It reports that it is not ready, accepts
 // requests for shutdownDelay, then refuses new ones and waits for those in progress.
 // Requests that the grace period leaves no time for are ended with an error, so that they
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -75,6 +75,9 @@
 type InboundHandler interface {
 	// Serve responds to a request. ctx ends when the caller disconnects.
 	Serve(ctx context.Context, r *InboundRequest, out ResponseWriter)
+	// Admission returns a context that ends when new requests are refused. A request
+	// whose body has not been read by then is refused with the cause.
+	Admission() context.Context
 	// Ready reports whether the process accepts new connections, or else the
 	// reason why it does not.
 	Ready() (bool, string)
