--- a/cmd/masticwing-gateway/stop_test.go
+++ b/cmd/masticwing-gateway/stop_test.go
@@ -87,7 +87,6 @@
 func (s *stoppingGateway) awaitEnd() {
 	s.t.Helper()
 	<-s.ended
-	s.t.Logf("ended %v after the stop", time.Since(s.stopped))
 	if d := time.Since(s.stopped); d > testGrace {
 		s.t.Errorf("ended %v after the stop, the grace is %v", d, testGrace)
 	}
--- a/internal/adapter/httpapi/errors.go
+++ b/internal/adapter/httpapi/errors.go
@@ -44,6 +44,7 @@
 	verdict.CodeVersionMismatch:    http.StatusBadGateway,
 	verdict.CodeSlowCaller:         http.StatusServiceUnavailable,
 	verdict.CodeTargetError:        http.StatusBadGateway,
+	verdict.CodeInterrupted:        http.StatusBadGateway,
 	verdict.CodeShuttingDown:       http.StatusServiceUnavailable,
 	verdict.CodeStaleConfiguration: http.StatusServiceUnavailable,
 }
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -108,9 +108,7 @@
 	if c.runs > 0 && err.Verdict == verdict.NotRun {
 		err = err.WithVerdict(verdict.MayHaveRun)
 	}
-	if errors.Is(context.Cause(ctx), errEnded) {
-		err = verdict.Wrap(err, err.Verdict, errEnded.Code, "%s", errEnded.Message).WithRetryAfter(localRetryAfter)
-	}
+	err = c.g.stopState.Error(ctx, err)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && err.Code != verdict.CodeDeadline {
 		err = verdict.Wrap(err, err.Verdict, verdict.CodeDeadline, "deadline passed")
 	}
@@ -144,7 +142,7 @@
 func (c *call) attempt(ctx context.Context, choice placement.Choice) *verdict.Error {
 	clock := c.g.deps.Clock
 	f := port.Forward{
-		Inbound: c.in, ExpectInstance: choice.Instance, Timeout: c.g.shutdown.deadline(c.deadline).Sub(clock.Now()),
+		Inbound: c.in, ExpectInstance: choice.Instance, Timeout: c.g.stopState.deadline(c.deadline).Sub(clock.Now()),
 		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(), SentBefore: c.sentTo[choice.Address],
 	}
 	c.sentTo[choice.Address] = true
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -79,7 +79,7 @@
 	if f.Prefix == g.deps.Decoder.Prefixes().Targets {
 		maxSilence = maxTargetsSilence
 	}
-	publish, advance := g.feedServer.AddPrefix(f.Prefix, func() bool { return !g.shutdown.begun() && g.source.FromStore(f.Prefix) }, maxSilence)
+	publish, advance := g.feedServer.AddPrefix(f.Prefix, func() bool { return !g.stopState.begun() && g.source.FromStore(f.Prefix) }, maxSilence)
 	f.OnRevision = func(at int64, _ time.Duration) {
 		advance(at)
 		if f == g.operatorFollower {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -48,7 +48,7 @@
 	buffers *memlimit.Budget
 	// coldPhase is placement.Query.ColdPhase of this process.
 	coldPhase        float64
-	shutdown         *shutdown
+	stopState        *stopState
 	source           *feed.Source
 	feedServer       *feed.Server
 	operatorFollower *follow.Follower
@@ -66,11 +66,11 @@
 	t := placement.NewTable()
 	g := &Gateway{
 		settings: s, deps: d, targets: t,
-		view:     newView(s, d, t),
-		budgets:  placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
-		drain:    retrytime.NewDrain(d.Clock.Now()),
-		buffers:  memlimit.New(int64(bufferedFraction * float64(s.Memory))),
-		shutdown: newShutdown(),
+		view:      newView(s, d, t),
+		budgets:   placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
+		drain:     retrytime.NewDrain(d.Clock.Now()),
+		buffers:   memlimit.New(int64(bufferedFraction * float64(s.Memory))),
+		stopState: newStopState(),
 		// The 53 high bits fill the mantissa of a float64.
 		coldPhase: float64(d.Rand.Uint64()>>11) / (1 << 53),
 	}
@@ -112,7 +112,7 @@
 // port.InboundHandler.
 func (g *Gateway) Ready() (bool, string) {
 	switch {
-	case g.shutdown.begun():
+	case g.stopState.begun():
 		return false, "shutting down"
 	case g.view.routeTable.Load() == nil:
 		return false, "no configuration"
--- a/internal/app/gateway/gauges.go
+++ b/internal/app/gateway/gauges.go
@@ -21,7 +21,7 @@
 
 func (g *Gateway) setGauges() {
 	m := g.deps.Metrics
-	m.Gauge("gateway_requests_in_progress", float64(g.shutdown.active.Count()))
+	m.Gauge("gateway_requests_in_progress", float64(g.stopState.active.Count()))
 	m.Gauge("gateway_processes", g.view.processes())
 	following := 0.0
 	if _, fromReader := g.source.FromReader(g.operatorFollower.Prefix); fromReader {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -59,14 +59,14 @@
 
 // Serve answers a caller's request. It implements port.InboundHandler.
 func (g *Gateway) Serve(ctx context.Context, in *port.InboundRequest, out port.ResponseWriter) {
-	g.shutdown.active.Start()
-	defer g.shutdown.active.Done()
+	g.stopState.active.Start()
+	defer g.stopState.active.Done()
 	c := &call{g: g, in: in, out: out, tried: map[fleet.Instance]bool{}, sentTo: map[fleet.Address]bool{}, relay: relay{events: eventstream.New(in.ResumeAfter)}}
 	if e := c.resolve(); e != nil {
 		c.refuse(e)
 		return
 	}
-	ctx, release := g.shutdown.withEnd(ctx)
+	ctx, release := g.stopState.WithEnd(ctx)
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
@@ -86,7 +86,7 @@
 func (c *call) resolve() *verdict.Error {
 	g := c.g
 	c.routeTable = g.view.routeTable.Load()
-	e := g.shutdown.refusal()
+	e := g.stopState.Refusal()
 	switch {
 	case e != nil:
 		return e
--- a/internal/app/gateway/serve_test.go
+++ b/internal/app/gateway/serve_test.go
@@ -195,11 +195,11 @@
 	if out := gw.request(in); out.refused.Code != verdict.CodeUnknownService {
 		t.Errorf("%v", out.refused)
 	}
-	gw.shutdown.refuse()
+	gw.stopState.Refuse()
 	if out := gw.request(newInbound()); out.refused.Code != verdict.CodeShuttingDown || out.refused.Verdict != verdict.NotRun {
 		t.Errorf("%v", out.refused)
 	}
-	gw.shutdown = newShutdown()
+	gw.stopState = newStopState()
 	gw.view.routeTable.Store(nil)
 	if out := gw.request(in); out.refused.Code != verdict.CodeNoConfiguration {
 		t.Errorf("%v", out.refused)
--- a/internal/core/verdict/verdict.go
+++ b/internal/core/verdict/verdict.go
@@ -78,6 +78,7 @@
 	CodeSlowCaller         Code = "slow_caller"
 	CodeTargetError        Code = "target_error"
 	CodeShuttingDown       Code = "shutting_down"
+	CodeInterrupted        Code = "interrupted"
 	CodeInternal           Code = "internal"
 	CodeStaleConfiguration Code = "configuration_stale"
 )
