httpapi: answer requests that are in progress at the end of the drain time

Callers saw: requests in progress when an entry's drain time ended got no answer (EOF), also calls that may run once only. Cause: Close waited for them until its own limit, and then closed their connections. Change: Close ends the requests in progress first. They get `interrupted` (502, may have run), or `shutting_down` (503) if they have not run; the answer of a group ends with the error, that of a service is aborted. They have the 2 s for it that Close had before.

--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -69,7 +69,7 @@
 func (x *exchange) copyAnswer(ctx context.Context, a port.Answer) {
 	frame, err := a.Next()
 	if err != nil && !port.AnswerEnded(err) {
-		x.failBeforeHead(err)
+		x.failBeforeHead(x.api.gate.Error(ctx, verdict.FromError(err)))
 		return
 	}
 	if herr := x.writeHead(a.Head()); herr != nil {
@@ -88,7 +88,7 @@
 		frame, err = a.Next()
 	}
 	if !port.AnswerEnded(err) {
-		x.failAfterHead(verdict.FromError(err))
+		x.failAfterHead(x.api.gate.Error(ctx, verdict.FromError(err)))
 		return
 	}
 	x.writeEnd(a.Head())
--- a/internal/adapter/httpapi/gate.go
+++ b/internal/adapter/httpapi/gate.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"sync"
+
+	"github.com/masticwing/masticwing/internal/core/shutdown"
 )
 
-// gate counts the requests in progress and admits no new ones once it is closed.
+// gate counts the requests in progress and admits no new ones once it is closed. The state of
+// the shutdown tells the requests in progress.
 type gate struct {
+	*shutdown.State
 	mu         sync.Mutex
 	inProgress int
 	closed     bool
 	idle       chan struct{}
 }
 
-func newGate() *gate { return &gate{idle: make(chan struct{})} }
+func newGate() *gate {
+	return &gate{State: shutdown.New(shuttingDownError()), idle: make(chan struct{})}
+}
 
 // tryStart counts a new request. It returns false if the gate is closed.
 func (g *gate) tryStart() bool {
@@ -42,6 +48,7 @@
 		return
 	}
 	g.closed = true
+	g.Refuse()
 	if g.inProgress == 0 {
 		close(g.idle)
 	}
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -121,8 +121,8 @@
 	return errors.Wrap(err, "requests still in progress")
 }
 
-// Close closes the listener and all connections. It must be called after Serve. On
-// idle connections it sends a final response with a verdict. A connection whose
+// Close ends the requests that are still in progress, with an error as the answer, and closes
+// the listener and all connections. It must be called after Serve. On idle connections it sends a final response with a verdict. A connection whose
 // request Drain has waited for may still be sending the end of the answer and
 // becomes idle afterwards. net/http alone would close both kinds immediately or
 // drop a request that it has read. Connections that are still open after lingerTime
@@ -130,6 +130,7 @@
 func (a *API) Close(ctx context.Context) {
 	a.closeOnce.Do(func() { close(a.closing) })
 	a.gate.close()
+	a.gate.End()
 	select {
 	case <-a.served:
 	case <-ctx.Done():
@@ -217,14 +218,16 @@
 	}
 	x.admitted = true
 	x.caller = &caller{id: r.ID, customer: r.Customer, maxBytes: b.CustomerBytes, interrupt: x.interrupt}
-	ctx, cancel := context.WithDeadline(hr.Context(), start.Add(r.Timeout))
+	ctx, release := a.gate.WithEnd(hr.Context())
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, start.Add(r.Timeout))
 	defer cancel()
 	_ = x.rc.SetWriteDeadline(start.Add(r.Timeout + writeGrace))
 	answer, err := x.openAnswer(ctx, hr)
 	defer x.releaseBody()
 	defer a.callerMemory.releaseAnswer(x.caller)
 	if err != nil {
-		x.failBeforeHead(callerLeftError(hr, err))
+		x.failBeforeHead(a.endError(ctx, hr, err))
 		return
 	}
 	defer func() { _ = answer.Close() }()
@@ -238,12 +241,14 @@
 	return a.backend.Admit(*r)
 }
 
-// callerLeftError replaces the code of the error if the caller has disconnected.
-func callerLeftError(hr *http.Request, err error) error {
+// endError returns the error of a request without an answer. That is another one than err if
+// the shutdown has ended the request or its caller has disconnected.
+func (a *API) endError(ctx context.Context, hr *http.Request, err error) error {
+	e := a.gate.Error(ctx, verdict.FromError(err))
 	if hr.Context().Err() == nil {
-		return err
+		return e
 	}
-	return verdict.Wrap(err, verdict.FromError(err).Verdict, verdict.CodeCanceled, "caller left")
+	return verdict.Wrap(e, e.Verdict, verdict.CodeCanceled, "caller left")
 }
 
 // openAnswer reads the body and gets the answer from the backend. The memory of the
