httpapi: refuse requests whose body has not arrived when the drain begins

Callers saw: a request whose head had arrived before SIGTERM was accepted, sent to a target and run whenever its body came, up to the end of the drain time, and the entry waited for bodies that never came. Cause: the gate admits a request before its body is read, and nothing looked at it again. Change: the begin of the drain interrupts the reading of bodies, and these requests are refused as not run. Result: TestLateBodyIsRefused fails without the change (late body: status 200 and the request ran; no body: no answer within 2 s, and Drain waits for it) and passes with it.

--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -245,7 +245,8 @@
 // the shutdown has ended the request or its caller has disconnected.
 func (a *API) endError(ctx context.Context, hr *http.Request, err error) error {
 	e := a.gate.Error(ctx, verdict.FromError(err))
-	if hr.Context().Err() == nil {
+	// An interrupted read of a body also ends the context of hr.
+	if hr.Context().Err() == nil || e.Code == verdict.CodeShuttingDown {
 		return e
 	}
 	return verdict.Wrap(e, e.Verdict, verdict.CodeCanceled, "caller left")
@@ -257,7 +258,7 @@
 // the request.
 func (x *exchange) openAnswer(ctx context.Context, hr *http.Request) (port.Answer, error) {
 	var err error
-	if x.bodyBytes, err = x.readBody(hr); err != nil {
+	if x.bodyBytes, err = x.readAdmittedBody(hr); err != nil {
 		return nil, err
 	}
 	if x.r.Service != "" {
@@ -279,6 +280,19 @@
 // buffer doubles when it is full.
 const bodyGrowBytes = 16 << 10
 
+// readAdmittedBody is readBody with a limit of time. It fails as soon as new requests are refused.
+func (x *exchange) readAdmittedBody(hr *http.Request) (reserved int64, err error) {
+	_ = x.rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	unregister := context.AfterFunc(x.api.gate.Admission(), func() { _ = x.rc.SetReadDeadline(time.Now()) })
+	reserved, err = x.readBody(hr)
+	if !unregister() {
+		x.w.Header().Set("Connection", "close")
+		return reserved, shuttingDownError()
+	}
+	_ = x.rc.SetReadDeadline(time.Time{})
+	return reserved, err
+}
+
 // readBody reserves memory for the body and reads it. It returns the bytes reserved,
 // also with an error.
 func (x *exchange) readBody(hr *http.Request) (reserved int64, err error) {
@@ -286,8 +300,6 @@
 	if hr.ContentLength > limit {
 		return 0, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body is larger than %d bytes", limit)
 	}
-	_ = x.rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = x.rc.SetReadDeadline(time.Time{}) }()
 	step := hr.ContentLength
 	if step < 0 {
 		step = bodyGrowBytes
--- a/internal/adapter/httpapi/shutdown_test.go
+++ b/internal/adapter/httpapi/shutdown_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -87,3 +89,36 @@
 		wg.Wait()
 	}
 }
+
+// TestLateBodyIsRefused guards against a request that runs after the drain has begun, or gets
+// no verdict, because its body arrives late or not at all.
+func TestLateBodyIsRefused(t *testing.T) {
+	for name, rest := range map[string]string{"late": "}", "never": ""} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int32
+			api, addr := listen(t, defaultConfig, backend(&ran, io.EOF, "a\n"))
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\n%s: resort\r\nContent-Length: 2\r\n\r\n{", groupPath, headerCustomer)
+			waitUntil(t, "the request is in progress", func() bool { return api.BytesHeld() > 0 })
+			ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+			defer cancel()
+			api.gate.close()
+			_, _ = io.WriteString(c, rest)
+			if err := api.Drain(ctx); err != nil {
+				t.Error(err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(closeTime))
+			b, _ := io.ReadAll(c)
+			if s := string(b); !strings.HasPrefix(s, "HTTP/1.1 503 ") || !strings.Contains(s, `"code":"shutting_down"`) || !strings.Contains(s, "X-Masticwing-Verdict: not-run") {
+				t.Errorf("%q", s)
+			}
+			if ran.Load() != 0 {
+				t.Error("the request ran")
+			}
+		})
+	}
+}
