gateway: reset the connection of an incomplete stream with HTTP/1.0

Callers saw, with HTTP/1.0: a stream that looked complete, since the process ended while the stream waited for its caller to read. The handler that would have reset the connection was still in its write, and the server closed the connection in order. Change: the guard with which the entry's answers end in a reset unless they are complete, also if the process is killed, is a package of its own (adapter/closeguard), and the gateway uses it for responses without a length.

--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/closeguard"
 	"github.com/masticwing/masticwing/internal/adapter/idleconns"
 	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
@@ -78,7 +79,7 @@
 // serve runs the gateway and its servers until ctx ends, and then stops them.
 func serve(ctx context.Context, g *gateway.Gateway, callers, readiness net.Listener) {
 	idle := idleconns.New(func() time.Duration { return g.RequestLimits().IdleTimeout })
-	callerServer := &http.Server{Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: idle.OnStateChange}
+	callerServer := &http.Server{Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: idle.OnStateChange, ConnContext: closeguard.ConnContext}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(g), ReadHeaderTimeout: headerTimeout}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
--- a/cmd/masticwing-gateway/stop_test.go
+++ b/cmd/masticwing-gateway/stop_test.go
@@ -178,6 +178,47 @@
 	}
 }
 
+// TestStopAbortsStreamOfSlowCaller guards against a stream that looks complete to a caller with
+// HTTP/1.0 because the process ends while it waits for the caller to read. A stream that is
+// complete still ends in the regular way.
+func TestStopAbortsStreamOfSlowCaller(t *testing.T) {
+	s := startStoppable(t, func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, head("200 OK", "a", id, stream, chunked))
+		// More events than the buffers of both connections hold, of 2 kB each.
+		for n := 1; n < 20000; n++ {
+			if _, err := io.WriteString(c, chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("x", 2000)))); err != nil {
+				return
+			}
+			if id == "short" && n == 3 {
+				break
+			}
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	request := func(id string) net.Conn {
+		c := s.dial()
+		_, _ = fmt.Fprintf(c, "GET /p/x HTTP/1.0\r\nHost: h\r\nRequest-Id: %s\r\nDeadline-Ms: 20000\r\n\r\n", id)
+		return c
+	}
+	read := func(c net.Conn) error {
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, res.Body)
+		}
+		return err
+	}
+	if err := read(request("short")); err != nil {
+		t.Errorf("complete stream: %v", err)
+	}
+	slow := request("long")
+	time.Sleep(200 * time.Millisecond)
+	s.stop()
+	s.awaitEnd()
+	if read(slow) == nil {
+		t.Error("the stream ends as if it were complete")
+	}
+}
+
 // TestStopRefusesLateRequest guards against a request that is passed on, or gets no answer,
 // because a part of it arrives only once the gateway refuses requests. Another request keeps
 // the gateway from ending.
--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/adapter/closeguard"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/response"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -26,7 +27,7 @@
 	start    time.Time
 	progress response.Progress
 	// closeGuard is in use from the head of the response to its end.
-	closeGuard closeGuard
+	closeGuard closeguard.Guard
 	admitted   bool  // the customer is known and may be named in metrics
 	bodyBytes  int64 // memory reserved for the body
 	frames     int
@@ -98,8 +99,8 @@
 	if err := x.progress.Begin(); err != nil {
 		return err
 	}
-	if x.closeGuard.active() {
-		if err := x.closeGuard.begin(); err != nil {
+	if x.closeGuard.Active() {
+		if err := x.closeGuard.Begin(); err != nil {
 			return x.writeFailure(err)
 		}
 	}
@@ -206,7 +207,7 @@
 		return
 	}
 	x.w.Header().Set(headerVerdict, v.String())
-	if x.closeGuard.active() && (x.rc.Flush() != nil || x.closeGuard.end() != nil) {
+	if x.closeGuard.Active() && (x.rc.Flush() != nil || x.closeGuard.End() != nil) {
 		return
 	}
 	_ = x.progress.End()
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/closeguard"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -57,6 +58,14 @@
 	closeOnce       sync.Once
 }
 
+// withConn is the server's ConnContext hook. It limits the send buffer of the connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(socketBufferBytes)
+	}
+	return closeguard.ConnContext(ctx, c)
+}
+
 // New returns an API. Serve starts it.
 func New(cfg Config, b port.EntryHandler, m port.Metrics) *API {
 	a := &API{cfg: cfg, backend: b, metrics: m, callerMemory: newCallerMemory(cfg.Memory), gate: newGate(),
@@ -200,7 +209,7 @@
 // the response is complete.
 func (a *API) serve(w http.ResponseWriter, hr *http.Request, r *port.ServeRequest) {
 	x := &exchange{
-		api: a, w: w, rc: http.NewResponseController(w), r: r, start: time.Now(), closeGuard: newCloseGuard(hr),
+		api: a, w: w, rc: http.NewResponseController(w), r: r, start: time.Now(), closeGuard: closeguard.New(hr),
 	}
 	x.respond(hr)
 	if !x.progress.Complete() {
