--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/closeguard"
 	"github.com/masticwing/masticwing/internal/adapter/idleconns"
 	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
@@ -70,17 +71,23 @@
 	if err != nil {
 		return err
 	}
+	env.Admin.SetReady()
+	serve(ctx, g, callerListener, readinessListener)
+	return nil
+}
+
+// serve runs the gateway and its servers until ctx ends, and then stops them.
+func serve(ctx context.Context, g *gateway.Gateway, callers, readiness net.Listener) {
 	idle := idleconns.New(func() time.Duration { return g.RequestLimits().IdleTimeout })
-	callerServer := &http.Server{Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: idle.OnStateChange}
+	callerServer := &http.Server{Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: idle.OnStateChange, ConnContext: closeguard.ConnContext}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(g), ReadHeaderTimeout: headerTimeout}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer stop()
 	wg.Go(func() { g.Run(runCtx) })
-	wg.Go(func() { _ = callerServer.Serve(callerListener) })
-	wg.Go(func() { _ = readinessServer.Serve(readinessListener) })
-	env.Admin.SetReady()
+	wg.Go(func() { _ = callerServer.Serve(callers) })
+	wg.Go(func() { _ = readinessServer.Serve(readiness) })
 	<-ctx.Done()
 	g.Stop()
 	// A handler returns before the end of its response has been written.
@@ -89,7 +96,6 @@
 	_ = callerServer.Shutdown(flushCtx)
 	_ = callerServer.Close()
 	_ = readinessServer.Close()
-	return nil
 }
 
 func listen(a fleet.Address) (net.Listener, error) {
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/closeguard"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -57,6 +58,14 @@
 	closeOnce       sync.Once
 }
 
+// withConn is the server's ConnContext hook. It limits the send buffer of the connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(socketBufferBytes)
+	}
+	return closeguard.ConnContext(ctx, c)
+}
+
 // New returns an API. Serve starts it.
 func New(cfg Config, b port.EntryHandler, m port.Metrics) *API {
 	a := &API{cfg: cfg, backend: b, metrics: m, callerMemory: newCallerMemory(cfg.Memory), gate: newGate(),
@@ -121,8 +130,8 @@
 	return errors.Wrap(err, "requests still in progress")
 }
 
-// Close closes the listener and all connections. It must be called after Serve. On
-// idle connections it sends a final response with a verdict. A connection whose
+// Close ends the requests that are still in progress, with an error as the answer, and closes
+// the listener and all connections. It must be called after Serve. On idle connections it sends a final response with a verdict. A connection whose
 // request Drain has waited for may still be sending the end of the answer and
 // becomes idle afterwards. net/http alone would close both kinds immediately or
 // drop a request that it has read. Connections that are still open after lingerTime
@@ -130,6 +139,7 @@
 func (a *API) Close(ctx context.Context) {
 	a.closeOnce.Do(func() { close(a.closing) })
 	a.gate.close()
+	a.gate.End()
 	select {
 	case <-a.served:
 	case <-ctx.Done():
@@ -199,7 +209,7 @@
 // the response is complete.
 func (a *API) serve(w http.ResponseWriter, hr *http.Request, r *port.ServeRequest) {
 	x := &exchange{
-		api: a, w: w, rc: http.NewResponseController(w), r: r, start: time.Now(), closeGuard: newCloseGuard(hr),
+		api: a, w: w, rc: http.NewResponseController(w), r: r, start: time.Now(), closeGuard: closeguard.New(hr),
 	}
 	x.respond(hr)
 	if !x.progress.Complete() {
@@ -217,14 +227,16 @@
 	}
 	x.admitted = true
 	x.caller = &caller{id: r.ID, customer: r.Customer, maxBytes: b.CustomerBytes, interrupt: x.interrupt}
-	ctx, cancel := context.WithDeadline(hr.Context(), start.Add(r.Timeout))
+	ctx, release := a.gate.WithEnd(hr.Context())
+	defer release()
+	ctx, cancel := context.WithDeadline(ctx, start.Add(r.Timeout))
 	defer cancel()
 	_ = x.rc.SetWriteDeadline(start.Add(r.Timeout + writeGrace))
 	answer, err := x.openAnswer(ctx, hr)
 	defer x.releaseBody()
 	defer a.callerMemory.releaseAnswer(x.caller)
 	if err != nil {
-		x.failBeforeHead(callerLeftError(hr, err))
+		x.failBeforeHead(a.endError(ctx, hr, err))
 		return
 	}
 	defer func() { _ = answer.Close() }()
@@ -238,12 +250,15 @@
 	return a.backend.Admit(*r)
 }
 
-// callerLeftError replaces the code of the error if the caller has disconnected.
-func callerLeftError(hr *http.Request, err error) error {
-	if hr.Context().Err() == nil {
-		return err
+// endError returns the error of a request without an answer. That is another one than err if
+// the shutdown has ended the request or its caller has disconnected.
+func (a *API) endError(ctx context.Context, hr *http.Request, err error) error {
+	e := a.gate.Error(ctx, verdict.FromError(err))
+	// An interrupted read of a body also ends the context of hr.
+	if hr.Context().Err() == nil || e.Code == verdict.CodeShuttingDown {
+		return e
 	}
-	return verdict.Wrap(err, verdict.FromError(err).Verdict, verdict.CodeCanceled, "caller left")
+	return verdict.Wrap(e, e.Verdict, verdict.CodeCanceled, "caller left")
 }
 
 // openAnswer reads the body and gets the answer from the backend. The memory of the
@@ -252,7 +267,7 @@
 // the request.
 func (x *exchange) openAnswer(ctx context.Context, hr *http.Request) (port.Answer, error) {
 	var err error
-	if x.bodyBytes, err = x.readBody(hr); err != nil {
+	if x.bodyBytes, err = x.readAdmittedBody(hr); err != nil {
 		return nil, err
 	}
 	if x.r.Service != "" {
@@ -274,6 +289,19 @@
 // buffer doubles when it is full.
 const bodyGrowBytes = 16 << 10
 
+// readAdmittedBody is readBody with a limit of time. It fails as soon as new requests are refused.
+func (x *exchange) readAdmittedBody(hr *http.Request) (reserved int64, err error) {
+	_ = x.rc.SetReadDeadline(time.Now().Add(bodyTimeout))
+	unregister := context.AfterFunc(x.api.gate.Admission(), func() { _ = x.rc.SetReadDeadline(time.Now()) })
+	reserved, err = x.readBody(hr)
+	if !unregister() {
+		x.w.Header().Set("Connection", "close")
+		return reserved, shuttingDownError()
+	}
+	_ = x.rc.SetReadDeadline(time.Time{})
+	return reserved, err
+}
+
 // readBody reserves memory for the body and reads it. It returns the bytes reserved,
 // also with an error.
 func (x *exchange) readBody(hr *http.Request) (reserved int64, err error) {
@@ -281,8 +309,6 @@
 	if hr.ContentLength > limit {
 		return 0, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body is larger than %d bytes", limit)
 	}
-	_ = x.rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer func() { _ = x.rc.SetReadDeadline(time.Time{}) }()
 	step := hr.ContentLength
 	if step < 0 {
 		step = bodyGrowBytes
