--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -211,7 +211,7 @@
 func (f *Fetcher) fetchVersion(ctx context.Context, v *version) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	state := &fetchState{announcements: newLimiter(maxAnnounceRequests), transfers: newTransferLimiter(maxTransfers), fetchEnded: make(chan struct{}, 1)}
+	state := &fetchState{announcements: newLimiter(maxAnnounceRequests), transfers: newLimiter(maxTransfers), fetchEnded: make(chan struct{}, 1)}
 	refreshed := f.deps.Clock.Now()
 	for ctx.Err() == nil {
 		if v.table.MissingCount() == 0 {
@@ -329,13 +329,14 @@
 	if err != nil {
 		return nil, err
 	}
-	t := transfers.startTransfer(rc, f.deps.Clock.Now())
-	rest, err := io.ReadAll(io.LimitReader(t, v.man.Chunks[job.Chunk].Bytes))
-	t.end(err == nil, f.settings.InRate, f.deps.Clock.Now())
+	start := f.deps.Clock.Now()
+	rest, err := io.ReadAll(io.LimitReader(rc, v.man.Chunks[job.Chunk].Bytes))
 	if err != nil {
 		return nil, err
 	}
 	data := append(first, rest...)
+	now := f.deps.Clock.Now()
+	transfers.recordTransfer(len(data), now.Sub(start), f.settings.InRate, now)
 	return data, f.sleep(ctx, f.link.In.Reserve(f.deps.Clock.Now(), len(data)))
 }
 
