targetconn, boundedhttp: refuse a head with another response's head in it

Callers could get a 200 with an empty or short body that looked complete: a target stops within a line of its head and sends the head of an error on the same connection. Cause: net/http takes such a second status line for the rest of the field, or of the reason phrase, in which the first head stopped. The two are read as one head with the first status and the second framing. The same holds for the clients of the store, the engine, the origin and plain services: a write or an order counted as accepted. Change: core/response.HeadScanner looks for a second status line in the bytes of a head. targetconn and all transports of boundedhttp fail on one. The parsed header is not enough: net/http drops a Connection field with "close" in it, and Content-Length of a chunked response.

--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -98,23 +98,31 @@
 	return l.Addr().String(), requests
 }
 
-// startGateway starts a gateway with a resumable streaming route, an unsafe one and two
-// targets, of which it prefers a. It returns the address for callers.
+// startGateway starts a gateway with a resumable streaming route, an unsafe one, a safe one
+// and two targets, of which it prefers a. It returns the address for callers.
 func startGateway(t *testing.T, a, b string) string {
+	t.Helper()
+	return startGatewayWith(t, 100, map[string]string{"a": a, "b": b})
+}
+
+// startGatewayWith is like startGateway with other targets. retries is the slack of the
+// retry budget.
+func startGatewayWith(t *testing.T, retries float64, targets map[string]string) string {
 	t.Helper()
 	store := porttest.NewStore()
 	store.Put("op/config", `{"Version":1,"Routes":[
-		{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":3000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true},
-		{"Name":"u","Host":"h","Prefix":"/u/","Kind":"unsafe","TimeoutMs":3000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":1,"Anonymous":true}],
+		{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true},
+		{"Name":"s","Host":"h","Prefix":"/s/","Kind":"safe","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true},
+		{"Name":"u","Host":"h","Prefix":"/u/","Kind":"unsafe","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":1,"Anonymous":true}],
 		"Services":[{"Name":"s"}]}`)
-	for id, addr := range map[string]string{"a": a, "b": b} {
-		store.Put("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":%q,"Slots":8,"State":"ready","born":1}`, addr, "zone-"+id))
+	for id, addr := range targets {
+		store.Put("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":%q,"Slots":8,"State":"ready","born":1}`, addr, "zone-"+id[:1]))
 	}
 	set := gateway.Settings{
 		Settings: registration.Settings{
 			Domain: "zone-a", Regions: map[fleet.Domain]fleet.Region{"zone-a": "r", "zone-b": "r"}, Internal: "127.0.0.1:0",
 		},
-		KeyBound: 5 * time.Second, WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, Memory: 64 << 20,
+		KeyBound: 5 * time.Second, WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: retries, RetryWindow: 10 * time.Second, Memory: 64 << 20,
 	}
 	set.ID = "g"
 	peers := rpc.NewClient()
--- a/internal/adapter/boundedhttp/boundedhttp.go
+++ b/internal/adapter/boundedhttp/boundedhttp.go
@@ -7,9 +7,12 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/masticwing/masticwing/internal/core/response"
 )
 
 // MaxHeaderBytes bounds the status line and header of a response, together with its
@@ -17,10 +20,52 @@
 // at a time that is most of the 152 MB of a side machine.
 const MaxHeaderBytes = 64 << 10
 
-// NewTransport returns a transport that opens connections with dial and bounds
-// response headers. All transports of the product are created here.
+// NewTransport returns a transport that opens connections with dial, bounds response
+// headers, and fails with ErrTwoHeads instead of joining two heads. All transports of the product are created here.
 func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
-	return &http.Transport{DialContext: dial, MaxResponseHeaderBytes: MaxHeaderBytes}
+	dialChecked := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &headConn{Conn: c}, nil
+	}
+	return &http.Transport{DialContext: dialChecked, MaxResponseHeaderBytes: MaxHeaderBytes}
+}
+
+// ErrTwoHeads means that the head of a response contains the start of another one.
+var ErrTwoHeads = errors.New("head of a response contains the status line of another one")
+
+// headConn is a connection that fails if the head of a response contains the start of another
+// one, which net/http accepts.
+type headConn struct {
+	net.Conn
+	// wrote is set after each write: a response follows a request.
+	wrote   atomic.Bool
+	scanner response.HeadScanner
+	failed  bool
+}
+
+// Write implements net.Conn.
+func (c *headConn) Write(b []byte) (int, error) {
+	c.wrote.Store(true)
+	return c.Conn.Write(b)
+}
+
+// Read implements net.Conn.
+func (c *headConn) Read(b []byte) (int, error) {
+	if c.failed {
+		return 0, ErrTwoHeads
+	}
+	n, err := c.Conn.Read(b)
+	if c.wrote.Swap(false) {
+		c.scanner = response.HeadScanner{}
+	}
+	if c.scanner.Push(b[:n]) {
+		c.failed = true
+		return 0, ErrTwoHeads
+	}
+	return n, err
 }
 
 // ErrTooLong means that a response body is longer than its bound.
--- a/internal/adapter/straytest/straytest.go
+++ b/internal/adapter/straytest/straytest.go
@@ -1,5 +1,5 @@
-// Package straytest has a server for tests of HTTP clients that sends a response once
-// more on a kept connection, as faulty peers do.
+// Package straytest has servers for tests of HTTP clients that send a response once
+// more on a kept connection, or break it off, as faulty peers do.
 package straytest
 
 import (
--- a/internal/adapter/targetconn/endless_test.go
+++ b/internal/adapter/targetconn/endless_test.go
@@ -173,7 +173,7 @@
 				if _, err := http.ReadRequest(r); err != nil {
 					return
 				}
-				_, _ = io.WriteString(c, interim+interim+response("1", "ok"))
+				_, _ = io.WriteString(c, interim+interim+encodedResponse("1", "ok"))
 			}
 		})
 		p := newPool()
--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -17,7 +17,9 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/response"
 	"github.com/masticwing/masticwing/internal/core/shard"
 )
 
@@ -71,6 +73,9 @@
 // errSkippedTooLong ends a skipped response that exceeds its limit.
 var errSkippedTooLong = malformed(errors.Errorf("response to another request is longer than %d bytes", maxSkippedBytes))
 
+// errTwoHeads ends a head with the status line of another response in it.
+var errTwoHeads = malformed(boundedhttp.ErrTwoHeads)
+
 // errDrainTooLong ends a body that exceeds the limit of Drain.
 var errDrainTooLong = malformed(errors.New("rest of a response is longer than its limit"))
 
@@ -98,6 +103,8 @@
 	// longer than its limit by up to bufferBytes.
 	quota    int64
 	quotaErr error
+	// head scans what Read returns, up to the end of a head.
+	head response.HeadScanner
 	// readErr is the last error of Read. It distinguishes a lost connection from bytes
 	// that are not a response.
 	readErr error
@@ -193,6 +200,10 @@
 	}
 	n, err := c.Conn.Read(b)
 	c.quota -= int64(n)
+	if c.head.Push(b[:n]) {
+		c.quota, c.quotaErr, c.readErr = 0, errTwoHeads, errTwoHeads
+		return 0, errTwoHeads
+	}
 	if err != nil {
 		c.readErr = err
 	}
@@ -233,6 +244,9 @@
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	for range maxInterimResponses + 1 {
 		c.quota, c.quotaErr = maxHeadBytes, errHeadTooLong
+		if err := c.beginHead(); err != nil {
+			return nil, err
+		}
 		res, err := http.ReadResponse(c.r, req)
 		switch {
 		case err != nil:
@@ -248,6 +262,16 @@
 	return nil, malformed(errors.Errorf("more than %d interim responses", maxInterimResponses))
 }
 
+// beginHead starts the scan of a head, of which the buffer may hold a part.
+func (c *conn) beginHead() error {
+	c.head = response.HeadScanner{}
+	buffered, err := c.r.Peek(c.r.Buffered())
+	if err == nil && c.head.Push(buffered) {
+		err = errTwoHeads
+	}
+	return err
+}
+
 // Drain reads the rest of a response of Pool.Do and closes its body, so that the
 // connection can be used again. If the body does not end within maxBytes, with the bytes
 // of its encoding, and within the timeout, the connection is closed instead.
--- a/internal/adapter/targetconn/targetconn_test.go
+++ b/internal/adapter/targetconn/targetconn_test.go
@@ -67,7 +67,7 @@
 	return string(b), err
 }
 
-func response(id, body string) string {
+func encodedResponse(id, body string) string {
 	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
 }
 
@@ -85,7 +85,7 @@
 			}
 		}
 		got <- b.String()
-		_, _ = io.WriteString(c, response("1", "ok"))
+		_, _ = io.WriteString(c, encodedResponse("1", "ok"))
 	})
 	if body, err := get(context.Background(), newPool(), addr, "1"); err != nil || body != "ok" {
 		t.Fatalf("%q, %v", body, err)
@@ -106,7 +106,7 @@
 				return
 			}
 			if requests.Add(1) == 1 {
-				_, _ = io.WriteString(c, response("1", "ok"))
+				_, _ = io.WriteString(c, encodedResponse("1", "ok"))
 				continue
 			}
 			return // closes the connection without a response
@@ -131,9 +131,9 @@
 				return
 			}
 			if id == '2' {
-				_, _ = io.WriteString(c, response("1", "old"))
+				_, _ = io.WriteString(c, encodedResponse("1", "old"))
 			}
-			_, _ = io.WriteString(c, response(string(id), "new"+string(id)))
+			_, _ = io.WriteString(c, encodedResponse(string(id), "new"+string(id)))
 		}
 	})
 	p := newPool()
@@ -151,11 +151,11 @@
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
-		_, _ = io.WriteString(c, response("1", "ok"))
+		_, _ = io.WriteString(c, encodedResponse("1", "ok"))
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
-		body := response("2", "")
+		body := encodedResponse("2", "")
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 		_, _ = r.ReadByte()
 	})
@@ -181,7 +181,7 @@
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
-		_, _ = io.WriteString(c, response(string(rune('1'+n)), "ok"))
+		_, _ = io.WriteString(c, encodedResponse(string(rune('1'+n)), "ok"))
 		time.Sleep(20 * time.Millisecond)
 		_, _ = io.WriteString(c, "junk")
 		_, _ = r.ReadByte()
