boundedhttp: request no compression

A client of the key-value service could read an empty value where the platform had broken off: a compressed response without a length, closed right behind its head. Cause: net/http's client requests compression by itself, and takes a compressed body without a single byte for an empty one. Such responses were excepted from the check that refuses those without a length, since a compressed body was taken to show its end.

--- a/internal/adapter/boundedhttp/boundedhttp.go
+++ b/internal/adapter/boundedhttp/boundedhttp.go
@@ -21,7 +21,9 @@
 const MaxHeaderBytes = 64 << 10
 
 // NewTransport returns a transport that opens connections with dial, bounds response
-// headers, and fails with ErrTwoHeads instead of joining two heads. All transports of the product are created here.
+// headers, and fails with ErrTwoHeads instead of joining two heads. All transports of the product are created here. It requests no
+// compression: net/http takes a compressed body that ends before its first byte for an
+// empty one, also if only the end of the connection ends the response.
 func NewTransport(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Transport {
 	dialChecked := func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
@@ -30,7 +32,7 @@
 		}
 		return &headConn{Conn: c}, nil
 	}
-	return &http.Transport{DialContext: dialChecked, MaxResponseHeaderBytes: MaxHeaderBytes}
+	return &http.Transport{DialContext: dialChecked, MaxResponseHeaderBytes: MaxHeaderBytes, DisableCompression: true}
 }
 
 // ErrTwoHeads means that the head of a response contains the start of another one.
@@ -87,7 +89,7 @@
 // EndsWithConnection reports whether only the end of its connection ends the body of
 // a response. Such a body may be cut without an error.
 func EndsWithConnection(res *http.Response) bool {
-	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
 }
 
 // ReadStart returns at most limit bytes from the start of a response body, and less
--- a/internal/adapter/kvhttp/cut_test.go
+++ b/internal/adapter/kvhttp/cut_test.go
@@ -1,6 +1,8 @@
 package kvhttp
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"fmt"
 	"testing"
@@ -11,6 +13,19 @@
 	"github.com/masticwing/masticwing/internal/port"
 )
 
+func compressed(t *testing.T, body string) string {
+	t.Helper()
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	if _, err := w.Write([]byte(body)); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return b.String()
+}
+
 // TestCutResponse guards against a value, a lease or a write that a client takes from a
 // response that broke off.
 func TestCutResponse(t *testing.T) {
@@ -21,6 +36,11 @@
 			e, err := New(a).Get(ctx, "k")
 			return fmt.Sprintf("%s %d", e.Value, e.Rev), err
 		}},
+		// A compressed body shows its end only once it has begun.
+		"compressed": {Head: head + "Content-Encoding: gzip\r\n", Body: compressed(t, "value"), Call: func(a fleet.Address) (string, error) {
+			e, err := New(a).Get(ctx, "k")
+			return fmt.Sprintf("%s %d", e.Value, e.Rev), err
+		}},
 		"vms": {Head: head, Body: `[{"name":"v"}]`, Call: func(a fleet.Address) (string, error) {
 			vms, err := New(a).VMs(ctx)
 			return fmt.Sprint(vms), err
