originhttp: read a manifest up to the end of its response

A manifest was accepted although its response broke off behind the last brace. Cause: the JSON decoder stops at the end of the value and does not read the rest of the response. The value itself was whole, and its digest is compared with the version, so that no wrong manifest could be used. Change: the response is read completely, within the same bound, before it is decoded.

--- a/internal/adapter/originhttp/cut_test.go
+++ b/internal/adapter/originhttp/cut_test.go
@@ -17,7 +17,7 @@
 func TestCutResponse(t *testing.T) {
 	ctx := context.Background()
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-	manifest := `{"model":"m","chunks":[{"digest":"` + strings.Repeat("ab", 32) + `","bytes":5}]}`
+	manifest := `{"model":"m","chunks":[{"digest":"` + strings.Repeat("ab", 32) + `","bytes":5}]}` + "\n"
 	for name, x := range map[string]straytest.Exchange{
 		"manifest": {Head: head, Body: manifest, Call: func(a fleet.Address) (string, error) {
 			m, err := New(a, "vm").Manifest(ctx, "v")
--- a/internal/adapter/originhttp/originhttp.go
+++ b/internal/adapter/originhttp/originhttp.go
@@ -75,8 +75,13 @@
 		return manifest.Manifest{}, errors.Wrap(err, "requesting manifest from origin")
 	}
 	defer func() { _ = rc.Close() }()
+	// A decoder of the stream would not read up to the end of the response.
+	b, err := boundedhttp.ReadAll(rc, maxManifestBytes)
+	if err != nil {
+		return manifest.Manifest{}, errors.Wrap(err, "requesting manifest from origin")
+	}
 	var m manifestJSON
-	if err := json.NewDecoder(io.LimitReader(rc, maxManifestBytes)).Decode(&m); err != nil {
+	if err := json.Unmarshal(b, &m); err != nil {
 		return manifest.Manifest{}, errors.Wrap(err, "decoding manifest")
 	}
 	out := manifest.Manifest{Model: fleet.Model(m.Model)}
