gateway, eventstream: an empty stream needs an end that the response states

Callers could get a 200 with an empty stream that looked complete, of a target that stopped right behind the head of a response without a length. Cause: the end of the connection ends such a response, and a stream without events was a whole one. Change: a run without an event that ends with its connection fails the attempt (eventstream.ErrNoEvent), so that another target may serve the request. An empty stream with a length, or with its last chunk, is complete as before. A caller that resumes behind the last event of a stream, at a target that answers without a length, gets a 502 instead of an empty stream; the two can't be told apart.

--- a/cmd/masticwing-gateway/cut_test.go
+++ b/cmd/masticwing-gateway/cut_test.go
@@ -98,7 +98,7 @@
 
 // completeBody returns the body that the caller may get as complete, and false if none. A
 // response without a length is complete wherever its connection is closed, unless that is
-// within an event.
+// within an event or before the first one.
 func (c cut) completeBody() (string, bool) {
 	switch {
 	case c.recovers, c.framing.isDelimited():
@@ -107,7 +107,7 @@
 		return "", false
 	}
 	body := c.raw[c.headBytes:c.at]
-	isWhole := !c.isStream() || body == "" || strings.HasSuffix(body, "\n\n")
+	isWhole := !c.isStream() || strings.HasSuffix(body, "\n\n")
 	if c.later {
 		body = runEvents("a", 1, 1) + body
 	}
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -145,7 +145,7 @@
 
 // finishStream ends the response after the regular end of the target's response.
 func (c *call) finishStream(choice placement.Choice, resp *port.ForwardResponse) *verdict.Error {
-	rest, err := c.relay.events.End()
+	rest, err := c.relay.events.End(resp.EndsWithConnection)
 	if err != nil {
 		return c.recordUnusableStream(choice, err)
 	}
--- a/internal/core/eventstream/eventstream.go
+++ b/internal/core/eventstream/eventstream.go
@@ -19,6 +19,9 @@
 	ErrEventTooLong = errors.Errorf("event is longer than %d bytes", MaxEventBytes)
 	// ErrPartialEvent means that a stream ends within an event.
 	ErrPartialEvent = errors.New("stream ends within an event")
+	// ErrNoEvent means that the connection ended before the first event of a run, and
+	// that nothing else shows its end.
+	ErrNoEvent = errors.New("connection ends before the first event of a stream")
 )
 
 // Splitter buffers the bytes of one stream and returns its complete events. The stream
@@ -110,13 +113,16 @@
 }
 
 // End returns the blocks that are still held at the regular end of a run. It fails if
-// the run ends within an event, or if a later run had no event.
-func (s *Splitter) End() ([]byte, error) {
+// the run ends within an event, if a later run had no event, and if a run without an event
+// endsWithConnection: nothing tells it from that of a target that stopped behind the head.
+func (s *Splitter) End(endsWithConnection bool) ([]byte, error) {
 	switch {
 	case len(s.pending) > s.held:
 		return nil, ErrPartialEvent
 	case s.events > 0 && s.runEvents == 0:
 		return nil, &OrderError{After: s.sequence.last}
+	case endsWithConnection && s.runEvents == 0:
+		return nil, ErrNoEvent
 	}
 	return s.take(s.held), nil
 }
--- a/internal/core/eventstream/eventstream_test.go
+++ b/internal/core/eventstream/eventstream_test.go
@@ -57,6 +57,28 @@
 	}
 }
 
+// TestNoEventBeforeEndOfConnection guards against an empty stream that looks complete although
+// its target stopped behind the head. Events before the end of the connection, or an end that
+// the response states, are accepted.
+func TestNoEventBeforeEndOfConnection(t *testing.T) {
+	for _, c := range []struct {
+		data               string
+		endsWithConnection bool
+		want               error
+	}{
+		{"", true, ErrNoEvent}, {": comment\n\n", true, ErrNoEvent}, {"id: 1\n\n", true, nil},
+		{"", false, nil}, {": comment\n\n", false, nil},
+	} {
+		s := New("")
+		if _, err := s.Push([]byte(c.data)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.End(c.endsWithConnection); !errors.Is(err, c.want) {
+			t.Errorf("%q, ends with the connection %v: %v", c.data, c.endsWithConnection, err)
+		}
+	}
+}
+
 // TestEventTooLong guards against a target that sends an endless event.
 func TestEventTooLong(t *testing.T) {
 	for name, b := range map[string][]byte{
--- a/internal/core/eventstream/sequence_test.go
+++ b/internal/core/eventstream/sequence_test.go
@@ -105,7 +105,7 @@
 	if _, err := s.Push([]byte(comment)); err != nil || !s.Resumable() {
 		t.Errorf("a comment alone: %v, resumable %v", err, s.Resumable())
 	}
-	if b, err := s.End(); err != nil || string(b) != comment {
+	if b, err := s.End(false); err != nil || string(b) != comment {
 		t.Errorf("end after a comment: %q, %v", b, err)
 	}
 	s = New("")
@@ -135,7 +135,7 @@
 				t.Fatalf("%s: %v", name, err)
 			}
 		}
-		if _, err := s.End(); (err == nil) != c.ok {
+		if _, err := s.End(false); (err == nil) != c.ok {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
