--- a/internal/adapter/servicehttp/cut_test.go
+++ b/internal/adapter/servicehttp/cut_test.go
@@ -39,6 +39,9 @@
 			return "", New(a).Healthy(ctx)
 		}},
 	} {
-		t.Run(name, func(t *testing.T) { straytest.CheckCuts(t, x) })
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			straytest.CheckCuts(t, x)
+		})
 	}
 }
