--- a/cmd/masticwing-gateway/stop_test.go
+++ b/cmd/masticwing-gateway/stop_test.go
@@ -47,7 +47,7 @@
 		s.deadlineMs.Store(ms)
 		answer(c, r.Header.Get("Request-Id"))
 	})
-	g := newGateway(t, testGrace, target, target)
+	g := newGateway(t, testGrace, 100, map[string]string{"a": target, "b": target})
 	var listeners [2]net.Listener
 	for i := range listeners {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -98,23 +98,25 @@
 	return l.Addr().String(), requests
 }
 
-// newGateway returns a gateway with a resumable streaming route, an unsafe one and two
-// targets, of which it prefers a.
-func newGateway(t *testing.T, grace time.Duration, a, b string) *gateway.Gateway {
+// newGateway returns a gateway with a resumable streaming route, an unsafe one, a safe one and
+// the given targets, of which it prefers those whose id begins with a. retries is the slack of
+// the retry budget.
+func newGateway(t *testing.T, grace time.Duration, retries float64, targets map[string]string) *gateway.Gateway {
 	t.Helper()
 	store := porttest.NewStore()
 	store.Put("op/config", `{"Version":1,"Routes":[
 		{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true},
+		{"Name":"s","Host":"h","Prefix":"/s/","Kind":"safe","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true},
 		{"Name":"u","Host":"h","Prefix":"/u/","Kind":"unsafe","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":1,"Anonymous":true}],
 		"Services":[{"Name":"s"}]}`)
-	for id, addr := range map[string]string{"a": a, "b": b} {
-		store.Put("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":%q,"Slots":8,"State":"ready","born":1}`, addr, "zone-"+id))
+	for id, addr := range targets {
+		store.Put("servers/"+id, fmt.Sprintf(`{"Service":"s","Address":%q,"Zone":%q,"Slots":8,"State":"ready","born":1}`, addr, "zone-"+id[:1]))
 	}
 	set := gateway.Settings{
 		Settings: registration.Settings{
 			Domain: "zone-a", Regions: map[fleet.Domain]fleet.Region{"zone-a": "r", "zone-b": "r"}, Internal: "127.0.0.1:0",
 		},
-		KeyBound: 5 * time.Second, WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, Memory: 64 << 20, Grace: grace,
+		KeyBound: 5 * time.Second, WeightsBound: 8 * time.Second, RetryRatio: 0.2, RetrySlack: retries, RetryWindow: 10 * time.Second, Memory: 64 << 20, Grace: grace,
 	}
 	set.ID = "g"
 	peers := rpc.NewClient()
@@ -125,10 +127,17 @@
 	})
 }
 
-// startGateway starts the gateway of newGateway and returns its address for callers.
+// startGateway starts a gateway with the targets a and b, of which it prefers a. It returns the
+// address for callers.
 func startGateway(t *testing.T, a, b string) string {
 	t.Helper()
-	g := newGateway(t, 0, a, b)
+	return startGatewayWith(t, 100, map[string]string{"a": a, "b": b})
+}
+
+// startGatewayWith is like startGateway with other targets and another retry budget.
+func startGatewayWith(t *testing.T, retries float64, targets map[string]string) string {
+	t.Helper()
+	g := newGateway(t, 0, retries, targets)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { g.Run(ctx) })
