rollout: a version that is being unloaded does not serve after its order has ended

Callers could see refusals: an agent leaves rotation although its engine holds the version that it served. Cause: between the end of the order to unload a version and the engine's next report, that version counted as held. If it had become the target again meanwhile, the agent took it to be served, and then served nothing. Change: the version counts as gone until a report shows it.

--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -148,8 +148,16 @@
 func OrderStarted(a Action) Event { return func(m *StateMachine) { m.currentOrder = a } }
 
 // OrderEnded is the event that the order succeeded or failed. The next report of the
-// engine shows its effect.
-func OrderEnded() Event { return func(m *StateMachine) { m.currentOrder = Action{} } }
+// engine shows its effect; until then, a version that was to be unloaded counts as gone.
+func OrderEnded() Event {
+	return func(m *StateMachine) {
+		if m.currentOrder.Kind == Unload {
+			unloaded := m.currentOrder.Ref.Version
+			m.loaded = slices.DeleteFunc(slices.Clone(m.loaded), func(v fleet.Version) bool { return v == unloaded })
+		}
+		m.currentOrder = Action{}
+	}
+}
 
 // Table holds the state machines of an agent by group.
 type Table struct {
--- a/internal/core/rollout/rollout_test.go
+++ b/internal/core/rollout/rollout_test.go
@@ -295,3 +295,19 @@
 		}
 	}
 }
+
+// TestUnloadedTargetIsNotServed guards against an agent that leaves rotation because a version
+// becomes the target again while the engine unloads it: it counted as served between the end
+// of the order and the engine's report.
+func TestUnloadedTargetIsNotServed(t *testing.T) {
+	table := NewTable()
+	table.Apply("g", Assigned(Ref{"m", "v1"}, declare.KeepOld, "v1", "v3"), VersionsComplete([]fleet.Version{"v1", "v3"}), EngineReported([]fleet.Version{"v3", "v1"}))
+	unload := Action{Unload, Ref{Version: "v3"}}
+	table.Apply("g", OrderStarted(unload), Assigned(Ref{"m", "v3"}, declare.KeepOld, "v1", "v3"))
+	if p := table.Apply("g", OrderEnded()); p.Serving.Version != "v1" {
+		t.Errorf("serves %q after the order to unload v3 has ended, want v1", p.Serving.Version)
+	}
+	if p := table.Apply("g", EngineReported([]fleet.Version{"v1"})); p.Serving.Version != "v1" {
+		t.Errorf("serves %q after v3 was unloaded, want v1", p.Serving.Version)
+	}
+}
