--- a/internal/app/gateway/patience_test.go
+++ b/internal/app/gateway/abandon_test.go
@@ -10,11 +10,11 @@
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// newPatienceGateway returns a gateway with streams of engines whose callers leave after 3.2 s
+// newStreamGateway returns a gateway with streams of engines whose callers leave after 3.2 s
 // without an event.
-func newPatienceGateway(t *testing.T, replies ...scriptedReply) *testGateway {
+func newStreamGateway(t *testing.T, replies ...scriptedReply) *testGateway {
 	r := streamingRoute
-	r.Timeout, r.EventPatience = 6*time.Second, 3200*time.Millisecond
+	r.Timeout, r.AbandonTimeout = 6*time.Second, 3200*time.Millisecond
 	gw := newTestGateway(t, r, replies...)
 	gw.applyItem("op/config", 2, port.ConfigItem{Config: routes.Config{
 		Version: 2, Routes: []routes.Route{r}, Services: []routes.Service{{Name: "s", Engine: &routes.Engine{Slots: 4, Models: []fleet.Model{"m"}}}},
@@ -29,7 +29,7 @@
 	return gw
 }
 
-func patientInbound() *port.InboundRequest {
+func streamInbound() *port.InboundRequest {
 	in := newInbound()
 	in.CallerTimeout = 6 * time.Second
 	return in
@@ -41,11 +41,11 @@
 func TestRetryThatWouldBeTooLateIsNotMade(t *testing.T) {
 	t.Parallel()
 	const body = "id: 1\ndata: a\n\n"
-	gw := newPatienceGateway(t, scriptedReply{status: 200, body: []string{body}, delay: streamStallTimeout + 100*time.Millisecond})
+	gw := newStreamGateway(t, scriptedReply{status: 200, body: []string{body}, delay: streamStallTimeout + 100*time.Millisecond})
 	for range 8 {
 		gw.targets.RecordFirstEvent("b", 4*time.Second, 0, time.Now())
 	}
-	out := gw.request(patientInbound())
+	out := gw.request(streamInbound())
 	if len(gw.forwarder.sent) != 1 || out.body.String() != body {
 		t.Errorf("sent to %v, response %q, refused with %v", gw.forwarder.to, out.body.String(), out.refused)
 	}
@@ -55,8 +55,8 @@
 // requests are given up before their first event.
 func TestSilentTargetCountsAsLate(t *testing.T) {
 	t.Parallel()
-	gw := newPatienceGateway(t, scriptedReply{delay: time.Minute}, scriptedReply{status: 200, body: []string{"id: 1\ndata: a\n\n"}})
-	if out := gw.request(patientInbound()); out.status != 200 || len(gw.forwarder.sent) != 2 {
+	gw := newStreamGateway(t, scriptedReply{delay: time.Minute}, scriptedReply{status: 200, body: []string{"id: 1\ndata: a\n\n"}})
+	if out := gw.request(streamInbound()); out.status != 200 || len(gw.forwarder.sent) != 2 {
 		t.Fatalf("status %d, sent to %v", out.status, gw.forwarder.to)
 	}
 	silent := fleet.Instance(gw.forwarder.to[0])
@@ -70,9 +70,9 @@
 // failurePauseEnd is longer than the pause of a target after its first failure.
 const failurePauseEnd = 500 * time.Millisecond
 
-// TestPatienceBeginsAnewWithEachEvent guards against a stream that is not continued at another
+// TestAbandonTimeoutBeginsAnewWithEachEvent guards against a stream that is not continued at another
 // target because its first event was long ago.
-func TestPatienceBeginsAnewWithEachEvent(t *testing.T) {
+func TestAbandonTimeoutBeginsAnewWithEachEvent(t *testing.T) {
 	t.Parallel()
 	const e1, e2, none = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", ":\n"
 	for name, first := range map[string]scriptedReply{
@@ -81,8 +81,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			gw := newPatienceGateway(t, first, scriptedReply{status: 200, body: []string{"id: 3\ndata: c\n\n"}})
-			if out := gw.request(patientInbound()); len(gw.forwarder.sent) != 2 || out.aborted {
+			gw := newStreamGateway(t, first, scriptedReply{status: 200, body: []string{"id: 3\ndata: c\n\n"}})
+			if out := gw.request(streamInbound()); len(gw.forwarder.sent) != 2 || out.aborted {
 				t.Errorf("sent to %v, response %q, refused with %v", gw.forwarder.to, out.body.String(), out.refused)
 			}
 		})
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -238,14 +238,14 @@
 // firstEventBy returns the time at which the caller abandons the stream if no further event has
 // arrived, or zero if it doesn't.
 func (c *call) firstEventBy() time.Time {
-	if c.route.EventPatience <= 0 {
+	if c.route.AbandonTimeout <= 0 {
 		return time.Time{}
 	}
 	since := c.in.ReceivedAt
 	if !c.relay.lastEventAt.IsZero() {
 		since = c.relay.lastEventAt
 	}
-	return since.Add(c.route.EventPatience)
+	return since.Add(c.route.AbandonTimeout)
 }
 
 // urgency returns the request's rank among those that wait in an engine, 0 first, or -1
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -41,10 +41,10 @@
 	// passed on to the caller. noEventAt bounds it.
 	silentAt, noEventAt time.Time
 	retryTaken          bool
-	// query holds the conditions for the target of a retry, and patience how long the caller
+	// query holds the conditions for the target of a retry, and abandonAfter how long the caller
 	// waits for the next event, or zero if it waits for any time.
 	query    placement.Query
-	patience time.Duration
+	abandonAfter time.Duration
 }
 
 // startStallWatch returns the context of one attempt and its watch. The watch has a
@@ -62,7 +62,7 @@
 	service := c.service.Name
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.query, s.patience = c.placementQuery(), c.route.EventPatience
+	s.query, s.abandonAfter = c.placementQuery(), c.route.AbandonTimeout
 	s.timer = time.AfterFunc(s.timeout, func() { s.expire(c.g, service) })
 	s.restart(true)
 	return ctx, s
@@ -121,7 +121,7 @@
 		return
 	}
 	if event && !s.query.FirstEventBy.IsZero() {
-		s.query.FirstEventBy = s.now().Add(s.patience)
+		s.query.FirstEventBy = s.now().Add(s.abandonAfter)
 	}
 	s.restart(event)
 }
--- a/internal/core/moment/moment.go
+++ b/internal/core/moment/moment.go
@@ -1,5 +1,5 @@
 // Package moment represents times since the machine booted, and ages, that may be unknown. An
-// unknown one is a value of its own, since a number in its place can't be told from one that
+// unknown one is a value of its own, since a number in its place looks like one that
 // was measured.
 package moment
 
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -63,9 +63,9 @@
 	LatencyObjective time.Duration
 	// MaxEventGap is the intended maximum time between two events of a stream.
 	MaxEventGap time.Duration
-	// EventPatience is the time without an event after which callers abandon a stream; zero
+	// AbandonTimeout is the time without an event after which callers abandon a stream; zero
 	// means that they don't.
-	EventPatience time.Duration
+	AbandonTimeout time.Duration
 	// Priority is the urgency of the route's requests; 0 is the highest.
 	Priority int
 	Shares   []Share
