--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -43,7 +43,7 @@
 	retryTaken          bool
 	// query holds the conditions for the target of a retry, and abandonAfter how long the caller
 	// waits for the next event, or zero if it waits for any time.
-	query    placement.Query
+	query        placement.Query
 	abandonAfter time.Duration
 }
 
