httpapi: refuse requests on open connections after the listener has closed

Cause: callers connect until the listener closes, and Close ended idle connections at the same moment. A net/http client that takes such a connection from its pool while the final response (408) arrives drops the response and does not repeat a POST.

Change: once the listener has closed, the entry refuses requests on open connections for 0.5 s more and closes the connections with these responses. A caller that sends continuously has used its idle connections by then. Connections that stay idle get the final response as before.

TestShutdownRefusesOnOpenConnections fails before (30 of 30 callers get the final response instead of the refusal). TestShutdownOfIdleConnections sets the new time to zero, so that its requests still meet the close.

--- a/internal/adapter/httpapi/conn_tracker.go
+++ b/internal/adapter/httpapi/conn_tracker.go
@@ -23,7 +23,8 @@
 type connTracker struct {
 	states  *shard.Map[net.Conn, connState]
 	closing atomic.Bool
-	// closed receives a value when a connection closes after closing was set.
+	// closed receives a value when a connection closes. It holds one value, so that a reader
+	// has to look at states after each.
 	closed chan struct{}
 }
 
@@ -42,11 +43,9 @@
 func (ct *connTracker) onStateChange(c net.Conn, state http.ConnState) {
 	if state == http.StateClosed || state == http.StateHijacked {
 		ct.states.Delete(c)
-		if ct.closing.Load() {
-			select {
-			case ct.closed <- struct{}{}:
-			default:
-			}
+		select {
+		case ct.closed <- struct{}{}:
+		default:
 		}
 		return
 	}
--- a/internal/adapter/httpapi/conn_tracker_test.go
+++ b/internal/adapter/httpapi/conn_tracker_test.go
@@ -74,6 +74,40 @@
 	return res.StatusCode, res.Header.Get(headerVerdict), nil
 }
 
+// TestShutdownRefusesOnOpenConnections guards against a caller of net/http whose request fails
+// without a verdict because the entry that shuts down has closed the idle connection.
+func TestShutdownRefusesOnOpenConnections(t *testing.T) {
+	var ran atomic.Int32
+	api, addr := listen(t, defaultConfig, backend(&ran, io.EOF, "a\n"))
+	all := idleCallers(t, addr, 30)
+	before := ran.Load()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := api.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() { api.Close(ctx) })
+	waitUntil(t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	for i, c := range all {
+		_, _ = fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: x\r\n%s: resort\r\nContent-Length: 2\r\n\r\n{}", groupPath, headerCustomer)
+		if status, v, err := c.readResponse(); status != http.StatusServiceUnavailable || v != "not-run" || err != nil {
+			t.Errorf("caller %d: status %d, verdict %q, %v", i, status, v, err)
+		}
+		_ = c.conn.Close()
+	}
+	wg.Wait()
+	if n := ran.Load() - before; n != 0 {
+		t.Errorf("%d requests ran after the drain began", n)
+	}
+}
+
 // TestShutdownOfIdleConnections guards against a request that gets no verdict, or
 // runs, because its caller sends it at the moment at which an entry that shuts down
 // closes the idle connection.
@@ -81,6 +115,7 @@
 	const callers, window = 300, 3 * time.Millisecond
 	var ran atomic.Int32
 	api, addr := listen(t, defaultConfig, backend(&ran, io.EOF, "a\n"))
+	api.settleTime = 0 // so that the requests meet the close
 	all := idleCallers(t, addr, callers)
 	before := ran.Load()
 	seed := uint64(time.Now().UnixNano())
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -53,6 +53,8 @@
 	gate         *gate
 	connTracker  *connTracker
 	server       *http.Server
+	// settleTime is how long Close refuses requests on open connections before it closes them.
+	settleTime time.Duration
 	// closing is closed when Close begins, served when Serve has returned.
 	closing, served chan struct{}
 	closeOnce       sync.Once
@@ -69,7 +71,7 @@
 // New returns an API. Serve starts it.
 func New(cfg Config, b port.EntryHandler, m port.Metrics) *API {
 	a := &API{cfg: cfg, backend: b, metrics: m, callerMemory: newCallerMemory(cfg.Memory), gate: newGate(),
-		connTracker: newConnTracker(), closing: make(chan struct{}), served: make(chan struct{})}
+		connTracker: newConnTracker(), settleTime: defaultSettleTime, closing: make(chan struct{}), served: make(chan struct{})}
 	a.server = &http.Server{
 		Handler:           a.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -116,6 +118,11 @@
 // rest allows for callers on busy machines.
 const lingerTime = 500 * time.Millisecond
 
+// defaultSettleTime is how long an entry that shuts down continues to refuse requests on open
+// connections after its listener has closed. A caller that has just connected, or sends
+// requests continuously, uses its idle connections within this time and then has none left.
+const defaultSettleTime = 500 * time.Millisecond
+
 // Drain refuses new requests and waits until those in progress have ended, or ctx
 // ends.
 func (a *API) Drain(ctx context.Context) error {
@@ -130,12 +137,14 @@
 	return errors.Wrap(err, "requests still in progress")
 }
 
-// Close ends the requests that are still in progress, with an error as the answer, and closes
-// the listener and all connections. It must be called after Serve. On idle connections it sends a final response with a verdict. A connection whose
-// request Drain has waited for may still be sending the end of the answer and
-// becomes idle afterwards. net/http alone would close both kinds immediately or
-// drop a request that it has read. Connections that are still open after lingerTime
-// are closed when their request ends, or when ctx ends.
+// Close closes the listener, ends the requests that are still in progress, with an error as the
+// answer, and closes all connections. It must be called after Serve. Requests that arrive on open
+// connections within the next settleTime are refused: net/http clients report a request that they send
+// while an idle connection closes as failed, without a verdict. The connections that are idle
+// then get a final response with a verdict. A connection whose request Drain has waited for may
+// still be sending the end of the answer and becomes idle afterwards. net/http alone would close
+// both kinds immediately or drop a request that it has read. Connections that are still open
+// after lingerTime are closed when their request ends, or when ctx ends.
 func (a *API) Close(ctx context.Context) {
 	a.closeOnce.Do(func() { close(a.closing) })
 	a.gate.close()
@@ -144,15 +153,21 @@
 	case <-a.served:
 	case <-ctx.Done():
 	}
+	a.awaitConnectionsClosed(ctx, a.settleTime)
 	a.connTracker.closeIdle()
 	_ = a.gate.awaitIdle(ctx)
-	linger, cancel := context.WithTimeout(ctx, lingerTime)
-	defer cancel()
-	a.connTracker.awaitClosed(linger)
+	a.awaitConnectionsClosed(ctx, lingerTime)
 	_ = a.server.Shutdown(ctx)
 	_ = a.server.Close()
 }
 
+// awaitConnectionsClosed returns once no connection is open, after limit, or when ctx ends.
+func (a *API) awaitConnectionsClosed(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	a.connTracker.awaitClosed(ctx)
+}
+
 // IdleConnections returns the number of connections without a request in progress.
 func (a *API) IdleConnections() int { return a.connTracker.idle() }
 
