gateway: send a request again only over a connection that opens quickly

Cause: nothing tells the gateway of the state of the link before it sends.

Change: a request that may have run is sent again only over a new connection that opens within 0.4 s. The handshake passes the same link; a longer one fails the attempt as not sent, and another target is tried.

TestRetryNeedsQuickConnection and TestSlowHandshakeEndsRequest state the new rule.

--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -128,9 +128,9 @@
 }
 
 // DoOnNew is like Do, but opens a connection, on which every response belongs to the
-// request.
-func (p *Pool) DoOnNew(ctx context.Context, addr fleet.Address, req *http.Request) (*http.Response, error) {
-	c, err := p.open(ctx, addr)
+// request. The connection must be open within a time, unless that is zero.
+func (p *Pool) DoOnNew(ctx context.Context, addr fleet.Address, req *http.Request, connectWithin time.Duration) (*http.Response, error) {
+	c, err := p.open(ctx, addr, connectWithin)
 	if err != nil {
 		return nil, err
 	}
@@ -170,12 +170,15 @@
 		}
 		_ = c.Close()
 	}
-	return p.open(ctx, addr)
+	return p.open(ctx, addr, 0)
 }
 
-// open opens a connection.
-func (p *Pool) open(ctx context.Context, addr fleet.Address) (*conn, error) {
+// open opens a connection within a time, or within dialTimeout if that is zero.
+func (p *Pool) open(ctx context.Context, addr fleet.Address, within time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: dialTimeout}
+	if within > 0 {
+		d.Timeout = min(d.Timeout, within)
+	}
 	nc, err := d.DialContext(ctx, "tcp", string(addr))
 	if err != nil {
 		return nil, errors.Wrap(notSentError{err}, "connecting")
--- a/internal/adapter/targetconn/targetconn_test.go
+++ b/internal/adapter/targetconn/targetconn_test.go
@@ -255,6 +255,43 @@
 	}
 }
 
+// fullListener returns the address of a listener whose backlog is full, so that it answers no
+// further handshake.
+func fullListener(t *testing.T) fleet.Address {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
+	for {
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return fleet.Address(addr)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// TestSlowHandshakeEndsRequest guards against a request that is sent over a link on which the
+// connection took too long to open, and against one that counts as sent although it was not.
+func TestSlowHandshakeEndsRequest(t *testing.T) {
+	const within = 100 * time.Millisecond
+	start := time.Now()
+	_, err := newPool().DoOnNew(context.Background(), fullListener(t), request("1"), within)
+	if d := time.Since(start); !errors.Is(err, ErrNotSent) || d > dialTimeout {
+		t.Errorf("error %v after %v", err, d)
+	}
+}
+
 // TestKeepAliveTime guards against the use of a connection that the target is about
 // to close.
 func TestKeepAliveTime(t *testing.T) {
--- a/internal/app/gateway/abandon_test.go
+++ b/internal/app/gateway/abandon_test.go
@@ -7,6 +7,7 @@
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
+	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -88,3 +89,27 @@
 		})
 	}
 }
+
+// TestRetryNeedsQuickConnection guards against a request that is sent again over a full link, on
+// which the cancellation arrives long after the caller has left. A request that has not run needs
+// no new connection.
+func TestRetryNeedsQuickConnection(t *testing.T) {
+	t.Parallel()
+	refusal := verdict.Wrap(&port.RefusedError{}, verdict.NotRun, verdict.CodeTargetFull, "full")
+	for name, c := range map[string]struct {
+		first scriptedReply
+		want  time.Duration
+	}{
+		"silent":  {scriptedReply{delay: time.Minute}, retryConnectTimeout},
+		"refused": {scriptedReply{err: refusal}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			gw := newStreamGateway(t, c.first, scriptedReply{status: 200, body: []string{"id: 1\ndata: a\n\n"}})
+			gw.request(streamInbound())
+			if s := gw.forwarder.sent; len(s) != 2 || s[0].ConnectWithin != 0 || s[1].ConnectWithin != c.want {
+				t.Errorf("sent %+v", s)
+			}
+		})
+	}
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -17,6 +17,12 @@
 // refuse.
 const maxSends = 3
 
+// retryConnectTimeout limits the time to open the connection on which a request that may have run
+// is sent again. A handshake that takes longer has met a full link, and the cancellation would
+// need as long: it must reach the target within 0.5 s after the caller has left. Engines behind
+// full links look idle, so that placement alone prefers them.
+const retryConnectTimeout = 400 * time.Millisecond
+
 // forward sends the request to one target after another until one serves it or no further
 // retry is allowed. A later send may follow seconds after the first one, so the API key is
 // looked up again before it.
@@ -146,6 +152,9 @@
 		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(), SentBefore: c.sentTo[choice.Address],
 	}
 	c.sentTo[choice.Address] = true
+	if c.runs > 0 {
+		f.ConnectWithin = retryConnectTimeout
+	}
 	if c.account != nil {
 		f.Customer = c.account.Name
 	}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -110,6 +110,9 @@
 	// SentBefore means that the request was sent to the same address before. Its id does
 	// not tell the response from an earlier one there, so it needs a new connection.
 	SentBefore bool
+	// ConnectWithin, unless it is zero, is the time within which a new connection has to be open
+	// before the request is sent on it.
+	ConnectWithin time.Duration
 }
 
 // TargetLoad is the load that a target reports: requests running and queued,
