chunks: bound the chunks in flight by the rate of the link

Cause: the loaders' own transfers filled the links. Six chunks of 32 KiB are 2.6 s of a link of 0.6 Mbit/s. The limit never fell there: transfers that were given up after 1.5 s were not counted, and the window of the measurement began anew if transfers ended more than a second apart.

Change: as many chunks are in flight as the link delivers in 0.25 s, by all bytes received during a slow transfer, complete or not. The declared rate of the link is not used. Each version begins with one chunk at a time, and each fast transfer permits one more. Transfers from the origin, whose link all members share, count as received and do not lower the limit.

--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -77,9 +77,11 @@
 // Fetcher fetches the current version and serves the current and the previous one.
 // It implements port.PeerHandler.
 type Fetcher struct {
-	settings    Settings
-	deps        Deps
-	link        ratelimit.Link
+	settings Settings
+	deps     Deps
+	link     ratelimit.Link
+	// linkLimit bounds the chunks received at a time, of all versions.
+	linkLimit   *linkLimit
 	uploadSlots chan struct{}
 	wake        chan struct{} // receives after SetVersion
 
@@ -112,7 +114,7 @@
 func New(s Settings, d Deps) *Fetcher {
 	return &Fetcher{
 		settings: s, deps: d, link: ratelimit.NewLink(s.InRate, s.OutRate, d.Clock.Now()),
-		uploadSlots: make(chan struct{}, maxUploads), wake: make(chan struct{}, 1), versionChanged: make(chan struct{}),
+		linkLimit: newLinkLimit(maxTransfers), uploadSlots: make(chan struct{}, maxUploads), wake: make(chan struct{}, 1), versionChanged: make(chan struct{}),
 	}
 }
 
@@ -140,6 +142,7 @@
 	}
 	close(f.versionChanged)
 	f.versionChanged = make(chan struct{})
+	f.linkLimit.restart()
 	signal(f.wake)
 }
 
@@ -211,7 +214,10 @@
 func (f *Fetcher) fetchVersion(ctx context.Context, v *version) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	state := &fetchState{announcements: newLimiter(maxAnnounceRequests), transfers: newLimiter(maxTransfers), fetchEnded: make(chan struct{}, 1)}
+	state := &fetchState{
+		announcements: newLimiter(func() int { return maxAnnounceRequests }), transfers: newLimiter(f.linkLimit.allowed),
+		fetchEnded: make(chan struct{}, 1),
+	}
 	refreshed := f.deps.Clock.Now()
 	for ctx.Err() == nil {
 		if v.table.MissingCount() == 0 {
@@ -270,7 +276,7 @@
 
 // fetchChunk makes one fetch and records its outcome in the table and the metrics.
 func (f *Fetcher) fetchChunk(ctx context.Context, v *version, job chain.Fetch, state *fetchState) {
-	data, err := f.requestChunk(ctx, v, job, state.transfers)
+	data, err := f.requestChunk(ctx, v, job)
 	outcome := chain.Failed
 	switch {
 	case err == nil && job.AnnounceOnly:
@@ -300,7 +306,7 @@
 	chain.Announced: "announced", chain.Failed: "failed",
 }
 
-func (f *Fetcher) requestChunk(ctx context.Context, v *version, job chain.Fetch, transfers *limiter) ([]byte, error) {
+func (f *Fetcher) requestChunk(ctx context.Context, v *version, job chain.Fetch) ([]byte, error) {
 	var rc io.ReadCloser
 	var err error
 	if job.Origin {
@@ -329,14 +335,16 @@
 	if err != nil {
 		return nil, err
 	}
-	start := f.deps.Clock.Now()
-	rest, err := io.ReadAll(io.LimitReader(rc, v.man.Chunks[job.Chunk].Bytes))
+	size := v.man.Chunks[job.Chunk].Bytes
+	t := f.linkLimit.startTransfer(rc, f.deps.Clock.Now())
+	rest, err := io.ReadAll(io.LimitReader(t, size))
+	if !job.Origin { // the link of the origin, which all members share, is slower than this one
+		t.end(err == nil, size, f.deps.Clock.Now())
+	}
 	if err != nil {
 		return nil, err
 	}
 	data := append(first, rest...)
-	now := f.deps.Clock.Now()
-	transfers.recordTransfer(len(data), now.Sub(start), f.settings.InRate, now)
 	return data, f.sleep(ctx, f.link.In.Reserve(f.deps.Clock.Now(), len(data)))
 }
 
--- a/internal/app/chunks/limit.go
+++ b/internal/app/chunks/limit.go
@@ -1,48 +1,39 @@
 package chunks
 
 import (
+	"io"
+	"math"
 	"sync"
 	"time"
 )
 
 const (
-	// slowTransferTime is the transfer time, first byte to last, from which the
-	// link may be slower than declared. A chunk takes 35 ms on an idle link, and
-	// 0.8 s while it shares the link with all other chunks of a member.
+	// slowTransferTime is the transfer time, first byte to last, from which the rate of the
+	// link decides. A chunk takes 35 ms on an idle link, and 0.8 s while it shares the link with
+	// all other chunks of a member.
 	slowTransferTime = 250 * time.Millisecond
-	// slowRateFraction is the fraction of the declared rate below which a link with
-	// slow transfers counts as slow.
-	slowRateFraction = 0.4
-	// minParallel is the number of parallel transfers on a slow link. More would
-	// delay the engine's requests and events.
-	minParallel = 1
-	// rateWindow is the minimum time over which the rate of a link is measured.
-	rateWindow = 500 * time.Millisecond
+	// maxLinkDelay is the time for which the chunks in flight may fill the link. Requests to the
+	// engine arrive behind them, and so do cancellations, which must arrive within 0.5 s.
+	maxLinkDelay = 250 * time.Millisecond
 )
 
-// limiter bounds the fetches in flight. It halves its limit while the link is slow
-// and then raises it by one per transfer. Only one goroutine calls acquire; any
-// goroutine may call release.
+// limiter bounds the fetches in flight. Only one goroutine calls acquire; any goroutine may
+// call release.
 type limiter struct {
-	maxAllowed int
+	allowed func() int
 
 	mu       sync.Mutex // guards the following
-	allowed  int
 	inFlight int
-	// windowStart is the start of the window in which windowBytes arrived.
-	windowStart time.Time
-	windowBytes int
 }
 
-func newLimiter(maxAllowed int) *limiter {
-	return &limiter{maxAllowed: maxAllowed, allowed: maxAllowed}
-}
+// newLimiter returns a limiter of as many fetches as allowed returns.
+func newLimiter(allowed func() int) *limiter { return &limiter{allowed: allowed} }
 
 // available reports whether another fetch may start.
 func (l *limiter) available() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.inFlight < l.allowed
+	return l.inFlight < l.allowed()
 }
 
 func (l *limiter) acquire() {
@@ -57,26 +48,74 @@
 	l.inFlight--
 }
 
-// recordTransfer records a chunk of n bytes, received within took from the first
-// byte to the last. rate is the declared rate of the link in bytes per second, or
-// 0 if unknown.
-func (l *limiter) recordTransfer(n int, took time.Duration, rate int64, now time.Time) {
+// linkLimit decides how many chunks are received at a time over a link, from the rate at which
+// it delivers them: the declared rate says nothing about a link that is disturbed.
+type linkLimit struct {
+	max int
+
+	mu  sync.Mutex // guards the following
+	now int
+	// received is the number of bytes received in all transfers, complete or not.
+	received int64
+}
+
+// newLinkLimit returns the limit of a link, at first one chunk at a time.
+func newLinkLimit(maxAllowed int) *linkLimit { return &linkLimit{max: maxAllowed, now: 1} }
+
+// restart allows only one chunk at a time until the link has delivered it: the rate may have
+// changed since the last transfer.
+func (l *linkLimit) restart() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.windowStart) > 2*rateWindow {
-		l.windowStart, l.windowBytes = now, 0
-		return
-	}
-	l.windowBytes += n
-	elapsed := now.Sub(l.windowStart)
-	if took < slowTransferTime || rate <= 0 {
-		l.allowed = min(l.maxAllowed, l.allowed+1)
-		return
-	}
-	if elapsed >= rateWindow {
-		if float64(l.windowBytes) < slowRateFraction*float64(rate)*elapsed.Seconds() {
-			l.allowed = max(minParallel, l.allowed/2)
+	l.now = 1
+}
+
+// allowed returns the number of chunks that may be received at a time, from 1 to the maximum.
+func (l *linkLimit) allowed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.now
+}
+
+// transfer is a transfer over the link, from the first byte to the last. It is an io.Reader of
+// its data.
+type transfer struct {
+	link  *linkLimit
+	r     io.Reader
+	start time.Time
+	// receivedBefore is linkLimit.received at the start.
+	receivedBefore int64
+}
+
+// startTransfer records that the data that r returns begins to arrive.
+func (l *linkLimit) startTransfer(r io.Reader, now time.Time) *transfer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return &transfer{link: l, r: r, start: now, receivedBefore: l.received}
+}
+
+// Read implements io.Reader.
+func (t *transfer) Read(b []byte) (int, error) {
+	n, err := t.r.Read(b)
+	t.link.mu.Lock()
+	defer t.link.mu.Unlock()
+	t.link.received += int64(n)
+	return n, err
+}
+
+// end records that the transfer of a chunk of some bytes is complete or was given up. A fast one
+// allows one more at a time. After a slow one, as many are allowed as the link has delivered in
+// maxLinkDelay on average since the start of the transfer.
+func (t *transfer) end(isComplete bool, chunkBytes int64, now time.Time) {
+	l, took := t.link, now.Sub(t.start)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if took < slowTransferTime {
+		if isComplete {
+			l.now = min(l.max, l.now+1)
 		}
-		l.windowStart, l.windowBytes = now, 0
+		return
 	}
+	delivered := float64(l.received-t.receivedBefore) * maxLinkDelay.Seconds() / took.Seconds()
+	l.now = int(min(max(1, math.Ceil(delivered/float64(max(chunkBytes, 1)))), float64(l.max)))
 }
