gateway: test how long silent readers hide leaving targets; DRAIN traced

Cause: a call for targets waited 1 s for changes and failed 0.6 s later if the reader stood still; with the pause between calls and a second silent reader that exceeds the bound of 2 s.

TestTargetsAreUrgent now adds up the waits with the gateway's own settings, and fails with the earlier wait: "a leaving target is known after 2.05 s".

--- a/internal/app/gateway/feed_test.go
+++ b/internal/app/gateway/feed_test.go
@@ -184,12 +184,23 @@
 }
 
 // silentFeed is a port.FeedClient that gets no replies. It records whether calls have a
-// deadline besides that of the client.
-type silentFeed struct{ bounded []bool }
+// deadline besides that of the client, and the sum of the times after which they would end.
+type silentFeed struct {
+	bounded []bool
+	waited  time.Duration
+}
+
+// rpcMargin is the time that adapter/rpc gives a call besides the wait that it asks for.
+const rpcMargin = 600 * time.Millisecond
 
-func (f *silentFeed) Feed(ctx context.Context, _ fleet.Address, _ port.FeedRequest) (port.FeedReply, error) {
-	_, ok := ctx.Deadline()
+func (f *silentFeed) Feed(ctx context.Context, _ fleet.Address, r port.FeedRequest) (port.FeedReply, error) {
+	end, ok := ctx.Deadline()
 	f.bounded = append(f.bounded, ok)
+	if ok {
+		f.waited += time.Until(end)
+	} else {
+		f.waited += r.Wait + rpcMargin
+	}
 	return port.FeedReply{}, errors.New("no reply")
 }
 
@@ -206,8 +217,15 @@
 	if err != nil || len(cs) != 1 || fmt.Sprint(client.bounded) != "[false true]" {
 		t.Errorf("changes %v, error %v, calls with a shorter deadline %v", cs, err, client.bounded)
 	}
+	// The reader may fall silent during the pause before the call.
+	if d := feedBatchDelay + client.waited; d >= leavingBound {
+		t.Errorf("a leaving target is known after %v, want less than %v", d, leavingBound)
+	}
 }
 
+// leavingBound is the time after which a leaving target must get no new requests.
+const leavingBound = 2 * time.Second
+
 // TestReportedEnforcementIsUsed guards against a gateway that ignores which declaration the loader
 // of a target enforces, and refuses all requests for old weights near their bound.
 func TestReportedEnforcementIsUsed(t *testing.T) {
