--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -139,9 +139,9 @@
 
 // Close closes the listener, ends the requests that are still in progress, with an error as the
 // answer, and closes all connections. It must be called after Serve. Requests that arrive on open
-// connections within the next settleTime are refused: net/http clients report a request that they send
-// while an idle connection closes as failed, without a verdict. The connections that are idle
-// then get a final response with a verdict. A connection whose request Drain has waited for may
+// connections within the next settleTime are refused: a client of net/http drops the final
+// response if it sends a request on the idle connection at that moment. The connections that are
+// idle then get that response, with a verdict. A connection whose request Drain has waited for may
 // still be sending the end of the answer and becomes idle afterwards. net/http alone would close
 // both kinds immediately or drop a request that it has read. Connections that are still open
 // after lingerTime are closed when their request ends, or when ctx ends.
--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -80,7 +80,7 @@
 	settings Settings
 	deps     Deps
 	link     ratelimit.Link
-	// linkLimit bounds the chunks received at a time, of all versions.
+	// linkLimit decides how many chunks of a version are received at a time.
 	linkLimit   *linkLimit
 	uploadSlots chan struct{}
 	wake        chan struct{} // receives after SetVersion
@@ -114,7 +114,8 @@
 func New(s Settings, d Deps) *Fetcher {
 	return &Fetcher{
 		settings: s, deps: d, link: ratelimit.NewLink(s.InRate, s.OutRate, d.Clock.Now()),
-		linkLimit: newLinkLimit(maxTransfers), uploadSlots: make(chan struct{}, maxUploads), wake: make(chan struct{}, 1), versionChanged: make(chan struct{}),
+		linkLimit: newLinkLimit(maxTransfers), uploadSlots: make(chan struct{}, maxUploads), wake: make(chan struct{}, 1),
+		versionChanged: make(chan struct{}),
 	}
 }
 
@@ -338,7 +339,8 @@
 	size := v.man.Chunks[job.Chunk].Bytes
 	t := f.linkLimit.startTransfer(rc, f.deps.Clock.Now())
 	rest, err := io.ReadAll(io.LimitReader(t, size))
-	if !job.Origin { // the link of the origin, which all members share, is slower than this one
+	// All members share the link of the origin, so that its rate says nothing about this one.
+	if !job.Origin {
 		t.end(err == nil, size, f.deps.Clock.Now())
 	}
 	if err != nil {
--- a/internal/app/chunks/limit.go
+++ b/internal/app/chunks/limit.go
@@ -49,12 +49,13 @@
 }
 
 // linkLimit decides how many chunks are received at a time over a link, from the rate at which
-// it delivers them: the declared rate says nothing about a link that is disturbed.
+// it delivers them: the declared rate says nothing about a link that is disturbed. It serves the
+// case that a link is shared with small messages that must not wait.
 type linkLimit struct {
 	max int
 
 	mu  sync.Mutex // guards the following
-	now int
+	now int        // the chunks allowed at a time
 	// received is the number of bytes received in all transfers, complete or not.
 	received int64
 }
