--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,8 @@
 )
 
 var cases = map[string]func(dir string, rec *record, trouble bool) (broken bool, err error){
-	"whole": whole,
+	"whole":    whole,
+	"channels": channels,
 }
 
 func main() { os.Exit(run()) }
