review: show a gateway that exceeds its memory by request bodies

Nothing bounds the request bodies that a gateway holds. 91 clients, as many as the site has, send bodies of BodyBytes on kept channels; the script kills the gateway when it has more than MemoryMb, as the platform does (rule LOST).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(dir string, rec *record, trouble bool) (broken bool, err error){
 	"whole":    whole,
 	"channels": channels,
+	"bodies":   bodies,
 }
 
 func main() { os.Exit(run()) }
