duty: settings of the singleton duties

Cause: a deployment states in its settings whether there are duties, and their address, rate and times.

--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/app/daemon"
+	"github.com/masticwing/masticwing/internal/app/duty"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/descriptors"
@@ -15,6 +16,8 @@
 type Settings struct {
 	daemon.Common
 	registration.Settings
+	// Duties are the calls to the platform that one process at a time may make.
+	Duties duty.Settings
 
 	Callers fleet.Address
 	Ready   fleet.Address
@@ -63,6 +66,7 @@
 func (c *Settings) Register(s *settings.Set) {
 	c.Common.Register(s)
 	c.Settings.Register(s)
+	c.Duties.Register(s)
 	s.Address("listen", "callers", &c.Callers, settings.Required, "Address for callers.")
 	s.Address("listen", "ready", &c.Ready, settings.Required, "Address of the platform's readiness checks.")
 	s.Duration("limits", "grace", &c.Grace, 8*time.Second, time.Second, time.Hour, "Time from SIGTERM by which the process must exit.")
