platform, port: speed of a target from its load header

Cause: a load header with four numbers was dropped whole, so that a gateway knew neither the load nor the speed of such a target.

--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -159,6 +159,15 @@
 // and the number of requests that it can run at once.
 type TargetLoad struct{ Running, Waiting, Slots int }
 
+// TargetSpeed is how long work takes on a target's VM, as the target states it.
+type TargetSpeed struct {
+	// Factor is 1 if work takes as long as usual, 2 if it takes twice as long, and zero if nothing
+	// usable is stated.
+	Factor float64
+	// BadText is the text that can't be used, shortened, or empty.
+	BadText string
+}
+
 // ForwardResponse is a target's response. The receiver closes Body.
 type ForwardResponse struct {
 	Status int
@@ -168,6 +177,8 @@
 	Body   io.ReadCloser
 	// Load is nil if the target does not report its load.
 	Load *TargetLoad
+	// Speed is stated beside the load.
+	Speed TargetSpeed
 	// EndsWithConnection means that only the end of the connection delimits Body.
 	EndsWithConnection bool
 	// ImpliesNotRun means that callers take the status for a promise that the request has
@@ -198,6 +209,7 @@
 type RefusedError struct {
 	Reason RefusalReason
 	Load   *TargetLoad
+	Speed  TargetSpeed
 }
 
 // Error implements error.
