placement: stated and learned speeds of plain services' targets

Cause: the choice did not know that work takes longer on some VMs, so that 14% of the requests of the load test began on slow ones. Change: core/placement/speed.go keeps the last stated factor with its age, its mean and deviation, and adds the work ahead times the excess of the factor to the score of a target. Without a stated factor it is learned from service times, within bounds. Engines are left out.

--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -186,6 +186,7 @@
 	var passed PassedTargets
 	full, tried := false, false
 	var bestScore time.Duration
+	work := t.workOf(q.Service)
 	t.targets.Range(func(id fleet.Instance, s *targetState) bool {
 		if !s.suits(&q) {
 			return true
@@ -203,6 +204,7 @@
 			return true
 		}
 		c, score := s.choice(&q, now)
+		score += s.speedCost(&q, work, c.EstimatedInFlight, now)
 		if len(best) == 0 || score < bestScore {
 			best, bestScore = append(best[:0], c), score
 		} else if score == bestScore {
--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -17,6 +17,8 @@
 	statements *shard.Map[fleet.Address, loaderStatement]
 	// announced holds what targets have announced in their responses.
 	announced *shard.Map[fleet.Instance, announced]
+	// work holds the mean seconds that a plain service takes for a request at the usual speed.
+	work *shard.Map[fleet.Service, float64]
 }
 
 // NewTable returns an empty table.
@@ -24,6 +26,7 @@
 	return &Table{
 		targets: shard.New[fleet.Instance, *targetState](0), instancesAt: shard.New[fleet.Address, map[fleet.Instance]int64](0),
 		statements: shard.New[fleet.Address, loaderStatement](0), announced: shard.New[fleet.Instance, announced](0),
+		work: shard.New[fleet.Service, float64](4),
 	}
 }
 
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -75,6 +75,7 @@
 	// events arrived later than predicted.
 	lateness   time.Duration
 	latenessAt time.Time
+	speed      speed
 	// pausedUntil is the end of the pause after a failure or a refusal.
 	pausedUntil time.Time
 	// failures is the number of failures since the last success.
