gateway, loadudp: speeds of plain services' targets, told to the other gateways

Cause: a gateway sends a target of a plain service one request in two seconds, so that the figures of its own responses are mostly older than the 0.6 s for which a VM is slow. Only requests to engines are announced. Speeds are learned from service times where no figure is stated.

--- a/internal/adapter/loadudp/loadudp.go
+++ b/internal/adapter/loadudp/loadudp.go
@@ -12,7 +12,9 @@
 // and the newest version that it loaded intact (8). Older builds send reports without the last two or
 // the last five fields, of 50 or 30 bytes and with other versions. Their weights count as
 // intact. A notice has 12 bytes: version (1), reserved (1), IPv4 address and port of the
-// target (6), and the number of prompt tokens (4). A notice of evidence has a version (1), flags
+// target (6), and the number of prompt tokens (4). A notice of a target's speed has 16 bytes: version
+// (1), reserved (1), IPv4 address and port of the target (6), the numbers of running requests, waiting
+// requests and slots (2 each), and the factor in hundredths (2). A notice of evidence has a version (1), flags
 // (1), and for each subject the state of its probe (1), its numbers of losses and of losses of other accounts (1 each), and
 // the subject and the account, each behind its length (1); at most 1,400 bytes in all. The version
 // also tells reports and notices apart.
@@ -46,6 +48,8 @@
 	reportBytes       = 66
 	noticeBytes       = 12
 	evidenceVersion   = 4
+	speedVersion      = 6
+	speedBytes        = 16
 	flagLoading       = 1
 	flagLeaving       = 2
 	flagRelay         = 1
@@ -84,6 +88,31 @@
 	return port.LoadNotice{Target: decodeTarget(b), PromptTokens: int(binary.BigEndian.Uint32(b[8:]))}, true
 }
 
+// speedUnit is the factor that a notice of a speed states as 1.
+const speedUnit = 0.01
+
+func encodeSpeed(n port.SpeedNotice) ([]byte, error) {
+	b, err := encodeTarget(speedVersion, 0, n.Target)
+	return appendCounts(b, n.Running, n.Waiting, n.Slots, int(min(math.Round(n.Factor/speedUnit), math.MaxUint16))), err
+}
+
+func decodeSpeed(b []byte) (port.SpeedNotice, bool) {
+	if len(b) != speedBytes || b[0] != speedVersion {
+		return port.SpeedNotice{}, false
+	}
+	at := func(offset int) int { return int(binary.BigEndian.Uint16(b[offset:])) }
+	n := port.SpeedNotice{Target: decodeTarget(b), Running: at(8), Waiting: at(10), Slots: at(12), Factor: speedUnit * float64(at(14))}
+	return n, n.Factor > 0
+}
+
+// appendCounts appends numbers of 2 bytes, limited to what these hold.
+func appendCounts(b []byte, counts ...int) []byte {
+	for _, n := range counts {
+		b = binary.BigEndian.AppendUint16(b, uint16(min(max(n, 0), math.MaxUint16)))
+	}
+	return b
+}
+
 func encodeReport(r port.LoadReport) ([]byte, error) {
 	flags := byte(0)
 	if r.Load.Loading {
@@ -98,9 +127,7 @@
 	}
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Started))
 	b = binary.BigEndian.AppendUint64(b, uint64(r.Weights))
-	for _, n := range []int{r.Load.Running, r.Load.Waiting, r.Load.Slots} {
-		b = binary.BigEndian.AppendUint16(b, uint16(min(max(n, 0), 1<<16-1)))
-	}
+	b = appendCounts(b, r.Load.Running, r.Load.Waiting, r.Load.Slots)
 	b = appendDeclared(b, r.Declared)
 	b = binary.BigEndian.AppendUint64(b, uint64(r.OrderCount))
 	return binary.BigEndian.AppendUint64(b, uint64(r.Intact)), nil
@@ -199,6 +226,15 @@
 	return s.send(b, to)
 }
 
+// SendSpeed implements port.LoadSender.
+func (s *sender) SendSpeed(n port.SpeedNotice, to []netip.AddrPort) error {
+	b, err := encodeSpeed(n)
+	if err != nil {
+		return err
+	}
+	return s.send(b, to)
+}
+
 func (s *sender) send(b []byte, to []netip.AddrPort) (err error) {
 	for _, a := range to {
 		if _, e := s.conn.WriteToUDPAddrPort(b, a); e != nil {
@@ -244,6 +280,8 @@
 			h.HandleNotice(notice)
 		} else if evidence, ok := decodeEvidence(buf[:n]); ok {
 			h.HandleEvidence(evidence)
+		} else if speed, ok := decodeSpeed(buf[:n]); ok {
+			h.HandleSpeed(speed)
 		}
 	}
 }
--- a/internal/adapter/loadudp/loadudp_test.go
+++ b/internal/adapter/loadudp/loadudp_test.go
@@ -29,6 +29,7 @@
 func (h channelHandler) HandleReport(r port.LoadReport)       { h.reports <- r }
 func (h channelHandler) HandleNotice(n port.LoadNotice)       { h.notices <- n }
 func (h channelHandler) HandleEvidence(n port.EvidenceNotice) { h.evidence <- n }
+func (h channelHandler) HandleSpeed(port.SpeedNotice)         {}
 
 // freeAddress returns an address at which nothing listens.
 func freeAddress(t *testing.T) netip.AddrPort {
@@ -174,3 +175,24 @@
 		t.Errorf("a full notice is decoded as %+v, %v", got, ok)
 	}
 }
+
+// TestSpeedNotice guards against a field of a speed notice that is lost or swapped, against one that overflows,
+// and against other datagrams or a factor of zero that count as one.
+func TestSpeedNotice(t *testing.T) {
+	n := port.SpeedNotice{Target: "10.1.2.3:456", Running: 4, Waiting: 2, Slots: 6, Factor: 2.5}
+	b, err := encodeSpeed(n)
+	if got, ok := decodeSpeed(b); err != nil || !ok || got != n || len(b) != speedBytes {
+		t.Errorf("%+v, %v, %v, %d bytes", got, ok, err, len(b))
+	}
+	b, _ = encodeSpeed(port.SpeedNotice{Target: "10.1.2.3:456", Running: 1 << 20, Waiting: -1, Slots: 6, Factor: 1e9})
+	if got, ok := decodeSpeed(b); !ok || got.Running != 1<<16-1 || got.Waiting != 0 || got.Factor != 655.35 {
+		t.Errorf("%+v, %v", got, ok)
+	}
+	notice, _ := encodeNotice(port.LoadNotice{Target: "10.1.2.3:456"})
+	zero, _ := encodeSpeed(port.SpeedNotice{Target: "10.1.2.3:456", Slots: 6})
+	for _, junk := range [][]byte{nil, b[:15], append(b, 0), notice, zero, make([]byte, speedBytes)} {
+		if got, ok := decodeSpeed(junk); ok {
+			t.Errorf("%x is read as %+v", junk, got)
+		}
+	}
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -231,6 +231,8 @@
 	if resp.Load != nil {
 		c.recordLoad(choice, resp.Load)
 	}
+	c.recordSpeed(choice, resp.Load, resp.Speed)
+	c.recordServiceTime(choice, resp)
 	switch {
 	case resp.Status < 200 || resp.Status > 599:
 		return c.recordBrokenResponse(ctx, choice, errors.Errorf("status %d", resp.Status))
@@ -304,6 +306,7 @@
 	case refused.Reason == port.RefusalUnreachable:
 		c.g.targets.RecordFailure(choice.Instance, now)
 	default:
+		c.recordSpeed(choice, refused.Load, refused.Speed)
 		c.g.targets.RecordBusy(choice.Instance, now)
 	}
 	return err.WithRetryAfter(c.retryAfter())
--- a/internal/app/gateway/crash_test.go
+++ b/internal/app/gateway/crash_test.go
@@ -129,6 +129,7 @@
 
 func (n evidenceNetwork) SendReport(port.LoadReport, []netip.AddrPort) error { return nil }
 func (n evidenceNetwork) SendNotice(port.LoadNotice, []netip.AddrPort) error { return nil }
+func (n evidenceNetwork) SendSpeed(port.SpeedNotice, []netip.AddrPort) error { return nil }
 func (n evidenceNetwork) Close() error                                       { return nil }
 func (n evidenceNetwork) SendEvidence(e port.EvidenceNotice, to []netip.AddrPort) error {
 	for _, a := range to {
--- a/internal/app/gateway/gauges.go
+++ b/internal/app/gateway/gauges.go
@@ -45,5 +45,6 @@
 		m.Gauge("gateway_targets", float64(u.Targets), a)
 		m.Gauge("gateway_target_places", float64(u.Slots), a)
 		m.Gauge("gateway_target_requests", u.Requests, a)
+		m.Gauge("gateway_targets_slow", float64(u.Slow), a)
 	}
 }
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -53,6 +53,9 @@
 	delay, interval time.Duration
 	// announced is what the head of the response states about further requests.
 	announced port.TargetAnnouncement
+	// load and speed are what the response states.
+	load  *port.TargetLoad
+	speed port.TargetSpeed
 	// connecting is called while the connection opens.
 	connecting func()
 }
@@ -105,7 +108,7 @@
 	if r.bodyErr == nil {
 		r.bodyErr = io.EOF
 	}
-	return &port.ForwardResponse{Status: r.status, Header: port.Header{"X-Run": {fmt.Sprint(sent)}}, Length: -1, Body: &bodyReader{ctx, r.body, r.bodyErr, r.interval}}, nil
+	return &port.ForwardResponse{Status: r.status, Header: port.Header{"X-Run": {fmt.Sprint(sent)}}, Length: -1, Body: &bodyReader{ctx, r.body, r.bodyErr, r.interval}, Load: r.load, Speed: r.speed}, nil
 }
 
 // wait waits for d or until ctx ends, and returns the error of ctx.
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -315,6 +316,9 @@
 	if t.Silent {
 		fs = append(fs, port.F("target_silent", true))
 	}
+	if t.SpeedAge >= 0 || t.Speed > placement.UsualSpeed {
+		fs = append(fs, port.F("target_speed", math.Round(100*t.Speed)/100), port.Millis("speed_age_ms", t.SpeedAge))
+	}
 	if c.service.Engine != nil {
 		fs = append(fs, port.F("target_weights", t.WeightsVersion), port.F("weights_required", c.weightsRequired))
 		if c.weightsLimited {
--- a/internal/app/loader/report_test.go
+++ b/internal/app/loader/report_test.go
@@ -26,6 +26,7 @@
 }
 func (r reportRecorder) SendNotice(port.LoadNotice, []netip.AddrPort) error       { return nil }
 func (r reportRecorder) SendEvidence(port.EvidenceNotice, []netip.AddrPort) error { return nil }
+func (r reportRecorder) SendSpeed(port.SpeedNotice, []netip.AddrPort) error       { return nil }
 func (r reportRecorder) Close() error                                             { return nil }
 
 // TestReportsToOtherDomains guards against reports of a busy engine that go to all gateways of a large
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -84,6 +84,10 @@
 	Silent bool
 	// LoadAge is the age of the last load report, or negative if there is none.
 	LoadAge time.Duration
+	// Speed is the factor that is expected of a target of a plain service, and SpeedAge the age of the one
+	// that it stated last, or negative if it stated none.
+	Speed    float64
+	SpeedAge time.Duration
 	// Leaving is set if the target has announced that it leaves, and no other may serve the request.
 	Leaving bool
 	// Passed counts the targets that were passed over because of what they announced. It is also set if
@@ -204,7 +208,7 @@
 			return true
 		}
 		c, score := s.choice(&q, now)
-		score += s.speedCost(&q, work, c.EstimatedInFlight, now)
+		score += s.addSpeed(&c, &q, work, now)
 		if len(best) == 0 || score < bestScore {
 			best, bestScore = append(best[:0], c), score
 		} else if score == bestScore {
--- a/internal/core/placement/speed.go
+++ b/internal/core/placement/speed.go
@@ -121,17 +121,20 @@
 	return math.Exp2(-max(0, age).Seconds() / halfLife.Seconds())
 }
 
-// speedCost returns what the speed of a plain service's target adds to its score: the work ahead of the end
-// of the request, times the excess of the factor. work is the time that one request takes at the usual
-// speed. It is zero as long as nothing is known of the speed. Engines are left out, see expectedLateness.
-func (s *targetState) speedCost(q *Query, work time.Duration, inFlight float64, now time.Time) time.Duration {
+// addSpeed adds the expected speed to the choice of a plain service's target, and returns what it adds to the
+// score: the work ahead of the end of the request, times the excess of the factor. work is the time that one
+// request takes at the usual speed. It is zero as long as nothing is known of the speed. Engines are left
+// out: expectedLateness covers them.
+func (s *targetState) addSpeed(c *Choice, q *Query, work time.Duration, now time.Time) (cost time.Duration) {
+	c.Speed, c.SpeedAge = UsualSpeed, -1
 	if q.NeedsWeights {
 		return 0
 	}
-	ahead := work + s.timeToFirstEvent(q, inFlight, now)
-	cost := time.Duration((s.speed.expected(now) - UsualSpeed) * float64(ahead))
+	c.Speed = s.speed.expected(now)
+	cost = time.Duration((c.Speed - UsualSpeed) * float64(work+c.TimeToFirstEvent))
 	if !s.speed.statedAt.IsZero() {
-		cost -= time.Duration(inFlight * float64(inFlightCost-statedInFlightCost))
+		c.SpeedAge = now.Sub(s.speed.statedAt)
+		cost -= time.Duration(c.EstimatedInFlight * float64(inFlightCost-statedInFlightCost))
 	}
 	return cost
 }
@@ -176,3 +179,6 @@
 	w, _ := t.work.Get(s)
 	return time.Duration(w * float64(time.Second))
 }
+
+// slowFactor is the factor from which Usage counts a target as slow.
+const slowFactor = 1.5
--- a/internal/core/placement/speed_test.go
+++ b/internal/core/placement/speed_test.go
@@ -266,3 +266,17 @@
 	}
 	t.Logf("tried again after %v", now.Sub(start)-10*time.Second)
 }
+
+// TestNoticeLimit guards against notices that take more than their part of the control traffic, and against a limit
+// that never recovers.
+func TestNoticeLimit(t *testing.T) {
+	l, sent := NewNoticeLimit(start), 0
+	for ms := range 60_000 {
+		if l.Take(17, start.Add(time.Duration(ms)*time.Millisecond)) {
+			sent += 17
+		}
+	}
+	if least, most := 60*noticesPerSecond, 62*noticesPerSecond+17; sent < least || sent > most {
+		t.Errorf("%d datagrams in a minute, want %d to %d", sent, least, most)
+	}
+}
--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -234,6 +234,8 @@
 	Slots int
 	// Requests is the estimated number of requests in them.
 	Requests float64
+	// Slow is the number of targets on which work is expected to take half as long again as usual, or longer.
+	Slow int
 }
 
 // Usage returns the usage of each service. processes is the number of processes
@@ -246,6 +248,9 @@
 			u.Targets++
 			u.Slots += s.slots()
 			u.Requests += s.estimatedInFlight(now, processes)
+			if s.speed.expected(now) >= slowFactor {
+				u.Slow++
+			}
 		}
 		out[s.Service] = u
 		return true
--- a/internal/port/loads.go
+++ b/internal/port/loads.go
@@ -16,6 +16,14 @@
 	PromptTokens int
 }
 
+// SpeedNotice tells the other gateways what the target of a plain service has stated in a response.
+type SpeedNotice struct {
+	Target                  fleet.Address
+	Running, Waiting, Slots int
+	// Factor is TargetSpeed.Factor, to hundredths.
+	Factor float64
+}
+
 // EvidenceNotice tells the other gateways of evidence before the store has it.
 type EvidenceNotice struct {
 	Evidence []SubjectEvidence
@@ -77,6 +85,8 @@
 	// SendEvidence sends a notice of MaxNoticeEvidence subjects at most to all addresses. It
 	// handles errors like SendReport.
 	SendEvidence(n EvidenceNotice, to []netip.AddrPort) error
+	// SendSpeed sends a notice to all addresses. It handles errors like SendReport.
+	SendSpeed(n SpeedNotice, to []netip.AddrPort) error
 	// Close releases the sender.
 	Close() error
 }
@@ -86,6 +96,7 @@
 	HandleReport(r LoadReport)
 	HandleNotice(n LoadNotice)
 	HandleEvidence(n EvidenceNotice)
+	HandleSpeed(n SpeedNotice)
 }
 
 // LoadNetwork carries load reports from loaders to gateways and notices among gateways.
