--- a/internal/core/placement/speed.go
+++ b/internal/core/placement/speed.go
@@ -26,8 +26,9 @@
 	// figure is old.
 	oldDeviations = 2
 	// statedInFlightCost replaces inFlightCost where a speed is stated: a request does not slow down others
-	// while slots are free. The half that is left spreads requests among equal targets.
-	statedInFlightCost = inFlightCost / 2
+	// while slots are free. What is left spreads requests among equal targets. Trials of the load test at 420
+	// requests a second had a mean of 80.7 ms with a half, 78.6 with a quarter and 79.8 with nothing.
+	statedInFlightCost = inFlightCost / 4
 	// newsFactor and newsAge are the difference and the age from which other processes gain from a figure.
 	// In a trial of the load test, telling all figures, 73 a second instead of 30, lowered the p99 by 2%.
 	newsFactor = 0.25
