--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -140,7 +140,7 @@
 	case err.Verdict != verdict.NotRun && (!c.route.Retryable() || c.runs >= c.route.MaxAttempts):
 		return false
 	}
-	return c.retryTaken || c.g.budgets.AllowRetry(c.service.Name, 1/c.g.share(), c.g.deps.Clock.Now())
+	return c.retryTaken || c.g.budgets.AllowRetry(c.service.Name, c.g.view.processes(), c.g.deps.Clock.Now())
 }
 
 // fail ends a request that no target served. It delivers the fallback if there is one. It
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -59,8 +59,6 @@
 	// memory bounds what is held for callers: bodies of requests, and responses that are read before
 	// they are delivered.
 	memory *memlimit.Account
-	// arrivals counts requests to engines at this gateway and at the others.
-	arrivals *placement.Arrivals
 	// speedNotices limits the notices of targets' speeds.
 	speedNotices *placement.NoticeLimit
 	// coldPhase is placement.Query.ColdPhase of this process.
@@ -90,7 +88,7 @@
 		drain:      retrytime.NewDrain(d.Clock.Now()),
 		quarantine: quarantine.NewTable(), unanswered: newAttemptRegistry(), evidenceChanged: make(chan struct{}, 1), noticeDue: make(chan struct{}, 1), dueTrials: make(chan quarantine.Subject, 4),
 		memory:    memlimit.NewAccount(s.Memory),
-		stopState: newStopState(), speedNotices: placement.NewNoticeLimit(d.Clock.Now()), arrivals: placement.NewArrivals(d.Clock.Now()),
+		stopState: newStopState(), speedNotices: placement.NewNoticeLimit(d.Clock.Now()),
 		// The 53 high bits fill the mantissa of a float64.
 		coldPhase: float64(d.Rand.Uint64()>>11) / (1 << 53),
 	}
--- a/internal/app/gateway/gauges.go
+++ b/internal/app/gateway/gauges.go
@@ -23,7 +23,6 @@
 	m := g.deps.Metrics
 	m.Gauge("gateway_requests_in_progress", float64(g.stopState.active.Count()))
 	m.Gauge("gateway_processes", g.view.processes())
-	m.Gauge("gateway_limit_share", g.share())
 	following := 0.0
 	if _, fromReader := g.source.FromReader(g.operatorFollower.Prefix); fromReader {
 		following = 1
--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -39,7 +39,6 @@
 // HandleNotice records a request that another gateway has sent to a target. It implements
 // port.LoadHandler.
 func (g *Gateway) HandleNotice(n port.LoadNotice) {
-	g.arrivals.RecordOther(g.deps.Clock.Now())
 	if id, ok := g.targets.InstanceAt(n.Target); ok {
 		g.targets.RecordRemoteRequest(id, g.view.engineTiming.Load().PrefillTime(n.PromptTokens), g.deps.Clock.Now())
 	}
@@ -53,21 +52,11 @@
 	if s == nil {
 		return
 	}
-	g.arrivals.RecordOwn(g.deps.Clock.Now())
 	if err := (*s).SendNotice(port.LoadNotice{Target: target, PromptTokens: tokens}, g.view.noticeTargets.Load().to); err != nil {
 		g.deps.Metrics.Count("gateway_notices_unsent_total", 1)
 	}
 }
 
-// share returns this gateway's share of limits that all gateways keep together. It is an equal one if notices do
-// not reach the gateways of other domains, whose arrivals are then not known.
-func (g *Gateway) share() float64 {
-	if g.view.noticeTargets.Load().ownOnly {
-		return 1 / g.view.processes()
-	}
-	return g.arrivals.Share(g.view.processes(), g.deps.Clock.Now())
-}
-
 // openNoticeSender opens the socket for notices to other gateways. If this fails, the
 // gateway runs without sending notices.
 func (g *Gateway) openNoticeSender() {
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -248,7 +248,7 @@
 		DrainBound:     c.g.settings.DrainBound,
 		DomainCordoned: func(x fleet.Domain) bool { return d.cordons[x] },
 		RegionAllowed:  c.regionFilter(), Tried: c.tried,
-		Processes: c.g.view.processes(), UnseenRequests: c.g.view.noticeTargets.Load().ownOnly, ColdRequestsPerSecond: c.service.ColdRequestsPerSecond, ColdPhase: c.g.coldPhase, ColdShare: c.g.share(),
+		Processes: c.g.view.processes(), UnseenRequests: c.g.view.noticeTargets.Load().ownOnly, ColdRequestsPerSecond: c.service.ColdRequestsPerSecond, ColdPhase: c.g.coldPhase,
 	}
 	if e := c.service.Engine; e != nil {
 		q.MaxQueuedPerTarget = engineQueueLimit
--- a/internal/app/gateway/speed_test.go
+++ b/internal/app/gateway/speed_test.go
@@ -73,28 +73,3 @@
 		t.Errorf("notices %v, log %s", sent, gw.log)
 	}
 }
-
-// TestShareFollowsArrivals guards against a gateway with few callers that leaves its part of the common limits
-// unused while a busy one lacks it, and against shares by arrivals that the gateway hears of only in part.
-func TestShareFollowsArrivals(t *testing.T) {
-	gw := newTestGateway(t, route)
-	gw.view.gatewayCount.Store(10)
-	var sender port.LoadSender = evidenceNetwork{}
-	gw.noticeSender.Store(&sender)
-	if s := gw.share(); s != 0.1 {
-		t.Errorf("share %v of 10 gateways before any arrival", s)
-	}
-	for range 100 {
-		gw.notifyGateways("10.0.0.9:1", 1)
-		for range 4 {
-			gw.HandleNotice(port.LoadNotice{Target: "10.0.0.9:1", PromptTokens: 1})
-		}
-	}
-	if s := gw.share(); s < 0.149 || s > 0.151 {
-		t.Errorf("share %v of 10 gateways with a fifth of the arrivals, want 0.15", s)
-	}
-	gw.view.noticeTargets.Store(&noticeTargets{ownOnly: true})
-	if s := gw.share(); s != 0.1 {
-		t.Errorf("share %v of 10 gateways where only some are heard", s)
-	}
-}
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -102,7 +102,7 @@
 		// may wait to be read.
 		s.gaveUp = true
 		s.cancel()
-	case !s.final && g.targets.HasCapacity(s.query, now) && g.budgets.AllowRetry(service, 1/g.share(), now):
+	case !s.final && g.targets.HasCapacity(s.query, now) && g.budgets.AllowRetry(service, s.query.Processes, now):
 		s.retryTaken = true
 		s.cancel()
 	default:
--- a/internal/core/placement/budget.go
+++ b/internal/core/placement/budget.go
@@ -10,7 +10,7 @@
 
 // RetryBudgets limits the retries of each service over a sliding window. All
 // processes together may send ratio times the number of requests plus slack
-// retries. Each process uses its part of the slack, so that the total is kept
+// retries. Each process uses an equal part of the slack, so that the total is kept
 // without coordination.
 type RetryBudgets struct {
 	ratio, slack float64
@@ -40,7 +40,7 @@
 }
 
 // AllowRetry reports whether the budget allows one more retry, and counts the retry
-// if so. processes is the number of processes that share the slack, or 1 over this one's share of it.
+// if so.
 func (b *RetryBudgets) AllowRetry(s fleet.Service, processes float64, now time.Time) bool {
 	allowed := false
 	b.updateCounts(s, now, func(w *windowCounts, bucket int64) {
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -49,8 +49,6 @@
 	// ColdRequestsPerSecond bounds the request rate of all processes together to a
 	// cold target; zero means no bound.
 	ColdRequestsPerSecond float64
-	// ColdShare is the part of that rate which this process may use; zero means an equal one.
-	ColdShare float64
 	// UnseenRequests is set if this process does not learn at once of the requests that processes
 	// of other domains send, and gets the load of targets there less often.
 	UnseenRequests bool
@@ -381,14 +379,14 @@
 const maxColdInterval = 24 * time.Hour
 
 // coldRateAllows reports whether this process may send one more request to a cold
-// target. Each process limits itself to its share of the rate, so that together
+// target. Each process limits itself to an equal share of the rate, so that together
 // they keep to the rate without coordination. A share below one request per second
 // becomes an interval between requests, and the phase spreads the first ones.
 func (s *targetState) coldRateAllows(q *Query, now time.Time) bool {
 	if q.ColdRequestsPerSecond <= 0 {
 		return true
 	}
-	share := coldRateFraction * q.ColdRequestsPerSecond * q.coldShare()
+	share := coldRateFraction * q.ColdRequestsPerSecond / max(q.Processes, 1)
 	if share < 1 {
 		interval := time.Duration(min(float64(time.Second)/share, float64(maxColdInterval)))
 		first := s.ColdSince.Add(time.Duration(q.ColdPhase * float64(interval)))
