--- a/internal/app/gateway/speed.go
+++ b/internal/app/gateway/speed.go
@@ -48,10 +48,11 @@
 	}
 }
 
-// recordServiceTime records how long a target of a plain service took, from which its speed is learned where it
-// states none. Responses of targets with waiting requests are left out: the request may have waited.
+// recordServiceTime records how long a target of a plain service took, from which its speed is learned. Targets that
+// state their load are left out, so that they are served as before unless they state their speed as well; so
+// are responses of targets with waiting requests, since the request may have waited.
 func (c *call) recordServiceTime(choice placement.Choice, resp *port.ForwardResponse) {
-	if c.service.Engine != nil || c.route.Kind == routes.Streaming || resp.Status/100 != 2 || resp.Load != nil && resp.Load.Waiting > 0 {
+	if c.service.Engine != nil || c.route.Kind == routes.Streaming || resp.Status/100 != 2 || resp.Load != nil && (resp.Speed.Factor <= 0 || resp.Load.Waiting > 0) {
 		return
 	}
 	now := c.g.deps.Clock.Now()
