gateway: no request over a path that is not known to be open

Change: core/pathcheck records when something last arrived in each other domain. A request to a domain of which nothing is known for 250 ms needs a connection that opens within 250 ms. TestRetryNeedsQuickConnection takes the target as one of the own domain, so that its two bounds mean the retry only; a new test has the path.

--- a/internal/app/gateway/abandon_test.go
+++ b/internal/app/gateway/abandon_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/pathcheck"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -96,6 +97,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			gw := newStreamGateway(t, c.first, scriptedReply{status: 200, body: []string{"id: 1\ndata: a\n\n"}})
+			// The second target counts as one of the own domain, so that only the retry asks for a new connection.
+			gw.paths = pathcheck.New("b")
+			gw.paths.RecordArrival("a", time.Now())
 			gw.request(streamInbound())
 			if s := gw.forwarder.sent; len(s) != 2 || s[0].ConnectWithin != 0 || s[1].ConnectWithin != c.want {
 				t.Errorf("sent %+v", s)
@@ -103,3 +107,22 @@
 		})
 	}
 }
+
+// TestUnknownPathNeedsQuickConnection guards against a first request to another domain over a kept connection
+// behind a link that has filled up since: it would reach its target after its caller has left.
+func TestUnknownPathNeedsQuickConnection(t *testing.T) {
+	t.Parallel()
+	answer := scriptedReply{status: 200, body: []string{"id: 1\ndata: a\n\n"}}
+	gw := newStreamGateway(t, answer, answer, answer)
+	gw.paths = pathcheck.New("c")
+	for i, want := range []time.Duration{pathConnectTimeout, 0} {
+		gw.request(streamInbound())
+		first := gw.forwarder.sent[len(gw.forwarder.sent)-1]
+		if first.ConnectWithin != want {
+			t.Errorf("request %d: connection within %v, want %v", i+1, first.ConnectWithin, want)
+		}
+		for _, d := range []fleet.Domain{"a", "b"} {
+			gw.paths.RecordArrival(d, time.Now())
+		}
+	}
+}
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -32,6 +32,11 @@
 // does not, so that the request is certainly not sent there.
 const silentConnectTimeout = 250 * time.Millisecond
 
+// pathConnectTimeout limits the time to open the connection to another domain on which a request is sent if
+// nothing has shown recently that the path there is open. The round trip between regions is some
+// milliseconds; behind a full link the connection does not open, and nothing of the request is sent.
+const pathConnectTimeout = 250 * time.Millisecond
+
 // forward sends the request to one target after another until one serves it or no further
 // retry is allowed. A later send may follow seconds after the first one, so the API key is
 // looked up again before it.
@@ -183,16 +188,26 @@
 // has ended and is logged.
 func (c *call) attempt(ctx context.Context, choice placement.Choice) (failure *verdict.Error) {
 	clock := c.g.deps.Clock
-	f := port.Forward{
+	sentAt := clock.Now()
+	var f port.Forward
+	f = port.Forward{
 		Inbound: c.in, ExpectInstance: choice.Instance, ExpectWeights: c.expectedWeights(choice), Timeout: c.g.stopState.deadline(c.deadline).Sub(clock.Now()),
 		Urgency: c.urgency(), ResumeAfter: c.relay.events.LastID(), SentBefore: c.sentTo[choice.Address],
-		MaySend:   func() bool { return c.g.targets.MaySend(choice, c.g.settings.DrainBound, clock.Now()) },
+		MaySend: func() bool {
+			if f.ConnectWithin > 0 {
+				c.g.paths.RecordArrival(choice.Domain, sentAt)
+			}
+			return c.g.targets.MaySend(choice, c.g.settings.DrainBound, clock.Now())
+		},
 		Announced: func(a port.TargetAnnouncement) { c.g.recordAnnouncement(choice, a) },
 	}
 	c.sentTo[choice.Address] = true
 	switch {
 	case choice.Silent:
 		f.ConnectWithin = silentConnectTimeout
+	case !c.g.paths.Open(choice.Domain, clock.Now()):
+		f.ConnectWithin = pathConnectTimeout
+		c.g.deps.Metrics.Count("gateway_path_checks_total", 1)
 	case c.runs > 0:
 		f.ConnectWithin = retryConnectTimeout
 	}
@@ -227,6 +242,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	c.g.targets.RecordAlive(choice.Instance, clock.Now())
+	c.g.paths.RecordArrival(choice.Domain, sentAt)
 	c.runs++
 	if resp.Load != nil {
 		c.recordLoad(choice, resp.Load)
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/masticwing/masticwing/internal/app/supervise"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/memlimit"
+	"github.com/masticwing/masticwing/internal/core/pathcheck"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
 	"github.com/masticwing/masticwing/internal/core/retrytime"
@@ -45,7 +46,9 @@
 	targets  *placement.Table
 	view     *view
 	budgets  *placement.RetryBudgets
-	drain    *retrytime.Drain
+	// paths tells whether the paths to other domains were open recently.
+	paths *pathcheck.Paths
+	drain *retrytime.Drain
 	// quarantine holds the requests and parts of prompts that crash targets.
 	quarantine *quarantine.Table
 	// unanswered holds the attempts that had no event yet.
@@ -83,6 +86,7 @@
 		settings: s, deps: d, targets: t,
 		view:       newView(s, d, t),
 		budgets:    placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
+		paths:      pathcheck.New(s.Domain),
 		drain:      retrytime.NewDrain(d.Clock.Now()),
 		quarantine: quarantine.NewTable(), unanswered: newAttemptRegistry(), evidenceChanged: make(chan struct{}, 1), noticeDue: make(chan struct{}, 1), dueTrials: make(chan quarantine.Subject, 4),
 		memory:    memlimit.NewAccount(s.Memory),
