adapters: a response with a malformed status decides nothing

Change: one range of statuses, 200 to 599, for all clients. Outside of it a request may have run, and the outcome of an order or a write is not known.

--- a/internal/adapter/boundedhttp/boundedhttp.go
+++ b/internal/adapter/boundedhttp/boundedhttp.go
@@ -70,6 +70,15 @@
 	return n, err
 }
 
+// StatusIsValid reports whether a final response may have a status. net/http reads others, such as "000" and
+// "999", and its server panics when it is to send one below 100.
+func StatusIsValid(status int) bool {
+	return status >= http.StatusOK && status <= maxStatus
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
 // ErrTooLong means that a response body is longer than its bound.
 var ErrTooLong = errors.New("response body is too long")
 
--- a/internal/adapter/servicehttp/servicehttp.go
+++ b/internal/adapter/servicehttp/servicehttp.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/adapter/targethttp"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -94,6 +95,11 @@
 		defer cancel()
 		return nil, sendError(ctx, err)
 	}
+	if !boundedhttp.StatusIsValid(resp.StatusCode) {
+		defer cancel()
+		defer func() { _ = resp.Body.Close() }()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "service answered with the status %.40q", resp.Status)
+	}
 	if resp.Header.Get(notRunHeader) != "" {
 		defer cancel()
 		defer func() { _ = resp.Body.Close() }()
--- a/internal/adapter/straytest/straytest.go
+++ b/internal/adapter/straytest/straytest.go
@@ -16,6 +16,10 @@
 	"github.com/masticwing/masticwing/internal/core/fleet"
 )
 
+// MalformedStatuses are statuses of a response that no caller may get as an answer: out of range, or no three
+// digits.
+var MalformedStatuses = []string{"000", "099", "600", "999", "abc", "20"}
+
 // Start starts a server that answers its first request with first and all others with
 // later. If the connection has carried a request before, first is sent once more in front
 // of later. Both are encoded responses.
--- a/internal/adapter/targetconn/targetconn.go
+++ b/internal/adapter/targetconn/targetconn.go
@@ -287,7 +287,7 @@
 		switch {
 		case err != nil:
 			return nil, c.responseError(err)
-		case res.StatusCode < minStatus || res.StatusCode == http.StatusSwitchingProtocols:
+		case res.StatusCode < minStatus, res.StatusCode >= http.StatusOK && !boundedhttp.StatusIsValid(res.StatusCode), res.StatusCode == http.StatusSwitchingProtocols:
 			// No request asks for another protocol.
 			return nil, malformed(errors.Errorf("response has the status %d", res.StatusCode))
 		case res.StatusCode >= http.StatusOK:
