--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -17,6 +17,8 @@
 	statements *shard.Map[fleet.Address, loaderStatement]
 	// announced holds what targets have announced in their responses.
 	announced *shard.Map[fleet.Instance, announced]
+	// work holds the mean seconds that a plain service takes for a request at the usual speed.
+	work *shard.Map[fleet.Service, float64]
 }
 
 // NewTable returns an empty table.
@@ -24,6 +26,7 @@
 	return &Table{
 		targets: shard.New[fleet.Instance, *targetState](0), instancesAt: shard.New[fleet.Address, map[fleet.Instance]int64](0),
 		statements: shard.New[fleet.Address, loaderStatement](0), announced: shard.New[fleet.Instance, announced](0),
+		work: shard.New[fleet.Service, float64](4),
 	}
 }
 
@@ -231,6 +234,8 @@
 	Slots int
 	// Requests is the estimated number of requests in them.
 	Requests float64
+	// Slow is the number of targets on which work is expected to take half as long again as usual, or longer.
+	Slow int
 }
 
 // Usage returns the usage of each service. processes is the number of processes
@@ -243,6 +248,9 @@
 			u.Targets++
 			u.Slots += s.slots()
 			u.Requests += s.estimatedInFlight(now, processes)
+			if s.speed.expected(now) >= slowFactor {
+				u.Slow++
+			}
 		}
 		out[s.Service] = u
 		return true
