--- a/internal/adapter/loadudp/loadudp.go
+++ b/internal/adapter/loadudp/loadudp.go
@@ -14,8 +14,9 @@
 // intact. A notice has 12 bytes: version (1), reserved (1), IPv4 address and port of the
 // target (6), and the number of prompt tokens (4). A notice of evidence has a version (1), flags
 // (1), and for each subject the state of its probe (1), its numbers of losses and of losses of other accounts (1 each), and
-// the subject and the account, each behind its length (1); at most 1,400 bytes in all. The version
-// also tells reports and notices apart.
+// the subject and the account, each behind its length (1); at most 1,400 bytes in all. The format of notices of usage
+// and of clocks is stated at encodeUsage and encodeClock. The version also tells reports and notices apart, so that
+// builds ignore what they do not know.
 package loadudp
 
 import (
@@ -31,6 +32,7 @@
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -213,6 +215,21 @@
 	return s.send(encodeEvidence(n), to)
 }
 
+// SendUsage implements port.LoadSender.
+func (s *sender) SendUsage(n usage.Notice, to []netip.AddrPort) (err error) {
+	for _, b := range encodeUsage(n) {
+		if e := s.send(b, to); e != nil {
+			err = e
+		}
+	}
+	return err
+}
+
+// SendClock implements port.LoadSender.
+func (s *sender) SendClock(n usage.ClockNotice, to []netip.AddrPort) error {
+	return s.send(encodeClock(n), to)
+}
+
 // Close implements port.LoadSender.
 func (s *sender) Close() error { return s.conn.Close() }
 
@@ -244,6 +261,10 @@
 			h.HandleNotice(notice)
 		} else if evidence, ok := decodeEvidence(buf[:n]); ok {
 			h.HandleEvidence(evidence)
+		} else if u, ok := decodeUsage(buf[:n]); ok {
+			h.HandleUsage(u)
+		} else if m, ok := decodeClock(buf[:n]); ok {
+			h.HandleClock(m)
 		}
 	}
 }
--- a/internal/adapter/loadudp/loadudp_test.go
+++ b/internal/adapter/loadudp/loadudp_test.go
@@ -17,6 +17,7 @@
 	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
+	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -24,11 +25,15 @@
 	reports  chan port.LoadReport
 	notices  chan port.LoadNotice
 	evidence chan port.EvidenceNotice
+	usage    chan usage.Notice
+	clocks   chan usage.ClockNotice
 }
 
 func (h channelHandler) HandleReport(r port.LoadReport)       { h.reports <- r }
 func (h channelHandler) HandleNotice(n port.LoadNotice)       { h.notices <- n }
 func (h channelHandler) HandleEvidence(n port.EvidenceNotice) { h.evidence <- n }
+func (h channelHandler) HandleUsage(n usage.Notice)           { h.usage <- n }
+func (h channelHandler) HandleClock(n usage.ClockNotice)      { h.clocks <- n }
 
 // freeAddress returns an address at which nothing listens.
 func freeAddress(t *testing.T) netip.AddrPort {
@@ -46,7 +51,7 @@
 // report.
 func TestSendAndReceive(t *testing.T) {
 	to := freeAddress(t)
-	h := channelHandler{make(chan port.LoadReport, 1), make(chan port.LoadNotice, 1), make(chan port.EvidenceNotice, 1)}
+	h := channelHandler{make(chan port.LoadReport, 1), make(chan port.LoadNotice, 1), make(chan port.EvidenceNotice, 1), make(chan usage.Notice, 1), make(chan usage.ClockNotice, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -71,6 +76,7 @@
 		{Subject: "5c1e07a2", Evidence: quarantine.Evidence{Losses: 2, Account: "a", Others: 1}},
 		{Subject: "r-00112233445566778899aabbccddeeff", Evidence: quarantine.Evidence{Losses: 300}, Probe: quarantine.ProbeEnded},
 	}}
+	used, clocks := usageNotice(2), usage.ClockNotice{Median: 1767344219909 * time.Millisecond, Clocks: 34}
 	for start := time.Now(); time.Since(start) < 5*time.Second; time.Sleep(10 * time.Millisecond) {
 		for _, junk := range [][]byte{nil, {1}, make([]byte, reportBytes), make([]byte, 500)} {
 			_, _ = s.(*sender).conn.WriteToUDPAddrPort(junk, to)
@@ -84,6 +90,9 @@
 		if err := s.SendNotice(notice, []netip.AddrPort{to}); err != nil {
 			continue
 		}
+		if s.SendUsage(used, []netip.AddrPort{to}) != nil || s.SendClock(clocks, []netip.AddrPort{to}) != nil {
+			continue
+		}
 		select {
 		case r := <-h.reports:
 			// An age is rounded up.
@@ -95,6 +104,9 @@
 			if e := <-h.evidence; !reflect.DeepEqual(e, evidence) {
 				t.Errorf("received evidence %+v", e)
 			}
+			if u, c := <-h.usage, <-h.clocks; !reflect.DeepEqual(u, used) || c != clocks {
+				t.Errorf("received usage %+v and clocks %+v", u, c)
+			}
 			cancel()
 			// Unblocks the receiver if it handles further datagrams.
 			wg.Go(func() { discardPending(h) })
@@ -111,6 +123,8 @@
 		case <-h.reports:
 		case <-h.notices:
 		case <-h.evidence:
+		case <-h.usage:
+		case <-h.clocks:
 		case <-time.After(50 * time.Millisecond):
 			return
 		}
--- a/internal/app/gateway/crash_test.go
+++ b/internal/app/gateway/crash_test.go
@@ -23,6 +23,7 @@
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
 	"github.com/masticwing/masticwing/internal/core/routes"
+	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/port/porttest"
@@ -127,9 +128,11 @@
 // evidenceNetwork is a port.LoadSender that passes notices of evidence to gateways by address.
 type evidenceNetwork map[netip.AddrPort]*testGateway
 
-func (n evidenceNetwork) SendReport(port.LoadReport, []netip.AddrPort) error { return nil }
-func (n evidenceNetwork) SendNotice(port.LoadNotice, []netip.AddrPort) error { return nil }
-func (n evidenceNetwork) Close() error                                       { return nil }
+func (n evidenceNetwork) SendReport(port.LoadReport, []netip.AddrPort) error  { return nil }
+func (n evidenceNetwork) SendNotice(port.LoadNotice, []netip.AddrPort) error  { return nil }
+func (n evidenceNetwork) SendUsage(usage.Notice, []netip.AddrPort) error      { return nil }
+func (n evidenceNetwork) SendClock(usage.ClockNotice, []netip.AddrPort) error { return nil }
+func (n evidenceNetwork) Close() error                                        { return nil }
 func (n evidenceNetwork) SendEvidence(e port.EvidenceNotice, to []netip.AddrPort) error {
 	for _, a := range to {
 		n[a].HandleEvidence(e)
--- a/internal/app/loader/report_test.go
+++ b/internal/app/loader/report_test.go
@@ -12,6 +12,7 @@
 	"github.com/masticwing/masticwing/internal/core/fanout"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -26,6 +27,8 @@
 }
 func (r reportRecorder) SendNotice(port.LoadNotice, []netip.AddrPort) error       { return nil }
 func (r reportRecorder) SendEvidence(port.EvidenceNotice, []netip.AddrPort) error { return nil }
+func (r reportRecorder) SendUsage(usage.Notice, []netip.AddrPort) error           { return nil }
+func (r reportRecorder) SendClock(usage.ClockNotice, []netip.AddrPort) error      { return nil }
 func (r reportRecorder) Close() error                                             { return nil }
 
 // TestReportsToOtherDomains guards against reports of a busy engine that go to all gateways of a large
--- a/internal/port/loads.go
+++ b/internal/port/loads.go
@@ -8,6 +8,7 @@
 	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
+	"github.com/masticwing/masticwing/internal/core/usage"
 )
 
 // LoadNotice tells the other gateways that the sender has sent a request to a target.
@@ -77,6 +78,11 @@
 	// SendEvidence sends a notice of MaxNoticeEvidence subjects at most to all addresses. It
 	// handles errors like SendReport.
 	SendEvidence(n EvidenceNotice, to []netip.AddrPort) error
+	// SendUsage sends a notice of usage to all addresses, in as many datagrams as it needs. It handles errors
+	// like SendReport.
+	SendUsage(n usage.Notice, to []netip.AddrPort) error
+	// SendClock sends a median of clocks to all addresses. It handles errors like SendReport.
+	SendClock(n usage.ClockNotice, to []netip.AddrPort) error
 	// Close releases the sender.
 	Close() error
 }
@@ -86,6 +92,9 @@
 	HandleReport(r LoadReport)
 	HandleNotice(n LoadNotice)
 	HandleEvidence(n EvidenceNotice)
+	// HandleUsage handles one datagram of a notice of usage.
+	HandleUsage(n usage.Notice)
+	HandleClock(n usage.ClockNotice)
 }
 
 // LoadNetwork carries load reports from loaders to gateways and notices among gateways.
