--- a/internal/app/registration/members.go
+++ b/internal/app/registration/members.go
@@ -6,6 +6,7 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -47,6 +48,15 @@
 	return feed.Readers(feedMember(self), all)
 }
 
+// UsageRecipients returns the gateways to which self states its usage.
+func (m Members) UsageRecipients(self port.StoredMember) usage.Recipients {
+	all := make([]feed.Member, 0, len(m))
+	for _, x := range m {
+		all = append(all, feedMember(x))
+	}
+	return usage.FindRecipients(feedMember(self), all)
+}
+
 func feedMember(m port.StoredMember) feed.Member {
 	return feed.Member{ID: m.ID, Domain: m.Domain, Address: m.Address, Gateway: m.Kind == fleet.KindEntry.String()}
 }
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -128,6 +128,18 @@
 	if s := b.Sends(0, end+7*time.Second); len(s) != 0 {
 		t.Errorf("%+v is sent before it is stored", s)
 	}
+	// A clock that was ahead by mistake returns.
+	s, _ := b.Unstored()
+	b.MarkStored(s)
+	b.Decide(end+3*time.Minute, Knowledge{Since: end + 3*time.Minute, Missing: k.Missing, Window: func(int64) map[fleet.Customer]int64 { return nil }})
+	next := NewBook(length, due)
+	s, _ = b.Unstored()
+	next.Load(s, 0, end)
+	for _, book := range []*Book{b, next} {
+		if d := book.Decide(end+7*time.Second, k); len(d) != 0 {
+			t.Errorf("decided %+v again after the clock was ahead", d)
+		}
+	}
 	// A store that was restored may lack what another holder has reported.
 	restored := NewBook(length, due)
 	restored.Load(Stored{Era: 1}, 2, end+7*time.Second)
