gateway: count usage and demand where a duty needs them

A stream counts at its first event, a plain attempt unless the target states that it did not run, in the window in which it was sent if that is no more than 0.5 s ago. The loops run only with an address of the duty API and a duty that needs them.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -222,6 +222,7 @@
 	responded := c.cancelAtExpiry(watch)
 	resp, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
 	responded()
+	c.countPlainRun(clock.Now().Sub(c.lastSentAt), err)
 	if err != nil {
 		return c.recordSendFailure(ctx, choice, verdict.FromError(err))
 	}
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/app/supervise"
+	"github.com/masticwing/masticwing/internal/app/usage"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/memlimit"
 	"github.com/masticwing/masticwing/internal/core/placement"
@@ -32,10 +33,12 @@
 	Decoder       port.ItemDecoder
 	Targets       port.Forwarder
 	Loads         port.LoadNetwork
-	Clock         port.BootClock
-	Rand          port.Rand
-	Metrics       port.Metrics
-	Log           port.Log
+	// Duties is the platform's API for singleton duties, or nil if the deployment has none.
+	Duties  port.DutyAPI
+	Clock   port.BootClock
+	Rand    port.Rand
+	Metrics port.Metrics
+	Log     port.Log
 }
 
 // Gateway routes callers' requests to targets. It implements port.InboundHandler.
@@ -69,6 +72,8 @@
 	// that operators write, to other processes and applies them to the view.
 	applyOperatorKeys func(follow.Event)
 	noticeSender      atomic.Pointer[port.LoadSender]
+	// exchange counts usage and demand, or is nil if no duty needs them.
+	exchange *usage.Exchange
 	// callers is the number of callers' connections.
 	callers atomic.Int64
 }
@@ -90,6 +95,7 @@
 		// The 53 high bits fill the mantissa of a float64.
 		coldPhase: float64(d.Rand.Uint64()>>11) / (1 << 53),
 	}
+	g.exchange = g.newExchange()
 	ps := d.Decoder.Prefixes()
 	readers := func() []core.Member { return *g.view.readers.Load() }
 	g.source = feed.NewSource(d.Store, d.Feed, d.Clock, d.Log, readers, map[string]feed.PrefixOptions{
@@ -127,6 +133,7 @@
 	loops.Go(ctx, "load_reports", g.receiveLoadReports)
 	loops.Go(ctx, "gauges", g.gaugeLoop)
 	loops.Go(ctx, "connections", g.connectionLoop)
+	g.runExchange(ctx, loops)
 	registrar := registration.Registrar{Store: g.deps.Store, Prefix: ps.Members, Self: g.settings.storedMember(), Clock: g.deps.Clock, Log: g.deps.Log}
 	loops.Go(ctx, "registration", registrar.Run)
 }
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -86,6 +86,7 @@
 		c.refuse(e)
 		return
 	}
+	c.countOffered()
 	ctx, release := g.stopState.WithEnd(ctx)
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
@@ -294,6 +295,7 @@
 
 // refuse responds with an error and logs it.
 func (c *call) refuse(e *verdict.Error) {
+	c.countRefused(e)
 	if err := c.out.Refuse(e); err != nil {
 		e = verdict.Wrap(err, e.Verdict, e.Code, "%s; the refusal could not be delivered", e.Message).WithRetryAfter(e.RetryAfter)
 	}
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -71,14 +71,23 @@
 		if n > 0 {
 			before := c.relay.events.EventCount()
 			watch.pause()
-			if e := c.relayEvents(choice, resp, buf[:n]); e != nil {
+			e := c.relayEvents(choice, resp, buf[:n])
+			if before == eventsBefore && c.relay.events.EventCount() > before {
+				c.countRun(0)
+			}
+			if e != nil {
 				return e
 			}
 			c.recordProgress(choice, watch, before, eventsBefore)
 			c.recordAlive(choice)
 		}
 		if err == io.EOF {
-			return c.finishStream(choice, resp)
+			before := c.relay.events.EventCount()
+			e := c.finishStream(choice, resp)
+			if before == eventsBefore && c.relay.events.EventCount() > before {
+				c.countRun(0)
+			}
+			return e
 		}
 		if err != nil {
 			return c.recordBrokenResponse(ctx, choice, err)
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -18,6 +18,7 @@
 	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
+	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -46,6 +47,8 @@
 	noticeTargets atomic.Pointer[noticeTargets]
 	// readers lists the gateways to ask for changes of the store, in order of preference.
 	readers atomic.Pointer[[]feed.Member]
+	// usageRecipients holds the gateways to which usage is stated.
+	usageRecipients atomic.Pointer[usage.Recipients]
 	// engineTiming is the configured speed at which engines prefill and decode.
 	engineTiming atomic.Pointer[routes.Timing]
 	// targetsListed is set after the first complete listing of the targets.
@@ -96,6 +99,8 @@
 	v.unreadable.members = follow.NewUnreadable("entry of a process can't be read", d.Log)
 	v.setGateways(fanout.Group[netip.AddrPort]{})
 	v.readers.Store(&[]feed.Member{})
+	recipients := v.members.UsageRecipients(v.self)
+	v.usageRecipients.Store(&recipients)
 	v.engineTiming.Store(&routes.Timing{})
 	v.gatewayCount.Store(1)
 	v.declarations.Store(&declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model]weightsbound.Declarations{}})
@@ -477,6 +482,8 @@
 	count := v.members.GatewayCount()
 	readers := v.members.Readers(v.self)
 	v.readers.Store(&readers)
+	recipients := v.members.UsageRecipients(v.self)
+	v.usageRecipients.Store(&recipients)
 	n := int64(count)
 	v.setGateways(fanout.New(v.self.Domain, v.members.GatewaysByDomain(v.self.ID)))
 	if old := v.gatewayCount.Swap(max(1, n)); old != max(1, n) {
