--- a/internal/adapter/loadudp/usage.go
+++ b/internal/adapter/loadudp/usage.go
@@ -20,13 +20,16 @@
 	tagDemand = 2
 	// maxAccountWindows is the largest number of windows in one part.
 	maxAccountWindows = 16
+	// maxFigure bounds a number, so that the sum of two has no overflow.
+	maxFigure = 1 << 61
 )
 
 // encodeUsage encodes a notice of usage in datagrams of maxUsageBytes at most. Each has a version (1), the start
 // of the source (8), its clock in nanoseconds since 1970 (8), the time up to which its counts are complete (8,
-// zero except in the last datagram), the age of the figures in milliseconds (4), the source's name and its domain,
-// each behind its length (1), and then parts. A part has a tag (1). With tagCounts, an account behind its
-// length (1), the number of windows (1), and for each its number and count, as varints. With tagDemand, a
+// zero except in the last datagram), the age of the figures in milliseconds (4), its first window (8), the source's
+// name and its domain, each behind its length (1), and then parts. A part has a tag (1). With tagCounts, an account
+// behind its length (1), the number of windows (1), and for each its number less the first one and its count, as
+// varints. With tagDemand, a
 // service behind its length (1) and the four figures, as varints. Names of more than 255 bytes are left out.
 func encodeUsage(n usage.Notice) [][]byte {
 	if len(n.Gateway) > math.MaxUint8 || len(n.Domain) > math.MaxUint8 {
@@ -37,10 +40,12 @@
 	throughAt := len(head)
 	head = binary.BigEndian.AppendUint64(head, 0)
 	head = binary.BigEndian.AppendUint32(head, uint32(min(max(n.Age, 0)/time.Millisecond, math.MaxUint32)))
+	first := firstWindow(n.Counts)
+	head = binary.BigEndian.AppendUint64(head, uint64(first))
 	head = appendText(appendText(head, n.Gateway), string(n.Domain))
 	var out [][]byte
 	current := head
-	for _, p := range usageParts(n) {
+	for _, p := range usageParts(n, first) {
 		if len(current)+len(p) > maxUsageBytes {
 			out, current = append(out, current), head
 		}
@@ -51,8 +56,20 @@
 	return append(out, current)
 }
 
-// usageParts returns the encoded parts of a notice.
-func usageParts(n usage.Notice) (parts [][]byte) {
+// firstWindow returns the lowest window of counts, or zero without any.
+func firstWindow(counts []usage.Count) int64 {
+	if len(counts) == 0 {
+		return 0
+	}
+	first := counts[0].Window
+	for _, c := range counts {
+		first = min(first, c.Window)
+	}
+	return max(first, 0)
+}
+
+// usageParts returns the encoded parts of a notice with its first window.
+func usageParts(n usage.Notice, first int64) (parts [][]byte) {
 	for i := 0; i < len(n.Counts); {
 		account, end := n.Counts[i].Account, i
 		for end < len(n.Counts) && end-i < maxAccountWindows && n.Counts[end].Account == account {
@@ -61,7 +78,7 @@
 		if len(account) <= math.MaxUint8 {
 			p := append(appendText([]byte{tagCounts}, string(account)), byte(end-i))
 			for _, c := range n.Counts[i:end] {
-				p = binary.AppendUvarint(binary.AppendUvarint(p, uint64(max(c.Window, 0))), uint64(max(c.Requests, 0)))
+				p = binary.AppendUvarint(binary.AppendUvarint(p, uint64(max(c.Window-first, 0))), uint64(max(c.Requests, 0)))
 			}
 			parts = append(parts, p)
 		}
@@ -85,7 +102,7 @@
 // decodeUsage decodes a datagram of a notice of usage. After a part that can't be decoded the rest is ignored,
 // also the time up to which the counts are complete.
 func decodeUsage(b []byte) (usage.Notice, bool) {
-	if len(b) < 29 || len(b) > maxUsageBytes || b[0] != usageVersion {
+	if len(b) < 37 || len(b) > maxUsageBytes || b[0] != usageVersion {
 		return usage.Notice{}, false
 	}
 	n := usage.Notice{
@@ -94,8 +111,9 @@
 		Age:     time.Duration(binary.BigEndian.Uint32(b[25:])) * time.Millisecond,
 	}
 	n.Start = binary.BigEndian.Uint64(b[1:])
-	gateway, rest, ok := decodeText(b[29:])
-	if !ok || gateway == "" || n.Clock < 0 || n.Through < 0 {
+	first := int64(binary.BigEndian.Uint64(b[29:]))
+	gateway, rest, ok := decodeText(b[37:])
+	if !ok || gateway == "" || first < 0 || first > maxFigure || n.Clock < 0 || n.Through < 0 {
 		return usage.Notice{}, false
 	}
 	domain, rest, ok := decodeText(rest)
@@ -106,7 +124,7 @@
 	for len(rest) > 0 && ok {
 		switch rest[0] {
 		case tagCounts:
-			rest, ok = decodeCounts(rest[1:], &n)
+			rest, ok = decodeCounts(rest[1:], first, &n)
 		case tagDemand:
 			rest, ok = decodeDemand(rest[1:], &n)
 		default:
@@ -119,7 +137,7 @@
 	return n, true
 }
 
-func decodeCounts(b []byte, n *usage.Notice) (rest []byte, ok bool) {
+func decodeCounts(b []byte, first int64, n *usage.Notice) (rest []byte, ok bool) {
 	account, b, ok := decodeText(b)
 	if !ok || len(b) == 0 || b[0] > maxAccountWindows {
 		return nil, false
@@ -131,7 +149,7 @@
 		if b, ok = decodeFigures(b, figures[:]); !ok {
 			return nil, false
 		}
-		n.Counts = append(n.Counts, usage.Count{Key: usage.Key{Account: fleet.Customer(account), Window: figures[0]}, Requests: figures[1]})
+		n.Counts = append(n.Counts, usage.Count{Key: usage.Key{Account: fleet.Customer(account), Window: first + figures[0]}, Requests: figures[1]})
 	}
 	return b, true
 }
@@ -150,11 +168,11 @@
 	return b, true
 }
 
-// decodeFigures decodes numbers up to 2^62, so that the sum of two has no overflow.
+// decodeFigures decodes numbers up to maxFigure.
 func decodeFigures(b []byte, to []int64) (rest []byte, ok bool) {
 	for i := range to {
 		v, size := binary.Uvarint(b)
-		if size <= 0 || v > 1<<62 {
+		if size <= 0 || v > maxFigure {
 			return nil, false
 		}
 		to[i], b = int64(v), b[size:]
--- a/internal/app/usage/exchange.go
+++ b/internal/app/usage/exchange.go
@@ -16,12 +16,14 @@
 const (
 	// noticeInterval is the time between two notices: a gateway that is killed loses no more of its counts.
 	noticeInterval = 250 * time.Millisecond
-	// noticesPerFull is the number of notices of which one holds all counts of windows that are not due yet,
-	// and not only what has changed. It replaces those that were lost.
-	noticesPerFull = 2
+	// noticesPerFull is the number of notices of which one holds all counts of windows that are not due yet, and
+	// not only what has changed. It replaces those that were lost.
+	noticesPerFull = 4
 	// relaySpacing times the number of notices that a candidate passes on in a round is the time between two
-	// rounds, at least noticeInterval and at most maxRelayInterval.
+	// rounds, within minRelayInterval and maxRelayInterval. Both candidates of a domain pass everything on, so
+	// that those of the others hear of it twice as often.
 	relaySpacing     = 2 * time.Millisecond
+	minRelayInterval = 500 * time.Millisecond
 	maxRelayInterval = time.Second
 	// clockInterval is the time between two comparisons of clocks.
 	clockInterval = time.Second
@@ -140,14 +142,14 @@
 // RunRelay passes on what the gateways of the own domain state, while this gateway is a candidate, until
 // ctx ends.
 func (e *Exchange) RunRelay(ctx context.Context) {
-	for ctx.Err() == nil {
-		e.sleep(ctx, e.relay(e.deps.Recipients()))
+	for round := 0; ctx.Err() == nil; round++ {
+		e.sleep(ctx, e.relay(e.deps.Recipients(), round))
 	}
 }
 
-// relay passes on what the gateways of the own domain state to the candidates of the others, and what those
-// that are gone have stated to the other candidate of the domain. It returns the pause until the next time.
-func (e *Exchange) relay(r usage.Recipients) time.Duration {
+// relay passes on what the gateways of the own domain state to one candidate of each other domain, to another one in
+// each round, and what those that are gone have stated to the other candidate of the domain. It returns the pause until the next time.
+func (e *Exchange) relay(r usage.Recipients, round int) time.Duration {
 	sinceBoot := e.deps.Clock.SinceBoot()
 	now := e.clock.Now(sinceBoot)
 	e.totals.Prune(sinceBoot, now)
@@ -155,13 +157,17 @@
 		return maxRelayInterval
 	}
 	notices := e.totals.Relayed(e.domain, e.oldestOpen(now), sinceBoot)
+	var others []feed.Member
+	for _, ms := range r.Others {
+		others = append(others, ms[round%len(ms)])
+	}
 	for _, n := range notices {
-		e.send(n, r.Others)
+		e.send(n, others)
 		if n.Age > 2*noticeInterval {
 			e.send(n, r.Own)
 		}
 	}
-	return min(max(noticeInterval, relaySpacing*time.Duration(len(notices)*len(r.Others))), maxRelayInterval)
+	return min(max(minRelayInterval, relaySpacing*time.Duration(len(notices)*len(others))), maxRelayInterval)
 }
 
 // RunClock compares clocks, while this gateway is a candidate, until ctx ends.
--- a/internal/app/usage/reporter.go
+++ b/internal/app/usage/reporter.go
@@ -123,6 +123,10 @@
 	if !r.loaded {
 		return nil
 	}
+	for _, w := range r.book.GiveUp(now) {
+		e.deps.Metrics.Count("gateway_usage_windows_given_up_total", 1)
+		e.deps.Log.Failure("usage window given up", nil, port.F("window", w))
+	}
 	e.deps.Metrics.Gauge("gateway_usage_unconfirmed_windows", float64(r.book.Unconfirmed(now)))
 	return r.book.Sends(sinceBoot, now)
 }
--- a/internal/core/usage/book.go
+++ b/internal/core/usage/book.go
@@ -55,8 +55,10 @@
 	// was restored from an older copy makes possible. It is not sent again.
 	conflicting bool
 	inFlight    bool
-	retryAt     time.Duration
-	pause       time.Duration
+	// givenUp is set once GiveUp has returned the window.
+	givenUp bool
+	retryAt time.Duration
+	pause   time.Duration
 }
 
 // Book holds the windows whose counts are decided. Counts never change once the window may have been sent.
@@ -207,6 +209,18 @@
 	return r.pause
 }
 
+// GiveUp returns the windows that will not be sent any more although they are not confirmed, each once.
+func (b *Book) GiveUp(now time.Duration) []int64 {
+	var out []int64
+	for w, r := range b.windows {
+		if !r.Confirmed && !r.givenUp && (r.conflicting || now >= WindowEnd(w, b.length)+KeptTime) {
+			r.givenUp = true
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
 // Unconfirmed returns the number of windows that are sent until they are confirmed.
 func (b *Book) Unconfirmed(now time.Duration) int {
 	n := 0
--- a/internal/core/usage/recipients.go
+++ b/internal/core/usage/recipients.go
@@ -15,8 +15,9 @@
 type Recipients struct {
 	// Candidate is set if the gateway itself may become the holder.
 	Candidate bool
-	// Own are the other candidates of its domain, and Others those of the other domains.
-	Own, Others []feed.Member
+	// Own are the other candidates of its domain, and Others those of each other domain.
+	Own    []feed.Member
+	Others [][]feed.Member
 	// Domain are all other gateways of its domain.
 	Domain []feed.Member
 	// Gateways are the IDs of all gateways, with its own.
@@ -34,6 +35,9 @@
 	}
 	var r Recipients
 	for d, ms := range domains {
+		if d != self.Domain {
+			r.Others = append(r.Others, nil)
+		}
 		slices.SortFunc(ms, func(a, b feed.Member) int { return cmp.Compare(a.ID, b.ID) })
 		for i, m := range ms {
 			r.Gateways = append(r.Gateways, m.ID)
@@ -48,7 +52,8 @@
 			if candidate && d == self.Domain {
 				r.Own = append(r.Own, m)
 			} else if candidate {
-				r.Others = append(r.Others, m)
+				others := &r.Others[len(r.Others)-1]
+				*others = append(*others, m)
 			}
 		}
 	}
