usage: less work for the holder, one log line for each window that is refused

The holder looks up the counts of undecided windows five times a second; they are now kept by window. A source whose clock was corrected states an earlier time of completeness than before, which is adopted.

--- a/internal/app/usage/reporter.go
+++ b/internal/app/usage/reporter.go
@@ -271,10 +271,13 @@
 		e.deps.Log.StateChange("usage window reported", port.F("window", o.window), port.Millis("after_ms", after))
 		return
 	}
-	pause := r.book.Fail(o.window, sinceBoot)
+	pause, first := r.book.Fail(o.window, sinceBoot)
 	if errors.Is(o.err, duty.ErrTenureOver) {
 		return
 	}
 	e.deps.Metrics.Count("gateway_usage_retries_total", 1)
+	if !first {
+		return
+	}
 	e.deps.Log.Failure("usage window is not reported yet", o.err, port.F("window", o.window), port.Millis("retry_ms", pause))
 }
--- a/internal/core/usage/book.go
+++ b/internal/core/usage/book.go
@@ -198,15 +198,17 @@
 	return now - WindowEnd(window, b.length)
 }
 
-// Fail records that the report of a window was not confirmed, and returns the pause before the next attempt.
-func (b *Book) Fail(window int64, sinceBoot time.Duration) time.Duration {
+// Fail records that the report of a window was not confirmed, and returns the pause before the next attempt and
+// whether this is the first failure.
+func (b *Book) Fail(window int64, sinceBoot time.Duration) (pause time.Duration, first bool) {
 	r := b.windows[window]
 	if r == nil {
-		return 0
+		return 0, false
 	}
+	first = r.pause == 0
 	r.pause = min(max(minRetryPause, 2*r.pause), maxRetryPause)
 	r.inFlight, r.retryAt = false, sinceBoot+r.pause
-	return r.pause
+	return r.pause, first
 }
 
 // GiveUp returns the windows that will not be sent any more although they are not confirmed, each once.
--- a/internal/core/usage/totals.go
+++ b/internal/core/usage/totals.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"maps"
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -35,8 +34,10 @@
 	clock      time.Duration
 	clockKnown bool
 	through    time.Duration
-	counts     map[Key]int64
-	demand     map[fleet.Service]Demand
+	// counts holds entries counts, by window.
+	counts  map[int64]map[fleet.Customer]int64
+	entries int
+	demand  map[fleet.Service]Demand
 }
 
 // NewTotals returns empty totals for windows of a length.
@@ -57,18 +58,21 @@
 			return nil, false
 		}
 		if !ok {
-			s = &stated{domain: n.Domain, heardAt: sinceBoot - n.Age, counts: map[Key]int64{}, demand: map[fleet.Service]Demand{}}
+			s = &stated{domain: n.Domain, heardAt: sinceBoot - n.Age, counts: map[int64]map[fleet.Customer]int64{}, demand: map[fleet.Service]Demand{}}
 		}
 		if made := sinceBoot - n.Age; made >= s.heardAt {
 			s.heardAt = made
 			if n.Clock > 0 {
 				s.clock, s.clockKnown = n.Clock-sinceBoot, true
 			}
+			if n.Through > 0 {
+				// A clock that was corrected states an earlier time than before.
+				s.through = n.Through
+			}
 		}
-		s.through = max(s.through, n.Through)
 		for _, c := range n.Counts {
-			if _, known := s.counts[c.Key]; c.Requests > 0 && c.Window >= oldest && c.Window <= newest && (known || len(s.counts) < maxEntries) {
-				s.counts[c.Key] = max(s.counts[c.Key], c.Requests)
+			if c.Requests > 0 && c.Window >= oldest && c.Window <= newest {
+				s.add(c)
 			}
 		}
 		for _, d := range n.Demand {
@@ -80,6 +84,20 @@
 	})
 }
 
+// add keeps the largest of the counts that a source states.
+func (s *stated) add(c Count) {
+	if _, known := s.counts[c.Window][c.Account]; !known {
+		if s.entries >= maxEntries {
+			return
+		}
+		s.entries++
+	}
+	if s.counts[c.Window] == nil {
+		s.counts[c.Window] = map[fleet.Customer]int64{}
+	}
+	s.counts[c.Window][c.Account] = max(s.counts[c.Window][c.Account], c.Requests)
+}
+
 // oldest returns the oldest window that is kept.
 func (t *Totals) oldest(now time.Duration) int64 { return WindowAt(now-KeptTime, t.length) }
 
@@ -89,7 +107,12 @@
 	oldest := t.oldest(now)
 	var gone []Source
 	t.sources.Range(func(k Source, s *stated) bool {
-		maps.DeleteFunc(s.counts, func(k Key, _ int64) bool { return k.Window < oldest })
+		for w, counts := range s.counts {
+			if w < oldest {
+				s.entries -= len(counts)
+				delete(s.counts, w)
+			}
+		}
 		if len(s.counts) == 0 && sinceBoot-s.heardAt > KeptTime {
 			gone = append(gone, k)
 		}
@@ -104,10 +127,8 @@
 func (t *Totals) Window(window int64) map[fleet.Customer]int64 {
 	out := map[fleet.Customer]int64{}
 	t.sources.Range(func(_ Source, s *stated) bool {
-		for k, n := range s.counts {
-			if k.Window == window {
-				out[k.Account] += n
-			}
+		for a, n := range s.counts[window] {
+			out[a] += n
 		}
 		return true
 	})
@@ -144,9 +165,11 @@
 		if s.clockKnown && n.Age <= clockAge {
 			n.Clock = sinceBoot + s.clock
 		}
-		for key, c := range s.counts {
-			if key.Window >= oldest {
-				n.Counts = append(n.Counts, Count{key, c})
+		for w, counts := range s.counts {
+			for a, c := range counts {
+				if w >= oldest {
+					n.Counts = append(n.Counts, Count{Key{a, w}, c})
+				}
 			}
 		}
 		if len(n.Counts) == 0 && n.Clock == 0 {
