gateway: test that usage is stated while the gateway runs

Nothing failed if the loops were not started. go test -race -run 'Usage|Demand|Duties' ./internal/app/gateway: ok.

--- a/internal/app/gateway/usage_test.go
+++ b/internal/app/gateway/usage_test.go
@@ -7,12 +7,16 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/masticwing/masticwing/internal/app/duty"
 	"github.com/masticwing/masticwing/internal/core/feed"
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
+	"github.com/masticwing/masticwing/internal/port/porttest"
 )
 
 // usageRecorder is a port.LoadSender that keeps the last notice of usage.
@@ -125,3 +129,42 @@
 		t.Errorf("duty %v", w)
 	}
 }
+
+// usageNetwork is a port.LoadNetwork whose sender passes the addresses of notices of usage on.
+type usageNetwork struct {
+	idleNetwork
+	evidenceNetwork
+	sent chan []netip.AddrPort
+}
+
+func (u usageNetwork) NewSender(netip.Addr) (port.LoadSender, error) { return u, nil }
+func (u usageNetwork) SendUsage(_ usage.Notice, to []netip.AddrPort) error {
+	u.sent <- to
+	return nil
+}
+
+// TestRunStatesUsage guards against a gateway that counts and does not state it to the candidates of its domain.
+func TestRunStatesUsage(t *testing.T) {
+	gw, store, network := newTestGateway(t, route), porttest.NewStore(), usageNetwork{sent: make(chan []netip.AddrPort, 100)}
+	store.Put("members/g1", "{}")
+	gw.decodedItems["members/g1"] = port.MemberItem{Member: port.StoredMember{ID: "g1", Kind: fleet.KindEntry.String(), Domain: "a", Address: "10.0.0.2:1"}}
+	deps, s := gw.deps, gw.settings
+	deps.Store, deps.Loads = store, network
+	deps.NewFeedServer = func(port.FeedHandler) (port.Server, error) { return idleServer{}, nil }
+	s.ID, s.Internal = "g0", "127.0.0.1:0"
+	s.Duties = duty.Settings{API: "10.0.0.1:1", Names: []string{duty.UsageReports}, UsageWindow: 5 * time.Second, UsageDue: 10 * time.Second}
+	g := New(s, deps)
+	ctx, stop := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer stop()
+	wg.Go(func() { g.Run(ctx) })
+	select {
+	case to := <-network.sent:
+		if len(to) != 1 || to[0].String() != "10.0.0.2:1" {
+			t.Errorf("usage is stated to %v", to)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("usage is not stated within 10 s")
+	}
+}
