--- a/internal/adapter/loadudp/loadudp.go
+++ b/internal/adapter/loadudp/loadudp.go
@@ -16,8 +16,9 @@
 // (1), reserved (1), IPv4 address and port of the target (6), the numbers of running requests, waiting
 // requests and slots (2 each), and the factor in hundredths (2). A notice of evidence has a version (1), flags
 // (1), and for each subject the state of its probe (1), its numbers of losses and of losses of other accounts (1 each), and
-// the subject and the account, each behind its length (1); at most 1,400 bytes in all. The version
-// also tells reports and notices apart.
+// the subject and the account, each behind its length (1); at most 1,400 bytes in all. The format of notices of usage
+// and of clocks is stated at encodeUsage and encodeClock. The version also tells reports and notices apart, so that
+// builds ignore what they do not know.
 package loadudp
 
 import (
@@ -33,6 +34,7 @@
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
 	"github.com/masticwing/masticwing/internal/core/placement"
+	"github.com/masticwing/masticwing/internal/core/usage"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -249,6 +251,21 @@
 	return s.send(encodeEvidence(n), to)
 }
 
+// SendUsage implements port.LoadSender.
+func (s *sender) SendUsage(n usage.Notice, to []netip.AddrPort) (err error) {
+	for _, b := range encodeUsage(n) {
+		if e := s.send(b, to); e != nil {
+			err = e
+		}
+	}
+	return err
+}
+
+// SendClock implements port.LoadSender.
+func (s *sender) SendClock(n usage.ClockNotice, to []netip.AddrPort) error {
+	return s.send(encodeClock(n), to)
+}
+
 // Close implements port.LoadSender.
 func (s *sender) Close() error { return s.conn.Close() }
 
@@ -282,6 +299,10 @@
 			h.HandleEvidence(evidence)
 		} else if speed, ok := decodeSpeed(buf[:n]); ok {
 			h.HandleSpeed(speed)
+		} else if u, ok := decodeUsage(buf[:n]); ok {
+			h.HandleUsage(u)
+		} else if m, ok := decodeClock(buf[:n]); ok {
+			h.HandleClock(m)
 		}
 	}
 }
