platform, routes: the scaling of a service

A service's Scaling (Min, Max, BootS) was ignored. It is decoded into routes.Scaling. A value that can't be meant leaves the rest of the configuration in use and is logged; without Min or Max a service has no scaling.

--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -169,6 +169,18 @@
 	OriginBytesPerSecond int64
 	// Engine is nil for plain services.
 	Engine *Engine
+	// Scaling is nil for services whose number of targets is not ordered.
+	Scaling *Scaling
+}
+
+// Scaling configures the orders of the number of engines of a service.
+type Scaling struct {
+	// Min and Max bound the number of engines in each failure domain. Min may be above Max, which is a
+	// fault of the configuration.
+	Min, Max int
+	// Boot is the shortest time from an order until an engine that it adds serves, or zero if not
+	// configured.
+	Boot time.Duration
 }
 
 // Account is a client account with its API keys.
@@ -197,8 +209,13 @@
 	Services []Service
 	Accounts []Account
 	Limits   Limits
+	// Faults describes the values that were not used because they can't be meant, at most MaxFaults.
+	Faults []string
 }
 
+// MaxFaults bounds the faults of a configuration that are kept, each of which is logged.
+const MaxFaults = 16
+
 // Table is a configuration with indexes for lookups.
 type Table struct {
 	Config
