--- /dev/null
+++ b/internal/core/scaling/load_test.go
@@ -0,0 +1,359 @@
+package scaling
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/routes"
+)
+
+// The engines of the load test, and the objective of their callers.
+const (
+	simSlots, simStride  = 12, 5
+	simPrompt, simOutput = 954, 95
+	simStep, simPerSlot  = 9.27, 0.0232 // ms
+	simPrefill           = 20.7         // tokens a ms
+	simStart             = 10500        // ms: 8 s for the start, 2.5 s for the weights
+	simObjective         = 500          // ms
+	simRetryAfter        = 150          // ms
+	// simRate is the highest rate of an engine in requests a second: 46 ms of prefill, and 95 steps shared by 12.
+	simRate = 1000 / (simPrompt/simPrefill + simOutput*(simStep+simPerSlot*simSlots)/simSlots)
+	// inTime is the share of requests that callers need in time: 95 in 100 at the design size.
+	inTime = 0.95
+)
+
+var simService = Service{Name: "s", Scaling: routes.Scaling{Min: 17, Max: 40, Boot: 8 * time.Second}, Engine: &routes.Engine{
+	Slots: simSlots, Timing: routes.Timing{DecodeStep: 9270 * time.Microsecond, StepsPerIteration: simStride, PrefillTokensPerSecond: 1000 * simPrefill},
+}}
+
+type simRequest struct {
+	arrived, left, prompt int
+	home                  int
+	begun, again          bool
+}
+
+type simEngine struct {
+	domain, ready   int
+	busyUntil       float64
+	running, queue  []*simRequest
+	draining, fails bool
+}
+
+func (e *simEngine) load() int { return len(e.running) + len(e.queue) }
+
+// load is a course of requests: rate returns those per second of a domain's callers, and lost whether the domain is cut off.
+type load struct {
+	name           string
+	domains, until int // s
+	engines        int // of each domain at the start
+	rate           func(d int, s float64) float64
+	lost           func(d, ms int) bool
+	fails          bool
+}
+
+// sim runs a load. Time is in ms.
+type sim struct {
+	load
+	rng                       *rand.Rand
+	all                       []*simEngine
+	totals                    []Totals
+	again                     map[int][]*simRequest
+	served, late              []int // requests by the second of their arrival: in time and not
+	engineMs, orders, highest int
+	blind                     bool
+}
+
+func (s *sim) count(domain int) (n int) {
+	for _, e := range s.all {
+		if e.domain == domain && !e.draining {
+			n++
+		}
+	}
+	return n
+}
+
+// order sets the number of engines of a domain.
+func (s *sim) order(domain, n, now int, started bool) {
+	for have := s.count(domain); have < n; have++ {
+		e := &simEngine{domain: domain, ready: now + simStart, fails: s.fails}
+		if started {
+			e.ready, e.fails = 0, false
+		}
+		s.all = append(s.all, e)
+	}
+	for i, have := len(s.all)-1, s.count(domain); i >= 0 && have > n; i-- {
+		if e := s.all[i]; e.domain == domain && !e.draining {
+			e.draining = true
+			have--
+		}
+	}
+}
+
+// send sends a request to the better of two engines with room, of the own domain first. Gateways know the load of engines
+// late, so that they don't find the best one of all.
+func (s *sim) send(r *simRequest, now int) {
+	var own, other []*simEngine
+	for _, e := range s.all {
+		switch {
+		case e.draining || e.fails || e.ready > now || s.lost(e.domain, now) || e.load() > simSlots:
+		case e.domain == r.home:
+			own = append(own, e)
+		default:
+			other = append(other, e)
+		}
+	}
+	if len(own) == 0 {
+		own = other
+	}
+	var best *simEngine
+	for range min(2, len(own)) {
+		if e := own[s.rng.IntN(len(own))]; best == nil || e.load() < best.load() {
+			best = e
+		}
+	}
+	s.totals[r.home].Offered++
+	s.totals[r.home].PromptTokens += uint64(r.prompt)
+	s.totals[r.home].OutputTokens += uint64(r.left)
+	switch {
+	case best != nil:
+		best.queue = append(best.queue, r)
+		return
+	case r.again:
+		s.late[r.arrived/1000]++
+	default:
+		r.again = true
+		s.again[now+simRetryAfter] = append(s.again[now+simRetryAfter], r)
+	}
+	s.totals[r.home].Refused++
+}
+
+func (s *sim) iterate(e *simEngine, now int) {
+	if e.load() == 0 || e.busyUntil > float64(now) {
+		return
+	}
+	var left []*simRequest
+	for _, r := range e.running {
+		if !r.begun {
+			r.begun = true
+			if now-r.arrived <= simObjective {
+				s.served[r.arrived/1000]++
+			} else {
+				s.late[r.arrived/1000]++
+			}
+		}
+		if r.left -= simStride; r.left > 0 {
+			left = append(left, r)
+		}
+	}
+	prompts := 0
+	for len(left) < simSlots && len(e.queue) > 0 {
+		prompts += e.queue[0].prompt
+		left, e.queue = append(left, e.queue[0]), e.queue[1:]
+	}
+	e.running = left
+	if len(left) > 0 {
+		e.busyUntil = max(e.busyUntil, float64(now-1)) + float64(prompts)/simPrefill + simStride*(simStep+simPerSlot*float64(len(left)))
+	}
+}
+
+func (s *sim) snapshot(now int) Snapshot {
+	out := Snapshot{Services: []Service{simService}, Registered: map[fleet.Domain]int{}}
+	name := func(d int) fleet.Domain { return fleet.Domain(fmt.Sprint("d", d)) }
+	for _, e := range s.all {
+		x := Engine{Service: "s", Domain: name(e.domain), Draining: e.draining, HoldsWeights: !e.fails && e.ready <= now, Slots: simSlots, Requests: e.load(), ReportAge: 100 * time.Millisecond}
+		if s.lost(e.domain, now) {
+			x.ReportAge = time.Minute
+		}
+		out.Engines = append(out.Engines, x)
+	}
+	for d := range s.domains {
+		if !s.blind && !s.lost(d, now) {
+			out.Gateways = append(out.Gateways, Gateway{ID: string(name(d)), Domain: name(d), Totals: map[fleet.Service]Totals{"s": s.totals[d]}})
+		}
+		out.Registered[name(d)] = 1
+	}
+	return out
+}
+
+// run plays a load; policy is called once a second.
+func (l load) run(blind bool, policy func(s *sim, now int)) *sim {
+	if l.lost == nil {
+		l.lost = func(int, int) bool { return false }
+	}
+	s := &sim{load: l, rng: rand.New(rand.NewPCG(1, 2)), totals: make([]Totals, l.domains), again: map[int][]*simRequest{}, blind: blind,
+		served: make([]int, l.until), late: make([]int, l.until)}
+	next := make([]float64, l.domains)
+	for d := range l.domains {
+		s.order(d, l.engines, 0, true)
+	}
+	for now := range l.until * 1000 {
+		if now%1000 == 0 {
+			policy(s, now)
+		}
+		for d := range next {
+			if rate := l.rate(d, float64(now)/1000); rate > 0 {
+				for next[d] = max(next[d], float64(now)); next[d] < float64(now+1); next[d] += s.rng.ExpFloat64() * 1000 / rate {
+					s.send(&simRequest{arrived: now, home: d, left: 1 + s.rng.IntN(2*simOutput-1), prompt: 1 + s.rng.IntN(2*simPrompt-1)}, now)
+				}
+			}
+		}
+		for _, r := range s.again[now] {
+			s.send(r, now)
+		}
+		delete(s.again, now)
+		kept := s.all[:0]
+		for _, e := range s.all {
+			s.iterate(e, now)
+			if !e.draining || e.load() > 0 {
+				kept = append(kept, e)
+			}
+		}
+		s.all = kept
+		s.engineMs += len(s.all)
+	}
+	return s
+}
+
+// share returns the share of the requests that arrived from one second to another and were served in time.
+func (s *sim) share(from, to int) float64 {
+	in, all := 0, 0
+	for i := from; i < to; i++ {
+		in, all = in+s.served[i], all+s.served[i]+s.late[i]
+	}
+	return float64(in) / float64(all)
+}
+
+// planned decides with a Planner. Its clock begins at an arbitrary time.
+func planned() func(*sim, int) {
+	p, start := NewPlanner(DefaultRules()), time.Unix(1e9, 0)
+	return func(s *sim, now int) {
+		at := start.Add(time.Duration(now) * time.Millisecond)
+		p.Observe(s.snapshot(now), at)
+		orders, _ := p.Decide(at, func(Subject) bool { return false })
+		for _, o := range orders {
+			p.Ordered(o.Subject, o.Desired, at)
+			s.order(int(o.Domain[1]-'0'), o.Desired, now, false)
+			s.orders, s.highest = s.orders+1, max(s.highest, o.Desired)
+		}
+	}
+}
+
+// hindsight knows the load: it orders what each second needs at a use of the engines, a start time ahead.
+func (l load) hindsight(use float64) func(*sim, int) {
+	return func(s *sim, now int) {
+		for d := range l.domains {
+			most := 0.0
+			for ahead := 0.0; ahead <= simStart/1000+1; ahead++ {
+				most = max(most, l.rate(d, float64(now)/1000+ahead))
+			}
+			s.order(d, min(max(int(math.Ceil(most/simRate/use)), simService.Min), simService.Max), now, false)
+		}
+	}
+}
+
+// worst returns the lowest share in time of 20 s: callers need theirs at any time, not on average.
+func (s *sim) worst() float64 {
+	out := 1.0
+	for i := 0; i+20 <= s.until; i += 10 {
+		out = min(out, s.share(i, i+20))
+	}
+	return out
+}
+
+// cheapest returns the first run in which callers get what they need at any time, or else the last one.
+func (l load) cheapest(policies ...func(*sim, int)) (n int, out *sim) {
+	for n = range policies {
+		if out = l.run(false, policies[n]); out.worst() >= inTime {
+			break
+		}
+	}
+	return n, out
+}
+
+// between returns a value that goes from a to b between two seconds.
+func between(a, b, from, to, s float64) float64 { return a + (b-a)*min(max((s-from)/(to-from), 0), 1) }
+
+// TestLoads guards against orders that leave callers without engines when load rises for long, that cost more than
+// the fixed number which serves the peak, or that answer a burst or engines which never serve.
+func TestLoads(t *testing.T) {
+	lost := func(d, ms int) bool { return d == 0 && ms >= 40000 && ms < 110000 }
+	for _, l := range []load{
+		{name: "ramp", domains: 1, until: 240, engines: 20, rate: func(_ int, s float64) float64 { return between(100, 230, 30, 150, s) }},
+		{name: "burst", domains: 1, until: 120, engines: 20, rate: func(_ int, s float64) float64 {
+			if s > 20 && math.Mod(s, 25) < 3 {
+				return 1.7 * 115
+			}
+			return 115
+		}},
+		{name: "night", domains: 1, until: 420, engines: 36, rate: func(_ int, s float64) float64 {
+			return between(215, 90, 30, 90, s) + between(0, 125, 300, 390, s)
+		}},
+		{name: "loss", domains: 3, until: 180, engines: 17, lost: lost, rate: func(d int, s float64) float64 {
+			switch ms := int(s * 1000); {
+			case !lost(0, ms):
+				return 95
+			case d == 0:
+				return 0
+			}
+			return 1.5 * 95
+		}},
+		{name: "broken", domains: 1, until: 180, engines: 20, fails: true, rate: func(_ int, s float64) float64 { return between(110, 180, 30, 60, s) }},
+	} {
+		t.Run(l.name, func(t *testing.T) {
+			t.Parallel()
+			var fixed, known []func(*sim, int)
+			for n := simService.Min; n <= simService.Max; n += 3 {
+				fixed = append(fixed, func(s *sim, now int) {
+					for d := range l.domains {
+						s.order(d, n, 0, now == 0)
+					}
+				})
+			}
+			for use := 95; use >= 75; use -= 5 {
+				known = append(known, l.hindsight(float64(use)/100))
+			}
+			show := func(name string, s *sim) {
+				t.Logf("%-15s %6d engine-seconds, %.3f in time, %.3f in the worst 20 s, orders %d", name, s.engineMs/1000, s.share(0, l.until), s.worst(), s.orders)
+			}
+			n, cheapest := l.cheapest(fixed...)
+			show(fmt.Sprint("fixed ", simService.Min+3*n), cheapest)
+			n, best := l.cheapest(known...)
+			show(fmt.Sprintf("hindsight 0.%d", 95-5*n), best)
+			for _, blind := range []bool{false, true} {
+				s := l.run(blind, planned())
+				show(fmt.Sprint("decision, ", map[bool]string{true: "blind", false: "whole"}[blind]), s)
+				l.check(t, s, cheapest)
+			}
+		})
+	}
+}
+
+func (l load) check(t *testing.T, s, cheapest *sim) {
+	switch l.name {
+	case "ramp", "night":
+		if got := s.worst(); got < inTime {
+			t.Errorf("%.3f in time in the worst 20 s, need %.2f", got, inTime)
+		}
+		if s.engineMs > cheapest.engineMs {
+			t.Errorf("%d engine-seconds, a fixed number needs %d", s.engineMs/1000, cheapest.engineMs/1000)
+		}
+	case "burst":
+		if s.orders > 0 {
+			t.Errorf("%d orders, up to %d engines", s.orders, s.highest)
+		}
+	case "loss":
+		// The figures take sustainedTime and the engines their start; the engines that are full by then take a second more.
+		if got := s.share(40+9+11+1, 110); got < inTime {
+			t.Errorf("%.3f in time after the engines for the callers of the lost domain serve, need %.2f", got, inTime)
+		}
+	case "broken":
+		// 180 requests a second need 30 engines at the intended use, whether or not those ordered serve.
+		if most := int(math.Ceil(180/simRate/DefaultRules().Target)) + 2; s.highest > most {
+			t.Errorf("%d engines ordered, the load needs %d", s.highest, most)
+		}
+	}
+}
