gateway, docs: figures for scaling orders, settings, operations

The gateway states its view as the figures of the decision; Deps.GatewayDemand is the place for those of all gateways.

--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -32,6 +32,10 @@
 	Decoder       port.ItemDecoder
 	Targets       port.Forwarder
 	Loads         port.LoadNetwork
+	// DutyAPI is nil in deployments without duties.
+	DutyAPI port.DutyAPI
+	// GatewayDemand is nil if the figures of the gateways are not known.
+	GatewayDemand GatewayDemand
 	Clock         port.BootClock
 	Rand          port.Rand
 	Metrics       port.Metrics
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -6,6 +6,7 @@
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/duty"
 	"github.com/masticwing/masticwing/internal/app/registration"
+	"github.com/masticwing/masticwing/internal/app/scaling"
 	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/descriptors"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -18,6 +19,8 @@
 	registration.Settings
 	// Duties are the calls to the platform that one process at a time may make.
 	Duties duty.Settings
+	// Scaling configures the scaling orders, one of the duties.
+	Scaling scaling.Settings
 
 	Callers fleet.Address
 	Ready   fleet.Address
@@ -67,6 +70,7 @@
 	c.Common.Register(s)
 	c.Settings.Register(s)
 	c.Duties.Register(s)
+	c.Scaling.Register(s)
 	s.Address("listen", "callers", &c.Callers, settings.Required, "Address for callers.")
 	s.Address("listen", "ready", &c.Ready, settings.Required, "Address of the platform's readiness checks.")
 	s.Duration("limits", "grace", &c.Grace, 8*time.Second, time.Second, time.Hour, "Time from SIGTERM by which the process must exit.")
--- a/test/docs/log_test.go
+++ b/test/docs/log_test.go
@@ -14,7 +14,7 @@
 // OPERATIONS.md describes in full.
 var documentedPackages = []string{
 	"internal/app/gateway", "internal/app/loader", "internal/app/chunks", "internal/app/follow", "internal/app/registration",
-	"internal/app/daemon", "cmd/masticwing-gateway", "cmd/masticwing-loader", "platform",
+	"internal/app/daemon", "internal/app/scaling", "cmd/masticwing-gateway", "cmd/masticwing-loader", "platform",
 }
 
 var (
