--- a/internal/app/scaling/scaling.go
+++ b/internal/app/scaling/scaling.go
@@ -215,6 +215,8 @@
 
 // report sets the gauges and logs what has changed.
 func (r *run) report(states []core.State) {
+	logged := make(map[core.Subject]core.State, len(states))
+	defer func() { r.logged = logged }()
 	for _, s := range states {
 		a := []port.Attr{{Key: "service", Value: string(s.Service)}, {Key: "domain", Value: string(s.Domain)}}
 		if s.Domain != "" {
@@ -224,7 +226,7 @@
 			r.Metrics.Gauge("scaling_ordered_engines", float64(s.Ordered), a...)
 		}
 		before, known := r.logged[s.Subject]
-		r.logged[s.Subject] = s
+		logged[s.Subject] = s
 		if s.Missing != before.Missing || !known && s.Missing != core.NothingMissing {
 			r.Log.StateChange("scaling decision", port.F("service", string(s.Service)), port.F("domain", string(s.Domain)), port.F("missing", string(s.Missing)))
 		}
--- a/internal/core/scaling/scaling.go
+++ b/internal/core/scaling/scaling.go
@@ -172,7 +172,12 @@
 			p.subject(Subject{svc.Name, d})
 		}
 		for s, st := range p.subjects {
-			if s.Service == svc.Name {
+			switch {
+			case s.Service != svc.Name:
+			case domains[s.Domain] == nil && st.ordered == 0 && len(st.samples) == 0:
+				// Other writers may register engines of any domain.
+				delete(p.subjects, s)
+			default:
 				st.observe(domains[s.Domain], p.missing(s, domains[s.Domain], snap, fleetHeard), now, p.rules)
 			}
 		}
