--- a/internal/port/duty.go
+++ b/internal/port/duty.go
@@ -44,3 +44,22 @@
 	// Era returns the highest era that this process has seen, or 0 if the store states none.
 	Era() int64
 }
+
+// sendCheckKey is the key of the check that WithSendCheck adds to a context.
+type sendCheckKey struct{}
+
+// WithSendCheck returns a context for a call that may be sent only while check returns nil.
+func WithSendCheck(ctx context.Context, check func() error) context.Context {
+	return context.WithValue(ctx, sendCheckKey{}, check)
+}
+
+// CheckSend returns nil if the call of ctx may be sent now. A client of DutyAPI asks directly before it
+// writes, since the VM may have been suspended after the call began, and timers don't run meanwhile.
+func CheckSend(ctx context.Context) error {
+	if check, ok := ctx.Value(sendCheckKey{}).(func() error); ok {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return ctx.Err()
+}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -150,6 +150,8 @@
 	// Quarantine is the prefix under which gateways keep the evidence against requests and parts
 	// of prompts, each under its subject.
 	Quarantine string
+	// Duties is the prefix under which the holder of the singleton duties and their state are kept.
+	Duties string
 }
 
 // DecodedItem is the decoded value of a StoreItem: a ConfigItem, CordonItem,
