gateway: take part in the election of the singleton duties; command duties

A gateway whose settings name a known duty starts the election; the planned stop ends it. Tests of app/gateway, cmd/masticwing-gateway and archtest pass.

--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -40,7 +40,7 @@
 			return &set.Common
 		},
 		NewRole:     role,
-		Commands:    []*cli.Command{quarantineCommand()},
+		Commands:    []*cli.Command{quarantineCommand(), dutiesCommand()},
 		MemoryLimit: func() int64 { return set.Memory },
 		Run:         func(ctx context.Context, env daemon.Env) error { return run(ctx, *set, env) },
 	}
@@ -64,8 +64,13 @@
 	peers := rpc.NewClient()
 	defer peers.Close()
 	budget := set.Connections()
+	var duties port.DutyAPI
+	if set.Duties.API != "" {
+		duties = platform.NewDutyAPI(set.Duties.API)
+	}
 	g := gateway.New(set, gateway.Deps{
-		Store: platform.NewStoreWithMetrics(set.Platform, env.Metrics), Feed: peers, Peers: peers, NewFeedServer: newFeedServer(env), Loads: loadudp.Network{}, Decoder: platform.Decoder{},
+		Duties: duties,
+		Store:  platform.NewStoreWithMetrics(set.Platform, env.Metrics), Feed: peers, Peers: peers, NewFeedServer: newFeedServer(env), Loads: loadudp.Network{}, Decoder: platform.Decoder{},
 		Targets: platform.NewTargetClient(func() { env.Metrics.Count("target_connections_total", 1) },
 			targetconn.Limits{Total: budget.Targets, PerTarget: budget.PerTarget}),
 		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
--- a/internal/app/duty/tenure.go
+++ b/internal/app/duty/tenure.go
@@ -12,8 +12,7 @@
 	"github.com/masticwing/masticwing/internal/port"
 )
 
-// tenureLoop runs the works while this process may act, until ctx ends. If the lease can't be renewed for a while
-// and then can, the works run again with the same token.
+// tenureLoop runs the works while this process may act, until ctx ends.
 func (h *Holder) tenureLoop(ctx context.Context) {
 	end := func() {}
 	var token int64
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -31,11 +31,13 @@
 	NewFeedServer func(port.FeedHandler) (port.Server, error)
 	Decoder       port.ItemDecoder
 	Targets       port.Forwarder
-	Loads         port.LoadNetwork
-	Clock         port.BootClock
-	Rand          port.Rand
-	Metrics       port.Metrics
-	Log           port.Log
+	// Duties is the platform's API for singleton duties, or nil if the deployment has none.
+	Duties  port.DutyAPI
+	Loads   port.LoadNetwork
+	Clock   port.BootClock
+	Rand    port.Rand
+	Metrics port.Metrics
+	Log     port.Log
 }
 
 // Gateway routes callers' requests to targets. It implements port.InboundHandler.
@@ -129,6 +131,10 @@
 	loops.Go(ctx, "connections", g.connectionLoop)
 	registrar := registration.Registrar{Store: g.deps.Store, Prefix: ps.Members, Self: g.settings.storedMember(), Clock: g.deps.Clock, Log: g.deps.Log}
 	loops.Go(ctx, "registration", registrar.Run)
+	dutyCtx, cancel := g.untilStop(ctx)
+	defer cancel()
+	g.startDuties(func(name string, loop func(context.Context)) { loops.Go(dutyCtx, name, loop) })
+	<-ctx.Done()
 }
 
 // Ready reports whether the gateway accepts connections, or why not. It implements
--- a/internal/app/gateway/stop.go
+++ b/internal/app/gateway/stop.go
@@ -28,18 +28,25 @@
 	active *inflight.Counter
 	// endsAt is the time at which the requests in progress end, or nil before the stop.
 	endsAt atomic.Pointer[time.Time]
+	// begunCtx ends when the stop begins.
+	begunCtx    context.Context
+	cancelBegun context.CancelFunc
 }
 
 func newStopState() *stopState {
 	refusal := verdict.New(verdict.NotRun, verdict.CodeShuttingDown, "gateway is shutting down").WithRetryAfter(localRetryAfter)
-	return &stopState{State: shutdown.New(refusal), active: inflight.New()}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &stopState{State: shutdown.New(refusal), active: inflight.New(), begunCtx: ctx, cancelBegun: cancel}
 }
 
 // begun reports whether the stop has begun.
 func (s *stopState) begun() bool { return s.endsAt.Load() != nil }
 
 // begin starts the stop of a process whose requests end at endsAt.
-func (s *stopState) begin(endsAt time.Time) { s.endsAt.Store(&endsAt) }
+func (s *stopState) begin(endsAt time.Time) {
+	s.endsAt.Store(&endsAt)
+	s.cancelBegun()
+}
 
 // deadline returns t, or the time at which the stop ends requests if that is earlier.
 func (s *stopState) deadline(t time.Time) time.Time {
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -11,6 +11,7 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/core/confirmation"
+	"github.com/masticwing/masticwing/internal/core/duty"
 	"github.com/masticwing/masticwing/internal/core/fanout"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -46,6 +47,8 @@
 	noticeTargets atomic.Pointer[noticeTargets]
 	// readers lists the gateways to ask for changes of the store, in order of preference.
 	readers atomic.Pointer[[]feed.Member]
+	// dutyCandidates lists the gateways that may become the holder of the singleton duties, by rank.
+	dutyCandidates atomic.Pointer[[]string]
 	// engineTiming is the configured speed at which engines prefill and decode.
 	engineTiming atomic.Pointer[routes.Timing]
 	// targetsListed is set after the first complete listing of the targets.
@@ -96,6 +99,7 @@
 	v.unreadable.members = follow.NewUnreadable("entry of a process can't be read", d.Log)
 	v.setGateways(fanout.Group[netip.AddrPort]{})
 	v.readers.Store(&[]feed.Member{})
+	v.dutyCandidates.Store(&[]string{})
 	v.engineTiming.Store(&routes.Timing{})
 	v.gatewayCount.Store(1)
 	v.declarations.Store(&declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model]weightsbound.Declarations{}})
@@ -477,6 +481,8 @@
 	count := v.members.GatewayCount()
 	readers := v.members.Readers(v.self)
 	v.readers.Store(&readers)
+	candidates := duty.Candidates(v.members.All())
+	v.dutyCandidates.Store(&candidates)
 	n := int64(count)
 	v.setGateways(fanout.New(v.self.Domain, v.members.GatewaysByDomain(v.self.ID)))
 	if old := v.gatewayCount.Swap(max(1, n)); old != max(1, n) {
--- a/internal/app/registration/members.go
+++ b/internal/app/registration/members.go
@@ -40,11 +40,16 @@
 // Readers returns the gateways that self asks for changes of the store, in the
 // order in which it tries them.
 func (m Members) Readers(self port.StoredMember) []feed.Member {
+	return feed.Readers(feedMember(self), m.All())
+}
+
+// All returns all registered processes.
+func (m Members) All() []feed.Member {
 	all := make([]feed.Member, 0, len(m))
 	for _, x := range m {
 		all = append(all, feedMember(x))
 	}
-	return feed.Readers(feedMember(self), all)
+	return all
 }
 
 func feedMember(m port.StoredMember) feed.Member {
--- a/internal/core/duty/machine.go
+++ b/internal/core/duty/machine.go
@@ -177,6 +177,10 @@
 		}
 		return Action{}
 	}
+	if m.holding && now >= m.limit() {
+		// Renewals that arrive while their answers are lost would keep others from the duties.
+		m.endTenure()
+	}
 	if m.holding {
 		at := m.attemptedAt + m.p.Renewal
 		switch {
