duty: tests of failures of the holder

One failure each: suspension, lost answers of the store, loss during a call, outage of 10 s, restore of an older copy, two processes of one name, steps of the wall clock, planned stop. The fake store gets leases that end, copies and links that lose messages.

--- a/internal/port/porttest/store.go
+++ b/internal/port/porttest/store.go
@@ -26,6 +26,10 @@
 	wake        chan struct{}
 	// listCalls is the number of calls of List.
 	listCalls int
+	// timers end the leases of a store whose leases end by themselves. They are nil otherwise.
+	timers map[port.LeaseID]*leaseTimer
+	// era is the number of restores.
+	era int64
 }
 
 var _ port.Store = (*Store)(nil)
@@ -192,6 +196,11 @@
 			return port.ErrConflict
 		}
 	}
+	for _, w := range writes {
+		if s.timers != nil && w.Lease != port.NoLease && !s.leases[w.Lease] {
+			return port.ErrNotFound
+		}
+	}
 	for _, w := range writes {
 		s.putLocked(w)
 	}
@@ -199,7 +208,7 @@
 }
 
 // Grant implements port.Store.
-func (s *Store) Grant(context.Context, time.Duration) (port.LeaseID, error) {
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (port.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.unavailable {
@@ -208,6 +217,7 @@
 	s.lastLease++
 	id := port.LeaseID(strconv.FormatInt(s.lastLease, 10))
 	s.leases[id] = true
+	s.startTimerLocked(id, ttl)
 	return id, nil
 }
 
@@ -221,6 +231,9 @@
 	case !s.leases[id]:
 		return port.ErrNotFound
 	}
+	if t := s.timers[id]; t != nil {
+		s.startTimerLocked(id, t.ttl)
+	}
 	return nil
 }
 
