duty: pauses where a store could cause a loop without one

A store that goes back without an era, refuses each election or does not wait in a watch led to calls without a pause. Tests of core/duty and app/duty pass.

--- a/internal/app/duty/holder.go
+++ b/internal/app/duty/holder.go
@@ -270,6 +270,7 @@
 			h.wait(ctx, h.watchDue, idleInterval)
 			continue
 		}
+		began := h.d.Clock.SinceBoot()
 		changes, at, err := h.d.Store.Changes(watchCtx, h.d.Prefix+keyHolder, after, core.WatchTime(len(h.d.Candidates())))
 		cut := watchCtx.Err() != nil
 		cancel()
@@ -285,11 +286,15 @@
 		})
 		signal(h.stepDue)
 		h.changed()
-		if failures++; err == nil {
-			failures = 0
-		} else if !cut {
-			p := core.DefaultParams(0)
+		p := core.DefaultParams(0)
+		switch failures++; {
+		case err != nil && !cut:
 			h.wait(ctx, nil, min(p.MinRetry<<min(failures, 8), p.MaxRetry))
+		case err == nil && len(changes) == 0 && h.d.Clock.SinceBoot()-began < p.MinRetry:
+			// The store did not wait.
+			h.wait(ctx, nil, p.MinRetry)
+		case err == nil:
+			failures = 0
 		}
 	}
 }
--- a/internal/core/duty/machine.go
+++ b/internal/core/duty/machine.go
@@ -250,7 +250,10 @@
 		// The answer may be from the era before.
 		return
 	case m.known && l.At < m.view.At:
-		// A change that was seen meanwhile is newer.
+		// A change that was seen meanwhile is newer, or the store has gone back without a new era. The next
+		// listing is used in either case.
+		m.known = false
+		m.fail(now)
 		return
 	}
 	m.retry, m.retryAt = m.p.MinRetry, 0
@@ -322,10 +325,10 @@
 		return
 	}
 	m.known, m.fresh = false, false
-	switch o {
-	case Gone:
+	if o == Gone {
 		m.lease = ""
-	case Failed:
+	}
+	if o != Done {
 		m.fail(now)
 	}
 }
