duty: a planned stop lets the last call end

A call that was given up at the stop could arrive after the first call of the next holder, 0.3 s later. It now goes on until its answer or the end of the tenure, and the lease is released after it. Tests of app/duty pass with the race detector.

--- a/internal/app/duty/holder_test.go
+++ b/internal/app/duty/holder_test.go
@@ -305,13 +305,25 @@
 	}
 }
 
-// TestPlannedStopReleases guards against duties that wait for the end of a lease after a planned stop.
+// TestPlannedStopReleases guards against duties that wait for the end of a lease after a planned stop, and against a
+// stop that gives up the last call, which may then arrive after one of the next holder.
 func TestPlannedStopReleases(t *testing.T) {
 	d := newDeployment(t)
 	first, second, c := d.pair()
 	time.Sleep(3700 * time.Millisecond) // until the second process may become the holder
+	begun, ended := make(chan struct{}), make(chan error, 1)
+	first.setDuring(func(ctx context.Context, _ Tenure) {
+		first.setDuring(nil)
+		close(begun)
+		time.Sleep(200 * time.Millisecond)
+		ended <- ctx.Err()
+	})
+	<-begun
 	stopped := time.Now()
 	first.stop()
+	if err := <-ended; err != nil {
+		t.Errorf("the last call was given up: %v", err)
+	}
 	if n := d.await(second, stopped, 5*time.Second); n.at.Sub(stopped) > 1500*time.Millisecond || n.token <= c.token {
 		t.Errorf("token %d, %v after the stop", n.token, n.at.Sub(stopped))
 	}
--- a/internal/app/duty/tenure.go
+++ b/internal/app/duty/tenure.go
@@ -60,7 +60,8 @@
 
 // begin runs the works once those of the tenure before, which close previous, have returned.
 func (h *Holder) begin(ctx context.Context, token int64, previous chan struct{}) (end context.CancelFunc, ended chan struct{}) {
-	ctx, cancel := context.WithCancel(ctx)
+	run := ctx
+	ctx, cancel := context.WithCancel(run)
 	ended = make(chan struct{})
 	group := supervise.NewGroup(h.d.Clock, h.d.Log, h.d.Metrics)
 	group.Go(ctx, "duties", func(context.Context) {
@@ -70,7 +71,7 @@
 		}
 		works := supervise.NewGroup(h.d.Clock, h.d.Log, h.d.Metrics)
 		for _, w := range h.works {
-			t := &tenure{h: h, ctx: ctx, duty: w.Name(), token: token}
+			t := &tenure{h: h, run: run, ctx: ctx, duty: w.Name(), token: token}
 			works.Go(ctx, "duty_"+w.Name(), func(ctx context.Context) { w.Run(ctx, t) })
 		}
 		works.Wait()
@@ -81,10 +82,10 @@
 // tenure implements Tenure for one duty.
 type tenure struct {
 	h *Holder
-	// ctx ends with the tenure.
-	ctx   context.Context
-	duty  string
-	token int64
+	// run ends with the planned stop, and ctx with the tenure.
+	run, ctx context.Context
+	duty     string
+	token    int64
 }
 
 var _ Tenure = (*tenure)(nil)
@@ -110,13 +111,12 @@
 }
 
 func (t *tenure) call(ctx context.Context, f func(ctx context.Context, c port.DutyCredentials) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	defer context.AfterFunc(t.ctx, cancel)()
 	t.h.wait(ctx, nil, t.h.rate.reserve(t.h.d.Clock.SinceBoot()))
 	if ctx.Err() != nil {
 		return ErrTenureOver
 	}
+	ctx, cancel := t.callContext(ctx)
+	defer cancel()
 	if err := t.check(minCallTime); err != nil {
 		return err
 	}
@@ -129,6 +129,24 @@
 	return f(ctx, port.DutyCredentials{Holder: t.h.d.Name, Token: t.token})
 }
 
+// callContext returns the context of a call, which ends with ctx and with the tenure. A planned stop lets the call go
+// on until the time limit of the tenure: given up, it might arrive after a call of the next holder.
+func (t *tenure) callContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if t.run.Err() != nil {
+			var left time.Duration
+			t.h.with(func(m *core.Machine, now time.Duration) {
+				_, until, _ := m.MaySend(now)
+				left = until - now
+			})
+			t.h.wait(callCtx, nil, left)
+		}
+		cancel()
+	})
+	return callCtx, func() { stop(); cancel() }
+}
+
 // outcomeName returns the value of the metric attribute outcome.
 func outcomeName(err error) string {
 	switch {
