--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -142,6 +142,10 @@
 	g.runExchange(ctx, loops)
 	registrar := registration.Registrar{Store: g.deps.Store, Prefix: ps.Members, Self: g.settings.storedMember(), Clock: g.deps.Clock, Log: g.deps.Log}
 	loops.Go(ctx, "registration", registrar.Run)
+	dutyCtx, cancel := g.untilStop(ctx)
+	defer cancel()
+	g.startDuties(func(name string, loop func(context.Context)) { loops.Go(dutyCtx, name, loop) })
+	<-ctx.Done()
 }
 
 // Ready reports whether the gateway accepts connections, or why not. It implements
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -11,6 +11,7 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/app/registration"
 	"github.com/masticwing/masticwing/internal/core/confirmation"
+	"github.com/masticwing/masticwing/internal/core/duty"
 	"github.com/masticwing/masticwing/internal/core/fanout"
 	"github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -49,6 +50,8 @@
 	readers atomic.Pointer[[]feed.Member]
 	// usageRecipients holds the gateways to which usage is stated.
 	usageRecipients atomic.Pointer[usage.Recipients]
+	// dutyCandidates lists the gateways that may become the holder of the singleton duties, by rank.
+	dutyCandidates atomic.Pointer[[]string]
 	// engineTiming is the configured speed at which engines prefill and decode.
 	engineTiming atomic.Pointer[routes.Timing]
 	// targetsListed is set after the first complete listing of the targets.
@@ -101,6 +104,7 @@
 	v.readers.Store(&[]feed.Member{})
 	recipients := v.members.UsageRecipients(v.self)
 	v.usageRecipients.Store(&recipients)
+	v.dutyCandidates.Store(&[]string{})
 	v.engineTiming.Store(&routes.Timing{})
 	v.gatewayCount.Store(1)
 	v.declarations.Store(&declarations{cordons: map[fleet.Domain]bool{}, weights: map[fleet.Model]weightsbound.Declarations{}})
@@ -487,6 +491,8 @@
 	v.readers.Store(&readers)
 	recipients := v.members.UsageRecipients(v.self)
 	v.usageRecipients.Store(&recipients)
+	candidates := duty.Candidates(v.members.All())
+	v.dutyCandidates.Store(&candidates)
 	n := int64(count)
 	v.setGateways(fanout.New(v.self.Domain, v.members.GatewaysByDomain(v.self.ID)))
 	if old := v.gatewayCount.Swap(max(1, n)); old != max(1, n) {
