core/duty: a watch waits for 30 s at most

Cause: the store holds a call for 30 s at most; with 28 candidates each would have asked for 140 s. Change: WatchTime is bounded. With 28 candidates the watches then take 0.9 calls a second instead of 0.2. Result: TestWatchTimeWithinStoreLimit fails before and passes after.

--- a/internal/core/duty/duty.go
+++ b/internal/core/duty/duty.go
@@ -121,5 +121,10 @@
 // changes, so that they take 0.2 store calls a second.
 const watchInterval = 5 * time.Second
 
+// maxWatchTime is the longest time for which the store holds a call that waits for changes.
+const maxWatchTime = 30 * time.Second
+
 // WatchTime returns how long one of n candidates waits for a change in one call.
-func WatchTime(n int) time.Duration { return time.Duration(max(n, 2)) * watchInterval }
+func WatchTime(n int) time.Duration {
+	return min(time.Duration(max(n, 2))*watchInterval, maxWatchTime)
+}
--- a/internal/core/duty/machine_test.go
+++ b/internal/core/duty/machine_test.go
@@ -462,3 +462,13 @@
 		t.Errorf("candidates are %v, want %v", got, want)
 	}
 }
+
+// TestWatchTimeWithinStoreLimit guards against a watch that the store refuses because it waits too long: the
+// store holds a call for 30 s at most, and 28 candidates would each wait for 140 s.
+func TestWatchTimeWithinStoreLimit(t *testing.T) {
+	for _, n := range []int{0, 1, 6, 28} {
+		if d := WatchTime(n); d <= 0 || d > 30*time.Second {
+			t.Errorf("%d candidates: %v", n, d)
+		}
+	}
+}
