--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -42,6 +42,8 @@
 	// FirstEventBy is the time at which the caller leaves if no event has arrived; zero means
 	// that it doesn't leave.
 	FirstEventBy time.Time
+	// InTimeBy is the time by which the first event has to be predicted, or zero for no such bound.
+	InTimeBy time.Time
 	// Prefill is the time that an engine needs for the prefill of the
 	// request's prompt, and Decode the time that one iteration spends on
 	// decoding. Both are zero for plain services.
@@ -335,17 +337,28 @@
 // than a third of the caller's time predicted were answered.
 const firstEventFactor = 3
 
-// answersInTime reports whether the first event of a request that is sent now probably arrives
-// before the caller leaves. The engine would work on the request in vain, and beyond that time
-// if the cancellation is as late as the request.
+// answersInTime reports whether the first event of a request that is sent now probably arrives in time,
+// where that is required, and before the caller leaves. The engine would work on a request whose caller
+// has left in vain, and beyond that time if the cancellation is as late as the request.
 func (s *targetState) answersInTime(q *Query, inFlight float64, now time.Time) bool {
-	if q.FirstEventBy.IsZero() {
+	if q.FirstEventBy.IsZero() && q.InTimeBy.IsZero() {
 		return true
 	}
 	predicted := s.timeToFirstEvent(q, inFlight, now) + s.expectedLateness(now)
-	return q.FirstEventBy.Sub(now) >= firstEventFactor*predicted
+	if own := q.Prefill + q.Decode; !q.InTimeBy.IsZero() && q.InTimeBy.Sub(now) < own+q.Decode+inTimeWaitFactor*(predicted-own) {
+		return false
+	}
+	return q.FirstEventBy.IsZero() || q.FirstEventBy.Sub(now) >= firstEventFactor*predicted
 }
 
+// inTimeWaitFactor multiplies the predicted wait in the target where the response has to be in time, and one
+// more iteration is added for the one in progress. The prediction lacks requests of other processes whose
+// notices have not arrived. In the model of core/overload with engines that prefill between their steps,
+// 0.71 to 0.73 of the possible responses are in time after an outage without these margins, and 0.79 to
+// 0.83 with them. Twice the whole prediction gives 0.85, but serves the largest tenth of the prompts 0.3
+// times as often as all.
+const inTimeWaitFactor = 3
+
 // enforcedTime is the time before the end of a version's use in which a target with it gets
 // requests only if its loader enforces that end. Until then a request that is delayed on its way
 // or in the target's queue starts in time or has been given up: callers of streams leave after
