gateway: limit late requests to engines while there is too little room

Cause and rule: core/overload. The time since a caller's first attempt follows from the time that it states to have left. Requests that were sent before, plain services and routes without an objective are served as before.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -6,8 +6,8 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/core/overload"
 	"github.com/masticwing/masticwing/internal/core/placement"
-	"github.com/masticwing/masticwing/internal/core/retrytime"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -48,7 +48,7 @@
 			return
 		}
 		now, q := c.g.deps.Clock.Now(), c.placementQuery()
-		choice, out := c.g.targets.Choose(q, now, c.g.deps.Rand.IntN)
+		choice, out := c.choose(q, now)
 		c.passed = choice.Passed
 		if out != placement.Chosen {
 			c.fail(ctx, c.noTargetError(out))
@@ -91,11 +91,14 @@
 	}
 	switch out {
 	case placement.AllFull:
+		if c.admission == overload.Refused {
+			return verdict.New(v, verdict.CodeOverloaded, "no place for a late request").WithRetryAfter(c.retryAfter())
+		}
 		return verdict.New(v, verdict.CodeOverloaded, "all targets of the service are full").WithRetryAfter(c.retryAfter())
 	case placement.AllPaused:
 		return verdict.New(v, verdict.CodeOverloaded, "all targets of the service have asked for a pause").WithRetryAfter(c.afterPause())
 	}
-	return verdict.New(v, verdict.CodeNoTarget, "no target of the service takes requests").WithRetryAfter(c.returnDelay(0))
+	return verdict.New(v, verdict.CodeNoTarget, "no target of the service takes requests").WithRetryAfter(c.returnDelay(placement.NoTarget, 0))
 }
 
 // afterPause returns the delay until the first of the paused targets takes requests again. A caller that
@@ -104,19 +107,13 @@
 	if left := c.passed.PauseLeft; left < c.deadline.Sub(c.g.deps.Clock.Now()) {
 		return left
 	}
-	return c.returnDelay(0)
+	return c.returnDelay(placement.AllPaused, 0)
 }
 
 // retryAfter returns the delay after which the caller probably finds a free place.
 func (c *call) retryAfter() time.Duration {
 	c.placeInterval = c.g.drain.Interval(c.service.Name, c.g.view.processes(), c.g.deps.Clock.Now())
-	return c.returnDelay(c.placeInterval)
-}
-
-// returnDelay returns the delay for the caller if places become free at an interval, or at an
-// unknown time if it is zero.
-func (c *call) returnDelay(interval time.Duration) time.Duration {
-	return retrytime.After(interval, c.deadline.Sub(c.g.deps.Clock.Now()), c.g.deps.Rand.IntN)
+	return c.returnDelay(placement.AllFull, c.placeInterval)
 }
 
 // shouldRetry reports whether to send the request again after err. If it returns true, it
@@ -169,13 +166,8 @@
 // attemptAndRelease releases the slot that was reserved for the attempt. If the request may
 // have run, that frees a place in the target.
 func (c *call) attemptAndRelease(ctx context.Context, choice placement.Choice) *verdict.Error {
-	runsBefore := c.runs
-	defer func() {
-		c.g.targets.Release(choice.Instance)
-		if c.runs > runsBefore {
-			c.g.drain.RecordFreed(c.service.Name, c.g.deps.Clock.Now())
-		}
-	}()
+	runsBefore, since := c.runs, c.g.deps.Clock.Now()
+	defer func() { c.releasePlace(choice, since, c.runs > runsBefore) }()
 	return c.attempt(ctx, choice)
 }
 
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/masticwing/masticwing/internal/app/supervise"
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/memlimit"
+	"github.com/masticwing/masticwing/internal/core/overload"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
 	"github.com/masticwing/masticwing/internal/core/retrytime"
@@ -46,6 +47,8 @@
 	view     *view
 	budgets  *placement.RetryBudgets
 	drain    *retrytime.Drain
+	// overload limits late requests while there is too little room.
+	overload *overload.Control
 	// quarantine holds the requests and parts of prompts that crash targets.
 	quarantine *quarantine.Table
 	// unanswered holds the attempts that had no event yet.
@@ -81,9 +84,9 @@
 	t := placement.NewTable()
 	g := &Gateway{
 		settings: s, deps: d, targets: t,
-		view:       newView(s, d, t),
-		budgets:    placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
-		drain:      retrytime.NewDrain(d.Clock.Now()),
+		view:    newView(s, d, t),
+		budgets: placement.NewRetryBudgets(s.RetryRatio, s.RetrySlack, s.RetryWindow, d.Clock.Now()),
+		drain:   retrytime.NewDrain(d.Clock.Now()), overload: overload.New(d.Clock.Now()),
 		quarantine: quarantine.NewTable(), unanswered: newAttemptRegistry(), evidenceChanged: make(chan struct{}, 1), noticeDue: make(chan struct{}, 1), dueTrials: make(chan quarantine.Subject, 4),
 		memory:    memlimit.NewAccount(s.Memory),
 		stopState: newStopState(),
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -10,6 +10,7 @@
 	"github.com/masticwing/masticwing/internal/core/eventstream"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/memlimit"
+	"github.com/masticwing/masticwing/internal/core/overload"
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
 	"github.com/masticwing/masticwing/internal/core/routes"
@@ -53,6 +54,10 @@
 	lastChoice placement.Choice
 	// aliveRecordedAt is when the target of a stream was last recorded as running.
 	aliveRecordedAt time.Time
+	// admission tells how the first choice was admitted. lateHeld is set while the request holds a place for
+	// late requests.
+	admission overload.Admission
+	lateHeld  bool
 	// passed counts the targets that were passed over in the last choice.
 	passed placement.PassedTargets
 	// lastSentAt is the time at which lastChoice was made.
@@ -344,6 +349,9 @@
 		fs = append(fs, port.F("account", string(c.account.Name)))
 	}
 	fs = append(fs, c.targetFields()...)
+	if c.admission != overload.Normal {
+		fs = append(fs, port.F("admission", c.admission.String()), port.Millis("elapsed_ms", c.elapsed(now)))
+	}
 	if c.passed.Leaving > 0 {
 		fs = append(fs, port.F("targets_leaving", c.passed.Leaving))
 	}
