--- a/internal/app/gateway/overload_test.go
+++ b/internal/app/gateway/overload_test.go
@@ -60,3 +60,48 @@
 		t.Errorf("log without the interval of 50 ms:\n%s", gw.log.String())
 	}
 }
+
+// TestLateCallerLeavesPlacesToThoseInTime guards against a caller that is late already and takes a place
+// that callers in time need after an outage, and against one that is refused while nobody was.
+func TestLateCallerLeavesPlacesToThoseInTime(t *testing.T) {
+	gw := newTestGateway(t, route)
+	gw.useEngines(route)
+	gw.stopReports()
+	fill := func(running int) {
+		for _, id := range []fleet.Instance{"a", "b"} {
+			gw.targets.RecordLoad(id, placement.Load{Running: running, Slots: 4}, time.Now())
+		}
+	}
+	request := func(elapsed time.Duration) *callerRecorder {
+		in := newInbound()
+		in.CallerTimeout = route.Timeout - elapsed
+		return gw.request(in)
+	}
+	fill(0)
+	if out := request(time.Second); out.status != 200 {
+		t.Errorf("a late caller is refused before any request found no room: %v", out.refused)
+	}
+	fill(100)
+	for i := range 40 {
+		out := request(0)
+		if out.refused == nil {
+			t.Fatal("a request is served by full engines")
+		}
+		// From 24 arrivals in 3 s on those in time need all 8 places, so that no place becomes free for
+		// the caller.
+		if d := out.refused.RetryAfter; i >= 24 && d < route.Timeout/7 || d > route.Timeout/3 {
+			t.Errorf("caller %d returns after %v, want the second half of a third of its time", i, d)
+		}
+	}
+	fill(0)
+	out := request(time.Second)
+	if out.refused == nil || out.refused.Code != verdict.CodeOverloaded || out.refused.Verdict != verdict.NotRun {
+		t.Errorf("a late caller gets status %d and %v while those in time need all places", out.status, out.refused)
+	}
+	if !strings.Contains(gw.log.String(), `"admission":"refused_late"`) {
+		t.Errorf("log without the admission of a late caller:\n%s", gw.log.String())
+	}
+	if out := request(0); out.status != 200 {
+		t.Errorf("a caller in time is refused: %v", out.refused)
+	}
+}
