--- a/internal/app/gateway/gauges.go
+++ b/internal/app/gateway/gauges.go
@@ -46,4 +46,14 @@
 		m.Gauge("gateway_target_places", float64(u.Slots), a)
 		m.Gauge("gateway_target_requests", u.Requests, a)
 	}
+	for service, x := range g.overload.Status(now) {
+		a := port.Attr{Key: "service", Value: string(service)}
+		limited := 0.0
+		if x.Limited {
+			limited = 1
+		}
+		m.Gauge("gateway_late_limited", limited, a)
+		m.Gauge("gateway_late_places", float64(x.Late), a)
+		m.Gauge("gateway_place_hold_seconds", x.Hold.Seconds(), a)
+	}
 }
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -223,3 +223,23 @@
 	})
 	return delay
 }
+
+// Status describes the limit of late requests of a service.
+type Status struct {
+	// Limited is set if late requests are limited now.
+	Limited bool
+	// Late is the number of requests of this process that hold a place for late ones.
+	Late int
+	// Hold is the mean time for which a request holds a place.
+	Hold time.Duration
+}
+
+// Status returns the status of each service.
+func (c *Control) Status(now time.Time) map[fleet.Service]Status {
+	out := map[fleet.Service]Status{}
+	c.services.Range(func(s fleet.Service, x *serviceState) bool {
+		out[s] = Status{now.Before(x.shortUntil), x.late, x.hold}
+		return true
+	})
+	return out
+}
