--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -66,5 +66,6 @@
 	if !c.limitsLate() {
 		return soon
 	}
-	return c.g.overload.ReturnAfter(c.g.targets, c.attemptFor(c.placementQuery(), now), out, soon, left, now, c.g.deps.Rand.IntN)
+	a := c.attemptFor(c.placementQuery(), now)
+	return c.g.overload.ReturnAfter(c.g.targets, a, out, soon, left, now, c.g.deps.Rand.IntN)
 }
--- a/internal/core/overload/load_test.go
+++ b/internal/core/overload/load_test.go
@@ -125,8 +125,8 @@
 	m.run(outageEnd + 2*measured)
 	all, inTime := m.firstEvents(outageEnd, outageEnd+measured)
 	share := inTime / min(possible(seed, parallel), rate*measured.Seconds())
-	t.Logf("seed %d, prompts read beside the steps %v, control %v: %.0f first events, %.0f in time, share %.3f, %d refusals of %d callers",
-		seed, parallel, withControl, all, inTime, share, m.refused, len(m.all))
+	t.Logf("seed %d, prompts read beside the steps %v, control %v: %.0f first events, %.0f in time, share %.3f, "+
+		"%d refusals of %d callers", seed, parallel, withControl, all, inTime, share, m.refused, len(m.all))
 	served, largest := m.servedShare(0), m.servedShare(0.9)
 	t.Logf("served after the outage: %.2f of the worst class, %.2f of its largest tenth", served, largest)
 	if withControl && largest < served/2 {
--- a/internal/core/overload/model_test.go
+++ b/internal/core/overload/model_test.go
@@ -29,7 +29,11 @@
 	objective            time.Duration
 }
 
-var classes = []class{{247, 1290, 110, 500 * time.Millisecond}, {182, 787, 110, 400 * time.Millisecond}, {176, 607, 70, 400 * time.Millisecond}}
+var classes = []class{
+	{247, 1290, 110, 500 * time.Millisecond},
+	{182, 787, 110, 400 * time.Millisecond},
+	{176, 607, 70, 400 * time.Millisecond},
+}
 
 // request is a caller's request over its attempts.
 type request struct {
@@ -131,7 +135,10 @@
 func (m *model) setServing(version int64) {
 	for _, t := range m.tables {
 		for i := range engines {
-			t.Set(placement.Target{Instance: instance(i), Service: service, Address: fleet.Address(instance(i)), Domain: domain(i), Slots: slots, Started: 1, WeightsVersion: version})
+			t.Set(placement.Target{
+				Instance: instance(i), Service: service, Address: fleet.Address(instance(i)), Domain: domain(i), Slots: slots,
+				Started: 1, WeightsVersion: version,
+			})
 			t.RecordLoadedWeights(fleet.Address(instance(i)), 1, placement.LoadedWeights{Orders: 1, Intact: 1}, m.time())
 		}
 	}
@@ -179,7 +186,8 @@
 func (m *model) newRequest(k *class) *request {
 	const sigma = 0.7
 	prompt := k.prompt * math.Exp(sigma*m.callers.NormFloat64()-sigma*sigma/2)
-	return &request{class: k, arrived: m.now, prompt: max(16, int(prompt)), tokens: k.output * (0.5 + m.callers.Float64()), attempt: 1}
+	tokens := k.output * (0.5 + m.callers.Float64())
+	return &request{class: k, arrived: m.now, prompt: max(16, int(prompt)), tokens: tokens, attempt: 1}
 }
 
 func prefillTime(tokens int) time.Duration { return time.Duration(float64(tokens) / 19.1 * 1e6) }
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -102,7 +102,9 @@
 // Choose selects the target of an attempt. Before a request was refused for lack of room it does nothing
 // else than Table.Choose. For some time after that, requests get only targets that can answer in time,
 // unless there is a place for late requests.
-func (c *Control) Choose(t *placement.Table, a Attempt, now time.Time, intN func(int) int) (placement.Choice, placement.Outcome, Admission) {
+func (c *Control) Choose(
+	t *placement.Table, a Attempt, now time.Time, intN func(int) int,
+) (placement.Choice, placement.Outcome, Admission) {
 	s := a.Query.Service
 	short := false
 	c.update(s, func(x *serviceState) {
@@ -132,7 +134,9 @@
 }
 
 // chooseAny selects any target with room. A request that finds none limits the late ones after it.
-func (c *Control) chooseAny(t *placement.Table, a *Attempt, as Admission, now time.Time, intN func(int) int) (placement.Choice, placement.Outcome, Admission) {
+func (c *Control) chooseAny(
+	t *placement.Table, a *Attempt, as Admission, now time.Time, intN func(int) int,
+) (placement.Choice, placement.Outcome, Admission) {
 	choice, out := t.Choose(a.Query, now, intN)
 	if out == placement.Chosen {
 		return choice, out, as
@@ -197,7 +201,9 @@
 // third of the remaining time, which is the longest delay that clients follow. If there is no such time,
 // or no target takes requests, the caller returns at a random time in the second half of that third. An
 // outage has most probably ended then, and the callers that were refused in it don't return together.
-func (c *Control) ReturnAfter(t *placement.Table, a Attempt, out placement.Outcome, soon, timeLeft time.Duration, now time.Time, intN func(int) int) time.Duration {
+func (c *Control) ReturnAfter(
+	t *placement.Table, a Attempt, out placement.Outcome, soon, timeLeft time.Duration, now time.Time, intN func(int) int,
+) time.Duration {
 	if soon+a.Query.Prefill+a.Query.Decode < a.ObjectiveLeft {
 		return soon
 	}
