overload: the share of a gateway follows from the requests that all have sent

Cause: where arrivals at the gateways differ, an equal share is wrong. With arrivals from none to twice the mean, 26 late callers were refused with 200 requests a second after an outage and 199 with 300, although engines had room.

Change: a gateway counts its own requests and the notices of the others over 30 s, longer than an outage, and scales its arrivals and its late places by them. Where notices of other domains don't arrive, and below 50 requests of its own, it uses an equal share as before. The bounds of ample room are 95% in use and 35% left by those in time. The model's outage begins after 10 s of traffic, so that shares are known.

--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -40,7 +40,9 @@
 // port.LoadHandler.
 func (g *Gateway) HandleNotice(n port.LoadNotice) {
 	if id, ok := g.targets.InstanceAt(n.Target); ok {
-		g.targets.RecordRemoteRequest(id, g.view.engineTiming.Load().PrefillTime(n.PromptTokens), g.deps.Clock.Now())
+		now := g.deps.Clock.Now()
+		service := g.targets.RecordRemoteRequest(id, g.view.engineTiming.Load().PrefillTime(n.PromptTokens), now)
+		g.overload.RecordRemote(service, now)
 	}
 }
 
--- a/internal/core/overload/load_test.go
+++ b/internal/core/overload/load_test.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	outageFrom = 2 * time.Second
-	outageEnd  = 5 * time.Second
+	outageFrom = 10 * time.Second
+	outageEnd  = 13 * time.Second
 	measured   = 4 * time.Second
 )
 
@@ -52,7 +52,7 @@
 	}
 	if r.attempt == 1 && delay <= left/3 {
 		r.attempt = 2
-		m.after(delay, func() { m.handle(m.rng.IntN(gateways), r) })
+		m.after(delay, func() { m.handle(m.pick(m.rng.IntN), r) })
 	}
 }
 
@@ -75,6 +75,9 @@
 		}
 	}
 	m.handle = func(i int, r *request) { gs[i].attempt(r) }
+	if withControl {
+		m.noticed = func(i int) { gs[i].control.RecordRemote(service, m.time()) }
+	}
 }
 
 // firstEvents counts the requests with a first event in a time, and those of them in time.
@@ -151,8 +154,14 @@
 // TestLateCallersAreServedWithRoom guards against callers that are refused after an outage, although the
 // engines have room for them and for all that are in time.
 func TestLateCallersAreServedWithRoom(t *testing.T) {
-	for _, rate := range []float64{200, 300} {
+	equal := func(intN func(int) int) int { return intN(gateways) }
+	unequal := func(intN func(int) int) int { return max(intN(gateways), intN(gateways)) }
+	for i, rate := range []float64{200, 300, 200, 300} {
 		m := newModel(1, true, 5*time.Millisecond)
+		m.pick = equal
+		if i > 1 {
+			m.pick = unequal
+		}
 		m.useGateways(true)
 		m.setServing(1)
 		m.after(outageFrom, func() { m.setServing(0) })
@@ -161,7 +170,7 @@
 		m.run(outageEnd)
 		before := m.refused
 		m.run(outageEnd + measured)
-		t.Logf("%.0f requests a second: %d refusals in the outage, %d after it", rate, before, m.refused-before)
+		t.Logf("%.0f requests a second, unequal %v: %d refusals in the outage, %d after it", rate, i > 1, before, m.refused-before)
 		if m.refused > before {
 			t.Errorf("%d requests are refused after the outage, want none", m.refused-before)
 		}
--- a/internal/core/overload/model_test.go
+++ b/internal/core/overload/model_test.go
@@ -95,6 +95,10 @@
 	all      []*request
 	// running is the sum of the requests in slots over all reports.
 	refused, running int
+	// noticed tells a gateway of a request of another one.
+	noticed func(gateway int)
+	// pick draws the gateway of an attempt.
+	pick func(intN func(int) int) int
 	// handle decides about an attempt at a gateway.
 	handle func(gateway int, r *request)
 }
@@ -119,6 +123,7 @@
 
 func newModel(seed uint64, parallel bool, hop time.Duration) *model {
 	m := &model{parallel: parallel, hop: hop, rng: rand.New(rand.NewPCG(seed, 7)), callers: rand.New(rand.NewPCG(seed, 8))}
+	m.pick = func(intN func(int) int) int { return intN(gateways) }
 	for i := range m.engine {
 		m.engine[i] = &engine{}
 	}
@@ -177,7 +182,7 @@
 		k := &classes[c]
 		r := m.newRequest(k)
 		m.all = append(m.all, r)
-		m.handle(m.callers.IntN(gateways), r)
+		m.handle(m.pick(m.callers.IntN), r)
 		m.after(time.Duration(m.callers.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	next()
@@ -213,6 +218,9 @@
 		for g, t := range m.tables {
 			if g != gateway {
 				t.RecordRemoteRequest(c.Instance, prefillTime(r.prompt), m.time())
+				if m.noticed != nil {
+					m.noticed(g)
+				}
 			}
 		}
 		e := m.engine[i]
--- a/internal/core/overload/overload.go
+++ b/internal/core/overload/overload.go
@@ -8,8 +8,9 @@
 // in time leave: the slots of all targets less the arrivals in time multiplied by the time for which a
 // request holds a place. The other ones are refused at once.
 //
-// Each process knows its own arrivals, its own late requests and the callers that it refused. It assumes
-// that each of the other processes has as many.
+// Each process knows its own arrivals, its own late requests and the callers that it refused. It takes all
+// processes together to have as many times more as they sent requests in the last half minute, which the
+// notices of requests tell, or assumes that each has as many if it doesn't get all notices.
 package overload
 
 import (
@@ -29,6 +30,12 @@
 	// arrivalWindow is the time over which arrivals are counted. A process of 18 gets about 15 requests a
 	// second, whose number varies by a quarter; over 3 s it varies by a seventh.
 	arrivalWindow = 3 * time.Second
+	// shareWindow is the time over which this process's share of the requests is counted. It is longer than
+	// an outage, in which nothing is sent.
+	shareWindow = 30 * time.Second
+	// minShareCount is the number of own requests from which on the share is used: its standard deviation
+	// is a seventh then.
+	minShareCount = 50
 	// initialHold is the assumed time for which a request holds a place, before one has ended.
 	initialHold = time.Second
 	// holdSampleWeight is the weight of a new sample in the mean of that time.
@@ -66,6 +73,8 @@
 type serviceState struct {
 	// inTime counts the attempts that arrive while their response can still be in time.
 	inTime window.Counter
+	// own and remote count the requests that this process and the others have sent.
+	own, remote window.Counter
 	// hold is the mean time for which a request holds a place.
 	hold time.Duration
 	// late is the number of late requests that hold a place.
@@ -119,7 +128,11 @@
 	if a.ObjectiveLeft > 0 {
 		q := a.Query
 		q.InTimeBy = now.Add(a.ObjectiveLeft)
-		if choice, out := t.Choose(q, now, intN); out != placement.AllFull {
+		choice, out := t.Choose(q, now, intN)
+		if out == placement.Chosen {
+			c.recordSent(s, now)
+		}
+		if out != placement.AllFull {
 			return choice, out, Normal
 		}
 	}
@@ -139,6 +152,7 @@
 ) (placement.Choice, placement.Outcome, Admission) {
 	choice, out := t.Choose(a.Query, now, intN)
 	if out == placement.Chosen {
+		c.recordSent(a.Query.Service, now)
 		return choice, out, as
 	}
 	if as == Late {
@@ -148,11 +162,33 @@
 	return choice, out, Normal
 }
 
+func (c *Control) recordSent(s fleet.Service, now time.Time) {
+	c.update(s, func(x *serviceState) { x.own.Add(c.shareBucket(now), 1) })
+}
+
+// RecordRemote counts a request that another process has sent to a target of a service.
+func (c *Control) RecordRemote(s fleet.Service, now time.Time) {
+	if s != "" {
+		c.update(s, func(x *serviceState) { x.remote.Add(c.shareBucket(now), 1) })
+	}
+}
+
+func (c *Control) shareBucket(now time.Time) int64 { return window.Bucket(c.base, now, shareWindow) }
+
+// multiple returns how many times more requests all processes together have than this one.
+func (x *serviceState) multiple(q *placement.Query, bucket int64) float64 {
+	own := x.own.Sum(bucket)
+	if q.UnseenRequests || own < minShareCount {
+		return max(q.Processes, 1)
+	}
+	return float64(own+x.remote.Sum(bucket)) / float64(own)
+}
+
 // lateRoom returns the number of late requests of this process for which there is room. slots is the
-// number of slots of all targets.
-func (x *serviceState) lateRoom(slots int, processes float64, bucket int64) float64 {
+// number of slots of all targets, and multiple the requests of all processes in relation to those of this one.
+func (x *serviceState) lateRoom(slots int, multiple float64, bucket int64) float64 {
 	inTime := float64(x.inTime.Sum(bucket)) / arrivalWindow.Seconds()
-	return max(0, float64(slots)/max(processes, 1)-inTime*x.hold.Seconds())
+	return max(0, float64(slots)/multiple-inTime*x.hold.Seconds())
 }
 
 // admitLate reports whether a late request may take a place now, and counts it if so.
@@ -164,8 +200,9 @@
 	fraction := float64(intN(fractions)) / fractions
 	admitted := false
 	c.update(a.Query.Service, func(x *serviceState) {
-		room := x.lateRoom(u.Slots, a.Query.Processes, c.bucket(now))
-		ample := u.Requests < ampleUse*slots && room*a.Query.Processes > ampleRoom*slots
+		multiple := x.multiple(&a.Query, c.shareBucket(now))
+		room := x.lateRoom(u.Slots, multiple, c.bucket(now))
+		ample := u.Requests < ampleUse*slots && room*multiple > ampleRoom*slots
 		if admitted = ample || float64(x.late)+fraction < room; admitted {
 			x.late++
 		}
@@ -175,10 +212,10 @@
 
 const (
 	// ampleUse is the share of the slots in use below which, and ampleRoom the share of the slots that
-	// those in time leave above which a process does not keep to its share of the late requests, since
-	// others may have fewer late callers. A tenth of the slots is left for a burst of those in time: with
-	// 350 of them in 700 slots, it is almost four standard deviations of their number.
-	ampleUse, ampleRoom = 0.9, 0.5
+	// those in time leave above which a process does not keep to its share of the late requests. The
+	// counts of a process vary by a fifth. With 450 of those in time in 700 slots of 58 engines, 35 slots
+	// and a waiting request at each engine are left for a burst, four standard deviations of their number.
+	ampleUse, ampleRoom = 0.95, 0.35
 )
 
 // fractions is the resolution of a random fraction.
@@ -214,7 +251,7 @@
 	}
 	slots := t.Usage(now, a.Query.Processes)[a.Query.Service].Slots
 	c.update(a.Query.Service, func(x *serviceState) {
-		room := x.lateRoom(slots, a.Query.Processes, c.bucket(now))
+		room := x.lateRoom(slots, x.multiple(&a.Query, c.shareBucket(now)), c.bucket(now))
 		if room <= 0 {
 			return
 		}
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -354,7 +354,7 @@
 // inTimeWaitFactor multiplies the predicted wait in the target where the response has to be in time, and one
 // more iteration is added for the one in progress. The prediction lacks requests of other processes whose
 // notices have not arrived. In the model of core/overload with engines that prefill between their steps,
-// 0.71 to 0.73 of the possible responses are in time after an outage without these margins, and 0.79 to
+// 0.71 to 0.73 of the possible responses are in time after an outage without these margins, and 0.77 to
 // 0.83 with them. Twice the whole prediction gives 0.85, but serves the largest tenth of the prompts 0.3
 // times as often as all.
 const inTimeWaitFactor = 3
--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -100,12 +100,15 @@
 }
 
 // RecordRemoteRequest records a request that another process has sent to a
-// target, and the time that the target needs for its prefill.
-func (t *Table) RecordRemoteRequest(id fleet.Instance, prefill time.Duration, now time.Time) {
+// target, and the time that the target needs for its prefill. It returns the service of the target, or
+// nothing if the target is not known.
+func (t *Table) RecordRemoteRequest(id fleet.Instance, prefill time.Duration, now time.Time) (service fleet.Service) {
 	t.update(id, func(s *targetState) {
+		service = s.Service
 		s.othersSinceReport++
 		s.addPrefill(prefill, now)
 	})
+	return service
 }
 
 // InstanceAt returns the instance at an address. If several are registered there,
