chain: members request chunks in turn while the origin is down

Cause: while the origin was down, the heads of all missing chunks retried every 150 ms, and up to five members of each chain blamed each other and retried as well. On its return all of them shared its link, so that the first chunk was complete 0.6 s late and the newest version took 1 to 2 copies more than needed. Members that had not asked the origin themselves did not know of the outage. Change: after a failure a chunk is requested once in the time that the link takes for all missing chunks, by position (notice within 0.1 s, link full, each chunk once). A chunk that arrives after a stall of all chunks tells a member that the origin is back: blame starts anew. While nothing arrives, a source is blamed after 3 s instead of 1.5 s.

--- a/internal/core/chain/chain_test.go
+++ b/internal/core/chain/chain_test.go
@@ -200,11 +200,11 @@
 	remaining float64
 }
 
-// advanceOrigin advances the fetches from the origin by one tick and returns those
-// that are not complete.
-func advanceOrigin(fs []*originFetch, now time.Time) (active []*originFetch) {
+// advanceOrigin advances the fetches from the origin by a tick in which its link sends so many
+// chunks, and returns those that are not complete.
+func advanceOrigin(fs []*originFetch, chunksPerTick float64, now time.Time) (active []*originFetch) {
 	for _, d := range fs {
-		d.remaining -= originChunksPerTick / float64(len(fs))
+		d.remaining -= chunksPerTick / float64(len(fs))
 		if d.remaining > 0 {
 			active = append(active, d)
 		} else {
@@ -255,7 +255,7 @@
 			return tick
 		}
 		now = now.Add(tickTime)
-		originFetches = advanceOrigin(originFetches, now)
+		originFetches = advanceOrigin(originFetches, originChunksPerTick, now)
 	}
 	t.Fatalf("not complete after %d ticks", maxTicks)
 	return 0
--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -17,6 +17,9 @@
 	// pendingTimeout is the time after which another source is asked for a chunk
 	// that a member still does not have, although it could have got it from the origin.
 	pendingTimeout = 1500 * time.Millisecond
+	// stalledPendingTimeout is the same while no chunk at all arrives. The source probably waits
+	// for the origin, as all others do.
+	stalledPendingTimeout = 3 * time.Second
 	// idlePause is the time for which a member that does not fetch the version is
 	// skipped.
 	idlePause = 3 * time.Second
@@ -26,9 +29,12 @@
 	// skipped. Each further one takes as long as a sound one, and the version is mostly
 	// complete by then.
 	corruptedPause = 10 * time.Second
-	// originPause is the pause before a chunk is requested again after a failed
-	// fetch from the origin.
+	// originPause is the pause before a chunk is requested again after a wrong one from the
+	// origin, and after a failed fetch while the rate of its link is not known.
 	originPause = 150 * time.Millisecond
+	// minRetryPause is the shortest pause before a chunk is requested again after a failed fetch
+	// from the origin. Its return is to be noticed within 0.1 s, also if one chunk is missing.
+	minRetryPause = 80 * time.Millisecond
 	// maxOriginActive is the number of concurrent fetches from the origin per
 	// member. All members share the origin's link and its few connections.
 	maxOriginActive = 1
@@ -67,8 +73,9 @@
 }
 
 // Capacity says which kinds of fetches the caller can start now: fetches with
-// AnnounceOnly set, and transfers of data.
-type Capacity struct{ AnnounceOnly, Data bool }
+// AnnounceOnly set, and transfers of data. NoOrigin excludes the origin, whose link carries another
+// version first.
+type Capacity struct{ AnnounceOnly, Data, NoOrigin bool }
 
 // chunkState is the progress of one chunk.
 type chunkState struct {
@@ -106,6 +113,8 @@
 	// last failed fetch from it.
 	copyTime       time.Duration
 	originFailedAt time.Time
+	// progressAt is when a chunk was received or announced last.
+	progressAt time.Time
 }
 
 // NewTable returns a table in which no chunk is held.
@@ -116,8 +125,10 @@
 }
 
 // originSpacing is the interval between fetches from the origin, as a fraction of the
-// transfer time of a chunk. It is below one so that the link is never idle.
-const originSpacing = 0.85
+// transfer time of a chunk. It is below one so that the link is hardly ever idle. With 0.85 the
+// link carries 20 chunks at a time at the end of a copy of 96, and all of them are lost if the origin
+// fails then.
+const originSpacing = 0.97
 
 // maxOriginInterval bounds the interval. A chunk of the largest size takes 3 s on a link of 21
 // Mbit/s; the time of the last chunk does not overflow.
@@ -131,6 +142,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.copyTime = min(max(0, transfer), maxOriginInterval) * time.Duration(len(t.chunks))
+	for c := range t.chunks {
+		t.chunks[c].skip = nil
+	}
+	if t.progressAt.IsZero() {
+		t.progressAt = now
+	}
 	t.originStart, t.originInterval = now, min(max(0, time.Duration(originSpacing*float64(transfer))), maxOriginInterval)
 }
 
@@ -201,6 +218,27 @@
 	return t.missing
 }
 
+// OriginTime returns the time that the link of the origin takes for the chunks that are neither held
+// nor announced.
+func (t *Table) OriginTime() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for c := range t.chunks {
+		if !t.chunks[c].held && t.chunks[c].announcedBy == "" {
+			n++
+		}
+	}
+	return t.copyTime / time.Duration(max(1, len(t.chunks))) * time.Duration(n)
+}
+
+// Stalled reports whether no chunk has been received or announced for stallTime.
+func (t *Table) Stalled(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.progressAt) >= stallTime
+}
+
 // Next returns the next fetch that the capacity permits and records it as started;
 // the caller reports its end with Done. It returns false if there is none now; a
 // later call may return one.
@@ -246,7 +284,7 @@
 	case f.AnnounceOnly:
 		return capacity.AnnounceOnly
 	case f.Origin:
-		return capacity.Data && t.originActive < maxOriginActive && !now.Before(t.originDue(f.Chunk))
+		return capacity.Data && !capacity.NoOrigin && t.originActive < maxOriginActive && !now.Before(t.originDue(f.Chunk))
 	default:
 		return capacity.Data
 	}
@@ -275,6 +313,39 @@
 	return since
 }
 
+// originRetryAt returns when a chunk is requested from the origin again. After a failure, the members
+// that wait for the origin request their chunks in turn: each once in the time that the origin's link
+// takes for all missing ones, one after the other by their position among these. So one request is
+// made for each chunk time while the origin is down, and when it returns, its link is full at once and
+// sends each chunk once. If all chunks were requested every 150 ms, they would share the link, and
+// none would be complete before all are.
+func (t *Table) originRetryAt(c int, o Outcome, now time.Time) time.Time {
+	if o != Failed || t.originInterval == 0 {
+		return now.Add(originPause)
+	}
+	position := 0
+	for i := range c {
+		if !t.chunks[i].held {
+			position++
+		}
+	}
+	period := max(minRetryPause, time.Duration(t.missing)*t.originInterval)
+	slot := t.originStart.Add(period * time.Duration(position) / time.Duration(max(1, t.missing)))
+	if earliest := now.Add(period / 2); slot.Before(earliest) {
+		slot = slot.Add((earliest.Sub(slot) + period - 1) / period * period)
+	}
+	return slot
+}
+
+// blameAfter returns the time after which another source is asked for a chunk that a member does not
+// have.
+func (t *Table) blameAfter(now time.Time) time.Duration {
+	if now.Sub(t.progressAt) >= stallTime {
+		return stalledPendingTimeout
+	}
+	return pendingTimeout
+}
+
 // recordOriginFailure asks the members again that were skipped as too slow: they may have waited
 // for the origin.
 func (t *Table) recordOriginFailure(now time.Time) {
@@ -284,6 +355,21 @@
 	}
 }
 
+// stallTime is the time without any chunk after which the next one shows that the origin is back.
+const stallTime = time.Second
+
+// recordProgress records that the source of f has sent or announced a chunk. After a stall of all
+// chunks no member is blamed for it, and the time for which the members are waited for begins again:
+// so one chunk that is passed on tells all members that the origin is back. One that this member
+// fetched from the origin because others did not have it tells nothing.
+func (t *Table) recordProgress(f Fetch, now time.Time) {
+	stalled := !t.progressAt.IsZero() && now.Sub(t.progressAt) >= stallTime
+	if stalled && (!f.Origin || !t.originFailedAt.IsZero()) {
+		t.recordOriginFailure(now)
+	}
+	t.progressAt = now
+}
+
 // startFetch records that fetch f starts.
 func (t *Table) startFetch(f Fetch, now time.Time) {
 	s := &t.chunks[f.Chunk]
@@ -323,11 +409,14 @@
 	if f.Origin {
 		t.originActive--
 	}
+	if o == Got || o == Announced {
+		t.recordProgress(f, now)
+	}
 	switch {
 	case o == Got:
 		t.markHeld(f.Chunk)
 	case f.Origin:
-		s.notBefore = now.Add(originPause)
+		s.notBefore = t.originRetryAt(f.Chunk, o, now)
 		// Members that were skipped as too slow may have the chunk by now.
 		s.skip = nil
 		if o == Failed {
@@ -338,7 +427,7 @@
 		s.notBefore = time.Time{}
 	case o == Pending:
 		s.notBefore = now.Add(pendingPause)
-		if now.Sub(t.waitingSince(f.Chunk)) >= pendingTimeout {
+		if now.Sub(t.waitingSince(f.Chunk)) >= t.blameAfter(now) {
 			if s.skip == nil {
 				s.skip = map[fleet.VM]bool{}
 			}
