loader: empty engines load late weights that can still serve

Cause: a loader did not order weights whose bound ends within 3 s, the longest time of a load at an engine that first ends its requests. An engine whose weights were withdrawn has none and loads in 0.3 s, so that a version complete 2 to 3 s before its end served nobody. Change: weightsbound.WorthLoading decides: 3 s as before for an engine that serves; for an empty one, 0.3 s to load and 0.5 s of service before gateways stop sending (weightsbound.UseMargin, which gateways use as weightsMargin). The decision is taken again after staging. Withdrawal before the bound is unchanged. The test of expired weights states its times (1.5 and 6 s left, the values that it had) instead of multiples of the removed constant.

--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -232,8 +232,8 @@
 	// objective, 100 ms.
 	serviceQueueLimit = 12
 	// weightsMargin is how long before WeightsBound targets with older weights stop
-	// getting requests. A request for a free slot starts within 0.4 s.
-	weightsMargin = 1400 * time.Millisecond
+	// getting requests. Loaders load no weights that would get none.
+	weightsMargin = weightsbound.UseMargin
 	// queuedWeightsMargin is the same for requests that would wait at a full engine,
 	// which sometimes takes more than a second.
 	queuedWeightsMargin = 3 * time.Second
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/loadschedule"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -186,6 +188,9 @@
 	if err != nil {
 		return err
 	}
+	if !l.mayLoad(v.ModelWeights) {
+		return errors.New("bound of the weights ends before they would be in use")
+	}
 	l.deps.Log.StateChange("ordering the engine to load", port.F("model", string(v.Model)), port.F("number", v.Number),
 		port.F("declared", g.Number), port.Millis("stage_ms", l.deps.Clock.Now().Sub(start)),
 		port.Millis("since_ms", l.since(g.declaredAt)), port.F("rank", g.rank), port.F("of", g.count))
--- a/internal/app/loader/enforce.go
+++ b/internal/app/loader/enforce.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -13,9 +14,6 @@
 	enforceInterval = 100 * time.Millisecond
 	// enforceRetryDelay is the pause after an order that failed.
 	enforceRetryDelay = 50 * time.Millisecond
-	// maxLoadTime is the longest time from a load order until the engine has the weights: it
-	// first ends the requests in progress.
-	maxLoadTime = 3 * time.Second
 )
 
 // enforceBound takes the engine's weights out of service before newer declared ones must be in
@@ -79,8 +77,9 @@
 	return nil
 }
 
-// mayLoad reports whether weights would be in use for longer than it takes to load them.
+// mayLoad reports whether weights would be in use for long enough to load them.
 func (l *Loader) mayLoad(w port.ModelWeights) bool {
 	until, limited := l.view.untilWithdrawal(w)
-	return !limited || until >= maxLoadTime
+	r := l.engineReport.get()
+	return !limited || weightsbound.WorthLoading(until, r != nil && len(r.Held) > 0)
 }
--- a/internal/app/loader/enforce_test.go
+++ b/internal/app/loader/enforce_test.go
@@ -109,7 +109,7 @@
 // TestExpiredWeightsAreNotLoaded guards against an engine that is ordered to load weights whose
 // bound ends before or shortly after they are loaded.
 func TestExpiredWeightsAreNotLoaded(t *testing.T) {
-	for left, want := range map[time.Duration]bool{-time.Second: false, maxLoadTime / 2: false, 2 * maxLoadTime: true} {
+	for left, want := range map[time.Duration]bool{-time.Second: false, 1500 * time.Millisecond: false, 6 * time.Second: true} {
 		l := newLoader(newEngine(0), &fakeOrigin{})
 		l.settings.WeightsBound, l.view.settings.WeightsBound = 8*time.Second, 8*time.Second
 		l.view.mu.Lock()
--- a/internal/core/weightsbound/weightsbound.go
+++ b/internal/core/weightsbound/weightsbound.go
@@ -174,3 +174,29 @@
 	limit, limited := ds.Limit(version, bound, now)
 	return limit.Left - withdrawalLead, limited
 }
+
+// UseMargin is how long before the end of a bound gateways send nothing to older weights any more. A
+// request for a free slot starts within 0.4 s.
+const UseMargin = 1400 * time.Millisecond
+
+const (
+	// busyLoadTime is the longest time from a load order until an engine that serves has the
+	// weights: it first ends the requests in progress.
+	busyLoadTime = 3 * time.Second
+	// emptyLoadTime is the same for an engine that holds nothing, which loads in 0.3 s.
+	emptyLoadTime = 300 * time.Millisecond
+	// minService is the shortest time of service for which an empty engine loads weights.
+	minService = 500 * time.Millisecond
+)
+
+// WorthLoading reports whether an engine should load weights that have to be withdrawn after until.
+// They get requests until UseMargin before the end of their bound. An engine that serves keeps its
+// weights if a load could end too late; an empty one has nothing to lose, so that weights which
+// came late still serve for the rest of their time.
+func WorthLoading(until time.Duration, serves bool) bool {
+	if serves {
+		return until >= busyLoadTime
+	}
+	const unused = UseMargin - usualConfirmationAge - withdrawalLead
+	return until-unused >= emptyLoadTime+minService
+}
--- a/internal/core/weightsbound/weightsbound_test.go
+++ b/internal/core/weightsbound/weightsbound_test.go
@@ -105,3 +105,20 @@
 		t.Errorf("stated %+v after the first bound, want version 3 since 4 s", s)
 	}
 }
+
+// TestWorthLoading guards against engines that stay empty although weights that came late could serve
+// for a second or more, against a load whose weights get no requests any more, and against an engine
+// that stops serving for weights whose load may end too late.
+func TestWorthLoading(t *testing.T) {
+	for _, c := range []struct {
+		until          time.Duration
+		serves, result bool
+	}{
+		{2 * time.Second, false, true}, {time.Second, false, true}, {900 * time.Millisecond, false, false},
+		{-time.Second, false, false}, {2 * time.Second, true, false}, {3 * time.Second, true, true},
+	} {
+		if got := WorthLoading(c.until, c.serves); got != c.result {
+			t.Errorf("%v left, serves %v: %v", c.until, c.serves, got)
+		}
+	}
+}
