chunks: an older version that can still serve goes before its successor

Cause: a loader fetches two versions at a time, and both shared the origin's link. One that lacked a few chunks was complete too late to serve, and one that could not serve any more still took its part of all links. While nothing arrives of either, only the older one and the first chunk of the newer one are requested from the origin; afterwards the newer one follows after the time that the link takes for the rest of the older one.

--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -74,6 +74,19 @@
 	OriginRate func() int64
 	// Members returns the members that may hold or fetch versions.
 	Members func() []chain.Member
+	// Uses returns for how long engines may use a version, by its name, and for how long this
+	// member's engine may use the weights that it holds. Without it no version is limited.
+	Uses func(name fleet.Version) Uses
+}
+
+// Uses says for how long weights may be used.
+type Uses struct {
+	// Until is the time for which engines may use a version, if Limited is set.
+	Until   time.Duration
+	Limited bool
+	// Served is the time for which the engine of this member may use the weights that it holds, or
+	// zero.
+	Served time.Duration
 }
 
 // Fetcher fetches the current version and serves the current and the previous one.
@@ -135,20 +148,25 @@
 		f.previous.cancel()
 	}
 	f.previous = f.current
-	table := chain.NewTable(len(man.Chunks), f.settings.Self, f.deps.Members())
-	if rate := f.deps.OriginRate(); rate > 0 && len(man.Chunks) > 0 {
-		table.PaceOrigin(time.Duration(man.Chunks[0].Bytes)*time.Second/time.Duration(rate), f.deps.Clock.Now())
-	}
 	f.current = &version{
-		id: id, name: name, man: man, table: table,
+		id: id, name: name, man: man, table: chain.NewTable(len(man.Chunks), f.settings.Self, f.deps.Members()),
 		chunks: shard.New[int, []byte](8), chunkStored: make(chan struct{}), completed: make(chan struct{}),
 	}
+	f.paceOrigin(f.current, 0)
 	close(f.versionChanged)
 	f.versionChanged = make(chan struct{})
 	f.linkLimit.restart()
 	signal(f.wake)
 }
 
+// paceOrigin spaces the fetches of a version from the origin, from a time from now on.
+func (f *Fetcher) paceOrigin(v *version, in time.Duration) {
+	if rate := f.deps.OriginRate(); rate > 0 && len(v.man.Chunks) > 0 {
+		transfer := time.Duration(v.man.Chunks[0].Bytes) * time.Second / time.Duration(rate)
+		v.table.PaceOrigin(transfer, f.deps.Clock.Now().Add(in))
+	}
+}
+
 func (f *Fetcher) findVersion(id fleet.Version) *version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -223,6 +241,7 @@
 	}
 	refreshed := f.deps.Clock.Now()
 	stall := stallLog{f: f, v: v, missing: v.table.MissingCount(), since: refreshed}
+	turn := originTurn{f: f, newer: v, waits: true}
 	for ctx.Err() == nil {
 		if v.table.MissingCount() == 0 {
 			close(v.completed)
@@ -234,7 +253,10 @@
 			refreshed = now
 			v.table.SetMembers(f.settings.Self, f.deps.Members())
 		}
-		job, ok := v.table.Next(chain.Capacity{AnnounceOnly: state.announcements.available(), Data: state.transfers.available()}, now)
+		capacity := chain.Capacity{
+			AnnounceOnly: state.announcements.available(), Data: state.transfers.available(), NoOrigin: turn.olderFirst(now),
+		}
+		job, ok := v.table.Next(capacity, now)
 		if !ok {
 			f.waitForWork(ctx, v, state)
 			continue
--- a/internal/app/chunks/chunks_test.go
+++ b/internal/app/chunks/chunks_test.go
@@ -39,8 +39,10 @@
 	corruptions atomic.Int64
 	// panics is the number of transfers from peers that are still to panic.
 	panics atomic.Int64
-	mu     sync.Mutex
-	down   map[fleet.Address]bool
+	// originDown makes the origin refuse chunks.
+	originDown atomic.Bool
+	mu         sync.Mutex
+	down       map[fleet.Address]bool
 }
 
 const chunkBytes = 1 << 10
@@ -129,6 +131,9 @@
 
 // Chunk returns a chunk from the origin.
 func (tc *testCluster) Chunk(_ context.Context, _ fleet.Version, i int) (io.ReadCloser, error) {
+	if tc.originDown.Load() {
+		return nil, errors.New("connection refused")
+	}
 	tc.originFetches.Add(1)
 	return io.NopCloser(bytes.NewReader(tc.weights[i*chunkBytes : (i+1)*chunkBytes])), nil
 }
--- a/internal/app/loader/enforce.go
+++ b/internal/app/loader/enforce.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/app/chunks"
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -83,3 +85,20 @@
 	r := l.engineReport.get()
 	return !limited || weightsbound.WorthLoading(until, r != nil && len(r.Held) > 0)
 }
+
+// uses returns for how long engines may use the version with a name, and for how long this engine may
+// use the weights that it holds.
+func (l *Loader) uses(name fleet.Version) chunks.Uses {
+	var out chunks.Uses
+	if w, ok := l.origin.weightsNamed(name); ok {
+		out.Until, out.Limited = l.view.untilWithdrawal(w)
+	}
+	r := l.engineReport.get()
+	if r == nil || len(r.Held) == 0 {
+		return out
+	}
+	if left, limited := l.view.untilWithdrawal(newestHeld(r)); limited {
+		out.Served = max(0, left)
+	}
+	return out
+}
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -77,18 +77,23 @@
 
 // New returns a loader. Run starts its work.
 func New(s Settings, d Deps) *Loader {
+	l := &Loader{settings: s, deps: d, intact: newIntactWeights()}
 	v := newView(s, d.Decoder, d.Clock, d.Log)
 	o := &originAdapter{view: v, newClient: d.Origin}
 	f := chunks.New(chunks.Settings{
 		Self:   chain.Member{VM: fleet.VM(s.ID), Region: s.Regions[s.Domain], Address: s.Internal},
 		InRate: int64(inLinkFraction * float64(s.Link)), OutRate: int64(outLinkFraction * float64(s.Link)),
-	}, chunks.Deps{Peers: d.Peers, Origin: o, Clock: d.Clock, Metrics: d.Metrics, Log: d.Log, Members: v.peers, OriginRate: v.originRate})
+	}, chunks.Deps{
+		Peers: d.Peers, Origin: o, Clock: d.Clock, Metrics: d.Metrics, Log: d.Log, Members: v.peers, OriginRate: v.originRate,
+		Uses: func(name fleet.Version) chunks.Uses { return l.uses(name) },
+	})
 	ps := d.Decoder.Prefixes()
 	source := feed.NewSource(d.Store, d.Feed, d.Clock, d.Log, v.readers, map[string]feed.PrefixOptions{
 		ps.Weights: {Wait: feedWaitWeights, MaxStoreWait: storeWaitWeights}, ps.Config: {Wait: feedWait, PreferReaders: true},
 		ps.Members: {Wait: feedWait, MaxStoreWait: storeWaitMembers},
 	})
-	return &Loader{settings: s, deps: d, view: v, origin: o, chunks: f, source: source, intact: newIntactWeights()}
+	l.view, l.origin, l.chunks, l.source = v, o, f, source
+	return l
 }
 
 const (
--- a/internal/app/loader/origin.go
+++ b/internal/app/loader/origin.go
@@ -142,6 +142,18 @@
 	return resolvedVersion{}, false
 }
 
+// weightsNamed returns the remembered weights with a name.
+func (o *originAdapter) weightsNamed(name fleet.Version) (port.ModelWeights, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, v := range o.resolved {
+		if versionName(v.ModelWeights) == name {
+			return v.ModelWeights, true
+		}
+	}
+	return port.ModelWeights{}, false
+}
+
 // newestComplete returns the complete version of a model with the highest number above
 // the given one.
 func (o *originAdapter) newestComplete(m fleet.Model, above int64, complete func(fleet.Version) bool) (resolvedVersion, bool) {
--- a/internal/core/chain/outage_test.go
+++ b/internal/core/chain/outage_test.go
@@ -191,7 +191,7 @@
 	if older.dropped[vm] {
 		left.LinkTime = 0
 	}
-	hold := left.LinkTime > 0 && tab.Stalled(start.Add(since))
+	hold := left.LinkTime > 0 && tab.Stalled(start.Add(since)) && newer.tables[vm].Stalled(start.Add(since))
 	if newer.held[vm] && !hold {
 		newer.tables[vm].PaceOrigin(r.originChunk, start.Add(since+left.LinkTime))
 	}
--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -73,8 +73,8 @@
 }
 
 // Capacity says which kinds of fetches the caller can start now: fetches with
-// AnnounceOnly set, and transfers of data. NoOrigin excludes the origin, whose link carries another
-// version first.
+// AnnounceOnly set, and transfers of data. NoOrigin leaves the origin to another version,
+// but for the first missing chunk: that it arrives shows that the origin does not lack this version.
 type Capacity struct{ AnnounceOnly, Data, NoOrigin bool }
 
 // chunkState is the progress of one chunk.
@@ -284,12 +284,17 @@
 	case f.AnnounceOnly:
 		return capacity.AnnounceOnly
 	case f.Origin:
-		return capacity.Data && !capacity.NoOrigin && t.originActive < maxOriginActive && !now.Before(t.originDue(f.Chunk))
+		return capacity.Data && (!capacity.NoOrigin || f.Chunk == t.firstMissing()) && t.originActive < maxOriginActive && !now.Before(t.originDue(f.Chunk))
 	default:
 		return capacity.Data
 	}
 }
 
+// firstMissing returns the first chunk that is not held, or -1.
+func (t *Table) firstMissing() int {
+	return slices.IndexFunc(t.chunks, func(s chunkState) bool { return !s.held })
+}
+
 // originDue returns the earliest time at which chunk c is fetched from the origin.
 func (t *Table) originDue(c int) time.Time {
 	return t.originStart.Add(time.Duration(c) * t.originInterval)
