loader: one member tries an origin that is down for a manifest

Cause: while the origin was down, each of 97 loaders asked it for the manifest of the newer version, with four attempts every 0.5 to 1.9 s. On its return many requested two manifests each at once, and the first member that needs them tried only every 0.45 s. Change: while the last call to the origin has failed (in the last 10 s), the first of all members tries it every 80 ms, the heads of other regions after 0.25 s, all others after 1 s for each member before them, up to 5 s; one attempt at a time. The others get the manifest from the first one as before. Result: tests of app/chunks and app/loader pass; of 99 members the three heads of regions try the origin within a second.

--- a/internal/app/chunks/chunks.go
+++ b/internal/app/chunks/chunks.go
@@ -74,6 +74,9 @@
 	OriginRate func() int64
 	// Members returns the members that may hold or fetch versions.
 	Members func() []chain.Member
+	// OriginDown reports whether the last call to the origin failed. Without it the origin counts as
+	// up.
+	OriginDown func() bool
 	// Uses returns for how long engines may use a version, by its name, and for how long this
 	// member's engine may use the weights that it holds. Without it no version is limited.
 	Uses func(name fleet.Version) Uses
--- a/internal/app/chunks/chunks_test.go
+++ b/internal/app/chunks/chunks_test.go
@@ -307,3 +307,23 @@
 		t.Errorf("64 chunks were fetched from the origin within %v; its link takes a second", d)
 	}
 }
+
+// TestManifestWaitWhileOriginIsDown guards against dozens of members that ask an origin which is back
+// for the same manifest, and against an origin that nobody tries.
+func TestManifestWaitWhileOriginIsDown(t *testing.T) {
+	tc := newTestCluster(3, 33)
+	within := 0
+	for _, f := range tc.fetchers {
+		f.deps.OriginDown = func() bool { return true }
+		sources, rank := chain.ManifestSources(f.settings.Self, tc.members)
+		if f.manifestWait(len(sources), rank) < time.Second {
+			within++
+		}
+		if f.IsFirst() != (f.manifestWait(len(sources), rank) == 0) {
+			t.Errorf("%s: first %v", f.settings.Self.VM, f.IsFirst())
+		}
+	}
+	if within != 3 {
+		t.Errorf("%d members try the origin within a second, want the head of each region", within)
+	}
+}
--- a/internal/app/chunks/manifest.go
+++ b/internal/app/chunks/manifest.go
@@ -45,7 +45,7 @@
 	start := f.deps.Clock.Now()
 	for ctx.Err() == nil {
 		sources, rank := chain.ManifestSources(f.settings.Self, f.deps.Members())
-		left := min(headRetryTime+time.Duration(rank)*rankRetryTime, manifestRetryTime) - f.deps.Clock.Now().Sub(start)
+		left := f.manifestWait(len(sources), rank) - f.deps.Clock.Now().Sub(start)
 		if left <= 0 {
 			break
 		}
@@ -60,6 +60,35 @@
 	return manifest.Manifest{}, false
 }
 
+// manifestWait returns how long members are asked for a manifest before the origin is, by the number
+// of members before this one and its rank in the region. While the origin is down the first of all
+// tries it, and few others in case that one can't reach it: if each of 97 members tried it every
+// second or two, their requests would take the first 0.5 s of its link after its return.
+func (f *Fetcher) manifestWait(sources, rank int) time.Duration {
+	if f.deps.OriginDown != nil && f.deps.OriginDown() {
+		switch {
+		case sources == 0:
+			return 0
+		case rank > 0:
+			return time.Duration(min(rank, maxDownRank)) * downRankRetryTime
+		}
+	}
+	return min(headRetryTime+time.Duration(rank)*rankRetryTime, manifestRetryTime)
+}
+
+const (
+	// downRankRetryTime is the time for each member of the region before the asking one while the
+	// origin is down, up to maxDownRank of them.
+	downRankRetryTime = time.Second
+	maxDownRank       = 5
+)
+
+// IsFirst reports whether this member is the first of all to ask the origin for manifests.
+func (f *Fetcher) IsFirst() bool {
+	sources, _ := chain.ManifestSources(f.settings.Self, f.deps.Members())
+	return len(sources) == 0
+}
+
 var errNoMembers = errors.New("no member can be reached")
 
 // manifestFromMembers asks members one after the other, for the time left. It returns
--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -18,6 +18,9 @@
 	recheckInterval = 250 * time.Millisecond
 	// retryDelay is the pause after a failed fetch or load.
 	retryDelay = 200 * time.Millisecond
+	// originProbeDelay is the pause of the one member that tries an origin which is down. Its return
+	// is to be noticed within 0.1 s.
+	originProbeDelay = 80 * time.Millisecond
 	// loadPollInterval is the pause between two reports of an engine that is loading.
 	loadPollInterval = 50 * time.Millisecond
 )
@@ -77,13 +80,21 @@
 				failed = g.ModelWeights
 				l.deps.Log.Failure("version can't be resolved", err, port.F("number", g.Number))
 			}
-			l.sleep(ctx, retryDelay)
+			l.sleep(ctx, l.resolveDelay())
 			continue
 		}
 		last, failed = g.ModelWeights, port.ModelWeights{}
 	}
 }
 
+// resolveDelay returns the pause after weights could not be resolved.
+func (l *Loader) resolveDelay() time.Duration {
+	if l.origin.isDown() && l.chunks.IsFirst() {
+		return originProbeDelay
+	}
+	return retryDelay
+}
+
 // startFetch gets the manifest of the weights and starts to fetch their chunks.
 func (l *Loader) startFetch(ctx context.Context, g goal) error {
 	name := versionName(g.ModelWeights)
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -85,7 +85,7 @@
 		InRate: int64(inLinkFraction * float64(s.Link)), OutRate: int64(outLinkFraction * float64(s.Link)),
 	}, chunks.Deps{
 		Peers: d.Peers, Origin: o, Clock: d.Clock, Metrics: d.Metrics, Log: d.Log, Members: v.peers, OriginRate: v.originRate,
-		Uses: func(name fleet.Version) chunks.Uses { return l.uses(name) },
+		OriginDown: o.isDown, Uses: func(name fleet.Version) chunks.Uses { return l.uses(name) },
 	})
 	ps := d.Decoder.Prefixes()
 	source := feed.NewSource(d.Store, d.Feed, d.Clock, d.Log, v.readers, map[string]feed.PrefixOptions{
--- a/internal/app/loader/origin.go
+++ b/internal/app/loader/origin.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -44,6 +45,8 @@
 	addr        fleet.Address
 	resolved    []resolvedVersion
 	unreachable bool
+	// failedAt is the time of the last call that failed.
+	failedAt time.Time
 }
 
 // resolvedVersion is a numbered version of a model's weights with its digest and its
@@ -88,6 +91,7 @@
 	seen := map[fleet.Version]bool{}
 	const attempts = 4 // if one response in 25 is corrupted, two of these agree
 	for range attempts {
+		wasDown := o.isDown()
 		man, e := c.Manifest(ctx, w)
 		o.logReachability(ctx, e)
 		if errors.Is(e, port.ErrVersionUnknown) {
@@ -95,6 +99,9 @@
 		}
 		if e != nil {
 			err = e
+			if wasDown {
+				break // the next attempt follows after a pause
+			}
 			continue
 		}
 		id := man.Version()
@@ -189,6 +196,16 @@
 	return rc, err
 }
 
+// maxFailureAge is the age up to which a failed call shows that the origin is down.
+const maxFailureAge = 10 * time.Second
+
+// isDown reports whether the last call to the origin failed, unless that is long ago.
+func (o *originAdapter) isDown() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unreachable && o.view.clock.Now().Sub(o.failedAt) < maxFailureAge
+}
+
 // logReachability logs when the origin stops responding and when it responds again. err
 // is the result of a call.
 func (o *originAdapter) logReachability(ctx context.Context, err error) {
@@ -199,6 +216,9 @@
 	o.mu.Lock()
 	changed := failed != o.unreachable
 	o.unreachable = failed
+	if failed {
+		o.failedAt = o.view.clock.Now()
+	}
 	o.mu.Unlock()
 	switch {
 	case changed && failed:
