chain: members that begin later are asked again sooner

Cause: a member that does not fetch the version yet was skipped for 3 s. After a loss of power of all VMs, members that start up to a second apart skipped each other and went to the origin for the same chunks. Change: the pause after such an answer is 250 ms and doubles up to 3 s.

--- a/internal/core/chain/table.go
+++ b/internal/core/chain/table.go
@@ -20,9 +20,12 @@
 	// stalledPendingTimeout is the same while no chunk at all arrives. The source probably waits
 	// for the origin, as all others do.
 	stalledPendingTimeout = 3 * time.Second
-	// idlePause is the time for which a member that does not fetch the version is
+	// idlePause is the longest time for which a member that does not fetch the version is
 	// skipped.
 	idlePause = 3 * time.Second
+	// minIdlePause is the same for the first time; each further one is twice as long. After a loss of
+	// power of all VMs, members ask others that begin up to a second later.
+	minIdlePause = 250 * time.Millisecond
 	// failedPause is the time for which a member that failed is skipped.
 	failedPause = 2 * time.Second
 	// corruptedPause is the time for which a member that sent a corrupted chunk is
@@ -103,6 +106,7 @@
 	// sources holds the sources of each chunk, as indexes of members.
 	sources      [][]uint16
 	skipUntil    map[fleet.VM]time.Time
+	idlePauses   map[fleet.VM]time.Duration // the last pause of each member that was idle
 	missing      int
 	originActive int // fetches from the origin in progress
 	corrupted    int // chunks that did not match their digests
@@ -119,7 +123,7 @@
 
 // NewTable returns a table in which no chunk is held.
 func NewTable(chunks int, self Member, ms []Member) *Table {
-	t := &Table{chunks: make([]chunkState, chunks), skipUntil: map[fleet.VM]time.Time{}, missing: chunks}
+	t := &Table{chunks: make([]chunkState, chunks), skipUntil: map[fleet.VM]time.Time{}, idlePauses: map[fleet.VM]time.Duration{}, missing: chunks}
 	t.SetMembers(self, ms)
 	return t
 }
@@ -399,6 +403,15 @@
 	return Fetch{Chunk: c, Origin: true}
 }
 
+// skipIdle skips a member that does not fetch the version, each time for twice as long.
+func (t *Table) skipIdle(vm fleet.VM, now time.Time) {
+	if now.Before(t.skipUntil[vm]) {
+		return // another request that was open at the same time
+	}
+	pause := min(max(minIdlePause, 2*t.idlePauses[vm]), idlePause)
+	t.idlePauses[vm], t.skipUntil[vm] = pause, now.Add(pause)
+}
+
 // Done records the outcome of a fetch.
 func (t *Table) Done(f Fetch, o Outcome, now time.Time) {
 	t.mu.Lock()
@@ -416,6 +429,7 @@
 	}
 	if o == Got || o == Announced {
 		t.recordProgress(f, now)
+		delete(t.idlePauses, f.From.VM)
 	}
 	switch {
 	case o == Got:
@@ -439,7 +453,7 @@
 			s.skip[f.From.VM] = true
 		}
 	case o == Idle:
-		t.skipUntil[f.From.VM] = now.Add(idlePause)
+		t.skipIdle(f.From.VM, now)
 	case o == Corrupted:
 		t.skipUntil[f.From.VM] = now.Add(corruptedPause)
 	default:
