--- a/internal/core/originorder/originorder.go
+++ b/internal/core/originorder/originorder.go
@@ -29,14 +29,27 @@
 	Drop
 )
 
-// UseDelay is the time from the last chunk that the origin sends until engines serve the version:
-// 0.2 to 0.5 s to pass it on through the trees of 14 to 138 members, and 0.4 s to stage and load it.
-const UseDelay = 700 * time.Millisecond
+const (
+	// PassOnDelay is the time from the last chunk that the origin sends until half of the members have
+	// it: 0.2 to 0.5 s through the trees of 14 to 138 members.
+	PassOnDelay = 300 * time.Millisecond
+	// LoadDelay is the time from the last chunk of a member until its engine serves: 0.1 s to stage
+	// and check the chunks, 0.3 s to load them.
+	LoadDelay = 400 * time.Millisecond
+)
 
 // MinService is the shortest time of service for which a load is worth its costs: the engine takes no
 // requests while it loads, which takes 0.3 s.
 const MinService = 500 * time.Millisecond
 
+// ready returns the time until engines serve the version if the origin sends it next.
+func (v Version) ready() time.Duration {
+	if v.LinkTime == 0 {
+		return LoadDelay
+	}
+	return v.LinkTime + PassOnDelay + LoadDelay
+}
+
 // Choose returns what becomes of the older of two versions. served is the time for which the engines
 // may still use the weights that they hold, or zero. The engines serve nothing from its end until one
 // of the versions is ready, and from the end of the older version until the newer one is ready. The
@@ -46,12 +59,12 @@
 	if !older.Limited {
 		return First
 	}
-	ready := older.LinkTime + UseDelay
+	ready := older.ready()
 	gain := older.Until - max(served, ready)
 	if gain < MinService {
 		return Drop
 	}
-	newerReady := newer.LinkTime + UseDelay
+	newerReady := newer.ready()
 	without := max(0, newerReady-served)
 	with := max(0, ready-served) + max(0, newerReady+older.LinkTime-older.Until)
 	if with > without {
--- a/internal/core/originorder/originorder_test.go
+++ b/internal/core/originorder/originorder_test.go
@@ -20,6 +20,8 @@
 		"six chunks lack":                    {Version{160 * ms, 2300 * ms, true}, copyTime, 300 * ms, First},
 		"six chunks lack, little time left":  {Version{160 * ms, 1300 * ms, true}, copyTime, 0, Drop},
 		"complete at other members":          {Version{0, 2300 * ms, true}, copyTime, 0, First},
+		"complete at others, just in time":   {Version{0, 950 * ms, true}, copyTime, 0, First},
+		"complete at others, too late":       {Version{0, 850 * ms, true}, copyTime, 0, Drop},
 		"a whole copy lacks":                 {Version{copyTime, 4 * time.Second, true}, copyTime, 0, Drop},
 		"a whole copy lacks, much time left": {Version{copyTime, 7 * time.Second, true}, copyTime, 0, First},
 		"old weights serve long enough":      {Version{160 * ms, 5 * time.Second, true}, copyTime, 4 * time.Second, First},
