--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/loadschedule"
 	"github.com/masticwing/masticwing/internal/core/moment"
@@ -16,6 +18,9 @@
 	recheckInterval = 250 * time.Millisecond
 	// retryDelay is the pause after a failed fetch or load.
 	retryDelay = 200 * time.Millisecond
+	// originProbeDelay is the pause of the one member that tries an origin which is down. Its return
+	// is to be noticed within 0.1 s.
+	originProbeDelay = 80 * time.Millisecond
 	// loadPollInterval is the pause between two reports of an engine that is loading.
 	loadPollInterval = 50 * time.Millisecond
 )
@@ -75,13 +80,21 @@
 				failed = g.ModelWeights
 				l.deps.Log.Failure("version can't be resolved", err, port.F("number", g.Number))
 			}
-			l.sleep(ctx, retryDelay)
+			l.sleep(ctx, l.resolveDelay())
 			continue
 		}
 		last, failed = g.ModelWeights, port.ModelWeights{}
 	}
 }
 
+// resolveDelay returns the pause after weights could not be resolved.
+func (l *Loader) resolveDelay() time.Duration {
+	if l.origin.isDown() && l.chunks.IsFirst() {
+		return originProbeDelay
+	}
+	return retryDelay
+}
+
 // startFetch gets the manifest of the weights and starts to fetch their chunks.
 func (l *Loader) startFetch(ctx context.Context, g goal) error {
 	name := versionName(g.ModelWeights)
@@ -186,6 +199,9 @@
 	if err != nil {
 		return err
 	}
+	if !l.mayLoad(v.ModelWeights) {
+		return errors.New("bound of the weights ends before they would be in use")
+	}
 	l.deps.Log.StateChange("ordering the engine to load", port.F("model", string(v.Model)), port.F("number", v.Number),
 		port.F("declared", g.Number), port.Millis("stage_ms", l.deps.Clock.Now().Sub(start)),
 		port.Millis("since_ms", l.since(g.declaredAt)), port.F("rank", g.rank), port.F("of", g.count))
--- a/internal/app/loader/enforce.go
+++ b/internal/app/loader/enforce.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/app/chunks"
+	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -13,9 +16,6 @@
 	enforceInterval = 100 * time.Millisecond
 	// enforceRetryDelay is the pause after an order that failed.
 	enforceRetryDelay = 50 * time.Millisecond
-	// maxLoadTime is the longest time from a load order until the engine has the weights: it
-	// first ends the requests in progress.
-	maxLoadTime = 3 * time.Second
 )
 
 // enforceBound takes the engine's weights out of service before newer declared ones must be in
@@ -79,8 +79,26 @@
 	return nil
 }
 
-// mayLoad reports whether weights would be in use for longer than it takes to load them.
+// mayLoad reports whether weights would be in use for long enough to load them.
 func (l *Loader) mayLoad(w port.ModelWeights) bool {
 	until, limited := l.view.untilWithdrawal(w)
-	return !limited || until >= maxLoadTime
+	r := l.engineReport.get()
+	return !limited || weightsbound.WorthLoading(until, r != nil && len(r.Held) > 0)
+}
+
+// uses returns for how long engines may use the version with a name, and for how long this engine may
+// use the weights that it holds.
+func (l *Loader) uses(name fleet.Version) chunks.Uses {
+	var out chunks.Uses
+	if w, ok := l.origin.weightsNamed(name); ok {
+		out.Until, out.Limited = l.view.untilWithdrawal(w)
+	}
+	r := l.engineReport.get()
+	if r == nil || len(r.Held) == 0 {
+		return out
+	}
+	if left, limited := l.view.untilWithdrawal(newestHeld(r)); limited {
+		out.Served = max(0, left)
+	}
+	return out
 }
