platform: era of the store, and revisions and leases tied to it

The store may be restored from an older copy. Its revisions then go back and are given out again, and a lease ID may belong to another process.

Watch positions of an older era fail with ErrHistoryGone, leases with ErrNotFound, and conditional writes with ErrUnknownOutcome.

--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -188,6 +188,10 @@
 		case errors.Is(err, port.ErrConflict):
 			g.handleConflict(expect, err)
 			return confirmRetryDelay
+		case errors.Is(err, port.ErrHistoryGone):
+			// The store was restored from an older copy.
+			g.operatorFollower.Relist()
+			return confirmRetryDelay
 		case err != nil:
 			return confirmRetryDelay + g.followDelay()
 		}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -35,7 +35,8 @@
 type StoreItem struct {
 	Key   string
 	Value []byte
-	// Revision is the store's revision of the last write of the key.
+	// Revision is the store's revision of the last write of the key, stamped with the store's era
+	// (core/storeera), as all revisions of a Store.
 	Revision int64
 }
 
@@ -65,6 +66,10 @@
 
 // Store is the platform's metadata store. It has revisions in one order, lists and
 // watches of prefixes, leases, and conditional writes.
+//
+// It may be restored from an older copy, after which revisions and leases of the old era are void: Changes
+// fails with ErrHistoryGone, KeepAlive and Commit with a lease with ErrNotFound, and Commit with preconditions
+// with an error that is both ErrUnknownOutcome and ErrHistoryGone.
 type Store interface {
 	// List returns all items under a prefix and the revision after which to read
 	// changes. The items are not a snapshot: they may already contain changes after
