follow, feed: views move to the new era of a restored store

After a restore, the first listing of the new era may lack what targets and operators are about to write again. Checks of the operator keys expect them to be absent meanwhile.

Replies of the feed state the era. A follower lists anew on a higher one, and refuses a reply of an older one; this includes a build without eras, which replies with the revision of the request if it is higher than its own.

--- a/internal/adapter/rpc/feed.go
+++ b/internal/adapter/rpc/feed.go
@@ -54,6 +54,7 @@
 	}
 	out := port.FeedReply{
 		At: in.GetAt(), Age: fromMillis(in.GetAgeMs()), View: confirmation.Digest(in.GetView()), Held: max(0, fromMillis(in.GetHeldMs())),
+		Era: in.GetEra(),
 	}
 	left := maxReplyBytes
 	for _, x := range in.GetChanges() {
@@ -166,7 +167,7 @@
 		return nil, err
 	}
 	// Ages are rounded up, so that the receiver never sees a smaller one.
-	out := &pb.FeedReply{At: reply.At, AgeMs: reply.Age.Milliseconds() + 1, HeldMs: reply.Held.Milliseconds(), View: uint64(reply.View)}
+	out := &pb.FeedReply{At: reply.At, AgeMs: reply.Age.Milliseconds() + 1, HeldMs: reply.Held.Milliseconds(), View: uint64(reply.View), Era: reply.Era}
 	for _, x := range reply.Changes {
 		value, compressed := s.compress(x)
 		out.Changes = append(out.Changes, &pb.FeedChange{
--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -14,6 +14,7 @@
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/confirmation"
 	core "github.com/masticwing/masticwing/internal/core/feed"
+	"github.com/masticwing/masticwing/internal/core/storeera"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -148,7 +149,7 @@
 			return port.FeedReply{}, ErrGap
 		case len(changes) > 0 || !waiting:
 			view, now := confirmation.DigestOf(p.log.Revisions(coverage.Keys)), s.clock.SinceBoot()
-			return port.FeedReply{Changes: changes, At: revision, Age: now - coverage.At, View: view, Held: now - received}, nil
+			return port.FeedReply{Changes: changes, At: revision, Age: now - coverage.At, View: view, Held: now - received, Era: storeera.Era(revision)}, nil
 		}
 		select {
 		case <-next:
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -10,6 +10,7 @@
 	core "github.com/masticwing/masticwing/internal/core/feed"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/shard"
+	"github.com/masticwing/masticwing/internal/core/storeera"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -144,6 +145,10 @@
 		reply, result = s.askReaders(ctx, r)
 		ok = result == replied
 	}
+	if ok && reply.Era > storeera.Era(after) {
+		// The reader has seen that the store was restored from an older copy.
+		return nil, after, errors.Wrap(port.ErrHistoryGone, "the reader is in a later era of the store")
+	}
 	if ok {
 		return changesOf(reply), max(after, reply.At), nil
 	}
@@ -186,6 +191,10 @@
 	replied
 )
 
+// errOlderEra means that a reader does not know yet that the store was restored from an older copy, or that
+// it is of a build that does not know of eras.
+var errOlderEra = errors.Wrap(port.ErrFeedRefused, "reply is of an older era of the store")
+
 // askReaders asks the readers in order and returns the first reply.
 func (s *Source) askReaders(ctx context.Context, r port.FeedRequest) (port.FeedReply, askResult) {
 	result := refused
@@ -202,6 +211,9 @@
 		if ctx.Err() != nil {
 			return reply, result
 		}
+		if err == nil && (reply.Era < storeera.Era(r.After) || reply.Era != storeera.Era(reply.At)) {
+			err = errOlderEra
+		}
 		if err == nil {
 			// The reader replied at the earliest after it had held the request; the rest of the
 			// wait was spent on the way.
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -1,6 +1,6 @@
 // Package follow reports all changes of the items under a prefix of the platform's
 // store. It continues after outages of the store, and lists the prefix again after
-// the store dropped part of its history.
+// the store dropped part of its history or was restored from an older copy.
 package follow
 
 import (
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/core/storeera"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -32,8 +33,11 @@
 // Event reports changes under a prefix. If Reset is set, Changes holds all items
 // that exist, and all other items are gone.
 type Event struct {
-	Reset   bool
-	Changes []port.StoreChange
+	Reset bool
+	// Restored is set with Reset if the store was restored from an older copy since the last listing.
+	// Changes then also holds items that it lacks, with their old revisions (storeera.Holdover).
+	Restored bool
+	Changes  []port.StoreChange
 	// At is the revision up to which all changes are known with this event, or zero if
 	// others may be missing that were made before these.
 	At int64
@@ -60,6 +64,8 @@
 
 	relist    chan struct{}
 	storeLost bool
+	// items holds the items that Run has reported.
+	items storeera.Holdover[port.StoreItem]
 }
 
 // New returns a follower of a prefix. See the fields of Follower for the parameters.
@@ -82,6 +88,10 @@
 	for ctx.Err() == nil {
 		readAt := f.Clock.SinceBoot()
 		items, revision, err := f.Store.List(ctx, f.Prefix)
+		if err == nil && storeera.Era(revision) < f.items.Era() {
+			// It comes from another process that has not seen the restore yet.
+			err = errors.Wrap(port.ErrUnavailable, "listing is of an older era of the store")
+		}
 		if err != nil {
 			f.markLost(ctx, err)
 			f.sleep(ctx, pause)
@@ -89,11 +99,7 @@
 			continue
 		}
 		f.markRegained(revision)
-		e := Event{Reset: true, At: revision, ReadAt: readAt}
-		for _, it := range items {
-			e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
-		}
-		apply(e)
+		apply(f.listed(items, revision, readAt))
 		if f.watch(ctx, revision, apply) {
 			pause = retryMin
 			continue
@@ -104,6 +110,42 @@
 	}
 }
 
+// listed returns the event of a listing.
+func (f *Follower) listed(items []port.StoreItem, revision int64, readAt time.Duration) Event {
+	e := Event{Reset: true, At: revision, ReadAt: readAt}
+	listed := make(map[string]port.StoreItem, len(items))
+	for _, it := range items {
+		e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
+		listed[it.Key] = it
+	}
+	var kept map[string]port.StoreItem
+	kept, e.Restored = f.items.List(listed, revision, f.Clock.SinceBoot())
+	for _, it := range kept {
+		e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
+	}
+	if e.Restored {
+		f.Log.StateChange("store was restored from an older copy", port.F("prefix", f.Prefix), port.F("era", storeera.Era(revision)),
+			port.F("items", len(items)), port.F("missing", len(kept)))
+	}
+	return e
+}
+
+// record records changes, adds the end of items that have been missing since a restore for long enough,
+// and returns all.
+func (f *Follower) record(changes []port.StoreChange, revision int64) []port.StoreChange {
+	for _, c := range changes {
+		if c.Removed {
+			f.items.Remove(c.Key)
+		} else {
+			f.items.Set(c.Key, c.StoreItem)
+		}
+	}
+	for _, k := range f.items.End(f.Clock.SinceBoot()) {
+		changes = append(changes, port.StoreChange{StoreItem: port.StoreItem{Key: k, Revision: revision}, Removed: true})
+	}
+	return changes
+}
+
 // watch applies the changes after a listing at the given revision, until the prefix
 // has to be listed again. It returns whether a call for changes has succeeded or
 // Relist asked for the listing.
@@ -119,6 +161,7 @@
 			f.Log.StateChange("listing again", port.F("prefix", f.Prefix), port.F("after", revision), port.F("reason", err.Error()))
 			return succeeded || errors.Is(err, errRelist)
 		case err != nil:
+			f.items.Postpone(f.Clock.SinceBoot())
 			f.markLost(ctx, err)
 			f.sleep(ctx, pause)
 			pause = min(2*pause, retryMax)
@@ -128,7 +171,7 @@
 		f.markRegained(next)
 		stalled := next <= revision && (len(changes) > 0 || f.Clock.Now().Sub(called) < minWait)
 		revision = next
-		if len(changes) > 0 {
+		if changes = f.record(changes, revision); len(changes) > 0 {
 			apply(Event{Changes: changes, At: revision})
 		}
 		if f.OnRevision != nil {
@@ -166,10 +209,14 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	defer cancel()
+	wait := f.Wait
+	if left, missing := f.items.Left(f.Clock.SinceBoot()); missing {
+		wait = min(wait, max(left, minWait))
+	}
 	done := make(chan struct{})
 	wg.Go(func() {
 		defer close(done)
-		changes, next, err = f.Store.Changes(ctx, f.Prefix, revision, f.Wait)
+		changes, next, err = f.Store.Changes(ctx, f.Prefix, revision, wait)
 	})
 	select {
 	case <-done:
--- a/internal/app/follow/follow_test.go
+++ b/internal/app/follow/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
+	"github.com/masticwing/masticwing/internal/core/storeera"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/port/porttest"
 )
@@ -150,3 +151,58 @@
 		cancel()
 	})
 }
+
+// eraStore states the revisions of the fake store in an era, to which it was restored.
+type eraStore struct {
+	port.Store
+	current atomic.Pointer[porttest.Store]
+	era     atomic.Int64
+}
+
+func (s *eraStore) List(ctx context.Context, prefix string) ([]port.StoreItem, int64, error) {
+	items, at, err := s.current.Load().List(ctx, prefix)
+	for i := range items {
+		items[i].Revision = storeera.Stamp(s.era.Load(), items[i].Revision)
+	}
+	return items, storeera.Stamp(s.era.Load(), at), err
+}
+
+func (s *eraStore) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]port.StoreChange, int64, error) {
+	era, revision := storeera.Split(after)
+	if era < s.era.Load() {
+		return nil, after, port.ErrHistoryGone
+	}
+	changes, at, err := s.current.Load().Changes(ctx, prefix, revision, min(wait, 50*time.Millisecond))
+	for i := range changes {
+		changes[i].Revision = storeera.Stamp(era, changes[i].Revision)
+	}
+	return changes, storeera.Stamp(era, at), err
+}
+
+// TestMissingItemsAfterRestore guards against an item that ends at once because a restored store lacks it,
+// although its writer is about to write it again, and against one that never ends.
+func TestMissingItemsAfterRestore(t *testing.T) {
+	s, v, old := &eraStore{}, &view{}, porttest.NewStore()
+	old.Put("p/a", "1")
+	old.Put("p/b", "1")
+	s.current.Store(old)
+	f := New(s, "p/", time.Second, func() time.Duration { return time.Millisecond }, sysclock.Clock{}, logging.New(io.Discard, "x", "1"))
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() { f.Run(ctx, v.apply) })
+	v.wait(t, "map[p/a:1 p/b:1]")
+	restored := porttest.NewStore()
+	restored.Put("p/c", "0")
+	begin := time.Now()
+	s.current.Store(restored)
+	s.era.Store(1)
+	v.wait(t, "map[p/a:1 p/b:1 p/c:0]")
+	restored.Put("p/b", "2")
+	v.wait(t, "map[p/a:1 p/b:2 p/c:0]")
+	v.wait(t, "map[p/b:2 p/c:0]")
+	if d := time.Since(begin); d < storeera.HoldTime {
+		t.Errorf("the missing item ended after %v", d)
+	}
+}
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -147,7 +147,7 @@
 		}
 	}
 	for k := range absent {
-		if existing[k] == 0 {
+		if _, known := existing[k]; !known {
 			out = append(out, port.Precondition{Key: k})
 		}
 	}
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -14,6 +14,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/moment"
+	"github.com/masticwing/masticwing/internal/core/storeera"
 )
 
 // Member is a process that may follow others.
@@ -171,12 +172,13 @@
 
 // Since returns the newest state of each key under a prefix that changed after a
 // revision, with its age at now, and the revision to continue from, up to which all changes
-// are known. known is false if changes after the revision may be missing. next is closed on
+// are known. known is false if changes after the revision may be missing, as they are if it is of a later era
+// of the store than the log. next is closed on
 // the next change of any key.
 func (l *Log) Since(prefix string, after int64, now time.Duration) (changes []Change, revision int64, known bool, next <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.listed || after < l.completeAfter && after != FromStart {
+	if !l.listed || after < l.completeAfter && after != FromStart || storeera.Era(after) > storeera.Era(l.revision) {
 		return nil, 0, false, l.changed
 	}
 	for k, c := range l.keys {
--- a/internal/core/itemrevision/itemrevision.go
+++ b/internal/core/itemrevision/itemrevision.go
@@ -3,6 +3,8 @@
 // replies to checks, which may overtake each other.
 package itemrevision
 
+import "github.com/masticwing/masticwing/internal/core/storeera"
+
 // Table holds the newest known state of each item by key. It is not safe for concurrent use;
 // the lock of its owner guards it.
 type Table struct {
@@ -54,11 +56,16 @@
 	return current, removed
 }
 
-// Existing returns the revision of each item that exists.
+// Existing returns the revision of each item that exists. It is zero for an item that is kept although the
+// store lacks it since it was restored from an older copy.
 func (t *Table) Existing() map[string]int64 {
 	out := make(map[string]int64, len(t.states))
 	for k, s := range t.states {
-		if !s.removed {
+		switch {
+		case s.removed:
+		case storeera.Era(s.revision) < storeera.Era(t.listedAt):
+			out[k] = 0
+		default:
 			out[k] = s.revision
 		}
 	}
--- a/internal/core/itemrevision/itemrevision_test.go
+++ b/internal/core/itemrevision/itemrevision_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/masticwing/masticwing/internal/core/storeera"
 )
 
 // event is a change of an item, or a listing if listed is set.
@@ -88,3 +90,18 @@
 		}
 	})
 }
+
+// TestKeptItemOfOlderEra guards against an expectation that the store still has an item which it lacks since
+// it was restored from an older copy, and against a late change of the old era.
+func TestKeptItemOfOlderEra(t *testing.T) {
+	table, old := New(), storeera.Stamp(1, 90)
+	table.ApplyListing(map[string]int64{"kept": old, "back": old}, old)
+	now := storeera.Stamp(2, 7)
+	table.ApplyListing(map[string]int64{"kept": old, "back": now}, now)
+	if got := table.Existing(); got["kept"] != 0 || got["back"] != now || len(got) != 2 {
+		t.Errorf("expected %v", got)
+	}
+	if table.Apply("back", old+1, false) || table.Apply("new", old+2, false) {
+		t.Error("a change of the old era replaces the state of the new one")
+	}
+}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -114,6 +114,9 @@
 	// Held is the time from the receipt of the request to the reply. The rest of the time that
 	// the caller waited was spent on the way. It is zero in older builds.
 	Held time.Duration
+	// Era is the era of the store that the reply is of. It is zero in older builds, which know of no eras and
+	// reply with the revision of the request if it is higher than theirs.
+	Era int64
 }
 
 // ErrFeedRefused means that the other process replied that it cannot serve changes
