registration, quarantine, loader: write again after a restore of the store

Registrations and the records of loads were written again only when their leases or contents changed, and evidence that the older copy lacks was removed from the gateways. All are written again once the process sees the end of the store's era. Evidence keeps the higher number of losses; leases of the old era are not used again.

--- a/internal/app/gateway/quarantine.go
+++ b/internal/app/gateway/quarantine.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticwing/masticwing/internal/app/follow"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
+	"github.com/masticwing/masticwing/internal/core/storeera"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -131,7 +132,15 @@
 	now, prefix := g.deps.Clock.Now(), g.deps.Decoder.Prefixes().Quarantine
 	g.view.unreadable.quarantine.Begin(e)
 	keep := map[quarantine.Subject]bool{}
+	if e.Restored {
+		g.quarantine.Restore()
+	}
 	for _, c := range e.Changes {
+		if e.Reset && storeera.Era(c.Revision) < storeera.Era(e.At) {
+			// The store lacks the evidence since it was restored; this gateway writes it again.
+			keep[quarantine.Subject(strings.TrimPrefix(c.Key, prefix))] = true
+			continue
+		}
 		if c.Removed {
 			g.quarantine.Remove(quarantine.Subject(strings.TrimPrefix(c.Key, prefix)))
 			continue
@@ -202,6 +211,8 @@
 	g         *Gateway
 	lease     port.LeaseID
 	grantedAt time.Time
+	// ended is closed once the lease has ended because the store was restored.
+	ended <-chan struct{}
 }
 
 // write writes updates together. After a conflict it applies the evidence in the store.
@@ -237,13 +248,19 @@
 
 func (w *evidenceWriter) renewLease(ctx context.Context) error {
 	now := w.g.deps.Clock.Now()
+	select {
+	case <-w.ended:
+		w.lease = port.NoLease
+	default:
+	}
 	if w.lease != port.NoLease && now.Sub(w.grantedAt) < evidenceLeaseTime {
 		return nil
 	}
+	ended := port.EraEnded(w.g.deps.Store)
 	lease, err := w.g.deps.Store.Grant(ctx, evidenceTTL)
 	if err != nil {
 		return errors.Wrap(err, "granting a lease")
 	}
-	w.lease, w.grantedAt = lease, now
+	w.lease, w.grantedAt, w.ended = lease, now, ended
 	return nil
 }
--- a/internal/app/loader/intact.go
+++ b/internal/app/loader/intact.go
@@ -84,15 +84,19 @@
 
 func (l *Loader) recordKey() string { return l.deps.Decoder.Prefixes().Loads + l.settings.ID }
 
-// recordLoads writes the record of each load to the store until ctx ends.
+// recordLoads writes the record of each load to the store until ctx ends, and writes it again after the
+// store was restored from an older copy.
 func (l *Loader) recordLoads(ctx context.Context) {
 	var written loadRecord
+	eraEnded := port.EraEnded(l.deps.Store)
 	for ctx.Err() == nil {
 		load := l.intact.last()
 		if load == written {
 			select {
 			case <-ctx.Done():
 			case <-l.intact.changed:
+			case <-eraEnded:
+				written, eraEnded = loadRecord{}, port.EraEnded(l.deps.Store)
 			}
 			continue
 		}
--- a/internal/app/registration/registrar.go
+++ b/internal/app/registration/registrar.go
@@ -34,7 +34,8 @@
 }
 
 // Run keeps the process registered until ctx ends, and then removes the
-// registration. It registers again whenever the lease expires.
+// registration. It registers again whenever the lease expires or the store was restored from an
+// older copy.
 func (r *Registrar) Run(ctx context.Context) {
 	lease := port.NoLease
 	for ctx.Err() == nil {
@@ -45,7 +46,7 @@
 			continue
 		}
 		r.Log.StateChange("registered in the store", port.F("address", r.Self.Address))
-		if r.keepAlive(ctx, lease) {
+		if r.keepAlive(ctx, lease, port.EraEnded(r.Store)) {
 			lease = port.NoLease
 		}
 	}
@@ -81,14 +82,17 @@
 	return lease, errors.Wrap(r.Store.Commit(ctx, nil, []port.StoreWrite{w}), "writing the registration")
 }
 
-// keepAlive extends the lease until the store reports it as expired or ctx
-// ends. It returns whether the lease has expired.
-func (r *Registrar) keepAlive(ctx context.Context, lease port.LeaseID) (expired bool) {
+// keepAlive extends the lease until the store reports it as expired, the store's era ends, which
+// ends its leases, or ctx ends. It returns whether the lease has ended.
+func (r *Registrar) keepAlive(ctx context.Context, lease port.LeaseID, eraEnded <-chan struct{}) (expired bool) {
 	delay := keepAliveInterval
 	for {
-		r.sleep(ctx, delay)
-		if ctx.Err() != nil {
+		select {
+		case <-ctx.Done():
 			return false
+		case <-eraEnded:
+			return true
+		case <-r.Clock.After(delay):
 		}
 		err := r.Store.KeepAlive(ctx, lease)
 		if errors.Is(err, port.ErrNotFound) {
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -426,3 +426,25 @@
 		t.Error("refused after the operator has released the part")
 	}
 }
+
+// TestEvidenceIsWrittenAgainAfterRestore guards against evidence that is lost with a restore of the store, or
+// replaced by that of the older copy.
+func TestEvidenceIsWrittenAgainAfterRestore(t *testing.T) {
+	const x = Subject("part/7")
+	table, now := NewTable(), time.Unix(1000, 0)
+	var more, less Evidence
+	more.Losses, less.Losses = 3, 1
+	table.Apply(x, more, 9, now)
+	if us := table.Updates(8, now); len(us) != 0 {
+		t.Fatalf("stored evidence is written: %v", us)
+	}
+	table.Restore()
+	table.Retain(nil)
+	if us := table.Updates(8, now); len(us) != 1 || us[0].Evidence != more || us[0].Expect != 0 {
+		t.Errorf("missing evidence: %v", us)
+	}
+	table.Apply(x, less, 20, now)
+	if us := table.Updates(8, now); len(us) != 1 || us[0].Evidence != more || us[0].Expect != 20 {
+		t.Errorf("older evidence in the copy: %v", us)
+	}
+}
--- a/internal/core/quarantine/store.go
+++ b/internal/core/quarantine/store.go
@@ -161,6 +161,19 @@
 // Remove records that the store has no evidence against a subject.
 func (t *Table) Remove(x Subject) { t.remove(x) }
 
+// Restore records that the store was restored from an older copy: it may lack evidence, or have less of
+// it, until it is written again.
+func (t *Table) Restore() {
+	var all []Subject
+	t.subjects.Range(func(x Subject, _ *subjectState) bool {
+		all = append(all, x)
+		return true
+	})
+	for _, x := range all {
+		t.update(x, func(s *subjectState) { s.stored, s.revision = Evidence{}, 0 })
+	}
+}
+
 // Retain removes the subjects whose evidence was in the store and is not in keep.
 func (t *Table) Retain(keep map[Subject]bool) {
 	var gone []Subject
--- a/internal/port/duty.go
+++ b/internal/port/duty.go
@@ -44,3 +44,20 @@
 	// Era returns the highest era that this process has seen, or 0 if the store states none.
 	Era() int64
 }
+
+// EraWatcher is implemented by a Store that reports when its era ends.
+type EraWatcher interface {
+	// EraEnded returns a channel that is closed once this process has seen a higher era than the given one.
+	EraEnded(era int64) <-chan struct{}
+}
+
+// EraEnded returns a channel that is closed once the present era of a store has ended. It is nil if the store
+// does not report that.
+func EraEnded(s Store) <-chan struct{} {
+	e, states := s.(StoreEra)
+	w, reports := s.(EraWatcher)
+	if !states || !reports {
+		return nil
+	}
+	return w.EraEnded(e.Era())
+}
