--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -93,6 +93,7 @@
 			err = errors.Wrap(port.ErrUnavailable, "listing is of an older era of the store")
 		}
 		if err != nil {
+			f.items.Postpone(f.Clock.SinceBoot())
 			f.markLost(ctx, err)
 			f.sleep(ctx, pause)
 			pause = min(2*pause, retryMax)
