gateway: late requests are limited only where the settings ask for it

Change: [limits] limit_late, off by default. The spread over the best engines stays. Result: tests of app/gateway pass, with the limit on and off.

--- a/internal/app/gateway/overload.go
+++ b/internal/app/gateway/overload.go
@@ -24,10 +24,11 @@
 	return d
 }
 
-// limitsLate reports whether the request is subject to the limit of late requests. A request that was
-// sent before is not: the caller counts on its answer. Plain services have no prediction of their time.
+// limitsLate reports whether the request is subject to the limit of late requests, which operators have to ask
+// for: on two deployments it refused more callers than it served in time. A request that was sent before is not:
+// the caller counts on its answer. Plain services have no prediction of their time.
 func (c *call) limitsLate() bool {
-	return c.service.Engine != nil && c.route.LatencyObjective > 0 && c.sends == 0
+	return c.g.settings.LimitLate && c.service.Engine != nil && c.route.LatencyObjective > 0 && c.sends == 0
 }
 
 // choose selects the target of the next send.
--- a/internal/app/gateway/overload_test.go
+++ b/internal/app/gateway/overload_test.go
@@ -65,6 +65,7 @@
 // that callers in time need after an outage, and against one that is refused while nobody was.
 func TestLateCallerLeavesPlacesToThoseInTime(t *testing.T) {
 	gw := newTestGateway(t, route)
+	gw.settings.LimitLate = true
 	gw.useEngines(route)
 	gw.stopReports()
 	fill := func(running int) {
@@ -105,3 +106,15 @@
 		t.Errorf("a caller in time is refused: %v", out.refused)
 	}
 }
+
+// TestLateCallersAreNotLimitedByDefault guards against late callers that are refused in a deployment that does
+// not ask for the limit.
+func TestLateCallersAreNotLimitedByDefault(t *testing.T) {
+	gw := newTestGateway(t, route)
+	gw.useEngines(route)
+	in := newInbound()
+	in.CallerTimeout = route.Timeout / 2
+	if out := gw.request(in); out.status != 200 || strings.Contains(gw.log.String(), `"admission"`) {
+		t.Errorf("status %d, refused with %v, log:\n%s", out.status, out.refused, gw.log.String())
+	}
+}
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -41,6 +41,8 @@
 	// retries, within each RetryWindow.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// LimitLate makes late requests to engines give way to those in time while there is too little room.
+	LimitLate bool
 	// Memory is the memory limit of the process in bytes.
 	Memory int64
 	// Descriptors is the number of descriptors that the process may have open, and TargetConnections
@@ -85,5 +87,7 @@
 	s.Duration("retries", "window", &c.RetryWindow, 10*time.Second, 100*time.Millisecond, time.Hour, "Window in which ratio and slack apply.")
 	s.Int("limits", "descriptors", &c.Descriptors, 4096, 320, 1<<20, "Descriptors that the process may have open.")
 	s.Int("limits", "target_connections", &c.TargetConnections, 128, 1, 1<<20, "Connections to one target that may be open.")
+	s.Bool("limits", "limit_late", &c.LimitLate, false,
+		"After a request to engines found no room, admit late ones only into places that those in time leave.")
 	s.Bytes("limits", "memory", &c.Memory, 256*mib, 16*mib, 1024*gib, "Memory of the process.")
 }
