--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -35,6 +35,8 @@
 	Store   *platformtest.Store
 	// StoreAddr is the address of the store.
 	StoreAddr string
+	// Before is called with each call to the store. If it returns true, it has handled the call. It may be nil.
+	Before func(w http.ResponseWriter, r *http.Request) bool
 	// Dir is the temporary folder of the case.
 	Dir string
 
@@ -64,7 +66,13 @@
 		return nil, err
 	}
 	l.StoreAddr = lis.Addr().String()
-	go func() { _ = http.Serve(lis, l.Store) }()
+	go func() {
+		_ = http.Serve(lis, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if l.Before == nil || !l.Before(w, r) {
+				l.Store.ServeHTTP(w, r)
+			}
+		}))
+	}()
 	l.Logf("trouble: %v", l.Trouble)
 	return l, nil
 }
@@ -106,6 +114,8 @@
 type Proc struct {
 	Name, Front, Ready, Admin string
 	cmd                       *exec.Cmd
+	binary, settings          string
+	descriptors               int
 	done                      chan struct{}
 }
 
@@ -171,17 +181,18 @@
 		return err
 	}
 	l.procs = append(l.procs, p)
-	return l.Run(p, binary, path, descriptors)
+	p.binary, p.settings, p.descriptors = binary, path, descriptors
+	return l.Run(p)
 }
 
 // Run starts the process, also once more after its end. It may open as many descriptors as its machine has.
-func (l *Lab) Run(p *Proc, binary, settings string, descriptors int) error {
+func (l *Lab) Run(p *Proc) error {
 	out, err := os.OpenFile(filepath.Join(l.Dir, p.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/%s run", descriptors, binary))
-	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MASTICWING_CONFIG=" + settings}
+	p.cmd = exec.Command("/bin/sh", "-c", fmt.Sprintf("ulimit -n %d && exec target/%s run", p.descriptors, p.binary))
+	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MASTICWING_CONFIG=" + p.settings}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
 		return err
