review: case 8, the gateway cuts sound streams whose worker pauses

Around a planned stop, a worker preempts running streams for 1.8 s, within the time that clients wait. The gateway gives each of them up after 1.3 s because another worker seems to have room, gets that worker's refusal, and closes the client's channel in the middle of the answer.

Shown by review/8/run.sh with the gateway and two loaders as processes and stand-ins of the store, the origin, the workers and the clients.

--- a/review/8/main.go
+++ b/review/8/main.go
@@ -1,134 +1,178 @@
-// Command 8 shows what becomes of requests in progress at a gateway while clients send headers far over the
-// configured limit.
+// Command 8 shows what becomes of streams whose worker pauses for a moment while the gateway is stopped as planned.
 package main
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/masticwing/masticwing/platform/platformtest"
 	"github.com/masticwing/masticwing/review/lab2"
 )
 
 const (
-	// memoryMB is MemoryMb of a frontend machine of buoycheck-fleet, and maxFds its MaxFds.
-	memoryMB, maxFds = 284, 4100
-	// crowd is the number of clients that send long headers, and headerBytes the length of each header. HeaderBytes of
-	// the configuration is 16384.
-	crowd, headerBytes = 400, 900 << 10
-	// callers is the number of ordinary clients. Each keeps its channel.
-	callers = 8
-	// work is the time that a worker takes for a request.
-	work = 300 * time.Millisecond
-	// length is the time for which ordinary clients send requests.
-	length = 20 * time.Second
-	// lostAllowed is the number of lost requests that the rule allows.
-	lostAllowed = 3
+	maxFds = 4100
+	// events is the number of events of a stream, and interval the time between two of them.
+	events, interval = 20, 50 * time.Millisecond
+	// pauseAfter is the event after which a worker preempts a request, and pause the time for which it does so.
+	pauseAfter, pause = 8, 1800 * time.Millisecond
+	// streams is the number of streams.
+	streams = 8
 )
 
-// sendLongHeader sends a request with a long header and a chunked body that stops short of its end, and stays open.
-func sendLongHeader(addr string, n int, pad string, answered *atomic.Int64, end <-chan struct{}) {
-	conn, err := net.DialTimeout("tcp", addr, 5*time.Second)
-	if err != nil {
-		return
-	}
-	go func() {
-		<-end
-		_ = conn.Close()
-	}()
-	_, _ = fmt.Fprintf(conn, "POST /w/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: long%08d\r\nDeadline-Ms: 30000\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n5\r\nabcd", n, pad)
-	if res, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
-		answered.Add(1)
-		_ = res.Body.Close()
+// engine is a sound model worker. Its memory is nearly full.
+type engine struct {
+	l           *lab.Lab
+	id, addr    string
+	born        int64
+	preempts    bool // it preempts requests in the middle of their streams
+	full        bool // it has no memory for further requests
+	running     atomic.Int64
+	whole, runs atomic.Int64
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/report":
+		running := e.running.Load()
+		if e.full {
+			running = 2
+		}
+		_ = json.NewEncoder(w).Encode(lab.Object{"Stage": "unified", "Models": []lab.Object{{"Name": platformtest.Model, "Version": 1, "Adapters": []string{}}},
+			"layers": lab.Object{"From": 0, "Target": 1, "Version": 1}, "Busy": false, "Sequence": 0, "Queued": 0, "Running": running, "KvUsed": 1179900, "KvTotal": 1180000, "Handles": 0, "born": e.born})
+	case strings.HasPrefix(r.URL.Path, "/stage-get/"):
+		e.staged(w, r)
+	case strings.HasPrefix(r.URL.Path, "/stage-put/"), r.URL.Path == "/order":
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.WriteHeader(http.StatusOK)
+	default:
+		e.run(w, r)
 	}
 }
 
-// caller is an ordinary client with a kept channel.
-type caller struct {
-	l            *lab.Lab
-	name, addr   string
-	lost, served *atomic.Int64
+func (e *engine) staged(w http.ResponseWriter, r *http.Request) {
+	if q := r.URL.Query().Get("ChunkCount"); q != "" {
+		i, _ := strconv.Atoi(q)
+		_, _ = w.Write(platformtest.ChunkData(1, i))
+		return
+	}
+	held := []int{}
+	for i := range platformtest.ChunksPerVersion {
+		held = append(held, i)
+	}
+	_ = json.NewEncoder(w).Encode(lab.Object{"held": held})
 }
 
-// run sends one request after the other until end. It counts those whose channel ended without an answer.
-func (c *caller) run(end <-chan struct{}) {
-	var conn net.Conn
-	var r *bufio.Reader
-	for i, used := 0, 0; ; i++ {
+func (e *engine) run(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	id := r.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	if x := r.Header.Get("Expect-Instance"); x != "" && x != e.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if e.full {
+		e.l.Logf("worker %s: has no memory for %s after event %q", e.id, id, r.Header.Get("Last-Event-Id"))
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	e.runs.Add(1)
+	e.l.Logf("worker %s: runs %s after event %q", e.id, id, r.Header.Get("Last-Event-Id"))
+	w.Header().Set("Response-Signature", "s."+e.id+"."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for n := after + 1; n <= events; n++ {
+		d := interval
+		if e.preempts && n == pauseAfter+1 {
+			d = pause
+		}
 		select {
-		case <-end:
+		case <-r.Context().Done():
+			e.l.Logf("worker %s: %s was left before event %d", e.id, id, n)
 			return
-		default:
-		}
-		if conn == nil {
-			var err error
-			if conn, err = net.DialTimeout("tcp", c.addr, time.Second); err != nil {
-				conn = nil
-				time.Sleep(200 * time.Millisecond)
-				continue
-			}
-			r, used = bufio.NewReader(conn), 0
-		}
-		id := fmt.Sprintf("%s-%04d", c.name, i)
-		_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-		_, _ = fmt.Fprintf(conn, "POST /w/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 5\r\n\r\nhello", id)
-		res, err := http.ReadResponse(r, nil)
-		if err == nil {
-			_, err = io.Copy(io.Discard, res.Body)
-		}
-		if err != nil {
-			c.l.Logf("client: %s: no answer, request %d of its channel: %v", id, used+1, err)
-			if used > 0 {
-				c.lost.Add(1)
-			}
-			_ = conn.Close()
-			conn = nil
-			continue
-		}
-		used++
-		c.l.Logf("client: %s: status %d", id, res.StatusCode)
-		if res.StatusCode == http.StatusOK {
-			c.served.Add(1)
-		}
-		if res.Close {
-			_ = conn.Close()
-			conn = nil
+		case <-time.After(d):
 		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n, id, n)
+		_ = rc.Flush()
 	}
+	e.whole.Add(1)
 }
 
-// watchMemory ends the process once it uses more memory than its machine has, as the platform does. It returns
-// whether that has happened before end.
-func watchMemory(l *lab.Lab, g *lab.Proc, end <-chan struct{}) (killed bool) {
-	for {
-		select {
-		case <-end:
-			return false
-		case <-time.After(20 * time.Millisecond):
-		}
-		if now, _ := g.MemoryKB(); now > memoryMB<<10 {
-			l.Logf("platform: %s uses %d kB of %d MB and is killed", g.Name, now, memoryMB)
-			g.Signal(syscall.SIGKILL)
-			return true
-		}
+func (l *labRun) startEngine(id string, preempts, full bool) (*engine, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &engine{l: l.Lab, id: id, addr: lis.Addr().String(), born: time.Now().UnixMilli(), preempts: preempts, full: full}
+	go func() { _ = http.Serve(lis, e) }()
+	l.Store.Put("servers/"+id, lab.Object{"Service": "llm", "Address": e.addr, "Zone": "a", "Version": "1", "Slots": 16, "State": "ready",
+		"ColdLeftMs": 0, "Sequence": 1, "born": e.born, "Models": []lab.Object{{"Name": platformtest.Model, "Version": 1}}})
+	return e, nil
+}
+
+type labRun struct{ *lab.Lab }
+
+// stream sends one request for a stream on conn and returns how many events came, and whether the answer was whole.
+func stream(l *lab.Lab, addr, id string) (n int, whole bool) {
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		l.Logf("client: %s: no channel: %v", id, err)
+		return 0, false
+	}
+	defer func() { _ = conn.Close() }()
+	start := time.Now()
+	_ = conn.SetDeadline(start.Add(6 * time.Second))
+	body := "body of " + id
+	_, _ = fmt.Fprintf(conn, "POST /s/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 6000\r\nModel: %s\r\nToken-Usage: 600,100\r\n"+
+		"Prompt-Prefix: 5c1e07a2:40,%x:560\r\nContent-Length: %d\r\n\r\n%s", id, platformtest.Model, id, len(body), body)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		l.Logf("client: %s: no answer after %v: %v", id, time.Since(start).Round(time.Millisecond), err)
+		return 0, false
 	}
+	b, err := io.ReadAll(res.Body)
+	n = bytes.Count(b, []byte("\n\n"))
+	l.Logf("client: %s: status %d, %d events after %v, end of the answer: %v", id, res.StatusCode, n, time.Since(start).Round(time.Millisecond), err)
+	return n, err == nil
 }
 
-func play(l *lab.Lab) (int, error) {
-	l.Config(3, []lab.Object{{"Name": "w", "Host": "h.example", "Prefix": "/w/", "Kind": "unsafe", "TimeoutMs": 3000,
-		"TargetLatencyMs": 400, "Priority": 0, "Service": "desk", "MaxAttempts": 1}},
-		[]lab.Object{{"Name": "desk", "HealthPath": "/health", "MaxConns": 110}}, nil)
-	if _, err := l.StartWorker("w1", "desk", "a", work); err != nil {
+func play(lb *lab.Lab) (int, error) {
+	l := &labRun{lb}
+	origin := httptest.NewServer(&platformtest.Origin{})
+	l.Config(3, []lab.Object{{"Name": "s", "Host": "h.example", "Prefix": "/s/", "Kind": "streaming", "TimeoutMs": 6000,
+		"TargetLatencyMs": 400, "Priority": 1, "Service": "llm", "MaxAttempts": 2, "SessionAffinity": true, "Resumable": true, "TargetGapMs": 400}},
+		[]lab.Object{{"Name": "origin", "Origin": strings.TrimPrefix(origin.URL, "http://"), "Zone": "a", "LinkMbps": 9.9, "MaxConns": 48},
+			{"Name": "llm", "HealthPath": "/health", "MaxConns": 304, "ColdPerS": 26, "Engine": lab.Object{"Slots": 16,
+				"Models": []lab.Object{{"Name": platformtest.Model}}, "layers": 1, "Stride": 5, "step_ms": 8.87, "read_per_s": 19100}}}, nil)
+	first, err := l.startEngine("i-e0", l.Trouble, false)
+	if err != nil {
+		return 0, err
+	}
+	second, err := l.startEngine("i-e1", false, true)
+	if err != nil {
 		return 0, err
 	}
+	for i, e := range []*engine{first, second} {
+		if _, err := l.StartLoader(fmt.Sprintf("side-a-%d", i), "a", l.StoreAddr, e.addr, "llm"); err != nil {
+			return 0, err
+		}
+	}
 	g, err := l.StartGateway("frontend-a-1", "a", l.StoreAddr, maxFds)
 	if err != nil {
 		return 0, err
@@ -136,38 +180,31 @@
 	if err := g.AwaitReady(10 * time.Second); err != nil {
 		return 0, err
 	}
-	var lost, served, answered atomic.Int64
-	end := make(chan struct{})
+	time.Sleep(3 * time.Second)
 	var wg sync.WaitGroup
-	for i := range callers {
+	var cut, whole, refused atomic.Int64
+	for i := range streams {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			(&caller{l, fmt.Sprintf("c%d", i), g.Front, &lost, &served}).run(end)
+			n, ok := stream(lb, g.Front, fmt.Sprintf("stream%02d", i))
+			switch {
+			case ok && n == events:
+				whole.Add(1)
+			case n > 0:
+				cut.Add(1)
+			default:
+				refused.Add(1)
+			}
 		}()
+		time.Sleep(30 * time.Millisecond)
 	}
-	killed := make(chan bool, 1)
-	go func() { killed <- watchMemory(l, g, end) }()
-	time.Sleep(5 * time.Second)
-	before := served.Load()
-	if before == 0 || lost.Load() > 0 {
-		return 0, fmt.Errorf("%d requests served, %d lost before the disruption", before, lost.Load())
-	}
-	if l.Trouble {
-		pad := strings.Repeat("X-Pad: "+strings.Repeat("p", 4000)+"\r\n", headerBytes/4009)
-		for n := range crowd {
-			go sendLongHeader(g.Front, n, pad, &answered, end)
-			time.Sleep(10 * time.Millisecond)
-		}
-	}
-	time.Sleep(length - 5*time.Second)
-	now, peak := g.MemoryKB()
-	l.Logf("gateway: runs %v, %d kB (peak %d kB); the crowd got %d answers", g.Running(), now, peak, answered.Load())
-	close(end)
-	wasKilled := <-killed
+	l.Logf("SIGTERM to %s", g.Name)
+	g.Signal(syscall.SIGTERM)
 	wg.Wait()
-	l.Logf("%d requests served, %d requests of kept channels ended without an answer; the gateway was killed for its memory: %v", served.Load(), lost.Load(), wasKilled)
-	if wasKilled && lost.Load() > lostAllowed {
+	<-g.Done()
+	l.Logf("%d streams whole, %d cut in the middle, %d without an event", whole.Load(), cut.Load(), refused.Load())
+	if cut.Load() > 0 {
 		return lab.Broken, nil
 	}
 	return lab.Held, nil
