--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -11,8 +11,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +23,9 @@
 	"github.com/masticwing/masticwing/platform/platformtest"
 )
 
+// maxTime bounds the time of a case, which is 120 s at most.
+const maxTime = 115 * time.Second
+
 // Exit codes of a case.
 const (
 	Held   = 0
@@ -74,6 +79,17 @@
 		}))
 	}()
 	l.Logf("trouble: %v", l.Trouble)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case s := <-stopped:
+			l.Logf("could not run: %v", s)
+		case <-time.After(maxTime):
+			l.Logf("could not run within %v", maxTime)
+		}
+		os.Exit(l.Close(NotRun))
+	}()
 	return l, nil
 }
 
@@ -86,7 +102,10 @@
 
 // Close ends all processes and the record. It returns code, which it also records.
 func (l *Lab) Close(code int) int {
-	for _, p := range l.procs {
+	l.mu.Lock()
+	procs := slices.Clone(l.procs)
+	l.mu.Unlock()
+	for _, p := range procs {
 		p.Kill()
 	}
 	l.Logf("exit code %d", code)
@@ -180,7 +199,9 @@
 	if err := os.WriteFile(path, []byte(render(text, f)), 0o600); err != nil {
 		return err
 	}
+	l.mu.Lock()
 	l.procs = append(l.procs, p)
+	l.mu.Unlock()
 	p.binary, p.settings, p.descriptors = binary, path, descriptors
 	return l.Run(p)
 }
