review: make the stand-ins of the second review a module of their own

They are now one module with the standard library only, with a store and an origin of their own. The scripts and what they assert stay the same.

--- a/review/6/engine.go
+++ b/review/lab2/case6/engine.go
@@ -1,8 +1,6 @@
 package main
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,13 +11,10 @@
 	"sync"
 	"time"
 
-	"github.com/masticwing/masticwing/review/lab2"
+	lab "review2"
 )
 
 const (
-	model = "m"
-	// pieces and pieceBytes are those of the sheet.
-	pieces, pieceBytes = 64, 32768
 	// warm is WarmS of the sheet.
 	warm = 300 * time.Millisecond
 	// excused is the time for which a piece may have been bad when a worker takes it.
@@ -28,31 +23,6 @@
 	events, interval = 20, 55 * time.Millisecond
 )
 
-// pieceData returns the bytes of a piece of a version.
-func pieceData(version int64, i int) []byte {
-	b := make([]byte, pieceBytes)
-	for k := range b {
-		b[k] = byte(int(version)*31 + i*7 + k)
-	}
-	return b
-}
-
-// serveOrigin serves the manifests and pieces of all versions.
-func serveOrigin(w http.ResponseWriter, r *http.Request) {
-	version, _ := strconv.ParseInt(r.URL.Query().Get("Version"), 10, 64)
-	if strings.HasPrefix(r.URL.Path, "/piece/") {
-		i, _ := strconv.Atoi(r.URL.Query().Get("ChunkCount"))
-		_, _ = w.Write(pieceData(version, i))
-		return
-	}
-	var digests []string
-	for i := range pieces {
-		sum := sha256.Sum256(pieceData(version, i))
-		digests = append(digests, hex.EncodeToString(sum[:]))
-	}
-	_ = json.NewEncoder(w).Encode(lab.Object{"Model": model, "Version": version, "ChunkBytes": pieceBytes, "layers": 16, "Digests": digests})
-}
-
 // piece is a staged piece. badSince is when it turned bad where it lies.
 type piece struct {
 	data     []byte
@@ -85,8 +55,8 @@
 		return nil, err
 	}
 	e := &engine{l: l, id: id, addr: lis.Addr().String(), born: time.Now().UnixMilli(), staged: map[int]piece{}, version: 1}
-	for i := range pieces {
-		e.staged[i] = piece{data: pieceData(1, i)}
+	for i := range lab.Pieces {
+		e.staged[i] = piece{data: lab.PieceData(1, i)}
 	}
 	go func() { _ = http.Serve(lis, e) }()
 	e.register()
@@ -97,7 +67,7 @@
 	if e.version == 0 {
 		return []lab.Object{}
 	}
-	return []lab.Object{{"Name": model, "Version": e.version, "Adapters": []string{}}}
+	return []lab.Object{{"Name": lab.Model, "Version": e.version, "Adapters": []string{}}}
 }
 
 // register writes the entry in the store.
@@ -193,10 +163,10 @@
 	}
 	var bad []string
 	version := in.Version
-	for i := range pieces {
+	for i := range lab.Pieces {
 		p := e.staged[i]
 		switch {
-		case release, string(p.data) == string(pieceData(version, i)):
+		case release, string(p.data) == string(lab.PieceData(version, i)):
 		case p.badSince.IsZero():
 			bad = append(bad, fmt.Sprintf("piece %d is missing or of another version", i))
 		case time.Since(p.badSince) > excused:
--- a/review/6/main.go
+++ b/review/lab2/case6/main.go
@@ -15,7 +15,7 @@
 	"syscall"
 	"time"
 
-	"github.com/masticwing/masticwing/review/lab2"
+	lab "review2"
 )
 
 const (
@@ -44,7 +44,7 @@
 	_ = conn.SetDeadline(time.Now().Add(6 * time.Second))
 	body := "body of " + id
 	_, _ = fmt.Fprintf(conn, "POST /s/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 6000\r\nModel: %s\r\nToken-Usage: 600,50\r\n"+
-		"Prompt-Prefix: 5c1e07a2:40,%x:560\r\nContent-Length: %d\r\n\r\n%s", id, model, id, len(body), body)
+		"Prompt-Prefix: 5c1e07a2:40,%x:560\r\nContent-Length: %d\r\n\r\n%s", id, lab.Model, id, len(body), body)
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		l.Logf("client: %s: no answer: %v", id, err)
@@ -55,12 +55,12 @@
 }
 
 func play(l *lab.Lab) (int, error) {
-	origin := httptest.NewServer(http.HandlerFunc(serveOrigin))
+	origin := httptest.NewServer(http.HandlerFunc(lab.ServeOrigin))
 	l.Config(3, []lab.Object{{"Name": "s", "Host": "h.example", "Prefix": "/s/", "Kind": "streaming", "TimeoutMs": 6000,
 		"TargetLatencyMs": 400, "Priority": 1, "Service": "llm", "MaxAttempts": 2, "SessionAffinity": true, "Resumable": true, "TargetGapMs": 400}},
 		[]lab.Object{{"Name": "origin", "Origin": strings.TrimPrefix(origin.URL, "http://"), "Zone": "a", "LinkMbps": 9.9, "MaxConns": 48},
 			{"Name": "llm", "HealthPath": "/health", "MaxConns": 304, "ColdPerS": 26, "Engine": lab.Object{"Slots": 16,
-				"Models": []lab.Object{{"Name": model}}, "layers": 16, "Stride": 5, "step_ms": 8.87, "read_per_s": 19100, "Chunks": pieces, "ChunkBytes": pieceBytes}}}, nil)
+				"Models": []lab.Object{{"Name": lab.Model}}, "layers": 16, "Stride": 5, "step_ms": 8.87, "read_per_s": 19100, "Chunks": lab.Pieces, "ChunkBytes": lab.PieceBytes}}}, nil)
 	var engines []*engine
 	var loaders []*lab.Proc
 	for i := range 2 {
@@ -114,7 +114,7 @@
 			time.Sleep(time.Second / perSecond)
 		}
 	}()
-	l.Store.Put("op/version/"+model, lab.Object{"Model": model, "Version": 2})
+	l.Store.Put("op/version/"+lab.Model, lab.Object{"Model": lab.Model, "Version": 2})
 	l.Logf("version 2 is acknowledged")
 	select {
 	case <-ordered:
--- a/review/7/main.go
+++ b/review/lab2/case7/main.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"github.com/masticwing/masticwing/review/lab2"
+	lab "review2"
 )
 
 const (
--- a/review/8/main.go
+++ b/review/lab2/case8/main.go
@@ -10,7 +10,7 @@
 	"os"
 	"time"
 
-	"github.com/masticwing/masticwing/review/lab2"
+	lab "review2"
 )
 
 const (
--- a/review/9/main.go
+++ b/review/lab2/case9/main.go
@@ -18,8 +18,7 @@
 	"syscall"
 	"time"
 
-	"github.com/masticwing/masticwing/platform/platformtest"
-	"github.com/masticwing/masticwing/review/lab2"
+	lab "review2"
 )
 
 const (
@@ -50,7 +49,7 @@
 		if e.full {
 			running = 2
 		}
-		_ = json.NewEncoder(w).Encode(lab.Object{"Stage": "unified", "Models": []lab.Object{{"Name": platformtest.Model, "Version": 1, "Adapters": []string{}}},
+		_ = json.NewEncoder(w).Encode(lab.Object{"Stage": "unified", "Models": []lab.Object{{"Name": lab.Model, "Version": 1, "Adapters": []string{}}},
 			"layers": lab.Object{"From": 0, "Target": 1, "Version": 1}, "Busy": false, "Sequence": 0, "Queued": 0, "Running": running, "KvUsed": 1179900, "KvTotal": 1180000, "Handles": 0, "born": e.born})
 	case strings.HasPrefix(r.URL.Path, "/stage-get/"):
 		e.staged(w, r)
@@ -65,11 +64,11 @@
 func (e *engine) staged(w http.ResponseWriter, r *http.Request) {
 	if q := r.URL.Query().Get("ChunkCount"); q != "" {
 		i, _ := strconv.Atoi(q)
-		_, _ = w.Write(platformtest.ChunkData(1, i))
+		_, _ = w.Write(lab.PieceData(1, i))
 		return
 	}
 	held := []int{}
-	for i := range platformtest.ChunksPerVersion {
+	for i := range lab.Pieces {
 		held = append(held, i)
 	}
 	_ = json.NewEncoder(w).Encode(lab.Object{"held": held})
@@ -122,7 +121,7 @@
 	e := &engine{l: l.Lab, id: id, addr: lis.Addr().String(), born: time.Now().UnixMilli(), preempts: preempts, full: full}
 	go func() { _ = http.Serve(lis, e) }()
 	l.Store.Put("servers/"+id, lab.Object{"Service": "llm", "Address": e.addr, "Zone": "a", "Version": "1", "Slots": 16, "State": "ready",
-		"ColdLeftMs": 0, "Sequence": 1, "born": e.born, "Models": []lab.Object{{"Name": platformtest.Model, "Version": 1}}})
+		"ColdLeftMs": 0, "Sequence": 1, "born": e.born, "Models": []lab.Object{{"Name": lab.Model, "Version": 1}}})
 	return e, nil
 }
 
@@ -140,7 +139,7 @@
 	_ = conn.SetDeadline(start.Add(6 * time.Second))
 	body := "body of " + id
 	_, _ = fmt.Fprintf(conn, "POST /s/x HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nDeadline-Ms: 6000\r\nModel: %s\r\nToken-Usage: 600,100\r\n"+
-		"Prompt-Prefix: 5c1e07a2:40,%x:560\r\nContent-Length: %d\r\n\r\n%s", id, platformtest.Model, id, len(body), body)
+		"Prompt-Prefix: 5c1e07a2:40,%x:560\r\nContent-Length: %d\r\n\r\n%s", id, lab.Model, id, len(body), body)
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		l.Logf("client: %s: no answer after %v: %v", id, time.Since(start).Round(time.Millisecond), err)
@@ -154,12 +153,12 @@
 
 func play(lb *lab.Lab) (int, error) {
 	l := &labRun{lb}
-	origin := httptest.NewServer(&platformtest.Origin{})
+	origin := httptest.NewServer(http.HandlerFunc(lab.ServeOrigin))
 	l.Config(3, []lab.Object{{"Name": "s", "Host": "h.example", "Prefix": "/s/", "Kind": "streaming", "TimeoutMs": 6000,
 		"TargetLatencyMs": 400, "Priority": 1, "Service": "llm", "MaxAttempts": 2, "SessionAffinity": true, "Resumable": true, "TargetGapMs": 400}},
 		[]lab.Object{{"Name": "origin", "Origin": strings.TrimPrefix(origin.URL, "http://"), "Zone": "a", "LinkMbps": 9.9, "MaxConns": 48},
 			{"Name": "llm", "HealthPath": "/health", "MaxConns": 304, "ColdPerS": 26, "Engine": lab.Object{"Slots": 16,
-				"Models": []lab.Object{{"Name": platformtest.Model}}, "layers": 1, "Stride": 5, "step_ms": 8.87, "read_per_s": 19100}}}, nil)
+				"Models": []lab.Object{{"Name": lab.Model}}, "layers": 1, "Stride": 5, "step_ms": 8.87, "read_per_s": 19100}}}, nil)
 	first, err := l.startEngine("i-e0", l.Trouble, false)
 	if err != nil {
 		return 0, err
--- a/review/lab2/lab.go
+++ b/review/lab2/lab.go
@@ -19,8 +19,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/masticwing/masticwing/platform/platformtest"
 )
 
 // maxTime bounds the time of a case, which is 120 s at most.
@@ -37,7 +35,7 @@
 type Lab struct {
 	// Trouble is false if the case runs without its disruption.
 	Trouble bool
-	Store   *platformtest.Store
+	Store   *Store
 	// StoreAddr is the address of the store.
 	StoreAddr string
 	// Before is called with each call to the store. If it returns true, it has handled the call. It may be nil.
@@ -63,7 +61,7 @@
 		return nil, err
 	}
 	l := &Lab{
-		Trouble: os.Getenv("TROUBLE") != "0", Store: platformtest.NewStore(), Dir: dir,
+		Trouble: os.Getenv("TROUBLE") != "0", Store: NewStore(), Dir: dir,
 		record: bufio.NewWriter(f), file: f, began: time.Now(),
 	}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
@@ -71,6 +69,7 @@
 		return nil, err
 	}
 	l.StoreAddr = lis.Addr().String()
+	go l.Store.Run()
 	go func() {
 		_ = http.Serve(lis, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if l.Before == nil || !l.Before(w, r) {
