loader: stored report of an engine is not changed after it was stored

A data race: a withdrawal marks its report busy after lastReport.set, while other threads of the loader read it and send it on to gateways.

Cause: lastReport kept the pointer of its caller, who goes on to change the report.

Change: set stores a copy, and get documents that it must not be changed.

Measured: TestStoredReportIsNotChanged fails before and passes after.

--- a/internal/app/loader/converge.go
+++ b/internal/app/loader/converge.go
@@ -32,12 +32,18 @@
 	report *port.EngineReport
 }
 
+// set stores a copy, since callers go on to change the report that they pass.
 func (l *lastReport) set(report *port.EngineReport) {
+	if report != nil {
+		stored := *report
+		report = &stored
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.report = report
 }
 
+// get returns the stored report, which must not be changed.
 func (l *lastReport) get() *port.EngineReport {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/app/loader/enforce_test.go
+++ b/internal/app/loader/enforce_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// TestStoredReportIsNotChanged guards against a data race: a withdrawal marks its report busy after
+// it has stored it, while the other threads of the loader read it.
+func TestStoredReportIsNotChanged(t *testing.T) {
+	var l lastReport
+	r := port.EngineReport{Started: 1}
+	l.set(&r)
+	stored := l.get()
+	r.Busy = true
+	if stored.Busy {
+		t.Error("a stored report changed with the caller's")
+	}
+	if l.set(nil); l.get() != nil {
+		t.Error("the report of an engine that is lost is still returned")
+	}
+}
+
 // TestLateWithdrawalBreaksOffRequests guards against requests that an engine had admitted before
 // its machine stood still, and begins on old weights after their bound; and against a withdrawal
 // in time that breaks off responses.
