platform: a configuration with an empty list of tenants requires API keys

Cause: the decoder kept no trace of whether a configuration has a list of tenants, and Table.RequiresKey asked for keys only if the list had entries. Ruled out: that the gateway does not learn of the configuration, or keeps the keys of the last one; requests with an unknown key are refused before it and run after it.

--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -105,7 +105,12 @@
 // the retry budget.
 func newGateway(t *testing.T, grace time.Duration, retries float64, targets map[string]string) *gateway.Gateway {
 	t.Helper()
-	store := porttest.NewStore()
+	return newGatewayOf(t, porttest.NewStore(), grace, retries, targets)
+}
+
+// newGatewayOf is newGateway with a store that the test changes.
+func newGatewayOf(t *testing.T, store *porttest.Store, grace time.Duration, retries float64, targets map[string]string) *gateway.Gateway {
+	t.Helper()
 	store.Put("op/config", `{"Version":1,"Routes":[
 		{"Name":"r","Host":"h","Prefix":"/p/","Kind":"streaming","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true,"Resumable":true},
 		{"Name":"s","Host":"h","Prefix":"/s/","Kind":"safe","TimeoutMs":20000,"TargetLatencyMs":400,"Service":"s","MaxAttempts":2,"Anonymous":true},
@@ -139,7 +144,12 @@
 // startGatewayWith is like startGateway with other targets and another retry budget.
 func startGatewayWith(t *testing.T, retries float64, targets map[string]string) string {
 	t.Helper()
-	g := newGateway(t, 0, retries, targets)
+	return startServing(t, newGateway(t, 0, retries, targets))
+}
+
+// startServing runs a gateway until the test ends. It returns the address for callers.
+func startServing(t *testing.T, g *gateway.Gateway) string {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg conc.WaitGroup
 	wg.Go(func() { g.Run(ctx) })
--- a/internal/app/gateway/expiry_test.go
+++ b/internal/app/gateway/expiry_test.go
@@ -20,7 +20,7 @@
 	r.Kind, r.Timeout = routes.Streaming, 5*time.Second
 	gw := newTestGateway(t, r, scriptedReply{delay: 3 * time.Second, status: 200, body: []string{"id: 1\ndata: x\n\n"}})
 	config := engineConfig
-	config.Config.Routes = []routes.Route{r}
+	config.Config.Routes, config.Config.Keyless = []routes.Route{r}, true
 	gw.applyItem("op/config", 2, config)
 	declaredAgo := gw.settings.WeightsBound - confirmationSlack - left
 	gw.decodedItems[weightsKey] = port.WeightsItem{Model: "m", Number: 2}
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -208,7 +208,10 @@
 	Routes   []Route
 	Services []Service
 	Accounts []Account
-	Limits   Limits
+	// Keyless means that the configuration has no list of client accounts, so that requests need no API key.
+	// With a list that is empty no key is valid.
+	Keyless bool
+	Limits  Limits
 	// Faults describes the values that were not used because they can't be meant, at most MaxFaults.
 	Faults []string
 }
@@ -272,9 +275,8 @@
 	return a, ok
 }
 
-// RequiresKey reports whether requests need an API key, which they do once any
-// account is configured.
-func (t *Table) RequiresKey() bool { return len(t.Accounts) > 0 }
+// RequiresKey reports whether requests need an API key, unless their route is anonymous.
+func (t *Table) RequiresKey() bool { return !t.Keyless }
 
 // Models returns the models of all engines, in the order of the configuration.
 func (t *Table) Models() []fleet.Model {
