core/routes: an empty API key of an account is not valid

A request without an API key was taken for one of an account whose list of keys holds an empty string, since the table of keys had an entry for it.

Change: empty keys are left out of the table.

Measured: TestEmptyKeyIsNotValid fails before and passes after.

--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -246,7 +246,10 @@
 	}
 	for i := range t.Accounts {
 		for _, k := range t.Accounts[i].Keys {
-			t.accountsByKey[k] = &t.Accounts[i]
+			// A request without a key has the empty one.
+			if k != "" {
+				t.accountsByKey[k] = &t.Accounts[i]
+			}
 		}
 	}
 	for i := range t.Services {
--- a/internal/core/routes/routes_test.go
+++ b/internal/core/routes/routes_test.go
@@ -68,3 +68,15 @@
 		}
 	}
 }
+
+// TestEmptyKeyIsNotValid guards against a request without an API key that is taken for one of an account whose
+// keys include an empty one.
+func TestEmptyKeyIsNotValid(t *testing.T) {
+	table := Compile(Config{Accounts: []Account{{Name: "t", Keys: []string{"", "k"}}}})
+	if a, ok := table.Account(""); ok {
+		t.Errorf("a request without a key belongs to %q", a.Name)
+	}
+	if a, ok := table.Account("k"); !ok || a.Name != "t" {
+		t.Errorf("the key of the account belongs to %v", a)
+	}
+}
