httpapi: a body whose connection ends in a chunk is refused

Callers of masticwing-entry whose connection ended in the middle of a chunked body, and that still read, got the response of a service to a part of the body: the call had run.

Cause: readBody counted io.ErrUnexpectedEOF as the end of a chunked body, since io.ReadFull returns it also for a body that ends before the buffer is full. Ruled out: net/http takes the end of the connection for the end of the body; its reader returns io.ErrUnexpectedEOF.

Change: readFull keeps the error of the body; only io.EOF is its end.

--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -336,13 +336,13 @@
 		reserved += step
 		grown := make([]byte, reserved)
 		n := copy(grown, buf)
-		m, err := io.ReadFull(hr.Body, grown[n:])
+		m, err := readFull(hr.Body, grown[n:])
 		buf = grown[:n+m]
 		step = reserved
 		switch {
 		case int64(len(buf)) > limit:
 			return reserved, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body is larger than %d bytes", limit)
-		case hr.ContentLength >= 0 && err == nil, hr.ContentLength < 0 && isEOF(err):
+		case err == io.EOF, hr.ContentLength >= 0 && err == nil:
 			x.r.Body = buf
 			return reserved, nil
 		case err != nil:
@@ -351,7 +351,16 @@
 	}
 }
 
-func isEOF(err error) bool { return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) }
+// readFull reads into b until it is full, or r fails or ends. Unlike io.ReadFull it keeps the error of r: io.EOF
+// is the end of a body, and io.ErrUnexpectedEOF that of its connection.
+func readFull(r io.Reader, b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		var m int
+		m, err = r.Read(b[n:])
+		n += m
+	}
+	return n, err
+}
 
 // countVerdict counts the end of a request in the metrics. The customer is not an
 // attribute, so that callers cannot create metrics with invented names.
