--- a/internal/app/gateway/memory.go
+++ b/internal/app/gateway/memory.go
@@ -23,17 +23,17 @@
 
 // BodyMemory implements port.InboundHandler. A client account is known by its key here; whether the key
 // is valid is decided later.
-func (g *Gateway) BodyMemory(apiKey string, callerTimeout time.Duration) port.BodyMemory {
-	client := ""
+func (g *Gateway) BodyMemory(h port.RequestHead) port.BodyMemory {
+	client, timeout := "", min(orDefault(h.CallerTimeout), defaultTimeout)
 	if t := g.view.routeTable.Load(); t != nil {
-		if a, ok := t.Account(apiKey); ok {
+		if a, ok := t.Account(h.APIKey); ok {
 			client = string(a.Name)
 		}
+		if r, ok := t.MatchRoute(h.Host, h.Path); ok {
+			timeout = requestTimeout(r, h.CallerTimeout)
+		}
 	}
-	if callerTimeout <= 0 {
-		callerTimeout = defaultTimeout
-	}
-	return &bodyMemory{g, g.memory.NewBody(client), callerTimeout}
+	return &bodyMemory{g, g.memory.NewBody(client), timeout}
 }
 
 // Grow implements port.BodyMemory.
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -147,15 +147,25 @@
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.CodeNoTarget, "route has no service").WithRetryAfter(time.Second)
 	}
-	timeout := c.in.CallerTimeout
-	if timeout == 0 {
-		timeout = defaultTimeout
+	c.deadline = c.in.ReceivedAt.Add(requestTimeout(r, c.in.CallerTimeout))
+	return nil
+}
+
+// orDefault returns the timeout that a caller states, or defaultTimeout if it states none.
+func orDefault(callerTimeout time.Duration) time.Duration {
+	if callerTimeout <= 0 {
+		return defaultTimeout
 	}
+	return callerTimeout
+}
+
+// requestTimeout returns the time within which a request on a route has to be answered.
+func requestTimeout(r *routes.Route, callerTimeout time.Duration) time.Duration {
+	timeout := orDefault(callerTimeout)
 	if r.Timeout > 0 {
 		timeout = min(timeout, r.Timeout)
 	}
-	c.deadline = c.in.ReceivedAt.Add(timeout)
-	return nil
+	return timeout
 }
 
 // authenticate finds the account of the request's API key. It refuses the request if the view
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -86,13 +86,19 @@
 	// Ready reports whether the process accepts new connections, or else the
 	// reason why it does not.
 	Ready() (bool, string)
-	// BodyMemory returns the memory for the body of a request with an API key, whose caller waits for
-	// a time, or zero if that is not known.
-	BodyMemory(apiKey string, callerTimeout time.Duration) BodyMemory
+	// BodyMemory returns the memory for the body of a request of which only the head has arrived.
+	BodyMemory(h RequestHead) BodyMemory
 	// RequestLimits returns the limits for callers.
 	RequestLimits() CallerLimits
 }
 
+// RequestHead is what the head of a request says about who sends it, where to, and for how long.
+type RequestHead struct {
+	Host, Path, APIKey string
+	// CallerTimeout is the timeout that the caller states, or zero if it states none.
+	CallerTimeout time.Duration
+}
+
 // BodyMemory is the memory of one request's body.
 type BodyMemory interface {
 	// Grow reserves memory for n bytes in all before they are read. It may wait, and returns the error
