gateway: unfinished requests give up their connections to others

Cause: at the limit of connections only idle ones were closed, and a crowd has none; and nothing bounded the connections beyond the limit, which were accepted to refuse their requests, until all descriptors were taken. Ruled out: the crowd's requests fill the targets; none of them is sent on.

Change: at the limit the connection that is needed least is given up (core/eviction): of a refused caller, then an idle one, then the one whose request has been arriving for the longest time, after 10 ms at least. adapter/callerconns, which replaces adapter/idleconns, follows the states and carries the choice out. A tenth of the limit is kept for callers who are refused; beyond it no connection is accepted until another one ends, for 0.25 s at most. The tests of idleconns are kept in callerconns.

--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -13,8 +13,8 @@
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
 
+	"github.com/masticwing/masticwing/internal/adapter/callerconns"
 	"github.com/masticwing/masticwing/internal/adapter/closeguard"
-	"github.com/masticwing/masticwing/internal/adapter/idleconns"
 	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
@@ -22,6 +22,7 @@
 	"github.com/masticwing/masticwing/internal/app/daemon"
 	"github.com/masticwing/masticwing/internal/app/gateway"
 	"github.com/masticwing/masticwing/internal/app/settings"
+	"github.com/masticwing/masticwing/internal/core/eviction"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/port"
 	"github.com/masticwing/masticwing/internal/wiring"
@@ -90,11 +91,11 @@
 // serve runs the gateway and its servers until ctx ends or a server fails, and then stops them.
 // It returns the error of the server.
 func serve(ctx context.Context, g *gateway.Gateway, callers, readiness net.Listener) (err error) {
-	idle := idleconns.New(func() time.Duration { return g.RequestLimits().IdleTimeout })
+	conns := callerconns.New(func() time.Duration { return g.RequestLimits().IdleTimeout })
 	callerServer := &http.Server{
-		Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: onStateChange(g, idle),
+		Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: onStateChange(g, conns),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return acceptCaller(closeguard.ConnContext(ctx, c), g, idle)
+			return acceptCaller(conns.ConnContext(closeguard.ConnContext(ctx, c), c), c, g, conns)
 		},
 	}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(g), ReadHeaderTimeout: headerTimeout}
@@ -121,21 +122,22 @@
 }
 
 // onStateChange returns the hook for the connections of callers.
-func onStateChange(g *gateway.Gateway, open *idleconns.Limiter) func(net.Conn, http.ConnState) {
+func onStateChange(g *gateway.Gateway, conns *callerconns.Conns) func(net.Conn, http.ConnState) {
 	return func(c net.Conn, s http.ConnState) {
-		open.OnStateChange(c, s)
-		g.SetCallers(open.Open())
+		conns.OnStateChange(c, s)
+		g.SetCallers(conns.Open())
 	}
 }
 
-// acceptCaller returns the context of a new connection. If too many are open, it closes the one that has
-// been idle for the longest time, or else the requests of the new one are refused.
-func acceptCaller(ctx context.Context, g *gateway.Gateway, open *idleconns.Limiter) context.Context {
-	e := g.RefuseCaller(open.Open())
-	if e == nil || open.CloseLongestIdle() {
-		return ctx
+// acceptCaller returns the context of a new connection, which it closes if the gateway can't answer it.
+func acceptCaller(ctx context.Context, c net.Conn, g *gateway.Gateway, conns *callerconns.Conns) context.Context {
+	switch admission, e := g.AcceptCaller(conns); admission {
+	case eviction.Refused:
+		return platform.RefuseConnection(ctx, e)
+	case eviction.Closed:
+		_ = c.Close()
 	}
-	return platform.RefuseConnection(ctx, e)
+	return ctx
 }
 
 func listen(a fleet.Address) (net.Listener, error) {
--- a/internal/app/gateway/connections.go
+++ b/internal/app/gateway/connections.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/descriptors"
+	"github.com/masticwing/masticwing/internal/core/eviction"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -35,13 +36,34 @@
 // SetCallers records the number of callers' connections.
 func (g *Gateway) SetCallers(open int) { g.callers.Store(int64(open)) }
 
+// CallerConnections are the open connections of callers.
+type CallerConnections interface {
+	// Open returns their number.
+	Open() int
+	// Accept decides about a new one. If limit are open, another one may be given up for it, whose request is
+	// refused with cause. Up to refusals more may be open to be refused.
+	Accept(limit, refusals int, cause error) eviction.Admission
+}
+
+// AcceptCaller decides about a new connection of a caller, which is not open yet. The error is that of the
+// requests on a connection that is refused or given up.
+func (g *Gateway) AcceptCaller(conns CallerConnections) (eviction.Admission, *verdict.Error) {
+	e := g.RefuseCaller(conns.Open())
+	if e == nil {
+		return eviction.Admitted, nil
+	}
+	budget := g.settings.Connections()
+	admission := conns.Accept(budget.Callers, budget.Refusals, e)
+	g.deps.Metrics.Count("gateway_connections_refused_total", 1, port.Attr{Key: "outcome", Value: admission.String()})
+	return admission, e
+}
+
 // RefuseCaller returns the error for all requests on a connection that is accepted although too many
 // are open, or nil. Another gateway probably accepts one.
 func (g *Gateway) RefuseCaller(open int) *verdict.Error {
 	if g.settings.Connections().AdmitsCaller(descriptors.Usage{Callers: open}) {
 		return nil
 	}
-	g.deps.Metrics.Count("gateway_connections_refused_total", 1)
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many connections are open").WithRetryAfter(localRetryAfter)
 }
 
--- a/internal/core/descriptors/descriptors.go
+++ b/internal/core/descriptors/descriptors.go
@@ -11,9 +11,16 @@
 	nearlyFull = 0.9
 )
 
+// refusalsOfHalf is the part of the descriptors for targets, which are rarely all in use, that is kept for
+// callers who are refused: one in ten.
+const refusalsOfHalf = 10
+
 // Budget is the number of connections that may be open.
 type Budget struct {
 	Callers, Targets int
+	// Refusals is the number of further callers that are told that too many are connected. Beyond them
+	// connections are closed without an answer.
+	Refusals int
 	// PerTarget bounds the connections to one target.
 	PerTarget int
 }
@@ -22,7 +29,9 @@
 // connection on either side, and both sides keep idle ones.
 func Divide(descriptors, perTarget int) Budget {
 	half := max(1, (descriptors-reserved)/2)
-	return Budget{Callers: half, Targets: half, PerTarget: min(perTarget, half)}
+	refusals := half / refusalsOfHalf
+	targets := half - refusals
+	return Budget{Callers: half, Refusals: refusals, Targets: targets, PerTarget: min(perTarget, targets)}
 }
 
 // Usage is the number of open connections.
--- a/internal/core/descriptors/descriptors_test.go
+++ b/internal/core/descriptors/descriptors_test.go
@@ -6,7 +6,7 @@
 // ready although it is about to refuse callers, or not ready because of idle connections to targets.
 func TestBudget(t *testing.T) {
 	for _, n := range []int{320, 512, 4100, 8192} {
-		if b := Divide(n, 128); b.Callers+b.Targets+reserved > n || b.PerTarget > b.Targets || b.Callers < 1 {
+		if b := Divide(n, 128); b.Callers+b.Refusals+b.Targets+reserved > n || b.PerTarget > b.Targets || b.Callers < 1 {
 			t.Errorf("%d descriptors: %+v", n, b)
 		}
 	}
