gateway: connections of callers are bounded by memory

With all descriptors for callers in use and all shares of bodies and responses used up, a gateway with 184 MiB holds 173 MiB without garbage, and one with 64 MiB more than that.

Cause: bodies and responses have shares of 42.5% of the memory, and nothing bounded the number of connections by memory. One takes 36 KiB if its header is nearly as long as operators allow.

Change: memlimit.Connections, the connections that fit beside the shares and the process itself, at 40 KiB each. On machines of the deployments the limit by descriptors is about as low: 1,889 instead of 1,900 connections with 184 MiB and 4,100 descriptors.

Measured: TestConnectionsFitInMemory passes.

--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -10,6 +10,7 @@
 	"github.com/masticwing/masticwing/internal/app/settings"
 	"github.com/masticwing/masticwing/internal/core/descriptors"
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/memlimit"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -52,7 +53,7 @@
 
 // Connections returns the numbers of connections that may be open.
 func (c *Settings) Connections() descriptors.Budget {
-	return descriptors.Divide(c.Descriptors, c.TargetConnections)
+	return descriptors.Divide(c.Descriptors, c.TargetConnections, memlimit.Connections(c.Memory))
 }
 
 // storedMember returns the record under which this gateway registers in the store.
--- a/internal/core/descriptors/descriptors.go
+++ b/internal/core/descriptors/descriptors.go
@@ -25,13 +25,13 @@
 	PerTarget int
 }
 
-// Divide returns the budget of a process with a number of descriptors. A request in progress has a
-// connection on either side, and both sides keep idle ones.
-func Divide(descriptors, perTarget int) Budget {
+// Divide returns the budget of a process with a number of descriptors, and with memory for the connections of
+// maxCallers. A request in progress has a connection on either side, and both sides keep idle ones.
+func Divide(descriptors, perTarget, maxCallers int) Budget {
 	half := max(1, (descriptors-reserved)/2)
 	refusals := half / refusalsOfHalf
 	targets := half - refusals
-	return Budget{Callers: half, Refusals: refusals, Targets: targets, PerTarget: min(perTarget, targets)}
+	return Budget{Callers: min(half, maxCallers), Refusals: refusals, Targets: targets, PerTarget: min(perTarget, targets)}
 }
 
 // Usage is the number of open connections.
--- a/internal/core/memlimit/account.go
+++ b/internal/core/memlimit/account.go
@@ -22,13 +22,33 @@
 // SmallBytes is the length up to which a body counts as small. Most have some hundred bytes.
 const SmallBytes = 64 << 10
 
-// shares are the fractions of the process's memory by class. Together they leave more than half of it to
-// connections, buffers of the kernel and garbage.
+// shares are the fractions of the process's memory by class. Together they leave more than half of it to the
+// process itself and to the connections of callers.
 var shares = [classes]float64{Small: 0.05, Large: 0.25, Responses: 0.125}
 
 // clientShare is the fraction of Large that one client account may hold.
 const clientShare = 0.5
 
+const (
+	// processBytes is the memory of a process without callers. A gateway takes 28 MiB.
+	processBytes = 32 << 20
+	// connectionBytes is the memory of a connection with a request, without what is counted in a class: 36 KiB
+	// if the header is nearly as long as operators allow, 16 KiB.
+	connectionBytes = 40 << 10
+	// minConnections is for settings of so little memory that nothing is left.
+	minConnections = 32
+)
+
+// Connections returns the number of callers' connections for which a process with a memory limit in bytes has
+// memory while all classes are used up.
+func Connections(memory int64) int {
+	rest := float64(memory)
+	for _, share := range shares {
+		rest -= share * float64(memory)
+	}
+	return max(minConnections, int((rest-processBytes)/connectionBytes))
+}
+
 // Account divides the memory that a process holds for its callers. It is safe for concurrent use.
 type Account struct {
 	budgets [classes]*Budget
--- a/internal/core/memlimit/account_test.go
+++ b/internal/core/memlimit/account_test.go
@@ -71,3 +71,25 @@
 		}
 	})
 }
+
+// TestConnectionsFitInMemory guards against connections that take a process over its memory while all classes
+// are used up, and against a limit that is below what descriptors allow on the machines of deployments.
+func TestConnectionsFitInMemory(t *testing.T) {
+	for _, c := range []struct{ mib, least int }{{64, 100}, {128, 800}, {184, 1800}, {284, 1900}, {536, 3900}} {
+		memory := int64(c.mib) << 20
+		n := Connections(memory)
+		held := int64(processBytes) + int64(n)*connectionBytes
+		for _, b := range NewAccount(memory).budgets {
+			held += b.limit
+		}
+		if held > memory {
+			t.Errorf("%d connections take %d MiB of %d", n, held>>20, c.mib)
+		}
+		if n < c.least {
+			t.Errorf("%d connections fit in %d MiB, want %d", n, c.mib, c.least)
+		}
+	}
+	if n := Connections(16 << 20); n < 1 {
+		t.Errorf("%d connections", n)
+	}
+}
