gateway: headers are limited to HeaderBytes while they are read

Cause: nothing used HeaderBytes. The limit was that of net/http, 1 MiB, which can't change while a server runs.

Change: adapter/headerlimit counts the bytes of the request line and of the fields while they are read. Over the limit in force the caller gets 431 and the connection ends. The adapters that need the TCP connection ask for the methods that they use, since connections are wrapped now.

--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/callerconns"
 	"github.com/masticwing/masticwing/internal/adapter/closeguard"
+	"github.com/masticwing/masticwing/internal/adapter/headerlimit"
 	"github.com/masticwing/masticwing/internal/adapter/loadudp"
 	"github.com/masticwing/masticwing/internal/adapter/rpc"
 	"github.com/masticwing/masticwing/internal/adapter/sysclock"
@@ -98,6 +99,7 @@
 			return acceptCaller(conns.ConnContext(closeguard.ConnContext(ctx, c), c), c, g, conns)
 		},
 	}
+	callers = &headerlimit.Listener{Listener: callers, Limit: func() int { return g.RequestLimits().HeaderBytes }, OnRefusal: g.RecordLongHeader}
 	readinessServer := &http.Server{Handler: platform.ReadinessHandler(g), ReadHeaderTimeout: headerTimeout}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
@@ -124,6 +126,7 @@
 // onStateChange returns the hook for the connections of callers.
 func onStateChange(g *gateway.Gateway, conns *callerconns.Conns) func(net.Conn, http.ConnState) {
 	return func(c net.Conn, s http.ConnState) {
+		headerlimit.OnStateChange(c, s)
 		conns.OnStateChange(c, s)
 		g.SetCallers(conns.Open())
 	}
--- a/internal/adapter/closeguard/closeguard.go
+++ b/internal/adapter/closeguard/closeguard.go
@@ -11,9 +11,12 @@
 // connKey is the key of the connection in the context of its requests.
 type connKey struct{}
 
+// lingerer is a TCP connection. See net.TCPConn.SetLinger.
+type lingerer interface{ SetLinger(sec int) error }
+
 // ConnContext is the server's ConnContext hook. It makes the connection known to New.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(lingerer); ok {
 		ctx = context.WithValue(ctx, connKey{}, t)
 	}
 	return ctx
@@ -23,14 +26,14 @@
 // process is killed. A caller with HTTP/1.0 needs this: for it a closed connection is the
 // end of the body. The chunked encoding of HTTP/1.1 marks the end itself, so the guard of
 // such a caller is the zero value, which does nothing.
-type Guard struct{ conn *net.TCPConn }
+type Guard struct{ conn lingerer }
 
 // New returns the guard of the response to hr.
 func New(hr *http.Request) Guard {
 	if hr.ProtoAtLeast(1, 1) {
 		return Guard{}
 	}
-	c, _ := hr.Context().Value(connKey{}).(*net.TCPConn)
+	c, _ := hr.Context().Value(connKey{}).(lingerer)
 	return Guard{c}
 }
 
--- a/internal/app/gateway/connections.go
+++ b/internal/app/gateway/connections.go
@@ -67,6 +67,9 @@
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many connections are open").WithRetryAfter(localRetryAfter)
 }
 
+// RecordLongHeader records a request that was refused since its header is over the limit.
+func (g *Gateway) RecordLongHeader() { g.deps.Metrics.Count("gateway_long_headers_total", 1) }
+
 // setConnectionGauges records the open connections by kind.
 func (g *Gateway) setConnectionGauges() {
 	u := g.usage()
--- a/test/abuse/crowd_test.go
+++ b/test/abuse/crowd_test.go
@@ -93,6 +93,15 @@
 	return c.sendHead(w, id, chunkedBody+"X-Filler: "+strings.Repeat("x", fieldBytes)+"\r\n", "5\r\nabcde\r\n5\r\nabcd")
 }
 
+// endlessHeader sends 900 KiB of a header, of which gateways allow 16 KiB.
+func endlessHeader(c *crowdTest, w io.Writer, id string) error {
+	head := strings.TrimSuffix(c.head(id, "X-Filler: "), "\r\n")
+	if _, err := io.WriteString(w, head); err != nil {
+		return err
+	}
+	return fill(w, 900<<10)
+}
+
 func announcedOverLimit(c *crowdTest, w io.Writer, id string) error {
 	if err := c.sendHead(w, id, fmt.Sprintf("Content-Length: %d\r\n", int64(1)<<40), ""); err != nil {
 		return err
--- a/test/abuse/gateway_test.go
+++ b/test/abuse/gateway_test.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// TestGatewayBesideLongHeaders is the same for headers that never end, far over the limit.
+func TestGatewayBesideLongHeaders(t *testing.T) {
+	g := startGateway(t)
+	g.run(gatewayCrowd, endlessHeader)
+	g.check()
+}
+
 // TestGatewayBesideAllKinds is the same for all kinds of such callers at once.
 func TestGatewayBesideAllKinds(t *testing.T) {
 	g := startGateway(t)
