entry: unfinished requests give up their connections and memory to others

Beside 1,600 callers whose bodies never end an entry had 1,394 to 3,354 descriptors open, of 800, used up to 108,768 KiB, of 65,536, and served an ordinary request after about 30 s.

Causes: the rest of a refused body had no time limit; nothing bounded the connections, and the memory limit of the runtime counted only idle ones; a body that never ends holds its memory for 30 s, so that eight bodies of 1 MiB hold all memory for callers; a read of a body that the entry itself ends was reported as "caller left".

Change: as in the gateway, 0.5 s for the rest of a refused body and a limit of connections ([limits] connections, 4096), at which the one that is needed least is given up. Over a bound of memory the caller that has kept its request waiting for the longest time is given up, whether it does not read or does not send, and bodies of more than 4 KiB leave a quarter of the memory to others.

--- a/internal/adapter/httpapi/body_test.go
+++ b/internal/adapter/httpapi/body_test.go
@@ -43,3 +43,33 @@
 		})
 	}
 }
+
+// TestRefusedCallerIsClosed guards against callers that were refused, whose bodies never end and that keep their
+// connections.
+func TestRefusedCallerIsClosed(t *testing.T) {
+	head := "Host: x\r\n" + headerCustomer + ": resort\r\n"
+	for name, request := range map[string]string{
+		"no such path":      "POST /nowhere HTTP/1.1\r\n" + head + "Content-Length: 100\r\n\r\nabc",
+		"other method":      "PUT " + servicePath + " HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+		"no customer":       "POST " + servicePath + " HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nabc",
+		"chunks over limit": "POST " + servicePath + " HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nfffff\r\n" + strings.Repeat("x", 40<<10),
+		"length over limit": "POST " + servicePath + " HTTP/1.1\r\n" + head + "Content-Length: 2000\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var ran atomic.Int32
+			_, addr := listen(t, defaultConfig, backend(&ran, io.EOF, "a\n"))
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			_, _ = io.WriteString(c, request)
+			_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+			b, err := io.ReadAll(c)
+			if err != nil || !strings.HasPrefix(string(b), "HTTP/1.1 4") {
+				t.Errorf("response %q, %v; want a refusal and the end of the connection", b, err)
+			}
+		})
+	}
+}
--- a/internal/adapter/httpapi/conn_tracker.go
+++ b/internal/adapter/httpapi/conn_tracker.go
@@ -61,18 +61,6 @@
 	}
 }
 
-// idle returns the number of idle connections.
-func (ct *connTracker) idle() int {
-	n := 0
-	ct.states.Range(func(_ net.Conn, v connState) bool {
-		if v.idle {
-			n++
-		}
-		return true
-	})
-	return n
-}
-
 // closeIdle sends the final response on idle connections, and from now on on each
 // connection that becomes idle.
 func (ct *connTracker) closeIdle() {
--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -21,16 +21,18 @@
 type exchange struct {
 	api      *API
 	w        http.ResponseWriter
+	hr       *http.Request
 	rc       *http.ResponseController
 	r        *port.ServeRequest
 	caller   *caller
 	start    time.Time
 	progress response.Progress
 	// closeGuard is in use from the head of the response to its end.
-	closeGuard closeguard.Guard
-	admitted   bool  // the customer is known and may be named in metrics
-	bodyBytes  int64 // memory reserved for the body
-	frames     int
+	closeGuard      closeguard.Guard
+	admitted        bool // the customer is known and may be named in metrics
+	bodyInterrupted bool // the read of the body was ended for the benefit of others
+	bodyRead        bool // the body has arrived completely
+	frames          int
 	// endsWithNewline is true if the last byte sent is a newline.
 	endsWithNewline bool
 }
@@ -50,6 +52,9 @@
 		// Frees the buffers of the connection, which stay allocated while it is idle.
 		x.w.Header().Set("Connection", "close")
 	}
+	if !x.bodyRead {
+		limitUnreadBody(x.w, x.hr)
+	}
 	writeError(x.w, e, x.r.ID)
 }
 
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -16,6 +15,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/masticwing/masticwing/internal/adapter/callerconns"
 	"github.com/masticwing/masticwing/internal/adapter/closeguard"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -28,6 +28,8 @@
 	Memory int64
 	// MaxBody limits the body of one request, in bytes.
 	MaxBody int64
+	// MaxConnections limits the open connections of callers. Zero means no limit.
+	MaxConnections int
 }
 
 const (
@@ -52,6 +54,7 @@
 	callerMemory *callerMemory
 	gate         *gate
 	connTracker  *connTracker
+	conns        *callerconns.Conns
 	server       *http.Server
 	// settleTime is how long Close refuses requests on open connections before it closes them.
 	settleTime time.Duration
@@ -60,26 +63,18 @@
 	closeOnce       sync.Once
 }
 
-// withConn is the server's ConnContext hook. It limits the send buffer of the connection.
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetWriteBuffer(socketBufferBytes)
-	}
-	return closeguard.ConnContext(ctx, c)
-}
-
 // New returns an API. Serve starts it.
 func New(cfg Config, b port.EntryHandler, m port.Metrics) *API {
-	a := &API{cfg: cfg, backend: b, metrics: m, callerMemory: newCallerMemory(cfg.Memory), gate: newGate(),
-		connTracker: newConnTracker(), settleTime: defaultSettleTime, closing: make(chan struct{}), served: make(chan struct{})}
+	a := &API{cfg: cfg, backend: b, metrics: m, callerMemory: newCallerMemory(cfg.Memory, cfg.MaxBody), gate: newGate(),
+		connTracker: newConnTracker(), conns: newConns(), settleTime: defaultSettleTime, closing: make(chan struct{}), served: make(chan struct{})}
 	a.server = &http.Server{
 		Handler:           a.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		WriteTimeout:      MaxTimeout + bodyTimeout + writeGrace,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       withConn,
-		ConnState:         a.connTracker.onStateChange,
+		ConnContext:       a.connContext,
+		ConnState:         a.onConnState,
 	}
 	return a
 }
@@ -168,8 +163,8 @@
 	a.connTracker.awaitClosed(ctx)
 }
 
-// IdleConnections returns the number of connections without a request in progress.
-func (a *API) IdleConnections() int { return a.connTracker.idle() }
+// Connections returns the number of open connections.
+func (a *API) Connections() int { return a.conns.Open() }
 
 // BytesHeld returns the bytes reserved for bodies and answers of callers.
 func (a *API) BytesHeld() int64 { return a.callerMemory.bytes.Total() }
@@ -186,11 +181,23 @@
 	}))
 	r.NotFound = refusalHandler(http.StatusNotFound, "no such path")
 	r.MethodNotAllowed = refusalHandler(http.StatusMethodNotAllowed, "method not allowed")
-	return r
+	return a.refuseConnections(r)
+}
+
+// unreadBodyGrace is the time for the rest of a body after its request was refused. A caller that is still
+// sending gets the refusal before the connection ends, and one that has sent everything keeps the connection.
+const unreadBodyGrace = 500 * time.Millisecond
+
+// limitUnreadBody limits the time for the rest of the body of a request that is about to be refused. net/http
+// reads it, partly before it sends the response, and waits for it until the read deadline.
+func limitUnreadBody(w http.ResponseWriter, hr *http.Request) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyGrace))
+	callerconns.FromContext(hr.Context()).Refused()
 }
 
 func refusalHandler(status int, message string) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return http.HandlerFunc(func(w http.ResponseWriter, hr *http.Request) {
+		limitUnreadBody(w, hr)
 		e := badRequest("%s", message)
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set(headerVerdict, e.Verdict.String())
@@ -209,10 +216,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		if !a.gate.tryStart() {
-			w.Header().Set("Connection", "close")
-			e := shuttingDownError()
-			a.countVerdict(&r, e.Verdict, e.Code)
-			writeError(w, e, r.ID)
+			a.refuseAndClose(w, hr, &r, shuttingDownError())
 			return
 		}
 		defer a.gate.done()
@@ -220,38 +224,45 @@
 	}
 }
 
+// refuseAndClose refuses a request whose body has not been read and closes the connection after the response.
+func (a *API) refuseAndClose(w http.ResponseWriter, hr *http.Request, r *port.ServeRequest, e *verdict.Error) {
+	w.Header().Set("Connection", "close")
+	a.countVerdict(r, e.Verdict, e.Code)
+	limitUnreadBody(w, hr)
+	writeError(w, e, r.ID)
+}
+
 // serve handles one request that the gate has admitted. It closes the connection unless
 // the response is complete.
 func (a *API) serve(w http.ResponseWriter, hr *http.Request, r *port.ServeRequest) {
 	x := &exchange{
-		api: a, w: w, rc: http.NewResponseController(w), r: r, start: time.Now(), closeGuard: closeguard.New(hr),
+		api: a, w: w, hr: hr, rc: http.NewResponseController(w), r: r, start: time.Now(), closeGuard: closeguard.New(hr),
 	}
-	x.respond(hr)
+	x.respond()
 	if !x.progress.Complete() {
 		panic(http.ErrAbortHandler)
 	}
 }
 
 // respond sends the response to the request.
-func (x *exchange) respond(hr *http.Request) {
+func (x *exchange) respond() {
 	a, r, start := x.api, x.r, x.start
-	b, err := a.admit(hr.Header, r)
+	b, err := a.admit(x.hr.Header, r)
 	if err != nil {
 		x.failBeforeHead(err)
 		return
 	}
 	x.admitted = true
 	x.caller = &caller{id: r.ID, customer: r.Customer, maxBytes: b.CustomerBytes, interrupt: x.interrupt}
-	ctx, release := a.gate.WithEnd(hr.Context())
+	ctx, release := a.gate.WithEnd(x.hr.Context())
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, start.Add(r.Timeout))
 	defer cancel()
 	_ = x.rc.SetWriteDeadline(start.Add(r.Timeout + writeGrace))
-	answer, err := x.openAnswer(ctx, hr)
-	defer x.releaseBody()
-	defer a.callerMemory.releaseAnswer(x.caller)
+	defer a.callerMemory.release(x.caller)
+	answer, err := x.openAnswer(ctx)
 	if err != nil {
-		x.failBeforeHead(a.endError(ctx, hr, err))
+		x.failBeforeHead(x.endError(ctx, err))
 		return
 	}
 	defer func() { _ = answer.Close() }()
@@ -267,10 +278,10 @@
 
 // endError returns the error of a request without an answer. That is another one than err if
 // the shutdown has ended the request or its caller has disconnected.
-func (a *API) endError(ctx context.Context, hr *http.Request, err error) error {
-	e := a.gate.Error(ctx, verdict.FromError(err))
-	// An interrupted read of a body also ends the context of hr.
-	if hr.Context().Err() == nil || e.Code == verdict.CodeShuttingDown {
+func (x *exchange) endError(ctx context.Context, err error) error {
+	e := x.api.gate.Error(ctx, verdict.FromError(err))
+	// An interrupted read of a body also ends the context of the HTTP request.
+	if x.hr.Context().Err() == nil || x.bodyInterrupted || e.Code == verdict.CodeShuttingDown {
 		return e
 	}
 	return verdict.Wrap(e, e.Verdict, verdict.CodeCanceled, "caller left")
@@ -280,13 +291,15 @@
 // body of a service call is released when the answer starts. That of a group's
 // request is held until the answer ends, since another target may have to continue
 // the request.
-func (x *exchange) openAnswer(ctx context.Context, hr *http.Request) (port.Answer, error) {
-	var err error
-	if x.bodyBytes, err = x.readAdmittedBody(hr); err != nil {
+func (x *exchange) openAnswer(ctx context.Context) (port.Answer, error) {
+	if err := x.readAdmittedBody(); err != nil {
 		return nil, err
 	}
 	if x.r.Service != "" {
-		defer x.releaseBody()
+		defer func() {
+			x.r.Body = nil
+			x.api.callerMemory.releaseBody(x.caller)
+		}()
 	}
 	if err := decodeBody(x.r); err != nil {
 		return nil, err
@@ -294,74 +307,6 @@
 	return x.api.backend.Serve(ctx, *x.r, func() error { return x.api.callerMemory.reserveAnswer(ctx, x.caller) })
 }
 
-// releaseBody releases the memory of the body. Further calls have no effect.
-func (x *exchange) releaseBody() {
-	x.api.callerMemory.releaseBody(x.caller, x.bodyBytes)
-	x.r.Body, x.bodyBytes = nil, 0
-}
-
-// bodyGrowBytes is the initial buffer size of a body without a Content-Length. The
-// buffer doubles when it is full.
-const bodyGrowBytes = 16 << 10
-
-// readAdmittedBody is readBody with a limit of time. It fails as soon as new requests are refused.
-func (x *exchange) readAdmittedBody(hr *http.Request) (reserved int64, err error) {
-	_ = x.rc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	unregister := context.AfterFunc(x.api.gate.Admission(), func() { _ = x.rc.SetReadDeadline(time.Now()) })
-	reserved, err = x.readBody(hr)
-	if !unregister() {
-		x.w.Header().Set("Connection", "close")
-		return reserved, shuttingDownError()
-	}
-	_ = x.rc.SetReadDeadline(time.Time{})
-	return reserved, err
-}
-
-// readBody reserves memory for the body and reads it. It returns the bytes reserved,
-// also with an error.
-func (x *exchange) readBody(hr *http.Request) (reserved int64, err error) {
-	limit := x.api.cfg.MaxBody
-	if hr.ContentLength > limit {
-		return 0, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body is larger than %d bytes", limit)
-	}
-	step := hr.ContentLength
-	if step < 0 {
-		step = bodyGrowBytes
-	}
-	var buf []byte
-	for {
-		if err := x.api.callerMemory.reserveBody(x.caller, step); err != nil {
-			return reserved, err
-		}
-		reserved += step
-		grown := make([]byte, reserved)
-		n := copy(grown, buf)
-		m, err := readFull(hr.Body, grown[n:])
-		buf = grown[:n+m]
-		step = reserved
-		switch {
-		case int64(len(buf)) > limit:
-			return reserved, verdict.New(verdict.NotRun, verdict.CodeTooLarge, "body is larger than %d bytes", limit)
-		case err == io.EOF, hr.ContentLength >= 0 && err == nil:
-			x.r.Body = buf
-			return reserved, nil
-		case err != nil:
-			return reserved, badRequest("body cannot be read")
-		}
-	}
-}
-
-// readFull reads into b until it is full, or r fails or ends. Unlike io.ReadFull it keeps the error of r: io.EOF
-// is the end of a body, and io.ErrUnexpectedEOF that of its connection.
-func readFull(r io.Reader, b []byte) (n int, err error) {
-	for n < len(b) && err == nil {
-		var m int
-		m, err = r.Read(b[n:])
-		n += m
-	}
-	return n, err
-}
-
 // countVerdict counts the end of a request in the metrics. The customer is not an
 // attribute, so that callers cannot create metrics with invented names.
 func (a *API) countVerdict(r *port.ServeRequest, v verdict.Verdict, code verdict.Code) {
--- a/internal/app/entry/run.go
+++ b/internal/app/entry/run.go
@@ -28,17 +28,16 @@
 	// a quarter of the CPU time at 1,000 requests per second.
 	gcPercent = 200
 	// baseMemory is the memory of an entry in addition to the bytes held for
-	// callers: tables, metrics and the Go runtime. It covers everything except idle
+	// callers: tables, metrics and the Go runtime. It covers everything except
 	// connections and includes room for garbage, so the memory limit can be close
 	// to the process's memory bound.
 	baseMemory = 6 << 20
-	// idleConnectionBytes is added to the memory limit for each idle connection:
-	// two buffers of 4 KiB, a goroutine, and what remains of the last request.
-	// Without it, a few thousand idle connections would make the collector run all
-	// the time.
-	idleConnectionBytes = 24 << 10
+	// connectionBytes is added to the memory limit for each open connection: two
+	// buffers of 4 KiB, a goroutine, and the header of the request. Without it, a
+	// few thousand connections would make the collector run all the time.
+	connectionBytes = 24 << 10
 	// memoryLimitInterval is the interval at which the memory limit is adapted to
-	// the number of idle connections.
+	// the number of connections.
 	memoryLimitInterval = time.Second
 )
 
@@ -53,14 +52,14 @@
 // the environment sets one. Near the limit, the collector runs more often than
 // gcPercent implies, so that garbage does not add to the memory that is held for
 // callers that do not read.
-func limitMemory(ctx context.Context, held int64, idle func() int) {
+func limitMemory(ctx context.Context, held int64, connections func() int) {
 	if os.Getenv("GOMEMLIMIT") != "" {
 		return
 	}
 	ticker := time.NewTicker(memoryLimitInterval)
 	defer ticker.Stop()
 	for last := int64(-1); ; {
-		if n := held + baseMemory + idleConnectionBytes*int64(idle()); n != last {
+		if n := held + baseMemory + connectionBytes*int64(connections()); n != last {
 			debug.SetMemoryLimit(n)
 			last = n
 		}
@@ -90,8 +89,8 @@
 type CallerAPI interface {
 	// Serve accepts connections on lis until Close.
 	Serve(lis net.Listener) error
-	// IdleConnections returns the number of connections without a request.
-	IdleConnections() int
+	// Connections returns the number of open connections.
+	Connections() int
 	// BytesHeld returns the bytes held for callers.
 	BytesHeld() int64
 	// Drain refuses new requests and waits for those in progress, until ctx ends.
@@ -177,7 +176,7 @@
 	start(func() error { return p.API.Serve(httpLis) })
 	start(func() error { p.Entry.Run(backgroundCtx); return nil })
 	start(func() error { p.updateReadiness(ctx); return nil })
-	start(func() error { limitMemory(backgroundCtx, p.cfg.Memory, p.API.IdleConnections); return nil })
+	start(func() error { limitMemory(backgroundCtx, p.cfg.Memory, p.API.Connections); return nil })
 	select {
 	case <-ctx.Done():
 		err = nil
--- a/internal/app/entry/settings.go
+++ b/internal/app/entry/settings.go
@@ -18,7 +18,9 @@
 	Memory    int64
 	MaxBody   int64
 	MaxQueued int
-	Drain     time.Duration
+	// MaxConnections limits the open connections of callers.
+	MaxConnections int
+	Drain          time.Duration
 }
 
 // Register adds the settings to s and returns those that all daemons have in
@@ -30,6 +32,7 @@
 	s.Bytes("limits", "memory", &c.Memory, 32<<20, 1<<20, 16<<30, "Bytes held for callers, over all requests.")
 	s.Bytes("limits", "body", &c.MaxBody, 1<<20, 1<<10, 64<<20, "Largest body of a request.")
 	s.Int("limits", "queued", &c.MaxQueued, 2000, 1, 1_000_000, "Requests that may wait for one group or service.")
+	s.Int("limits", "connections", &c.MaxConnections, 4096, 16, 1_000_000, "Open connections of callers.")
 	s.Duration("limits", "drain_timeout", &c.Drain, 30*time.Second, 0, time.Hour, "Longest graceful shutdown.")
 	s.AddCheck(func() []settings.Fault {
 		if c.MaxBody <= c.Memory {
--- a/internal/wiring/entry.go
+++ b/internal/wiring/entry.go
@@ -25,6 +25,6 @@
 		ID: c.ID, Domain: c.Domain, MaxQueued: c.MaxQueued, Directory: dir, Agents: client,
 		Clock: sysclock.Clock{}, Rand: sysclock.Rand{}, Metrics: env.Metrics, Log: env.Log,
 	})
-	api := httpapi.New(httpapi.Config{Memory: c.Memory, MaxBody: c.MaxBody}, e, env.Metrics)
+	api := httpapi.New(httpapi.Config{Memory: c.Memory, MaxBody: c.MaxBody, MaxConnections: c.MaxConnections}, e, env.Metrics)
 	return entry.Parts{Directory: dir, Entry: e, API: api, Server: server, Close: client.Close}, nil
 }
