entry: a connection whose header is over the limit can be given up

Beside 1,600 callers whose headers never end no ordinary request to an entry was served in a minute (503).

Cause: net/http keeps a connection for 0.5 s after it has refused a header, and nothing can end that wait for a new connection. Found on a related path of the gateway's headers.

Change: entries use adapter/headerlimit as well, with the same limit of 8 KiB, now for the request line and for the fields. While it waits the connection can be given up.

--- a/internal/adapter/httpapi/conn_tracker.go
+++ b/internal/adapter/httpapi/conn_tracker.go
@@ -93,7 +93,7 @@
 	}
 	_ = c.SetWriteDeadline(writeDeadline)
 	_, _ = c.Write(finalResponse())
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ CloseWrite() error }); ok {
 		_ = t.CloseWrite()
 	}
 }
--- a/internal/adapter/httpapi/connections.go
+++ b/internal/adapter/httpapi/connections.go
@@ -10,6 +10,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/callerconns"
 	"github.com/masticwing/masticwing/internal/adapter/closeguard"
+	"github.com/masticwing/masticwing/internal/adapter/headerlimit"
 	"github.com/masticwing/masticwing/internal/core/eviction"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -40,7 +41,7 @@
 // connContext is the server's ConnContext hook. It limits the send buffer of the connection, and decides whether
 // its requests are accepted.
 func (a *API) connContext(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		_ = t.SetWriteBuffer(socketBufferBytes)
 	}
 	ctx = closeguard.ConnContext(a.conns.ConnContext(ctx, c), c)
@@ -62,6 +63,9 @@
 
 // onConnState is the server's ConnState hook.
 func (a *API) onConnState(c net.Conn, state http.ConnState) {
+	headerlimit.OnStateChange(c, state)
 	a.conns.OnStateChange(c, state)
 	a.connTracker.onStateChange(c, state)
 }
+
+func (a *API) countLongHeader() { a.metrics.Count("masticwing_entry_long_headers_total", 1) }
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -17,6 +17,7 @@
 
 	"github.com/masticwing/masticwing/internal/adapter/callerconns"
 	"github.com/masticwing/masticwing/internal/adapter/closeguard"
+	"github.com/masticwing/masticwing/internal/adapter/headerlimit"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -36,7 +37,9 @@
 	readHeaderTimeout = 5 * time.Second
 	bodyTimeout       = 30 * time.Second
 	idleTimeout       = time.Minute
-	maxHeaderBytes    = 8 << 10
+	// maxHeaderBytes limits the request line, and the fields of a header together. headerlimit enforces it: net/http
+	// keeps a connection for 0.5 s after it has refused a header, and nothing can end that wait.
+	maxHeaderBytes = 8 << 10
 	// writeGrace is the time that a caller has to receive the end of an answer
 	// after the deadline of its request.
 	writeGrace = 2 * time.Second
@@ -72,7 +75,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		WriteTimeout:      MaxTimeout + bodyTimeout + writeGrace,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    2 * maxHeaderBytes,
 		ConnContext:       a.connContext,
 		ConnState:         a.onConnState,
 	}
@@ -93,7 +96,7 @@
 		case <-ended:
 		}
 	})
-	err := a.server.Serve(lis)
+	err := a.server.Serve(&headerlimit.Listener{Listener: lis, Limit: func() int { return maxHeaderBytes }, OnRefusal: a.countLongHeader})
 	select {
 	case <-a.closing:
 		return nil
--- a/test/abuse/entry_test.go
+++ b/test/abuse/entry_test.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// TestEntryBesideLongHeaders is the same for headers that never end, far over the limit.
+func TestEntryBesideLongHeaders(t *testing.T) {
+	c := startEntry(t)
+	c.run(entryCrowd, endlessHeader)
+	c.check()
+}
+
 // TestEntryBesideAllKinds is the same for all kinds of such callers at once.
 func TestEntryBesideAllKinds(t *testing.T) {
 	c := startEntry(t)
