entry: refused bodies leave nothing to the garbage collector

Cause: a body was read into a buffer that doubles up to 1 MiB. A refused body leaves the account at once, but its buffer is garbage until a collection ends. gctrace shows collections of 9 to 10 ms in which the heap goes from 10 to 70 MB: what is allocated meanwhile is not collected, and how much that is depends on the speed of the machine.

Change: adapter/bodybuffer holds a body that is arriving in pieces of 4 to 16 KiB that are used again. Only a complete body is copied to memory of its own.

--- a/internal/adapter/httpapi/body.go
+++ b/internal/adapter/httpapi/body.go
@@ -5,16 +5,14 @@
 	"io"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/adapter/bodybuffer"
 	"github.com/masticwing/masticwing/internal/adapter/callerconns"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 )
 
 // firstBodyBytes is the memory that is reserved at first for a body without a Content-Length. It doubles when it is
 // used up.
-const firstBodyBytes = 4 << 10
-
-// bodyPartBytes is the most that is read of a body until its caller counts as one that sends.
-const bodyPartBytes = 16 << 10
+const firstBodyBytes = bodybuffer.MinBytes
 
 // readAdmittedBody reads the body of the request into x.r, with a limit of time. It fails as soon as new requests
 // are refused, or another caller needs the connection or the memory.
@@ -59,29 +57,27 @@
 	if err := memory.growBody(x.caller, size); err != nil {
 		return nil, err
 	}
-	// One byte more shows that a body ends, or is longer than the limit.
-	body := make([]byte, 0, size+1)
+	var body bodybuffer.Buffer
+	defer body.Release()
 	for {
 		// A caller that sends single bytes makes no progress.
-		part := body[len(body):min(len(body)+bodyPartBytes, cap(body))]
-		n, err := readFull(hr.Body, part)
-		body = body[:len(body)+n]
+		n, err := readFull(hr.Body, body.Space(int(size)))
+		body.Add(n)
 		switch {
-		case int64(len(body)) > limit:
+		case int64(body.Len()) > limit:
 			return nil, tooLarge
 		case err == io.EOF:
-			return body, nil
+			return body.Bytes(), nil
 		case err != nil:
 			return nil, badRequest("body cannot be read")
 		}
 		memory.bodyProgress(x.caller)
-		if len(body) == cap(body) {
+		if int64(body.Len()) > size {
 			grown := min(2*size, limit)
 			if err := memory.growBody(x.caller, grown-size); err != nil {
 				return nil, err
 			}
 			size = grown
-			body = append(make([]byte, 0, size+1), body...)
 		}
 	}
 }
