gateway: a silent attempt keeps its place until another target has accepted

Callers of safe requests got an error in place of a late answer.

Cause: stallWatch canceled an attempt as soon as another target was estimated to have room. A refusal left the request without a target, since the first one counts as tried.

Change: the watch opens a successor at the other target and cancels the attempt only once that has sent the first event of the stream, or has answered a plain request with a success. An event of the first target ends the successor, and a successor goes on as the attempt if the first target fails. Both count as runs and take a retry from the budget.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
+	"github.com/masticwing/masticwing/internal/core/weightsbound"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -69,7 +70,14 @@
 		c.sends++
 		c.tellProbe()
 		c.tried[choice.Instance] = true
-		err := c.attemptAndRelease(ctx, choice)
+		err := c.attemptAndRelease(ctx, choice, nil)
+		for err != nil {
+			next := c.takeSuccessor(ctx)
+			if next == nil {
+				break
+			}
+			err = c.attemptAndRelease(ctx, next.choice, next)
+		}
 		if err == nil {
 			return
 		}
@@ -82,10 +90,7 @@
 
 // recordChoice records what the log line of the request says about its last target.
 func (c *call) recordChoice(choice placement.Choice, q *placement.Query, now time.Time) {
-	c.lastChoice, c.lastSentAt, c.weightsRequired = choice, now, q.MinWeightsVersion
-	if q.WeightsLimit != nil {
-		c.weightsLimit, c.weightsLimited = q.WeightsLimit(choice.WeightsVersion)
-	}
+	c.lastChoice, c.lastSentAt, c.limits = choice, now, newWeightsLimits(q, choice)
 }
 
 // noTargetError returns the error for an outcome of the choice without a target.
@@ -142,7 +147,7 @@
 	case err.Verdict != verdict.NotRun && (!c.route.Retryable() || c.runs >= c.route.MaxAttempts):
 		return false
 	}
-	return c.retryTaken || c.g.budgets.AllowRetry(c.service.Name, c.g.view.processes(), c.g.deps.Clock.Now())
+	return c.g.budgets.AllowRetry(c.service.Name, c.g.view.processes(), c.g.deps.Clock.Now())
 }
 
 // fail ends a request that no target served. It delivers the fallback if there is one. It
@@ -170,20 +175,28 @@
 
 // attemptAndRelease releases the slot that was reserved for the attempt. If the request may
 // have run, that frees a place in the target.
-func (c *call) attemptAndRelease(ctx context.Context, choice placement.Choice) *verdict.Error {
+func (c *call) attemptAndRelease(ctx context.Context, choice placement.Choice, opened *successor) *verdict.Error {
 	runsBefore, since := c.runs, c.g.deps.Clock.Now()
+	if opened != nil {
+		since = opened.sentAt
+	}
 	defer func() { c.releasePlace(choice, since, c.runs > runsBefore) }()
-	return c.attempt(ctx, choice)
+	return c.attempt(ctx, choice, opened)
 }
 
-// attempt sends the request once and copies the response. It returns nil once the request
-// has ended and is logged.
-func (c *call) attempt(ctx context.Context, choice placement.Choice) (failure *verdict.Error) {
+// attempt sends the request once, or goes on with the attempt that began as the successor of another one, and copies
+// the response. It returns nil once the request has ended and is logged.
+func (c *call) attempt(ctx context.Context, choice placement.Choice, opened *successor) (failure *verdict.Error) {
 	clock := c.g.deps.Clock
 	sentAt := clock.Now()
-	f := c.newForward(choice, sentAt)
-	c.sentTo[choice.Address] = true
-	sendCtx, watch := c.startStallWatch(ctx, choice.Instance)
+	var f port.Forward
+	if opened != nil {
+		sentAt = opened.sentAt
+	} else {
+		f = c.newForward(choice, sentAt)
+		c.sentTo[choice.Address] = true
+	}
+	sendCtx, watch := c.startStallWatch(ctx, choice.Instance, opened)
 	if c.service.Engine != nil {
 		c.g.unanswered.add(c.subject, c, watch.cancel)
 	}
@@ -198,14 +211,19 @@
 			c.recordLostBeforeEvent()
 		}
 		c.recordNoEvent(sendCtx, choice, watch, eventsBefore)
-		c.retryTaken = watch.stop()
+		c.endAttempt(watch, failure != nil)
 		if watch.gaveUp && failure != nil {
 			failure = verdict.Wrap(failure, verdict.MayHaveRun, verdict.CodeTargetLost, "target shows no sign of running")
 		}
 	}()
-	responded := c.cancelAtExpiry(watch)
-	resp, err := c.g.deps.Targets.Forward(sendCtx, choice.Address, f)
-	responded()
+	resp, err := c.open(sendCtx, choice, f, opened, watch)
+	if !watch.hold() {
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		c.runs++
+		return c.recordSuperseded(choice)
+	}
 	c.countPlainRun(clock.Now().Sub(c.lastSentAt), err)
 	if err != nil {
 		return c.recordSendFailure(ctx, choice, verdict.FromError(err))
@@ -229,10 +247,34 @@
 	case resp.Status/100 == 2 && c.route.Kind == routes.Streaming:
 		return c.relayStream(ctx, choice, resp, watch)
 	default:
-		return c.relayBuffered(ctx, choice, resp)
+		return c.relayBuffered(ctx, choice, resp, watch)
 	}
 }
 
+// open sends the request and returns the response, or that of an attempt that has been opened.
+func (c *call) open(ctx context.Context, choice placement.Choice, f port.Forward, opened *successor, watch *stallWatch) (*port.ForwardResponse, error) {
+	if opened != nil {
+		<-opened.answered
+		if opened.err != nil {
+			return nil, opened.err
+		}
+		return opened.resp, nil
+	}
+	responded := c.limits.cancelAtExpiry(watch.cancel)
+	defer responded()
+	return c.g.deps.Targets.Forward(ctx, choice.Address, f)
+}
+
+// errSuperseded is the error of an attempt whose successor was accepted.
+var errSuperseded = verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "target is silent, and another one has accepted the request")
+
+// recordSuperseded returns the error of an attempt whose successor was accepted. It counts as a failure of the
+// target, which was silent for long.
+func (c *call) recordSuperseded(choice placement.Choice) *verdict.Error {
+	c.g.targets.RecordFailure(choice.Instance, c.g.deps.Clock.Now())
+	return errSuperseded
+}
+
 // newForward returns the request as it is sent to the target.
 func (c *call) newForward(choice placement.Choice, sentAt time.Time) port.Forward {
 	clock, within := c.g.deps.Clock, c.connectWithin(choice, sentAt)
@@ -278,14 +320,31 @@
 	return choice.WeightsVersion
 }
 
-// cancelAtExpiry cancels the attempt if the target has not responded when it may no longer start
+// weightsLimits say which weights a target has to have, and for how long requests may start on those it has.
+type weightsLimits struct {
+	// required is the oldest version of the weights that may serve the request.
+	required int64
+	// limit is set if limited is.
+	limit   weightsbound.Limit
+	limited bool
+}
+
+func newWeightsLimits(q *placement.Query, choice placement.Choice) weightsLimits {
+	l := weightsLimits{required: q.MinWeightsVersion}
+	if q.WeightsLimit != nil {
+		l.limit, l.limited = q.WeightsLimit(choice.WeightsVersion)
+	}
+	return l
+}
+
+// cancelAtExpiry cancels an attempt if the target has not responded when it may no longer start
 // requests on its weights. The loader withdraws them before that; this covers one that has
 // stopped since it stated so. The returned function is called after the response.
-func (c *call) cancelAtExpiry(watch *stallWatch) (responded func()) {
-	if !c.weightsLimited {
+func (l weightsLimits) cancelAtExpiry(cancel context.CancelFunc) (responded func()) {
+	if !l.limited {
 		return func() {}
 	}
-	t := time.AfterFunc(c.weightsLimit.Left, watch.cancel)
+	t := time.AfterFunc(l.limit.Left, cancel)
 	return func() { t.Stop() }
 }
 
@@ -310,28 +369,37 @@
 
 // recordSendFailure records that a target refused a request or returned no response.
 func (c *call) recordSendFailure(ctx context.Context, choice placement.Choice, err *verdict.Error) *verdict.Error {
-	now := c.g.deps.Clock.Now()
 	if err.Verdict != verdict.NotRun {
 		c.runs++
 	}
+	if ctx.Err() != nil || c.withdrawn.Load() {
+		return err.WithRetryAfter(c.retryAfter())
+	}
 	var refused *port.RefusedError
-	switch {
-	case ctx.Err() != nil, c.withdrawn.Load():
-	case !errors.As(err, &refused):
-		c.g.targets.RecordFailure(choice.Instance, now)
-	case refused.Reason == port.RefusalNoConnection:
+	if errors.As(err, &refused) {
+		c.recordSpeed(choice, refused.Load, refused.Speed)
+	}
+	c.g.recordNoResponse(choice, err)
+	if isRefusal(err, port.RefusalNoConnection) {
 		return err.WithRetryAfter(localRetryAfter)
-	case refused.Reason == port.RefusalWithdrawn:
-		return err.WithRetryAfter(c.retryAfter())
+	}
+	return err.WithRetryAfter(c.retryAfter())
+}
+
+// recordNoResponse records for later requests why a target has not responded.
+func (g *Gateway) recordNoResponse(choice placement.Choice, err *verdict.Error) {
+	now := g.deps.Clock.Now()
+	var refused *port.RefusedError
+	switch {
+	case !errors.As(err, &refused), refused.Reason == port.RefusalUnreachable:
+		g.targets.RecordFailure(choice.Instance, now)
+	case refused.Reason == port.RefusalNoConnection, refused.Reason == port.RefusalWithdrawn:
+		// The target has not got the request.
 	case refused.Reason == port.RefusalMisdirected:
-		c.g.targets.RecordMisdirected(choice.Instance, now)
-	case refused.Reason == port.RefusalUnreachable:
-		c.g.targets.RecordFailure(choice.Instance, now)
+		g.targets.RecordMisdirected(choice.Instance, now)
 	default:
-		c.recordSpeed(choice, refused.Load, refused.Speed)
-		c.g.targets.RecordBusy(choice.Instance, now)
+		g.targets.RecordBusy(choice.Instance, now)
 	}
-	return err.WithRetryAfter(c.retryAfter())
 }
 
 // isRefusal reports whether err is a refusal with a reason.
--- a/internal/app/gateway/buffered.go
+++ b/internal/app/gateway/buffered.go
@@ -59,9 +59,13 @@
 
 // relayBuffered reads the complete response before it delivers any of it, so that the
 // request can be retried if the response breaks off.
-func (c *call) relayBuffered(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse) *verdict.Error {
+func (c *call) relayBuffered(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse, watch *stallWatch) *verdict.Error {
+	watch.release()
 	body, err := c.readResponse(resp.Body)
+	inPlace := watch.hold()
 	switch {
+	case err != nil && !inPlace:
+		return c.recordSuperseded(choice)
 	case errors.Is(err, errBuffersFull):
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeOverloaded, "answer can't be read")
 	case err != nil:
--- a/internal/app/gateway/quarantine.go
+++ b/internal/app/gateway/quarantine.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/app/follow"
+	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
 	"github.com/masticwing/masticwing/internal/core/storeera"
 	"github.com/masticwing/masticwing/internal/core/verdict"
@@ -82,14 +83,18 @@
 // recordLostBeforeEvent records that the connection to the target ended before any event of the
 // attempt.
 func (c *call) recordLostBeforeEvent() {
-	g := c.g
 	c.lostBeforeEvent++
-	g.deps.Metrics.Count("gateway_lost_before_event_total", 1)
-	losses, suspect := g.quarantine.RecordLoss(c.quarantineRequest(), c.lastSentAt, g.deps.Clock.Now())
+	losses, suspect := c.g.quarantine.RecordLoss(c.quarantineRequest(), c.lastSentAt, c.g.deps.Clock.Now())
 	c.suspect = suspect
+	c.g.reportLosses(losses, c.in.ID, c.lastChoice.Instance)
+}
+
+// reportLosses tells the other gateways that a target was lost under a request, and withdraws the attempts at it.
+func (g *Gateway) reportLosses(losses []quarantine.Loss, id fleet.RequestID, target fleet.Instance) {
+	g.deps.Metrics.Count("gateway_lost_before_event_total", 1)
 	for _, l := range losses {
 		g.deps.Log.StateChange("targets are lost under a subject", port.F("subject", string(l.Subject)), port.F("losses", l.Total()), port.F("refused", l.Refused),
-			port.F("trials", l.Trials), port.F("request", string(c.in.ID)), port.F("target", string(c.lastChoice.Instance)))
+			port.F("trials", l.Trials), port.F("request", string(id)), port.F("target", string(target)))
 	}
 	for _, l := range losses {
 		g.withdrawSuspect(l.Subject)
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/masticwing/masticwing/internal/app/supervise"
 	"github.com/masticwing/masticwing/internal/core/eventstream"
 	"github.com/masticwing/masticwing/internal/core/fleet"
@@ -63,19 +65,16 @@
 	passed placement.PassedTargets
 	// lastSentAt is the time at which lastChoice was made.
 	lastSentAt time.Time
-	// weightsRequired is the oldest version of the weights that lastChoice could have had.
-	weightsRequired int64
-	// weightsLimit says for how long requests could still start on the weights of lastChoice when
-	// it was chosen, if weightsLimited is set.
-	weightsLimit   weightsbound.Limit
-	weightsLimited bool
-	relay          relay
+	// limits are those of the weights of lastChoice when it was chosen.
+	limits weightsLimits
+	// successor is the attempt at another target that was in progress when the last one failed, or nil.
+	successor *successor
+	// successors runs the successors of attempts. They end with the request.
+	successors conc.WaitGroup
+	relay      relay
 	// fallback is a target's response with a 5xx status. It is delivered if no retry
 	// succeeds.
 	fallback *bufferedResponse
-	// retryTaken means that the stall watch of the last attempt has taken the retry from
-	// the budget.
-	retryTaken bool
 	// placeInterval is the mean time between places that became free when the request was
 	// last refused, or zero.
 	placeInterval time.Duration
@@ -93,6 +92,9 @@
 		return
 	}
 	c.countOffered()
+	defer func() {
+		_ = supervise.Call(g.deps.Log, g.deps.Metrics, "successor", func() error { c.successors.Wait(); return nil })
+	}()
 	ctx, release := g.stopState.WithEnd(ctx)
 	defer release()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
@@ -337,9 +339,9 @@
 		fs = append(fs, port.F("target_speed", math.Round(100*t.Speed)/100), port.Millis("speed_age_ms", t.SpeedAge))
 	}
 	if c.service.Engine != nil {
-		fs = append(fs, port.F("target_weights", t.WeightsVersion), port.F("weights_required", c.weightsRequired))
-		if c.weightsLimited {
-			fs = append(fs, port.Millis("weights_left_ms", c.weightsLimit.Left), port.Millis("sent_after_ms", c.lastSentAt.Sub(c.in.ReceivedAt)))
+		fs = append(fs, port.F("target_weights", t.WeightsVersion), port.F("weights_required", c.limits.required))
+		if c.limits.limited {
+			fs = append(fs, port.Millis("weights_left_ms", c.limits.limit.Left), port.Millis("sent_after_ms", c.lastSentAt.Sub(c.in.ReceivedAt)))
 		}
 	}
 	return fs
--- a/internal/app/gateway/silent_test.go
+++ b/internal/app/gateway/silent_test.go
@@ -102,9 +102,9 @@
 		now := start.Add(abandon + c.late)
 		s := &stallWatch{now: func() time.Time { return now }, cancel: func() {}, abandonAfter: abandon, final: true, firesAt: start.Add(abandon)}
 		s.timer = time.AfterFunc(time.Hour, func() {})
-		s.silentAt, s.query.FirstEventBy = start, start.Add(abandon)
+		s.silentAt, s.abandonAt = start, start.Add(abandon)
 		gw.targets.RecordLoad("a", placement.Load{Slots: 4}, start)
-		if s.expire(gw.Gateway, "s", "a"); s.gaveUp != c.gaveUp {
+		if s.expire(t.Context(), &call{g: gw.Gateway}, "a"); s.gaveUp != c.gaveUp {
 			t.Errorf("%s: gave up: %v, want %v", name, s.gaveUp, c.gaveUp)
 		}
 		s.disarm()
--- a/internal/app/gateway/stream.go
+++ b/internal/app/gateway/stream.go
@@ -65,12 +65,15 @@
 func (c *call) relayStream(ctx context.Context, choice placement.Choice, resp *port.ForwardResponse, watch *stallWatch) *verdict.Error {
 	c.relay.beginRun(resp)
 	eventsBefore := c.relay.events.EventCount()
+	watch.release()
 	buf := make([]byte, streamReadBytes)
 	for {
 		n, err := resp.Body.Read(buf)
+		if !watch.hold() {
+			return c.recordSuperseded(choice)
+		}
 		if n > 0 {
 			before := c.relay.events.EventCount()
-			watch.pause()
 			e := c.relayEvents(choice, resp, buf[:n])
 			if before == eventsBefore && c.relay.events.EventCount() > before {
 				c.countRun(0)
@@ -78,8 +81,17 @@
 			if e != nil {
 				return e
 			}
-			c.recordProgress(choice, watch, before, eventsBefore)
 			c.recordAlive(choice)
+			c.recordProgress(choice, watch, before, eventsBefore)
+		}
+		switch {
+		case err == nil && n > 0:
+			continue
+		case err == nil:
+			watch.release()
+			continue
+		case !watch.hold():
+			return c.recordSuperseded(choice)
 		}
 		if err == io.EOF {
 			before := c.relay.events.EventCount()
@@ -89,26 +101,23 @@
 			}
 			return e
 		}
-		if err != nil {
-			return c.recordBrokenResponse(ctx, choice, err)
-		}
+		return c.recordBrokenResponse(ctx, choice, err)
 	}
 }
 
-// recordProgress restarts the stall watch after a read, and records how long the first
-// event of this run took. before is the number of events before the read, and
-// beforeRun that before the run.
+// recordProgress records how long the first event of this run took, and restarts the stall watch after a read.
+// before is the number of events before the read, and beforeRun that before the run.
 func (c *call) recordProgress(choice placement.Choice, watch *stallWatch, before, beforeRun int) {
 	events := c.relay.events
-	if !events.Resumable() {
-		watch.disarm()
-	}
-	watch.resume(events.EventCount() > before)
 	if before == beforeRun && events.EventCount() > before {
 		now := c.g.deps.Clock.Now()
 		c.g.targets.RecordFirstEvent(choice.Instance, now.Sub(watch.start), choice.TimeToFirstEvent, now)
 		c.recordAnswered()
 	}
+	if !events.Resumable() {
+		watch.disarm()
+	}
+	watch.resume(c, events.EventCount() > before)
 }
 
 // aliveInterval is the time between two records that the target of a stream runs. Events arrive some
--- a/internal/core/eventstream/eventstream.go
+++ b/internal/core/eventstream/eventstream.go
@@ -49,6 +49,14 @@
 	s.sequence.beginRun(s.events > 0)
 }
 
+// ForNextRun returns a splitter that checks whether a later run continues the stream, while the
+// current run goes on.
+func (s *Splitter) ForNextRun() *Splitter {
+	n := &Splitter{sequence: s.sequence, events: s.events}
+	n.BeginRun()
+	return n
+}
+
 // Push appends b and returns all events that are now complete. The result is valid until
 // the next call. An error is an *OrderError, ErrEventTooLong or ErrNotEvents; the events
 // before the one at fault are returned with it.
