core/placement: the memory that engines report counts as room

Cause: loaders dropped KvUsed and KvTotal of the engine's report, so that the estimate of room had slots alone.

Change: the loader's report states for how many tokens the engine has memory. Gateways subtract the prompts that they and others have sent since the report. An engine without memory for the prompt gets no request that still runs at another engine, and is the last choice for others: it may have got memory since, and some engines queue such a request instead of refusing it. Reports of older builds say nothing of the memory. Numbers that can't be read leave the rest of a report in use, as before.

Measured: TestSuccessorNeedsMemory sends a silent stream once more without the check (see the case with 599 tokens) and not with it.

--- a/internal/adapter/loadudp/loadudp.go
+++ b/internal/adapter/loadudp/loadudp.go
@@ -3,14 +3,15 @@
 // other gateways of the requests that it sends. Delivery is not guaranteed: the next
 // report replaces a lost report, and also includes the request of a lost notice.
 //
-// All numbers are in network byte order; sizes are in bytes. A report has 66 bytes:
+// All numbers are in network byte order; sizes are in bytes. A report has 70 bytes:
 // version (1), flags (1), IPv4 address and port of the target (6), start time of the
 // target in Unix milliseconds (8), version of its weights (8), the numbers of
 // running requests, waiting requests and slots (2 each), and of the declaration that the
 // sender enforces the version (8), the oldest version that may serve requests (8) and the age
 // in milliseconds (4), all zero if there is none, the number of orders that the target has begun (8)
-// and the newest version that it loaded intact (8). Older builds send reports without the last two or
-// the last five fields, of 50 or 30 bytes and with other versions. Their weights count as
+// the newest version that it loaded intact (8), and the number of tokens for which it has memory, plus 1, or
+// zero if that is not known (4). Older builds send reports without the last one, the last three or
+// the last six fields, of 66, 50 or 30 bytes and with other versions. Their weights count as
 // intact. A notice has 12 bytes: version (1), reserved (1), IPv4 address and port of the
 // target (6), and the number of prompt tokens (4). A notice of a target's speed has 16 bytes: version
 // (1), reserved (1), IPv4 address and port of the target (6), the numbers of running requests, waiting
@@ -39,15 +40,17 @@
 )
 
 const (
-	// undeclaredVersion is the version of reports without a declaration, and uncheckedVersion of
-	// those that do not state which weights are intact.
+	// undeclaredVersion is the version of reports without a declaration, uncheckedVersion of
+	// those that do not state which weights are intact, and unmeteredVersion of those without the memory.
 	undeclaredVersion = 1
 	noticeVersion     = 2
 	uncheckedVersion  = 3
-	reportVersion     = 5
+	unmeteredVersion  = 5
+	reportVersion     = 9
 	undeclaredBytes   = 30
 	uncheckedBytes    = 50
-	reportBytes       = 66
+	unmeteredBytes    = 66
+	reportBytes       = 70
 	noticeBytes       = 12
 	evidenceVersion   = 4
 	speedVersion      = 6
@@ -132,7 +135,22 @@
 	b = appendCounts(b, r.Load.Running, r.Load.Waiting, r.Load.Slots)
 	b = appendDeclared(b, r.Declared)
 	b = binary.BigEndian.AppendUint64(b, uint64(r.OrderCount))
-	return binary.BigEndian.AppendUint64(b, uint64(r.Intact)), nil
+	b = binary.BigEndian.AppendUint64(b, uint64(r.Intact))
+	return binary.BigEndian.AppendUint32(b, encodeMemory(r.Load.Memory)), nil
+}
+
+func encodeMemory(m placement.Memory) uint32 {
+	if !m.Known {
+		return 0
+	}
+	return uint32(min(max(m.Free, 0), math.MaxInt32)) + 1
+}
+
+func decodeMemory(n uint32) placement.Memory {
+	if n == 0 || n > math.MaxInt32+1 {
+		return placement.Memory{}
+	}
+	return placement.Memory{Known: true, Free: int(n - 1)}
 }
 
 // appendDeclared appends a declaration. Its age is rounded up, so that the receiver never sees
@@ -165,8 +183,12 @@
 func decodeReport(b []byte) (port.LoadReport, bool) {
 	declared := port.DeclaredWeights{}
 	var orders, intact int64
+	var memory placement.Memory
 	switch {
-	case len(b) == reportBytes && b[0] == reportVersion:
+	case len(b) == reportBytes && b[0] == reportVersion, len(b) == unmeteredBytes && b[0] == unmeteredVersion:
+		if b[0] == reportVersion {
+			memory = decodeMemory(binary.BigEndian.Uint32(b[unmeteredBytes:]))
+		}
 		declared = decodeDeclared(b[undeclaredBytes:])
 		orders, intact = int64(binary.BigEndian.Uint64(b[uncheckedBytes:])), int64(binary.BigEndian.Uint64(b[uncheckedBytes+8:]))
 	case len(b) == uncheckedBytes && b[0] == uncheckedVersion:
@@ -187,7 +209,7 @@
 		Intact:     intact,
 		Leaving:    b[1]&flagLeaving != 0,
 		Load: placement.Load{
-			Running: uint16At(24), Waiting: uint16At(26), Slots: uint16At(28), Loading: b[1]&flagLoading != 0,
+			Running: uint16At(24), Waiting: uint16At(26), Slots: uint16At(28), Loading: b[1]&flagLoading != 0, Memory: memory,
 		},
 	}, true
 }
--- a/internal/adapter/loadudp/loadudp_test.go
+++ b/internal/adapter/loadudp/loadudp_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"reflect"
@@ -162,6 +163,10 @@
 	if r, ok := decodeReport(unchecked); !ok || r != report {
 		t.Errorf("decoded %+v, %v from a build without checks", r, ok)
 	}
+	unmetered := append([]byte{unmeteredVersion}, b[1:unmeteredBytes]...)
+	if r, ok := decodeReport(unmetered); !ok || r != report {
+		t.Errorf("decoded %+v, %v from a build that does not state the memory", r, ok)
+	}
 	report.Declared.Number = 8
 	if b, err = encodeReport(report); err != nil {
 		t.Fatal(err)
@@ -210,3 +215,22 @@
 		}
 	}
 }
+
+// TestReportOfMemory guards against an engine whose memory is not known, or is larger than the format holds, that
+// seems to have none.
+func TestReportOfMemory(t *testing.T) {
+	for _, c := range []struct{ sent, want placement.Memory }{
+		{placement.Memory{}, placement.Memory{}}, {placement.Memory{Known: true}, placement.Memory{Known: true}},
+		{placement.Memory{Known: true, Free: 1180000}, placement.Memory{Known: true, Free: 1180000}},
+		{placement.Memory{Known: true, Free: 1 << 40}, placement.Memory{Known: true, Free: math.MaxInt32}},
+		{placement.Memory{Known: true, Free: -1}, placement.Memory{Known: true}},
+	} {
+		b, err := encodeReport(port.LoadReport{Target: "10.1.2.3:456", Load: placement.Load{Memory: c.sent}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, ok := decodeReport(b); !ok || r.Load.Memory != c.want {
+			t.Errorf("%+v: decoded %+v, %v", c.sent, r.Load.Memory, ok)
+		}
+	}
+}
--- a/internal/app/gateway/loads.go
+++ b/internal/app/gateway/loads.go
@@ -41,7 +41,7 @@
 func (g *Gateway) HandleNotice(n port.LoadNotice) {
 	if id, ok := g.targets.InstanceAt(n.Target); ok {
 		now := g.deps.Clock.Now()
-		service := g.targets.RecordRemoteRequest(id, g.view.engineTiming.Load().PrefillTime(n.PromptTokens), now)
+		service := g.targets.RecordRemoteRequest(id, n.PromptTokens, g.view.engineTiming.Load().PrefillTime(n.PromptTokens), now)
 		g.overload.RecordRemote(service, now)
 	}
 }
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -270,6 +270,7 @@
 	}
 	if e := c.service.Engine; e != nil {
 		q.MaxQueuedPerTarget = engineQueueLimit
+		q.PromptTokens = c.in.WorkEstimate.PromptTokens
 		q.Prefill, q.Decode = e.Timing.PrefillTime(c.in.WorkEstimate.PromptTokens), e.Timing.DecodeTime()
 		q.NeedsWeights, q.FirstEventBy, q.ExcludeSilent = true, c.firstEventBy(), c.runs > 0
 		declared, sinceBoot := d.weights[c.in.WorkEstimate.Model], c.g.deps.Clock.SinceBoot()
--- a/internal/app/gateway/successor.go
+++ b/internal/app/gateway/successor.go
@@ -67,8 +67,8 @@
 		return
 	}
 	q := c.placementQuery()
-	// The current target may have run the request.
-	q.ExcludeSilent = true
+	// The current target may run the request.
+	q.ExcludeSilent, q.NeedsMemory = true, true
 	choice, out := c.g.targets.Choose(q, now, c.g.deps.Rand.IntN)
 	if out != placement.Chosen {
 		return
--- a/internal/app/gateway/successor_test.go
+++ b/internal/app/gateway/successor_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/placement"
 	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
@@ -207,6 +208,34 @@
 	})
 }
 
+// TestSuccessorNeedsMemory guards against a stream that is offered to an engine that has stated that it has no memory
+// for it, while its own engine pauses.
+func TestSuccessorNeedsMemory(t *testing.T) {
+	for free, sends := range map[int]int{599: 1, 600: 2} {
+		synctest.Test(t, func(t *testing.T) {
+			r := streamingRoute
+			r.Timeout = 10 * time.Second
+			events := []string{"id: 1\ndata: x\n\n"}
+			gw := newTestGateway(t, r, scriptedReply{status: 200, body: events, delay: 2 * time.Second}, scriptedReply{status: 200, body: events})
+			gw.useEngines(r)
+			gw.stopReports()
+			for at := time.Duration(0); at < 3*time.Second; at += 100 * time.Millisecond {
+				time.AfterFunc(at, func() {
+					for _, id := range []fleet.Instance{"a", "b"} {
+						gw.targets.RecordLoad(id, placement.Load{Slots: 4, Memory: placement.Memory{Known: true, Free: free}}, time.Now())
+					}
+				})
+			}
+			in := newInbound()
+			in.CallerTimeout, in.WorkEstimate.PromptTokens = 10*time.Second, 600
+			if out := gw.request(in); out.status != 200 || len(gw.forwarder.sent) != sends {
+				t.Errorf("memory for %d tokens: status %d, refused with %v, sent %d times, want %d", free, out.status, out.refused, len(gw.forwarder.sent), sends)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // TestSuccessorEndsWithCaller guards against targets that work on a request after its caller has left.
 func TestSuccessorEndsWithCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -296,7 +296,7 @@
 // loadReport returns the load report for the gateways.
 func (l *Loader) loadReport(r port.EngineReport) port.LoadReport {
 	out := port.LoadReport{Target: l.settings.Engine, Started: r.Started, Load: placement.Load{
-		Running: r.Running, Waiting: r.Waiting, Slots: l.view.slots(), Loading: r.Busy || len(r.Held) == 0,
+		Running: r.Running, Waiting: r.Waiting, Slots: l.view.slots(), Loading: r.Busy || len(r.Held) == 0, Memory: r.Memory,
 	}, Declared: l.view.enforced(), OrderCount: r.OrderCount, Intact: l.intact.number(&r), Leaving: r.Leaving}
 	for _, h := range r.Held {
 		out.Weights = max(out.Weights, h.Number)
--- a/internal/core/overload/model_test.go
+++ b/internal/core/overload/model_test.go
@@ -217,7 +217,7 @@
 	m.after(m.hop, func() {
 		for g, t := range m.tables {
 			if g != gateway {
-				t.RecordRemoteRequest(c.Instance, prefillTime(r.prompt), m.time())
+				t.RecordRemoteRequest(c.Instance, r.prompt, prefillTime(r.prompt), m.time())
 				if m.noticed != nil {
 					m.noticed(g)
 				}
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -25,6 +25,11 @@
 	// ExcludeSilent excludes engines that show no sign of running. It is set if the request may have
 	// run before: an engine that stands still would run it once more, after its caller has left.
 	ExcludeSilent bool
+	// PromptTokens is the number of tokens of the prompt, for which an engine needs memory.
+	PromptTokens int
+	// NeedsMemory excludes engines without memory for the prompt, which are the last choice otherwise: they
+	// may refuse the request. It is set if the request runs at another target meanwhile.
+	NeedsMemory bool
 	// Tried holds the targets that the request was already sent to.
 	Tried map[fleet.Instance]bool
 	// Processes is the number of processes that send to the same targets.
@@ -143,6 +148,9 @@
 	// is added to its score. Reports arrive at least every 400 ms; a missing one
 	// suggests a fault of the machine or of the network path to it.
 	staleAfter = 600 * time.Millisecond
+	// noMemoryCost is added for an engine without memory for the prompt, so that all others are
+	// preferred. It may have got some since its report.
+	noMemoryCost = 3 * time.Second
 	// maxStaleness bounds the amount added, and applies to engines that never reported.
 	maxStaleness = 3 * time.Second
 	// slotWait is the time after which an engine without a free slot frees one.
@@ -244,6 +252,9 @@
 	}
 	if q.NeedsWeights {
 		score += s.staleness(now) + c.ExpectedLateness
+		if !s.hasMemory(q, now) {
+			score += noMemoryCost
+		}
 	}
 	return c, score
 }
@@ -302,7 +313,7 @@
 	if s.leaves(q, now) || s.announced.pauseLeft(now) > 0 || !s.rampAllows(now) {
 		return false
 	}
-	if now.Before(s.pausedUntil) || s.load.Loading && now.Sub(s.reportedAt) <= maxReportAge || q.NeedsWeights && s.mayBeDamaged() || q.ExcludeSilent && s.silent(now) {
+	if now.Before(s.pausedUntil) || s.load.Loading && now.Sub(s.reportedAt) <= maxReportAge || q.NeedsWeights && s.mayBeDamaged() || q.ExcludeSilent && s.silent(now) || q.NeedsMemory && !s.hasMemory(q, now) {
 		return false
 	}
 	maxQueued := q.MaxQueuedPerTarget
@@ -420,6 +431,7 @@
 		reserved = true
 		s.ownInFlight++
 		s.addPrefill(q.Prefill, now)
+		s.tokensSinceReport += q.PromptTokens
 		if now.Before(s.ColdUntil) {
 			s.coldRequests = append(dropExpired(s.coldRequests, now), now)
 		}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -119,7 +119,7 @@
 	table.Set(engine("x", 3))
 	report(table, "x", Load{Running: 1}, start)
 	for range 3 {
-		table.RecordRemoteRequest("x", 0, start)
+		table.RecordRemoteRequest("x", 0, 0, start)
 	}
 	q := Query{Service: "llm", NeedsWeights: true, Processes: 8, MaxQueuedPerTarget: 1}
 	if _, outcome := table.Choose(q, start, rand.IntN); outcome != AllFull {
@@ -141,7 +141,7 @@
 		report(table, id, Load{}, start)
 	}
 	report(table, "y", Load{Running: 10}, start)
-	table.RecordRemoteRequest("x", 200*time.Millisecond, start)
+	table.RecordRemoteRequest("x", 0, 200*time.Millisecond, start)
 	q := Query{Service: "llm", NeedsWeights: true, Processes: 2, MaxQueuedPerTarget: 2, Prefill: 50 * time.Millisecond, Decode: 45 * time.Millisecond}
 	c, _ := table.Choose(q, start, rand.IntN)
 	if c.Instance != "y" {
@@ -484,3 +484,66 @@
 		t.Errorf("%q is still at the address", id)
 	}
 }
+
+// TestEngineMemory guards against an engine without memory for a prompt that is chosen although another one has some,
+// or for a request that still runs elsewhere, and against memory that several requests are to get.
+func TestEngineMemory(t *testing.T) {
+	const prompt = 600
+	first := func(int) int { return 0 }
+	for name, c := range map[string]struct {
+		memory Memory
+		// age is that of the report, and remote the number of prompt tokens that another process has sent since.
+		age    time.Duration
+		remote int
+		has    bool
+	}{
+		"not stated":          {Memory{}, 0, 0, true},
+		"enough":              {Memory{true, prompt}, 0, 0, true},
+		"too little":          {Memory{true, prompt - 1}, 0, 0, false},
+		"none":                {Memory{true, 0}, 0, 0, false},
+		"taken by another":    {Memory{true, 2*prompt - 1}, 0, prompt, false},
+		"enough beside one":   {Memory{true, 2 * prompt}, 0, prompt, true},
+		"too little, but old": {Memory{true, 0}, maxReportAge + time.Millisecond, 0, true},
+	} {
+		table := NewTable()
+		table.Set(engine("x", 16))
+		report(table, "x", Load{Slots: 16, Memory: c.memory}, start.Add(-c.age))
+		if c.remote > 0 {
+			table.RecordRemoteRequest("x", c.remote, 0, start)
+		}
+		q := Query{Service: "llm", NeedsWeights: true, PromptTokens: prompt, Processes: 1}
+		running := q
+		running.NeedsMemory = true
+		if got := table.HasCapacity(running, start); got != c.has {
+			t.Errorf("%s: takes a request that runs elsewhere: %v", name, got)
+		}
+		if !table.HasCapacity(q, start) {
+			t.Errorf("%s: takes no request although it is the only engine", name)
+		}
+		if c.age > 0 {
+			// An engine whose report is old is not preferred anyway.
+			continue
+		}
+		// The other engine is in another domain and takes longer.
+		y := engine("y", 16)
+		y.Domain = "b"
+		table.Set(y)
+		report(table, "y", Load{Running: 4, Slots: 16, Memory: Memory{true, prompt}}, start)
+		q.OwnDomain = "a"
+		want := fleet.Instance("y")
+		if c.has {
+			want = "x"
+		}
+		if got, _ := table.Choose(q, start, first); got.Instance != want {
+			t.Errorf("%s: %s is chosen", name, got.Instance)
+		}
+		// The engine that was chosen has its memory reserved until its next report.
+		if c.memory == (Memory{true, prompt}) && table.HasCapacity(Query{Service: "llm", PromptTokens: 1, NeedsMemory: true, Tried: map[fleet.Instance]bool{"y": true}, Processes: 1}, start) {
+			t.Errorf("%s: the memory is given to two requests", name)
+		}
+		report(table, "x", Load{Slots: 16, Memory: Memory{true, prompt}}, start)
+		if !table.HasCapacity(running, start) {
+			t.Errorf("%s: memory is still reserved after a report", name)
+		}
+	}
+}
--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -98,17 +98,18 @@
 // RecordLoad records a load report of a target.
 func (t *Table) RecordLoad(id fleet.Instance, l Load, now time.Time) {
 	t.update(id, func(s *targetState) {
-		s.load, s.reportedAt, s.ownAtReport, s.othersSinceReport = l, now, s.ownInFlight, 0
+		s.load, s.reportedAt, s.ownAtReport, s.othersSinceReport, s.tokensSinceReport = l, now, s.ownInFlight, 0, 0
 	})
 }
 
 // RecordRemoteRequest records a request that another process has sent to a
-// target, and the time that the target needs for its prefill. It returns the service of the target, or
+// target, the tokens of its prompt and the time that the target needs for its prefill. It returns the service of the target, or
 // nothing if the target is not known.
-func (t *Table) RecordRemoteRequest(id fleet.Instance, prefill time.Duration, now time.Time) (service fleet.Service) {
+func (t *Table) RecordRemoteRequest(id fleet.Instance, promptTokens int, prefill time.Duration, now time.Time) (service fleet.Service) {
 	t.update(id, func(s *targetState) {
 		service = s.Service
 		s.othersSinceReport++
+		s.tokensSinceReport += promptTokens
 		s.addPrefill(prefill, now)
 	})
 	return service
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -42,11 +42,20 @@
 	Running, Waiting, Slots int
 	// Loading is set while the target replaces or releases its weights and takes no requests.
 	Loading bool
+	// Memory is what an engine states of its memory for requests.
+	Memory Memory
 	// EnforcedWeights is the newest declared version of the weights for which the target's
 	// loader takes older ones out of service in time, or zero.
 	EnforcedWeights int64
 }
 
+// Memory is the memory of an engine for requests. Engines that do not state it are not known to lack any.
+type Memory struct {
+	Known bool
+	// Free is the number of tokens that it can hold beside those of the requests in the engine.
+	Free int
+}
+
 func (l Load) total() int { return l.Running + l.Waiting }
 
 // targetState holds a target and the information needed to estimate its load.
@@ -68,6 +77,9 @@
 	// othersSinceReport is the number of requests that other processes have sent
 	// since the report.
 	othersSinceReport int
+	// tokensSinceReport is the number of prompt tokens of the requests that all processes have sent since the
+	// report, as far as this one knows.
+	tokensSinceReport int
 	// prefillUntil is the estimated time at which an engine finishes the prefill
 	// of all prompts sent to it.
 	prefillUntil time.Time
@@ -109,6 +121,13 @@
 	return float64(s.ownInFlight) * max(processes, 1)
 }
 
+// hasMemory reports whether the memory that the engine stated suffices for the prompt, behind those that were
+// sent since. A report that is too old says nothing.
+func (s *targetState) hasMemory(q *Query, now time.Time) bool {
+	m := s.load.Memory
+	return !m.Known || now.Sub(s.reportedAt) > maxReportAge || s.tokensSinceReport+q.PromptTokens <= m.Free
+}
+
 // pendingPrefill returns the time that an engine still needs for the prefill of
 // the prompts already sent to it.
 func (s *targetState) pendingPrefill(now time.Time) time.Duration {
--- a/internal/port/stage.go
+++ b/internal/port/stage.go
@@ -8,6 +8,7 @@
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/manifest"
+	"github.com/masticwing/masticwing/internal/core/placement"
 )
 
 // ErrOrderRefused means that an engine rejected an order, because its state has
@@ -27,6 +28,8 @@
 	OrderCount int64
 	// Running and Waiting are the numbers of requests in progress and queued.
 	Running, Waiting int
+	// Memory is the engine's memory for requests.
+	Memory placement.Memory
 	// Leaving means that the engine has announced that it leaves.
 	Leaving bool
 }
