httpapi: an answer of a service with a malformed status is no success

A caller of an entry got an answer with the status 0, 99, 600 or 999 as 200 with the verdict that it ran, if an agent of a build before passed it on.

Cause: writeHead took 200 in place of a status that it can't send.

Change: such an answer ends as 502, broken_answer, with the verdict that the call may have run. Two tests had a fake service without a status, which is the status 0 and no agent sends; it now states 200, and their checks are as before (TestIncompleteAnswerIsMarked, TestShutdownEndsAnswers).

--- a/internal/adapter/httpapi/exchange.go
+++ b/internal/adapter/httpapi/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/masticwing/masticwing/internal/adapter/boundedhttp"
 	"github.com/masticwing/masticwing/internal/adapter/closeguard"
 	"github.com/masticwing/masticwing/internal/core/fleet"
 	"github.com/masticwing/masticwing/internal/core/response"
@@ -78,6 +79,11 @@
 		x.failBeforeHead(x.api.gate.Error(ctx, verdict.FromError(err)))
 		return
 	}
+	if h := a.Head(); x.r.Group == "" && !boundedhttp.StatusIsValid(h.Status) {
+		// An agent of a build that does not check the statuses of its service.
+		x.failBeforeHead(verdict.New(verdict.MayHaveRun, verdict.CodeBrokenAnswer, "service answered with the status %d", h.Status))
+		return
+	}
 	if herr := x.writeHead(a.Head()); herr != nil {
 		x.abort(herr)
 		return
@@ -122,9 +128,7 @@
 		out.Set("Content-Type", "application/x-ndjson")
 	default:
 		out.Set("Content-Type", h.ContentType)
-		if h.Status >= http.StatusOK && h.Status <= 599 {
-			status = h.Status
-		}
+		status = h.Status
 	}
 	x.w.WriteHeader(status)
 	return nil
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -421,7 +421,7 @@
 	lostError := verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "gone")
 	var closed atomic.Int32
 	panicking := &fakeBackend{serve: func(context.Context, port.ServeRequest) (port.Answer, error) {
-		return &fakeAnswer{head: port.AnswerHead{Version: "v1"}, closed: &closed, next: func(i int) ([]byte, error) {
+		return &fakeAnswer{head: port.AnswerHead{Version: "v1", Status: 200}, closed: &closed, next: func(i int) ([]byte, error) {
 			if i == 0 {
 				return []byte("one\n"), nil
 			}
--- a/internal/adapter/httpapi/shutdown_test.go
+++ b/internal/adapter/httpapi/shutdown_test.go
@@ -68,7 +68,7 @@
 		var closed atomic.Int32
 		started := make(chan struct{})
 		api, addr := listen(t, defaultConfig, &fakeBackend{serve: func(ctx context.Context, _ port.ServeRequest) (port.Answer, error) {
-			return &fakeAnswer{head: port.AnswerHead{Version: "v1"}, closed: &closed, next: func(i int) ([]byte, error) {
+			return &fakeAnswer{head: port.AnswerHead{Version: "v1", Status: 200}, closed: &closed, next: func(i int) ([]byte, error) {
 				if i == 0 {
 					return []byte("a\n"), nil
 				}
