gateway: an error of another target ends the wait for a silent one

Change: such an answer takes the place of the silent attempt after one more stall timeout. A successor that was dropped also counts as a place that became free.

Measured: the case "own target says nothing" of TestSlowAnswerIsDelivered is refused at its deadline without the change, and gets the 500 with it.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -265,10 +265,10 @@
 	return c.g.deps.Targets.Forward(ctx, choice.Address, f)
 }
 
-// errSuperseded is the error of an attempt whose successor was accepted.
-var errSuperseded = verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "target is silent, and another one has accepted the request")
+// errSuperseded is the error of an attempt whose successor goes on in its place.
+var errSuperseded = verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "target is silent, and another one has answered")
 
-// recordSuperseded returns the error of an attempt whose successor was accepted. It counts as a failure of the
+// recordSuperseded returns the error of an attempt whose successor goes on. It counts as a failure of the
 // target, which was silent for long.
 func (c *call) recordSuperseded(choice placement.Choice) *verdict.Error {
 	c.g.targets.RecordFailure(choice.Instance, c.g.deps.Clock.Now())
--- a/internal/app/gateway/stall.go
+++ b/internal/app/gateway/stall.go
@@ -51,8 +51,8 @@
 	// abandonAfter how long it waits for each event.
 	abandonAt    time.Time
 	abandonAfter time.Duration
-	// successor is the attempt at another target in progress, or nil, and superseded is set once it has been
-	// accepted in place of this one.
+	// successor is the attempt at another target in progress, or nil, and superseded is set once that goes on in
+	// place of this one.
 	successor  *successor
 	superseded bool
 	// runs is the number of runs of the request up to this attempt, with it and with the successors that have
@@ -119,6 +119,10 @@
 		// may wait to be read.
 		s.gaveUp = true
 		s.cancel()
+	case s.successor != nil && s.successor.isAnswered() && now.Sub(s.successor.sentAt) >= s.timeout:
+		// The other target answered with an error, and this one is still silent. The caller may have time to
+		// send the request again.
+		s.supersede()
 	default:
 		if !s.final && s.successor == nil {
 			c.openSuccessor(ctx, s, now)
--- a/internal/app/gateway/successor.go
+++ b/internal/app/gateway/successor.go
@@ -48,7 +48,7 @@
 }
 
 // isAccepted reports whether the target has accepted the request. An error of the target is no reason to end an
-// attempt at another one, but is the answer if that fails.
+// attempt at another one, but is the answer if that fails or stays silent.
 func (n *successor) isAccepted() bool {
 	return n.isAnswered() && n.err == nil && n.resp.Status/100 == 2
 }
@@ -196,11 +196,16 @@
 // adopt ends the current attempt if its successor is accepted. mu is held.
 func (s *stallWatch) adopt() {
 	if s.successor != nil && s.successor.isAccepted() {
-		s.superseded = true
-		s.cancel()
+		s.supersede()
 	}
 }
 
+// supersede ends the current attempt, so that its successor goes on as the attempt. mu is held.
+func (s *stallWatch) supersede() {
+	s.superseded = true
+	s.cancel()
+}
+
 // drop gives up the successor, if there is one. mu is held.
 func (s *stallWatch) drop(c *call, outcome string) {
 	n := s.successor
@@ -224,6 +229,9 @@
 			_ = n.resp.Body.Close()
 		}
 		c.g.targets.Release(n.choice.Instance)
+		if n.mayHaveRun() {
+			c.g.drain.RecordFreed(c.service.Name, c.g.deps.Clock.Now())
+		}
 		c.g.countSuccessor(outcome)
 	})
 }
--- a/internal/app/gateway/successor_test.go
+++ b/internal/app/gateway/successor_test.go
@@ -32,6 +32,7 @@
 		"other target fails":      {scriptedReply{status: 200, delay: slow}, scriptedReply{status: 500}, 200},
 		"both targets fail":       {scriptedReply{err: errLost, delay: slow}, scriptedReply{status: 500}, 500},
 		"own target fails later":  {scriptedReply{err: errLost, delay: slow}, scriptedReply{status: 200, delay: slow}, 200},
+		"own target says nothing": {scriptedReply{delay: time.Minute}, scriptedReply{status: 500}, 500},
 		"other target is quicker": {scriptedReply{status: 500, delay: slow}, scriptedReply{status: 200}, 200},
 	} {
 		gw := newTestGateway(t, route, c.first, c.second)
