--- a/internal/core/placement/table.go
+++ b/internal/core/placement/table.go
@@ -102,8 +102,8 @@
 	})
 }
 
-// RecordRemoteRequest records a request that another process has sent to a
-// target, the tokens of its prompt and the time that the target needs for its prefill. It returns the service of the target, or
+// RecordRemoteRequest records a request that another process has sent to a target, the tokens of its
+// prompt and the time that the target needs for its prefill. It returns the service of the target, or
 // nothing if the target is not known.
 func (t *Table) RecordRemoteRequest(id fleet.Instance, promptTokens int, prefill time.Duration, now time.Time) (service fleet.Service) {
 	t.update(id, func(s *targetState) {
