Show gateways that never start beside entries of another writer

Eight unreadable entries of the longest value that the store takes stand beside those of the workers when all gateways are killed and restarted. Store.List fails the whole listing above 8 MiB.

--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -81,7 +81,7 @@
 	}
 	d := &deployment{dir: dir, record: r, store: platformtest.NewStore()}
 	d.closers = append(d.closers, func() { _ = os.RemoveAll(dir) })
-	d.storeAt, err = d.serve(d.store)
+	d.storeAt, err = d.serve(pagedStore{d.store})
 	return d, err
 }
 
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -18,7 +18,8 @@
 type play func(d *deployment, trouble bool) (broken []string, err error)
 
 var cases = map[string]play{
-	"http10-framing": http10Framing,
+	"http10-framing":  http10Framing,
+	"foreign-entries": restartBesideForeignEntries,
 }
 
 // record is the file that tells what was sent, answered and run.
--- a/review/lab3/worker.go
+++ b/review/lab3/worker.go
@@ -28,8 +28,11 @@
 	running                 atomic.Int64
 	d                       *deployment
 
-	mu   sync.Mutex // guards the following
-	runs []run
+	mu        sync.Mutex // guards the following
+	runs      []run
+	draining  bool
+	coldUntil time.Time
+	sequence  int
 }
 
 // addWorker starts a worker and registers it. coldLeft is how long it stays cold.
@@ -39,16 +42,40 @@
 	if w.addr, err = d.serve(w); err != nil {
 		return nil, err
 	}
-	w.register(coldLeft, time.Now().UnixMilli())
+	w.setCold(coldLeft)
 	return w, nil
 }
 
-// register writes the worker's entry, as its heartbeat does.
-func (w *worker) register(coldLeft time.Duration, sequence int64) {
-	w.d.store.Put("servers/"+w.id, map[string]any{
-		"Service": w.service, "Address": w.addr, "Zone": w.zone, "Version": "1", "Slots": w.slots, "State": "ready",
-		"ColdLeftMs": coldLeft.Milliseconds(), "Sequence": sequence, "born": born,
-	})
+// setCold writes the worker's entry with the time for which it stays cold.
+func (w *worker) setCold(left time.Duration) {
+	w.mu.Lock()
+	w.coldUntil = time.Now().Add(left)
+	w.mu.Unlock()
+	w.writeEntry()
+}
+
+// leave writes to the store that the worker is draining. It goes on to serve, and says so in all its answers.
+func (w *worker) leave() {
+	w.mu.Lock()
+	w.draining = true
+	w.mu.Unlock()
+	w.writeEntry()
+}
+
+// writeEntry writes the worker's entry, as its heartbeat does.
+func (w *worker) writeEntry() {
+	w.mu.Lock()
+	state, coldLeft := "ready", max(0, time.Until(w.coldUntil))
+	if w.draining {
+		state = "draining"
+	}
+	w.sequence++
+	entry := map[string]any{
+		"Service": w.service, "Address": w.addr, "Zone": w.zone, "Version": "1", "Slots": w.slots, "State": state,
+		"ColdLeftMs": coldLeft.Milliseconds(), "Sequence": w.sequence, "born": born,
+	}
+	w.mu.Unlock()
+	w.d.store.Put("servers/"+w.id, entry)
 }
 
 // born is the start of all workers.
@@ -72,6 +99,9 @@
 	executed := running <= int64(2*w.slots) && id != ""
 	w.mu.Lock()
 	w.runs = append(w.runs, run{id, w.id, r.Method, r.RequestURI, string(body), at, executed})
+	if w.draining {
+		out.Header().Set("Server-Leaving", "1")
+	}
 	w.mu.Unlock()
 	out.Header().Set("Instance-Load", strconv.FormatInt(running, 10)+",0,"+strconv.Itoa(w.slots))
 	if !executed {
