--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -18,8 +18,11 @@
 type play func(d *deployment, trouble bool) (broken []string, err error)
 
 var cases = map[string]play{
-	"http10-framing":  http10Framing,
-	"foreign-entries": restartBesideForeignEntries,
+	"http10-framing":       http10Framing,
+	"options-asterisk":     optionsAsterisk,
+	"cold-after-lapse":     coldAfterLapse,
+	"foreign-entries":      restartBesideForeignEntries,
+	"drain-across-restore": drainAcrossRestore,
 }
 
 // record is the file that tells what was sent, answered and run.
