Show requests to draining workers behind silent channels to the store

The open channels from the gateways to the store go silent, while new ones work. The workers of a service are replaced 0.5 to 2 s later. Gateways that read the store in place of their reader wait on a second silent channel and learn of the draining workers up to 5.2 s after the acknowledgement.

--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -63,6 +63,8 @@
 	storeAt  string
 	gateways []*gateway
 	closers  []func()
+	// proxied is set if each gateway reaches the store through a proxy of its own.
+	proxied bool
 }
 
 // gateway is a process of masticwing-gateway.
@@ -71,6 +73,7 @@
 	cmd                                 *exec.Cmd
 	exited                              chan struct{}
 	log                                 *os.File
+	storeProxy                          *proxy
 }
 
 // newDeployment starts a store.
@@ -126,7 +129,15 @@
 		addrs[i] = a
 	}
 	g := &gateway{name: name, admin: addrs[0], callers: addrs[1], ready: addrs[2], config: filepath.Join(d.dir, name+".ini")}
-	text := fmt.Sprintf(gatewaySettings, name, addrs[0], zone, addrs[1], addrs[2], addrs[3], d.storeAt)
+	storeAt := d.storeAt
+	if d.proxied {
+		p, err := d.newProxy(d.storeAt)
+		if err != nil {
+			return nil, err
+		}
+		g.storeProxy, storeAt = p, p.addr()
+	}
+	text := fmt.Sprintf(gatewaySettings, name, addrs[0], zone, addrs[1], addrs[2], addrs[3], storeAt)
 	if err := os.WriteFile(g.config, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -22,6 +22,7 @@
 	"options-asterisk":     optionsAsterisk,
 	"cold-after-lapse":     coldAfterLapse,
 	"foreign-entries":      restartBesideForeignEntries,
+	"silent-channels":      releaseBehindSilentChannels,
 	"drain-across-restore": drainAcrossRestore,
 }
 
--- a/review/lab3/traffic.go
+++ b/review/lab3/traffic.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -21,8 +22,18 @@
 	sentAt   map[string]time.Time
 }
 
-// startTraffic sends perSecond requests to each gateway, each with an id of its own, on kept channels.
+// startTraffic sends perSecond requests to each gateway at equal intervals, each with an id of its own, on kept
+// channels.
 func startTraffic(gs []*gateway, method, path string, perSecond int) *traffic {
+	return start(gs, method, path, func() time.Duration { return time.Second / time.Duration(perSecond) })
+}
+
+// startSparseTraffic is the same with perSecond requests on average, at random times.
+func startSparseTraffic(gs []*gateway, method, path string, perSecond float64) *traffic {
+	return start(gs, method, path, func() time.Duration { return time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)) })
+}
+
+func start(gs []*gateway, method, path string, interval func() time.Duration) *traffic {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &traffic{stop: cancel, statuses: map[string]int{}, sentAt: map[string]time.Time{}}
 	for n, g := range gs {
@@ -31,13 +42,13 @@
 		go func() {
 			defer t.wg.Done()
 			defer client.CloseIdleConnections()
-			tick := time.NewTicker(time.Second / time.Duration(perSecond))
-			defer tick.Stop()
+			next := time.Now()
 			for i := 0; ; i++ {
+				next = next.Add(interval())
 				select {
 				case <-ctx.Done():
 					return
-				case <-tick.C:
+				case <-time.After(time.Until(next)):
 				}
 				id := fmt.Sprintf("g%d-%06d", n, i)
 				t.wg.Add(1)
