Show a gateway that loses its registration and refuses for good

The store does the registration of a gateway late and loses the answer; the gateway is killed and registers again meanwhile. Its entry ends with the earlier lease.

--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -22,8 +22,11 @@
 	stopTimeout  = 10 * time.Second
 )
 
-// gatewayCommand is the command of the gateway in deploy/system.toml.
-var gatewayCommand = []string{"target/masticwing-gateway", "run"}
+// The commands in deploy/system.toml.
+var (
+	gatewayCommand = []string{"target/masticwing-gateway", "run"}
+	loaderCommand  = []string{"target/masticwing-loader", "run"}
+)
 
 // gatewaySettings is deploy/gateway.ini with the values of a small deployment. The verbs are the id, the
 // admin address, the domain, the callers', readiness and internal addresses, and the address of the store.
@@ -63,17 +66,22 @@
 	storeAt  string
 	gateways []*gateway
 	closers  []func()
+	// recorder holds what the engines execute, each of which has a loader of the same number.
+	recorder *platformtest.Recorder
+	engines  []*platformtest.Target
 	// proxied is set if each gateway reaches the store through a proxy of its own.
 	proxied bool
 }
 
-// gateway is a process of masticwing-gateway.
+// gateway is a process of masticwing-gateway, or of masticwing-loader.
 type gateway struct {
 	name, callers, ready, admin, config string
 	cmd                                 *exec.Cmd
 	exited                              chan struct{}
 	log                                 *os.File
 	storeProxy                          *proxy
+	// command starts the process.
+	command []string
 }
 
 // newDeployment starts a store.
@@ -128,7 +136,7 @@
 		}
 		addrs[i] = a
 	}
-	g := &gateway{name: name, admin: addrs[0], callers: addrs[1], ready: addrs[2], config: filepath.Join(d.dir, name+".ini")}
+	g := &gateway{name: name, admin: addrs[0], callers: addrs[1], ready: addrs[2], config: filepath.Join(d.dir, name+".ini"), command: gatewayCommand}
 	storeAt := d.storeAt
 	if d.proxied {
 		p, err := d.newProxy(d.storeAt)
@@ -155,7 +163,7 @@
 		return err
 	}
 	g.log = log
-	g.cmd = exec.Command(gatewayCommand[0], gatewayCommand[1:]...)
+	g.cmd = exec.Command(g.command[0], g.command[1:]...)
 	g.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MASTICWING_CONFIG=" + g.config}
 	g.cmd.Stdout, g.cmd.Stderr = log, log
 	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -23,6 +23,8 @@
 	"cold-after-lapse":     coldAfterLapse,
 	"foreign-entries":      restartBesideForeignEntries,
 	"silent-channels":      releaseBehindSilentChannels,
+	"lost-registration":    lostRegistration,
+	"old-weights":          oldWeights,
 	"drain-across-restore": drainAcrossRestore,
 }
 
--- a/review/lab3/traffic.go
+++ b/review/lab3/traffic.go
@@ -25,15 +25,20 @@
 // startTraffic sends perSecond requests to each gateway at equal intervals, each with an id of its own, on kept
 // channels.
 func startTraffic(gs []*gateway, method, path string, perSecond int) *traffic {
-	return start(gs, method, path, func() time.Duration { return time.Second / time.Duration(perSecond) })
+	return startTrafficWith(gs, method, path, nil, perSecond)
+}
+
+// startTrafficWith is the same with requests that prepare has completed.
+func startTrafficWith(gs []*gateway, method, path string, prepare func(req *http.Request, id string), perSecond int) *traffic {
+	return start(gs, method, path, prepare, func() time.Duration { return time.Second / time.Duration(perSecond) })
 }
 
 // startSparseTraffic is the same with perSecond requests on average, at random times.
 func startSparseTraffic(gs []*gateway, method, path string, perSecond float64) *traffic {
-	return start(gs, method, path, func() time.Duration { return time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)) })
+	return start(gs, method, path, nil, func() time.Duration { return time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)) })
 }
 
-func start(gs []*gateway, method, path string, interval func() time.Duration) *traffic {
+func start(gs []*gateway, method, path string, prepare func(req *http.Request, id string), interval func() time.Duration) *traffic {
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &traffic{stop: cancel, statuses: map[string]int{}, sentAt: map[string]time.Time{}}
 	for n, g := range gs {
@@ -54,7 +59,7 @@
 				t.wg.Add(1)
 				go func() {
 					defer t.wg.Done()
-					t.send(client, method, "http://"+g.callers+path, id)
+					t.send(client, method, "http://"+g.callers+path, id, prepare)
 				}()
 			}
 		}()
@@ -62,7 +67,7 @@
 	return t
 }
 
-func (t *traffic) send(client *http.Client, method, url, id string) {
+func (t *traffic) send(client *http.Client, method, url, id string, prepare func(req *http.Request, id string)) {
 	req, err := http.NewRequest(method, url, nil)
 	if err != nil {
 		panic(err) // the arguments are constant
@@ -70,6 +75,9 @@
 	req.Host = host
 	req.Header.Set("Request-Id", id)
 	req.Header.Set("Deadline-Ms", "2000")
+	if prepare != nil {
+		prepare(req, id)
+	}
 	t.mu.Lock()
 	t.sentAt[id] = time.Now()
 	t.mu.Unlock()
