--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -108,22 +110,30 @@
 	return lis.Addr().String(), nil
 }
 
-// freeAddr returns a loopback address with a port that is free for TCP and UDP.
+// usedPorts holds the ports that freeAddr has returned.
+var usedPorts = map[int]bool{}
+
+// freeAddr returns a loopback address with a port that is free for TCP and UDP. It is below those that the kernel
+// gives to outgoing connections, so that none takes it before the process listens.
 func freeAddr() (string, error) {
-	for range 100 {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 1000 {
+		port := 20000 + rand.IntN(12000)
+		if usedPorts[port] {
+			continue
+		}
+		usedPorts[port] = true
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		lis, err := net.Listen("tcp", addr)
 		if err != nil {
-			return "", err
+			continue
 		}
-		addr := lis.Addr().String()
-		p, err := net.ListenPacket("udp", addr)
 		_ = lis.Close()
-		if err == nil {
+		if p, err := net.ListenPacket("udp", addr); err == nil {
 			_ = p.Close()
 			return addr, nil
 		}
 	}
-	return "", fmt.Errorf("no free port")
+	return "", errors.New("no free port")
 }
 
 // addGateway starts a gateway in a zone and waits until it is ready.
