--- a/review/lab3/deployment.go
+++ b/review/lab3/deployment.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -68,6 +69,8 @@
 	storeAt  string
 	gateways []*gateway
 	closers  []func()
+	// config is the newest configuration.
+	config map[string]any
 	// recorder holds what the engines execute, each of which has a loader of the same number.
 	recorder *platformtest.Recorder
 	engines  []*platformtest.Target
@@ -113,6 +116,20 @@
 // usedPorts holds the ports that freeAddr has returned.
 var usedPorts = map[int]bool{}
 
+// putConfig writes a configuration, as the operator does.
+func (d *deployment) putConfig(c map[string]any) {
+	d.config = c
+	d.store.Put("op/config", c)
+}
+
+// changeConfig writes the configuration as its next version.
+func (d *deployment) changeConfig() {
+	next := maps.Clone(d.config)
+	next["Version"] = next["Version"].(int) + 1
+	d.putConfig(next)
+	d.record.printf("the store acknowledges version %d of the configuration", next["Version"])
+}
+
 // freeAddr returns a loopback address with a port that is free for TCP and UDP. It is below those that the kernel
 // gives to outgoing connections, so that none takes it before the process listens.
 func freeAddr() (string, error) {
--- a/review/lab3/framing.go
+++ b/review/lab3/framing.go
@@ -25,7 +25,7 @@
 			"TimeoutMs": 2000, "TargetLatencyMs": 200, "Priority": 1,
 		})
 	}
-	d.store.Put("op/config", map[string]any{
+	d.putConfig(map[string]any{
 		"Version": 1, "Routes": rs, "Services": []map[string]any{{"Name": "desk", "MaxConns": 100, "HealthPath": "/health"}},
 		"Limits": map[string]any{"HeaderBytes": 16384, "BodyBytes": 65536, "HeaderTimeoutMs": 5000, "IdleTimeoutMs": 10000},
 	})
--- a/review/lab3/registration.go
+++ b/review/lab3/registration.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return err
 	}
-	d.store.Put("op/config", map[string]any{
+	d.putConfig(map[string]any{
 		"Version": 1,
 		"Routes": []map[string]any{{
 			"Name": "reports", "Host": host, "Prefix": "/reports/", "Kind": "streaming", "Service": "llm", "MaxAttempts": 2, "TimeoutMs": 6000,
@@ -169,6 +169,7 @@
 	}
 	time.Sleep(time.Second)
 	before.end(d.record)
+	d.changeConfig()
 	d.record.printf("the final fault")
 	if err := d.restart(g); err != nil {
 		return nil, err
@@ -180,6 +181,9 @@
 	after := startStreams([]*gateway{g})
 	time.Sleep(40 * time.Second)
 	after.end(d.record)
+	for _, e := range d.engines {
+		d.record.printf("engine %s holds version %d", e.ID, e.WeightsVersion())
+	}
 	for _, l := range append(g.logLines("number of gateways"), g.logLines("registered in")...) {
 		d.record.printf("log of %s: %s", g.name, l)
 	}
--- a/review/lab3/writer.go
+++ b/review/lab3/writer.go
@@ -97,6 +97,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	before.end(d.record)
+	d.changeConfig()
 	for _, g := range gs {
 		if err := g.cmd.Process.Kill(); err != nil {
 			return nil, err
--- a/review/lab3/zones.go
+++ b/review/lab3/zones.go
@@ -17,7 +17,7 @@
 	if coldPerS > 0 {
 		service["ColdPerS"] = coldPerS
 	}
-	d.store.Put("op/config", map[string]any{
+	d.putConfig(map[string]any{
 		"Version": 1, "Services": []map[string]any{service},
 		"Routes": []map[string]any{{
 			"Name": "stations", "Host": host, "Prefix": "/desk/", "Kind": "safe", "Service": "desk", "MaxAttempts": 2,
