app/leased: items with one writer are written on a condition

Cause: a registration was written without a condition. The store may execute a write without a response seconds later; one of the killed process put the entry under its own lease, with which it ended, while the new process renewed another one and did not look for its entry.

Change: app/leased writes such items on the condition that nothing has changed them since their revision was read, so that a late write meets a newer revision and fails. The first write expects no item, so that a start makes no further call. The registration states its lease, and a process that is listed under another one, or not at all, for four renewals writes it again.

The same cause: an older record of a load replaced a newer one (TestLateRecordOfLoad), and a refusal of an operator that was repeated came back after its release (TestLateRefusalStaysReleased); both fail before.

--- a/internal/app/gateway/crash_test.go
+++ b/internal/app/gateway/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -310,6 +311,26 @@
 	}
 }
 
+// TestLateRefusalStaysReleased guards against a subject that is refused again without end: the store executes an
+// operator's refusal, which was repeated, after the release.
+func TestLateRefusalStaysReleased(t *testing.T) {
+	store, ctx := porttest.NewLateStore(), context.Background()
+	o := QuarantineOperator{store, evidenceDecoder{newTestGateway(t, route).decodedItems}}
+	store.KeepNext()
+	if err := o.Refuse(ctx, "p"); !errors.Is(err, port.ErrUnknownOutcome) {
+		t.Fatalf("the first refusal ends with %v", err)
+	}
+	for _, change := range []func(context.Context, quarantine.Subject) error{o.Refuse, o.Release} {
+		if err := change(ctx, "p"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store.ExecuteKept()
+	if items, err := o.List(ctx); err != nil || len(items) != 1 || items[0].Evidence.Held {
+		t.Errorf("after the release: %+v, %v", items, err)
+	}
+}
+
 // TestSilentTargetIsNoEvidence guards against refusing a part because machines did not respond for
 // a while, and against overlooking the ways in which a connection to a crashed target ends.
 func TestSilentTargetIsNoEvidence(t *testing.T) {
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -143,7 +143,9 @@
 	loops.Go(ctx, "gauges", g.gaugeLoop)
 	loops.Go(ctx, "connections", g.connectionLoop)
 	g.runExchange(ctx, loops)
-	registrar := registration.Registrar{Store: g.deps.Store, Prefix: ps.Members, Self: g.settings.storedMember(), Clock: g.deps.Clock, Log: g.deps.Log}
+	registrar := registration.Registrar{
+		Store: g.deps.Store, Prefix: ps.Members, Self: g.settings.storedMember(), Listed: g.view.listedLease, Clock: g.deps.Clock, Log: g.deps.Log,
+	}
 	loops.Go(ctx, "registration", registrar.Run)
 	dutyCtx, cancel := g.untilStop(ctx)
 	defer cancel()
--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -29,3 +29,10 @@
 		v.membersListed.Store(true)
 	}
 }
+
+// listedLease returns the lease under which this process is listed, or port.NoLease if it is not.
+func (v *view) listedLease() port.LeaseID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members.LeaseOf(v.self.ID)
+}
--- a/internal/app/gateway/operator.go
+++ b/internal/app/gateway/operator.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/app/leased"
 	"github.com/masticwing/masticwing/internal/core/quarantine"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -57,5 +58,6 @@
 	if _, err := o.Decoder.Decode(item); err != nil {
 		return err
 	}
-	return errors.Wrap(o.Store.Commit(ctx, nil, []port.StoreWrite{{Key: item.Key, Value: value, Lease: lease}}), "writing evidence")
+	w := port.StoreWrite{Key: item.Key, Value: value, Lease: lease}
+	return errors.Wrap(leased.Put(ctx, o.Store, w, nil), "writing evidence")
 }
--- a/internal/app/loader/intact.go
+++ b/internal/app/loader/intact.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/app/leased"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -118,7 +119,7 @@
 		return errors.Wrap(err, "granting a lease")
 	}
 	w := port.StoreWrite{Key: l.recordKey(), Value: value, Lease: lease}
-	return errors.Wrap(l.deps.Store.Commit(ctx, nil, []port.StoreWrite{w}), "writing the record of a load")
+	return errors.Wrap(leased.Put(ctx, l.deps.Store, w, nil), "writing the record of a load")
 }
 
 // restoreIntact reads the record of the last load once, and returns whether it shows that the engine
--- a/internal/app/loader/loader.go
+++ b/internal/app/loader/loader.go
@@ -169,7 +169,9 @@
 	loops.Go(ctx, "load_record", l.recordLoads)
 	loops.Go(ctx, "connections", l.closeGonePeers)
 	loops.Go(ctx, "enforce_bound", l.enforceBound)
-	registrar := registration.Registrar{Store: l.deps.Store, Prefix: ps.Members, Self: l.settings.storedMember(), Clock: l.deps.Clock, Log: l.deps.Log}
+	registrar := registration.Registrar{
+		Store: l.deps.Store, Prefix: ps.Members, Self: l.settings.storedMember(), Listed: l.view.listedLease, Clock: l.deps.Clock, Log: l.deps.Log,
+	}
 	loops.Go(ctx, "registration", registrar.Run)
 	return nil
 }
--- a/internal/app/loader/restored_test.go
+++ b/internal/app/loader/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -65,4 +66,26 @@
 	}
 }
 
+// TestLateRecordOfLoad guards against a loader that starts again and does not find the record of the last load,
+// since the store has executed the write of an earlier record late.
+func TestLateRecordOfLoad(t *testing.T) {
+	l, _ := newLoaderOnClock(&stagingEngine{fakeEngine: newEngine(0)})
+	s := porttest.NewLateStore()
+	l.deps.Store = s
+	s.KeepNext()
+	ctx := context.Background()
+	if err := l.writeRecord(ctx, loadRecord{Started: 1, Orders: 1, Number: 1}); err == nil {
+		t.Fatal("the store has answered")
+	}
+	last := loadRecord{Started: 1, Orders: 2, Number: 2}
+	if err := l.writeRecord(ctx, last); err != nil {
+		t.Fatal(err)
+	}
+	s.ExecuteKept()
+	var got loadRecord
+	if v, _ := s.Get(l.recordKey()); json.Unmarshal([]byte(v), &got) != nil || got != last {
+		t.Errorf("the record is %+v, want %+v", got, last)
+	}
+}
+
 var _ port.EraWatcher = restorableStore{}
--- a/internal/app/loader/view.go
+++ b/internal/app/loader/view.go
@@ -247,6 +247,13 @@
 	signal(v.declarationsChanged)
 }
 
+// listedLease returns the lease under which this process is listed, or port.NoLease if it is not.
+func (v *view) listedLease() port.LeaseID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.members.LeaseOf(v.settings.ID)
+}
+
 // isMember reports whether a process is registered at an address.
 func (v *view) isMember(addr fleet.Address) bool {
 	v.mu.Lock()
--- a/internal/app/registration/members.go
+++ b/internal/app/registration/members.go
@@ -66,6 +66,16 @@
 	return feed.Member{ID: m.ID, Domain: m.Domain, Address: m.Address, Gateway: m.Kind == fleet.KindEntry.String()}
 }
 
+// LeaseOf returns the lease under which the process with an ID is registered, or port.NoLease if it is not.
+func (m Members) LeaseOf(id string) port.LeaseID {
+	for _, x := range m {
+		if x.ID == id {
+			return x.Lease
+		}
+	}
+	return port.NoLease
+}
+
 // Has reports whether a process is registered at an address.
 func (m Members) Has(addr fleet.Address) bool {
 	for _, x := range m {
--- a/internal/app/registration/registrar.go
+++ b/internal/app/registration/registrar.go
@@ -4,12 +4,14 @@
 package registration
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/masticwing/masticwing/internal/app/leased"
 	"github.com/masticwing/masticwing/internal/port"
 )
 
@@ -22,6 +24,9 @@
 	keepAliveInterval = 2500 * time.Millisecond
 	// retryDelay is the delay before a failed store call is repeated.
 	retryDelay = 500 * time.Millisecond
+	// maxUnlisted is the number of renewals in a row, 10 s, for which the list of registered processes may
+	// lack the registration. A process sees a change of that list at most 8 s late.
+	maxUnlisted = 4
 )
 
 // Registrar maintains the registration of one process under a lease.
@@ -29,13 +34,16 @@
 	Store  port.Store
 	Prefix string
 	Self   port.StoredMember
+	// Listed returns the lease under which the list of registered processes holds this one, or
+	// port.NoLease if it lacks it. It may be nil, and must not block.
+	Listed func() port.LeaseID
 	Clock  port.Clock
 	Log    port.Log
 }
 
 // Run keeps the process registered until ctx ends, and then removes the
-// registration. It registers again whenever the lease expires or the store was restored from an
-// older copy.
+// registration. It registers again whenever the lease expires, the store was restored from an
+// older copy, or the registration is not listed although its lease lasts.
 func (r *Registrar) Run(ctx context.Context) {
 	lease := port.NoLease
 	for ctx.Err() == nil {
@@ -45,7 +53,7 @@
 			r.sleep(ctx, retryDelay)
 			continue
 		}
-		r.Log.StateChange("registered in the store", port.F("address", r.Self.Address))
+		r.Log.StateChange("registered in the store", port.F("address", r.Self.Address), port.F("lease", lease))
 		if r.keepAlive(ctx, lease, port.EraEnded(r.Store)) {
 			lease = port.NoLease
 		}
@@ -74,18 +82,22 @@
 			return port.NoLease, errors.Wrap(err, "granting a lease")
 		}
 	}
-	value, err := json.Marshal(r.Self)
+	self := r.Self
+	self.Lease = lease
+	value, err := json.Marshal(self)
 	if err != nil {
 		return lease, errors.Wrap(err, "encoding the registration")
 	}
-	w := port.StoreWrite{Key: r.Prefix + r.Self.ID, Value: value, Lease: lease}
-	return lease, errors.Wrap(r.Store.Commit(ctx, nil, []port.StoreWrite{w}), "writing the registration")
+	w := port.StoreWrite{Key: r.Prefix + self.ID, Value: value, Lease: lease}
+	isCurrent := func(v []byte) bool { return bytes.Equal(v, value) }
+	return lease, errors.Wrap(leased.Put(ctx, r.Store, w, isCurrent), "writing the registration")
 }
 
 // keepAlive extends the lease until the store reports it as expired, the store's era ends, which
-// ends its leases, or ctx ends. It returns whether the lease has ended.
+// ends its leases, the registration is not listed for too long, or ctx ends. It returns whether the lease has
+// ended.
 func (r *Registrar) keepAlive(ctx context.Context, lease port.LeaseID, eraEnded <-chan struct{}) (expired bool) {
-	delay := keepAliveInterval
+	delay, unlisted := keepAliveInterval, 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -102,6 +114,15 @@
 		delay = keepAliveInterval
 		if err != nil {
 			delay = retryDelay
+			continue
+		}
+		if r.Listed == nil || r.Listed() == lease {
+			unlisted = 0
+			continue
+		}
+		if unlisted++; unlisted >= maxUnlisted {
+			r.Log.Failure("registration is not listed", nil, port.F("lease", lease), port.F("listed", r.Listed()))
+			return false
 		}
 	}
 }
--- a/internal/app/registration/registrar_test.go
+++ b/internal/app/registration/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"strings"
 	"sync"
@@ -116,3 +117,36 @@
 	}
 	t.Error("no lease is kept alive")
 }
+
+// TestUnlistedRegistrationIsWrittenAgain guards against a process that renews its lease for ever although the
+// store has lost its registration, or holds it under a lease of an earlier process.
+func TestUnlistedRegistrationIsWrittenAgain(t *testing.T) {
+	for name, change := range map[string]func(*porttest.Store){
+		"removed":             func(s *porttest.Store) { s.Remove("members/vm") },
+		"of an earlier lease": func(s *porttest.Store) { s.Put("members/vm", `{"id":"vm","lease":"earlier"}`) },
+	} {
+		s := porttest.NewStore()
+		listed := func() port.LeaseID {
+			var m port.StoredMember
+			v, _ := s.Get("members/vm")
+			_ = json.Unmarshal([]byte(v), &m)
+			return m.Lease
+		}
+		r := Registrar{
+			Store: s, Prefix: "members/", Self: port.StoredMember{ID: "vm", Kind: "agent"}, Listed: listed, Clock: fastClock{},
+			Log: logging.New(io.Discard, "x", "1"),
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg conc.WaitGroup
+		wg.Go(func() { r.Run(ctx) })
+		waitForRegistration(t, s, true)
+		lease := listed()
+		change(s)
+		waitForRegistration(t, s, true)
+		if got := listed(); got != lease {
+			t.Errorf("%s: registered under lease %q, want %q", name, got, lease)
+		}
+		cancel()
+		wg.Wait()
+	}
+}
--- a/internal/port/porttest/store.go
+++ b/internal/port/porttest/store.go
@@ -74,6 +74,20 @@
 	s.putLocked(port.StoreWrite{Key: key, Value: []byte(value)})
 }
 
+// Remove removes a key, if it exists.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; !ok {
+		return
+	}
+	s.rev++
+	delete(s.items, key)
+	delete(s.leaseByKey, key)
+	s.changes = append(s.changes, port.StoreChange{StoreItem: port.StoreItem{Key: key, Revision: s.rev}, Removed: true})
+	s.signalLocked()
+}
+
 // Get returns the value of a key.
 func (s *Store) Get(key string) (string, bool) {
 	s.mu.Lock()
@@ -193,7 +207,7 @@
 	}
 	for _, e := range expect {
 		if s.items[e.Key].Revision != e.Revision {
-			return port.ErrConflict
+			return s.conflictLocked(expect)
 		}
 	}
 	for _, w := range writes {
@@ -207,6 +221,17 @@
 	return nil
 }
 
+// conflictLocked returns the error of a commit whose preconditions do not hold.
+func (s *Store) conflictLocked(expect []port.Precondition) error {
+	e := &port.ConflictError{}
+	for _, x := range expect {
+		if it, ok := s.items[x.Key]; ok {
+			e.Current = append(e.Current, it)
+		}
+	}
+	return e
+}
+
 // Grant implements port.Store.
 func (s *Store) Grant(_ context.Context, ttl time.Duration) (port.LeaseID, error) {
 	s.mu.Lock()
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -235,6 +235,8 @@
 	Target fleet.Address `json:"target,omitempty"`
 	// Service is the service of that target, or empty.
 	Service fleet.Service `json:"service,omitempty"`
+	// Lease is the lease under which the process has registered. It is empty in older builds.
+	Lease LeaseID `json:"lease,omitempty"`
 }
 
 // ItemDecoder decodes items of the store.
