follow: items that can't be read are recorded under a lock

A gateway applies evidence in two goroutines: one follows it, the other one applies the response to a refused write. Both change the map of Unreadable, which had no lock for the evidence.

What callers see: Go ends a process that notices such a change ("fatal error: concurrent map writes"), and all requests in progress there get no answer. The new test ends so before the change.

Change: Unreadable has a lock of its own and logs outside of it. The other views apply all their changes under the lock of the view.

Result: TestCutResponseIsNotComplete reports no race in 2 of 2 runs, TestUnreadableFromTwoGoroutines passes.

--- a/internal/app/follow/unreadable.go
+++ b/internal/app/follow/unreadable.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"sync"
+
 	"github.com/pkg/errors"
 
 	"github.com/masticwing/masticwing/internal/port"
@@ -16,11 +18,14 @@
 
 // Unreadable logs the items of a prefix that can't be decoded: one line for each key until
 // the key is readable or gone, since another writer may rewrite an item many times a second.
-// It is not safe for concurrent use; the lock of its owner guards it.
+// It is safe for concurrent use: a view applies changes that it follows and those that the response to a write
+// contains.
 type Unreadable struct {
 	message string
 	log     port.Log
-	keys    map[string]bool
+
+	mu   sync.Mutex // guards keys
+	keys map[string]bool
 }
 
 // NewUnreadable returns an Unreadable that logs with the given message.
@@ -30,6 +35,8 @@
 
 // Begin forgets the keys that no longer exist after an event.
 func (u *Unreadable) Begin(e Event) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	exists := map[string]bool{}
 	for _, c := range e.Changes {
 		exists[c.Key] = !c.Removed
@@ -49,13 +56,23 @@
 
 // Record records whether a change could be decoded.
 func (u *Unreadable) Record(c port.StoreChange, err error) {
+	if u.record(c.Key, err) {
+		u.log.Failure(u.message, errors.New(shorten(err.Error())), port.F("key", c.Key), port.F("revision", c.Revision))
+	}
+}
+
+// record records whether the item under a key could be decoded, and returns whether that has to be logged.
+func (u *Unreadable) record(key string, err error) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	switch {
 	case err == nil:
-		delete(u.keys, c.Key)
-	case !u.keys[c.Key] && len(u.keys) < maxUnreadableKeys:
-		u.keys[c.Key] = true
-		u.log.Failure(u.message, errors.New(shorten(err.Error())), port.F("key", c.Key), port.F("revision", c.Revision))
+		delete(u.keys, key)
+	case !u.keys[key] && len(u.keys) < maxUnreadableKeys:
+		u.keys[key] = true
+		return true
 	}
+	return false
 }
 
 // shorten returns the first maxReasonBytes of a text.
--- a/internal/app/follow/unreadable_test.go
+++ b/internal/app/follow/unreadable_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
 	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
 
 	"github.com/masticwing/masticwing/internal/adapter/logging"
 	"github.com/masticwing/masticwing/internal/port"
@@ -54,3 +56,21 @@
 		t.Errorf("%d lines", n)
 	}
 }
+
+// TestUnreadableFromTwoGoroutines guards against a process that ends since two of its goroutines change the same
+// map: one follows a prefix, the other one applies the items in the response to a refused write.
+func TestUnreadableFromTwoGoroutines(t *testing.T) {
+	u := NewUnreadable("unreadable item", logging.New(io.Discard, "x", "1"))
+	var wg conc.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			for i := range 2000 {
+				c := port.StoreChange{StoreItem: port.StoreItem{Key: fmt.Sprint("p/", i%10)}}
+				u.Begin(Event{Reset: i%7 == 0, Changes: []port.StoreChange{c}})
+				u.Record(c, errors.New("bad"))
+				u.Record(c, nil)
+			}
+		})
+	}
+	wg.Wait()
+}
