callerconns: an idle connection ends by a deadline for its reads

Cause of the fault found on the way: the idle timeout and the eviction of connections closed them without knowing whether bytes of a request had arrived, which net/http reports only after the header. The request was then sent to a target and canceled. Besides, a raised timeout did not hold for connections that were idle already.

Change: the connection is ended by a deadline in the past for its reads. A read that has got data is not undone by it: the request is served and the deadline is taken back. Metrics state why connections were ended and whether a request had begun to arrive; the log states the idle timeout in force.

--- a/cmd/masticwing-gateway/main.go
+++ b/cmd/masticwing-gateway/main.go
@@ -93,6 +93,7 @@
 // It returns the error of the server.
 func serve(ctx context.Context, g *gateway.Gateway, callers, readiness net.Listener) (err error) {
 	conns := callerconns.New(func() time.Duration { return g.RequestLimits().IdleTimeout })
+	conns.Ended = func(r callerconns.Reason, o callerconns.Outcome) { g.RecordEndedCaller(string(r), string(o)) }
 	callerServer := &http.Server{
 		Handler: platform.IngressHandler(g, g.Closing), ReadHeaderTimeout: headerTimeout, ConnState: onStateChange(g, conns),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
--- a/internal/adapter/callerconns/callerconns.go
+++ b/internal/adapter/callerconns/callerconns.go
@@ -14,7 +14,7 @@
 	"github.com/masticwing/masticwing/internal/core/shard"
 )
 
-// Conns are the open connections of one server.
+// Conns are the open connections of one server, which has no ReadTimeout.
 type Conns struct {
 	idleTimeout func() time.Duration
 	states      *shard.Map[net.Conn, connState]
@@ -22,14 +22,16 @@
 	// none. cause is the error for the request.
 	evictable *eviction.Queues[func(cause error)]
 	open      atomic.Int64
+	// Ended is called when a connection without a request was ended. It may be nil, and must not block.
+	Ended func(Reason, Outcome)
 	// closed receives after a connection has ended, if it is empty.
 	closed chan struct{}
 }
 
 // connState is what has to end when a connection changes its use. Both may be nil.
 type connState struct {
-	// idleTimer closes the connection.
-	idleTimer *time.Timer
+	// waiting is set while no request has arrived.
+	waiting   *waiting
 	evictable *eviction.Entry[func(cause error)]
 }
 
@@ -55,32 +57,22 @@
 	}
 	// StateActive follows once the header of a request has been read.
 	switch state {
-	case http.StateNew:
-		cs.setState(c, connState{cs.startIdleTimer(c), cs.addEvictable(eviction.Unfinished, closer(c))}, true)
-	case http.StateIdle:
-		cs.setState(c, connState{cs.startIdleTimer(c), cs.addEvictable(eviction.Idle, closer(c))}, true)
+	case http.StateNew, http.StateIdle:
+		kind := eviction.Idle
+		if state == http.StateNew {
+			kind = eviction.Unfinished
+		}
+		w := newWaiting(c, cs.idleTimeout)
+		cs.setState(c, connState{w, cs.addEvictable(kind, func(error) { w.end(Evicted) })}, true)
 	default:
 		cs.setState(c, connState{}, state == http.StateActive)
 	}
 }
 
-// startIdleTimer returns the timer that closes an idle connection, or nil if there is no timeout.
-func (cs *Conns) startIdleTimer(c net.Conn) *time.Timer {
-	d := cs.idleTimeout()
-	if d <= 0 {
-		return nil
-	}
-	// A request that arrives when the timer fires is lost. Callers avoid this by not using a connection that
-	// has been idle for nearly the timeout.
-	return time.AfterFunc(d, func() { _ = c.Close() })
-}
-
 func (cs *Conns) addEvictable(k eviction.Kind, evict func(cause error)) *eviction.Entry[func(cause error)] {
 	return cs.evictable.Add(k, evict, time.Now())
 }
 
-func closer(c net.Conn) func(error) { return func(error) { _ = c.Close() } }
-
 // setState replaces the state of a connection, which is forgotten unless it stays open.
 func (cs *Conns) setState(c net.Conn, next connState, open bool) {
 	var previous connState
@@ -88,10 +80,17 @@
 		previous = s
 		return next, open
 	})
-	if previous.idleTimer != nil {
-		previous.idleTimer.Stop()
-	}
 	cs.evictable.Remove(previous.evictable)
+	if previous.waiting == nil {
+		return
+	}
+	if reason := previous.waiting.over(open); reason != "" && cs.Ended != nil {
+		outcome := Closed
+		if open {
+			outcome = Arrived
+		}
+		cs.Ended(reason, outcome)
+	}
 }
 
 // Open returns the number of open connections.
@@ -184,6 +183,7 @@
 // Refused states that the request was refused before it had arrived completely.
 func (c *Conn) Refused() {
 	if c != nil {
-		c.conns.setState(c.conn, connState{evictable: c.conns.addEvictable(eviction.Answered, closer(c.conn))}, true)
+		evict := func(error) { _ = c.conn.Close() }
+		c.conns.setState(c.conn, connState{evictable: c.conns.addEvictable(eviction.Answered, evict)}, true)
 	}
 }
--- a/internal/adapter/httpapi/connections.go
+++ b/internal/adapter/httpapi/connections.go
@@ -68,4 +68,8 @@
 	a.connTracker.onStateChange(c, state)
 }
 
+func (a *API) countEndedConnection(r callerconns.Reason, o callerconns.Outcome) {
+	a.metrics.Count("masticwing_entry_idle_connections_ended_total", 1, port.Attr{Key: "reason", Value: string(r)}, port.Attr{Key: "outcome", Value: string(o)})
+}
+
 func (a *API) countLongHeader() { a.metrics.Count("masticwing_entry_long_headers_total", 1) }
--- a/internal/adapter/httpapi/httpapi.go
+++ b/internal/adapter/httpapi/httpapi.go
@@ -70,6 +70,7 @@
 func New(cfg Config, b port.EntryHandler, m port.Metrics) *API {
 	a := &API{cfg: cfg, backend: b, metrics: m, callerMemory: newCallerMemory(cfg.Memory, cfg.MaxBody), gate: newGate(),
 		connTracker: newConnTracker(), conns: newConns(), settleTime: defaultSettleTime, closing: make(chan struct{}), served: make(chan struct{})}
+	a.conns.Ended = a.countEndedConnection
 	a.server = &http.Server{
 		Handler:           a.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
--- a/internal/app/gateway/connections.go
+++ b/internal/app/gateway/connections.go
@@ -67,6 +67,11 @@
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "too many connections are open").WithRetryAfter(localRetryAfter)
 }
 
+// RecordEndedCaller records that a caller's connection without a request was ended for a reason, and what came of it.
+func (g *Gateway) RecordEndedCaller(reason, outcome string) {
+	g.deps.Metrics.Count("gateway_idle_connections_ended_total", 1, port.Attr{Key: "reason", Value: reason}, port.Attr{Key: "outcome", Value: outcome})
+}
+
 // RecordLongHeader records a request that was refused since its header is over the limit.
 func (g *Gateway) RecordLongHeader() { g.deps.Metrics.Count("gateway_long_headers_total", 1) }
 
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -398,7 +398,7 @@
 	}
 	v.routeTable.Store(t)
 	v.log.StateChange("configuration in force", port.F("version", c.Version), port.F("revision", from.Revision),
-		port.F("routes", len(c.Routes)), port.F("accounts", len(c.Accounts)), port.F("keyless", c.Keyless))
+		port.F("routes", len(c.Routes)), port.F("accounts", len(c.Accounts)), port.F("keyless", c.Keyless), port.Millis("idle_timeout_ms", c.Limits.IdleTimeout))
 	for _, f := range c.Faults {
 		v.log.Failure("value of the configuration ignored", nil, port.F("version", c.Version), port.F("value", f))
 	}
