--- a/internal/adapter/callerconns/waiting_test.go
+++ b/internal/adapter/callerconns/waiting_test.go
@@ -5,11 +5,11 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 )
 
@@ -40,12 +40,8 @@
 		}),
 		ConnState: conns.OnStateChange, ReadHeaderTimeout: 10 * time.Second,
 	}
-	var wg sync.WaitGroup
-	wg.Add(1)
-	go func() {
-		defer wg.Done()
-		_ = srv.Serve(lis)
-	}()
+	var wg conc.WaitGroup
+	wg.Go(func() { _ = srv.Serve(lis) })
 	t.Cleanup(wg.Wait)
 	t.Cleanup(func() { _ = srv.Close() })
 	return s
