gateway: logs and metrics tell a late configuration from a wrong choice of regions

Change: the line has route_regions, account_regions, target_region and picture_refuted_ms; that of a configuration has set_ago_ms and routes_with_regions; gauge gateway_picture_refuted and histogram gateway_config_delay_seconds.

--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -186,6 +186,7 @@
 		err := g.deps.Store.Commit(ctx, expect, nil)
 		switch {
 		case errors.Is(err, port.ErrConflict):
+			g.view.confirmations.Refute(at)
 			g.handleConflict(expect, err)
 			return confirmRetryDelay
 		case errors.Is(err, port.ErrHistoryGone):
--- a/internal/app/gateway/gauges.go
+++ b/internal/app/gateway/gauges.go
@@ -31,6 +31,11 @@
 	if age, ok := g.viewAge(); ok {
 		m.Gauge("gateway_picture_age_seconds", age.Seconds())
 	}
+	refuted := 0.0
+	if _, known := g.view.refutedAgo(); known {
+		refuted = 1
+	}
+	m.Gauge("gateway_picture_refuted", refuted)
 	if t := g.view.routeTable.Load(); t != nil {
 		m.Gauge("gateway_config_version", float64(t.Version))
 	}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -321,6 +321,22 @@
 	c.logRequest("refused", e, 0)
 }
 
+// regionFields returns the fields of the log line that state the regions which the request is bound to, and that of
+// its last target, or none if it is bound to none.
+func (c *call) regionFields() []port.Field {
+	var fs []port.Field
+	if c.route != nil && len(c.route.Regions) > 0 {
+		fs = append(fs, port.F("route_regions", c.route.Regions))
+	}
+	if c.account != nil && len(c.account.Regions) > 0 {
+		fs = append(fs, port.F("account_regions", c.account.Regions))
+	}
+	if len(fs) > 0 && c.lastChoice.Instance != "" {
+		fs = append(fs, port.F("target_region", string(c.g.view.regions[c.lastChoice.Domain])))
+	}
+	return fs
+}
+
 // targetFields returns the fields of the log line that describe the target to which the request was sent
 // last, or none.
 func (c *call) targetFields() []port.Field {
@@ -367,6 +383,10 @@
 	if c.account != nil {
 		fs = append(fs, port.F("account", string(c.account.Name)))
 	}
+	if ago, refuted := g.view.refutedAgo(); refuted {
+		fs = append(fs, port.Millis("picture_refuted_ms", ago))
+	}
+	fs = append(fs, c.regionFields()...)
 	fs = append(fs, c.targetFields()...)
 	if c.admission != overload.Normal {
 		fs = append(fs, port.F("admission", c.admission.String()), port.Millis("elapsed_ms", c.elapsed(now)))
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -32,6 +32,7 @@
 	regions map[fleet.Domain]fleet.Region
 	clock   port.BootClock
 	log     port.Log
+	metrics port.Metrics
 	// weightsBound is Settings.WeightsBound.
 	weightsBound time.Duration
 
@@ -91,7 +92,7 @@
 
 func newView(s Settings, d Deps, t *placement.Table) *view {
 	v := &view{
-		self: s.storedMember(), decoder: d.Decoder, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log,
+		self: s.storedMember(), decoder: d.Decoder, targets: t, regions: s.Regions, clock: d.Clock, log: d.Log, metrics: d.Metrics,
 		weightsBound: s.WeightsBound,
 		operatorKeys: itemrevision.New(), members: registration.Members{}, registered: map[string]registeredTarget{},
 	}
@@ -377,6 +378,13 @@
 	return v.clock.SinceBoot() - at
 }
 
+// refutedAgo returns the time since the store last stated that this view is not current, or false if the
+// view has been confirmed or has changed since.
+func (v *view) refutedAgo() (time.Duration, bool) {
+	at, refuted := v.confirmations.Refuted()
+	return v.clock.SinceBoot() - at, refuted
+}
+
 func (v *view) applyConfig(c routes.Config, from port.StoreChange) {
 	if from.Removed {
 		return
@@ -397,7 +405,10 @@
 		}
 	}
 	v.routeTable.Store(t)
-	v.log.StateChange("configuration in force", port.F("version", c.Version), port.F("revision", from.Revision),
+	if age, known := v.learned(from).Age().Get(); known && current != nil {
+		v.metrics.Seconds("gateway_config_delay_seconds", age)
+	}
+	v.log.StateChange("configuration in force", millisOrNegative("set_ago_ms", v.learned(from).Age()), port.F("routes_with_regions", t.RoutesWithRegions()), port.F("version", c.Version), port.F("revision", from.Revision),
 		port.F("routes", len(c.Routes)), port.F("accounts", len(c.Accounts)), port.F("keyless", c.Keyless), port.Millis("idle_timeout_ms", c.Limits.IdleTimeout))
 	for _, f := range c.Faults {
 		v.log.Failure("value of the configuration ignored", nil, port.F("version", c.Version), port.F("value", f))
--- a/internal/core/confirmation/confirmation.go
+++ b/internal/core/confirmation/confirmation.go
@@ -22,6 +22,9 @@
 	mu sync.Mutex // guards the fields below
 	// listedAt and checkedAt are the times of the newest confirmations of each kind.
 	listedAt, checkedAt time.Duration
+	// refutedAt is the time of the newest check that found another revision than that of the view, or zero
+	// if the view has been confirmed or has changed since.
+	refutedAt time.Duration
 	// checked holds the keys that checks cover.
 	checked map[string]checkedKey
 }
@@ -48,6 +51,9 @@
 		if !ok {
 			c.since = now
 		}
+		if c.revision != revision {
+			r.refutedAt = 0
+		}
 		c.revision = revision
 		next[k] = c
 	}
@@ -71,7 +77,34 @@
 		}
 	}
 	r.checkedAt = max(r.checkedAt, at)
-	r.newest.Store(int64(max(r.checkedAt, r.listedAt)))
+	r.confirmed()
+}
+
+// confirmed records that one of the times of the newest confirmations has changed. The caller holds mu.
+func (r *Record) confirmed() {
+	newest := max(r.checkedAt, r.listedAt)
+	r.newest.Store(int64(newest))
+	if r.refutedAt <= newest {
+		r.refutedAt = 0
+	}
+}
+
+// Refute records that a check, which began at a time, found another revision of a covered key than
+// that of the view.
+func (r *Record) Refute(at time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at > max(r.checkedAt, r.listedAt) {
+		r.refutedAt = max(r.refutedAt, at)
+	}
+}
+
+// Refuted returns the time of the newest check that found another revision than that of the view, or
+// false if the view has been confirmed or has changed since.
+func (r *Record) Refuted() (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refutedAt, r.refutedAt > 0
 }
 
 // List records that a listing of all keys, which began at a time, is part of the view.
@@ -79,7 +112,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listedAt = max(r.listedAt, at)
-	r.newest.Store(int64(max(r.checkedAt, r.listedAt)))
+	r.confirmed()
 }
 
 // Newest returns the time of the newest confirmation of the covered keys, or false if there
--- a/internal/core/confirmation/confirmation_test.go
+++ b/internal/core/confirmation/confirmation_test.go
@@ -82,3 +82,29 @@
 		}
 	})
 }
+
+// TestRefutedViewIsKnownUntilItChanges guards against a process that does not know that its view is not current, and
+// against one that is taken to be behind by a check from before the view changed or was confirmed.
+func TestRefutedViewIsKnownUntilItChanges(t *testing.T) {
+	var r Record
+	r.SetChecked(map[string]int64{"a": 1}, 10)
+	r.Check(20)
+	r.Refute(15)
+	if at, refuted := r.Refuted(); refuted {
+		t.Errorf("refuted at %v by a check older than the confirmation", at)
+	}
+	r.Refute(30)
+	r.SetChecked(map[string]int64{"a": 1, "b": 0}, 31)
+	if at, refuted := r.Refuted(); !refuted || at != 30 {
+		t.Errorf("refuted %v at %v, want 30: the view of a has not changed", refuted, at)
+	}
+	r.SetChecked(map[string]int64{"a": 2, "b": 0}, 32)
+	if _, refuted := r.Refuted(); refuted {
+		t.Error("refuted after the view has changed")
+	}
+	r.Refute(40)
+	r.Check(41)
+	if _, refuted := r.Refuted(); refuted {
+		t.Error("refuted after the view was confirmed")
+	}
+}
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -258,6 +258,17 @@
 	return t
 }
 
+// RoutesWithRegions returns the number of routes that only some regions may serve.
+func (t *Table) RoutesWithRegions() int {
+	n := 0
+	for i := range t.Routes {
+		if len(t.Routes[i].Regions) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // MatchRoute returns the route with the longest prefix of a path on a host. A port
 // in the host is ignored.
 func (t *Table) MatchRoute(host, path string) (*Route, bool) {
