gateway, feed: a long configuration crosses the link to a domain once

Callers' requests ran outside their regions (HOME), on routes whose regions had changed up to 35 s before; others got 404 for routes that exist (CONFIG, DENIED).

Cause: a gateway that knows of a newer configuration fetched it whole with each check, since a conflict lists the current items, and listed the keys again besides. While the reader of a domain received a long configuration over a narrow link, its view was not confirmed, so that it refused its followers. All of them then fetched the configuration, for all prefixes and checks, over the same link: calls ran into their time-outs, were repeated in full, and kept the link full after it was wide again. Class of fault: a retry storm that sustains itself (metastable overload).

(2) A reader that receives a response of the store keeps its followers, and states the true age of its view. (3) Nobody checks while a change is on its way, here or at the reader. (4) A gateway that loses its readers asks them for longer, the later its rank, before it reads the operator keys from the store. (5) A check from before the view changed causes no listing, nor does a request for one that a change has overtaken.

--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -25,7 +25,7 @@
 	// read the prefix yet.
 	ErrNotReader = errors.Wrap(port.ErrFeedRefused, "process does not read the store")
 	// ErrStale means that the store's last confirmation of the process's view is too
-	// old.
+	// old, and that nothing has arrived from the store since.
 	ErrStale = errors.Wrap(port.ErrFeedRefused, "picture is not confirmed")
 	// ErrGap means that changes after the requested revision may be missing.
 	ErrGap = errors.Wrap(port.ErrFeedRefused, "changes after the revision are not known")
@@ -35,6 +35,10 @@
 // served. Readers confirm their view every 0.6 s. A configuration must be in force
 // within 2 s, in which followers of a stale reader still have to notice it and to
 // read the store themselves.
+//
+// A process that receives a response of the store is in contact with it, although its
+// checks find a newer configuration than the one that it holds until that has arrived.
+// Its followers would fetch the same configuration over the same link, and delay it.
 const maxConfirmationAge = 1200 * time.Millisecond
 
 // Server serves the changes that a process has read from the store to the processes
@@ -44,7 +48,10 @@
 	// confirmed returns when the store last confirmed the process's view and which keys under a
 	// prefix that covers, or false if it never did.
 	confirmed func(prefix string) (confirmation.Coverage, bool)
-	logs      []*prefixLog
+	// receivedAt returns the time since boot at which the process last received a part of the keys that confirmations
+	// cover, or zero.
+	receivedAt func() time.Duration
+	logs       []*prefixLog
 	// lastRequest is the time of the last request since boot in nanoseconds, or zero.
 	lastRequest atomic.Int64
 }
@@ -67,9 +74,13 @@
 // NewServer returns a server without prefixes. confirmed returns when the store last confirmed
 // the process's view and which keys under a prefix that covers, or false if it never did.
 func NewServer(clock port.BootClock, confirmed func(prefix string) (confirmation.Coverage, bool)) *Server {
-	return &Server{clock: clock, confirmed: confirmed}
+	return &Server{clock: clock, confirmed: confirmed, receivedAt: func() time.Duration { return 0 }}
 }
 
+// SetReceipts sets the function that returns the time since boot at which the process last received a part of a
+// response of the store about the keys that confirmations cover, or zero. It must be called before the server is used.
+func (s *Server) SetReceipts(receivedAt func() time.Duration) { s.receivedAt = receivedAt }
+
 // AddPrefix adds a prefix that is served while fromStore returns true, unless the store has
 // not responded for maxSilence, which is zero for a prefix that confirmations cover. It must be
 // called before the server is used. The caller passes each event of the prefix to apply, and,
@@ -139,8 +150,8 @@
 		// The confirmation is read before the changes, so that the changes are at least as new
 		// as the view that was confirmed.
 		coverage, confirmed := s.confirmed(r.Prefix)
-		confirmationAge := s.clock.SinceBoot() - coverage.At
-		if !confirmed || confirmationAge >= maxConfirmationAge || p.silent() {
+		contactAge := s.clock.SinceBoot() - max(coverage.At, s.receivedAt())
+		if !confirmed || contactAge >= maxConfirmationAge || p.silent() {
 			return port.FeedReply{}, ErrStale
 		}
 		changes, revision, known, next := p.log.Since(r.Prefix, r.After, s.clock.SinceBoot())
@@ -153,8 +164,8 @@
 		}
 		select {
 		case <-next:
-		case <-s.clock.After(maxConfirmationAge - confirmationAge):
-			// The next round refuses the request, unless there is a newer confirmation.
+		case <-s.clock.After(maxConfirmationAge - contactAge):
+			// The next round refuses the request, unless there was contact since.
 		case <-timeout:
 			waiting = false
 		case <-ctx.Done():
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -32,6 +32,8 @@
 	preferReadersTime = 6 * time.Second
 	// readerRetryPause is the pause between two rounds of calls to these readers.
 	readerRetryPause = 500 * time.Millisecond
+	// takeoverPause is the pause between two rounds of calls within TakeoverDelay, above refusedPause.
+	takeoverPause = 100 * time.Millisecond
 	// urgentTimeout bounds each further call for an urgent prefix after a reader has not
 	// responded. Readers of the same domain respond within some milliseconds.
 	urgentTimeout = 150 * time.Millisecond
@@ -53,6 +55,10 @@
 	// StoreTurn returns for how much longer the readers of such a prefix are asked before this process reads
 	// the store, so that not all processes of a domain read it at the same moment. It may be nil.
 	StoreTurn func() time.Duration
+	// TakeoverDelay returns the time for which the readers of a prefix with large changes are asked before a call
+	// to the store, unless the last one succeeded. It is longer for each further process that may follow the readers, so that they don't all
+	// fetch the same change over one link. It may be nil.
+	TakeoverDelay func() time.Duration
 	// Urgent is set for a prefix with small changes that must be known soon, also if
 	// several readers do not respond: only the first of them is waited for.
 	Urgent bool
@@ -79,6 +85,10 @@
 	fromReader bool
 	// confirmed is the last confirmation of that process's view by the store.
 	confirmed confirmation.Statement
+	// repliedAt is the time since boot of that process's last reply.
+	repliedAt time.Duration
+	// read is set if the last call to the store for changes succeeded.
+	read bool
 }
 
 // NewSource returns a source that reads from the given readers before it reads from
@@ -97,6 +107,14 @@
 	return st.confirmed, st.fromReader
 }
 
+// ReaderAwaitsStore reports whether the last changes of a prefix came from another process, no longer ago than within, whose
+// view the store had last confirmed longer than maxConfirmationAge before. Such a process replies only while a
+// response of the store arrives.
+func (s *Source) ReaderAwaitsStore(prefix string, within time.Duration) bool {
+	st, _ := s.state.Get(prefix)
+	return st.fromReader && s.clock.SinceBoot()-st.repliedAt < within && st.repliedAt-st.confirmed.At >= maxConfirmationAge
+}
+
 // FromStore reports whether the prefix was last read from the store.
 func (s *Source) FromStore(prefix string) bool {
 	st, ok := s.state.Get(prefix)
@@ -132,12 +150,15 @@
 	}
 	reply, result := s.askReaders(ctx, r)
 	ok := result == replied
-	_, fromReader := s.FromReader(prefix)
+	state, _ := s.state.Get(prefix)
+	fromReader := state.fromReader
 	readers := len(s.readers())
 	switch {
 	case ok, p.Urgent && result == unresponsive:
 	case p.PreferReaders:
 		reply, ok = s.askRepeatedly(ctx, r)
+	case p.TakeoverDelay != nil && !state.read:
+		reply, ok = s.askFor(ctx, r, p.TakeoverDelay(), takeoverPause)
 	case fromReader && readers > 0:
 		// The other followers of these readers lost them too; the next reader of the
 		// domain is about to take over.
@@ -160,8 +181,10 @@
 	}
 	// From here on other processes may follow this one: its state is complete, and
 	// the next change comes from the store.
-	s.state.Put(prefix, prefixState{})
-	return s.Store.Changes(ctx, prefix, after, wait)
+	s.state.Put(prefix, prefixState{read: state.read})
+	changes, at, err := s.Store.Changes(ctx, prefix, after, wait)
+	s.state.Put(prefix, prefixState{read: err == nil})
+	return changes, at, err
 }
 
 // askRepeatedly asks the readers until one replies, for at most preferReadersTime and then until it is
@@ -171,11 +194,16 @@
 	if turn := s.prefixes[r.Prefix].StoreTurn; turn != nil {
 		askTime += turn()
 	}
+	return s.askFor(ctx, r, askTime, readerRetryPause)
+}
+
+// askFor asks the readers until one replies, for at most a time, with a pause after each round.
+func (s *Source) askFor(ctx context.Context, r port.FeedRequest, askTime, pause time.Duration) (port.FeedReply, bool) {
 	for end := s.clock.Now().Add(askTime); len(s.readers()) > 0 && s.clock.Now().Before(end) && ctx.Err() == nil; {
 		if reply, result := s.askReaders(ctx, r); result == replied {
 			return reply, true
 		}
-		s.sleep(ctx, readerRetryPause)
+		s.sleep(ctx, pause)
 	}
 	return port.FeedReply{}, false
 }
@@ -219,7 +247,7 @@
 			// wait was spent on the way.
 			waited := s.clock.SinceBoot() - start
 			held := min(reply.Held, waited)
-			s.recordReply(r.Prefix, m, confirmation.Statement{At: start + held - reply.Age, View: reply.View})
+			s.recordReply(r.Prefix, m, confirmation.Statement{At: start + held - reply.Age, View: reply.View}, start+waited)
 			for i := range reply.Changes {
 				reply.Changes[i].Age = reply.Changes[i].Age.Plus(waited - held)
 			}
@@ -262,12 +290,12 @@
 	}
 }
 
-// recordReply records that the changes of a prefix come from reader m.
-func (s *Source) recordReply(prefix string, m core.Member, confirmed confirmation.Statement) {
+// recordReply records that the changes of a prefix come from reader m, which replied now.
+func (s *Source) recordReply(prefix string, m core.Member, confirmed confirmation.Statement, now time.Duration) {
 	if _, fromReader := s.FromReader(prefix); !fromReader {
 		s.log.StateChange("following a reader", port.F("prefix", prefix), port.F("reader", m.ID))
 	}
-	s.state.Put(prefix, prefixState{fromReader: true, confirmed: confirmed})
+	s.state.Put(prefix, prefixState{fromReader: true, confirmed: confirmed, repliedAt: now})
 }
 
 func changesOf(r port.FeedReply) []port.StoreChange {
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -64,6 +65,10 @@
 
 	relist    chan struct{}
 	storeLost bool
+	// receivedAt is the time since boot, in nanoseconds, at which the last part of a response of the store arrived, or
+	// zero. receiving is set from the first part of a response to its end, and listing during a listing.
+	receivedAt         atomic.Int64
+	receiving, listing atomic.Bool
 	// items holds the items that Run has reported.
 	items storeera.Holdover[port.StoreItem]
 }
@@ -81,13 +86,49 @@
 	}
 }
 
+// RelistDue reports whether a call of Relist has had no effect yet.
+func (f *Follower) RelistDue() bool { return len(f.relist) > 0 }
+
+// dropRelist drops a call of Relist that has had no effect yet.
+func (f *Follower) dropRelist() {
+	select {
+	case <-f.relist:
+	default:
+	}
+}
+
+// ReceivedAt returns the time since boot at which the last part of a response of the store arrived, or zero if none has.
+func (f *Follower) ReceivedAt() time.Duration { return time.Duration(f.receivedAt.Load()) }
+
+// Receiving reports whether a part of a response of the store has arrived, but not its end.
+func (f *Follower) Receiving() bool { return f.receiving.Load() }
+
+// Listing reports whether a listing is in progress.
+func (f *Follower) Listing() bool { return f.listing.Load() }
+
+// list lists the prefix.
+func (f *Follower) list(ctx context.Context) ([]port.StoreItem, int64, error) {
+	f.listing.Store(true)
+	defer f.listing.Store(false)
+	defer f.receiving.Store(false)
+	return f.Store.List(f.withReceipt(ctx), f.Prefix)
+}
+
+// withReceipt returns a context for a call whose response sets receivedAt as it arrives.
+func (f *Follower) withReceipt(ctx context.Context) context.Context {
+	return port.ContextWithReceipt(ctx, func() {
+		f.receivedAt.Store(int64(f.Clock.SinceBoot()))
+		f.receiving.Store(true)
+	})
+}
+
 // Run lists the prefix, then reads its changes, and calls apply with each event until
 // ctx ends.
 func (f *Follower) Run(ctx context.Context, apply func(Event)) {
 	pause := retryMin
 	for ctx.Err() == nil {
 		readAt := f.Clock.SinceBoot()
-		items, revision, err := f.Store.List(ctx, f.Prefix)
+		items, revision, err := f.list(ctx)
 		if err == nil && storeera.Era(revision) < f.items.Era() {
 			// It comes from another process that has not seen the restore yet.
 			err = errors.Wrap(port.ErrUnavailable, "listing is of an older era of the store")
@@ -173,6 +214,8 @@
 		stalled := next <= revision && (len(changes) > 0 || f.Clock.Now().Sub(called) < minWait)
 		revision = next
 		if changes = f.record(changes, revision); len(changes) > 0 {
+			// What Relist was called for may be among them.
+			f.dropRelist()
 			apply(Event{Changes: changes, At: revision})
 		}
 		if f.OnRevision != nil {
@@ -217,7 +260,8 @@
 	done := make(chan struct{})
 	wg.Go(func() {
 		defer close(done)
-		changes, next, err = f.Store.Changes(ctx, f.Prefix, revision, wait)
+		defer f.receiving.Store(false)
+		changes, next, err = f.Store.Changes(f.withReceipt(ctx), f.Prefix, revision, wait)
 	})
 	select {
 	case <-done:
--- a/internal/app/gateway/feed_test.go
+++ b/internal/app/gateway/feed_test.go
@@ -92,7 +92,7 @@
 	gw.decodedItems["op/config"] = port.ConfigItem{Config: routes.Config{Version: 2, Routes: []routes.Route{route}}}
 	expect := []port.Precondition{{Key: "op/config", Revision: 1}}
 	item := port.StoreItem{Key: "op/config", Revision: 7}
-	gw.handleConflict(expect, &port.ConflictError{Current: []port.StoreItem{item}})
+	gw.handleConflict(context.Background(), expect, gw.clock.SinceBoot(), &port.ConflictError{Current: []port.StoreItem{item}})
 	if v := gw.view.routeTable.Load().Version; v != 2 {
 		t.Errorf("configuration %d in force, want 2", v)
 	}
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -142,7 +143,11 @@
 	defer checks.wait()
 	for ctx.Err() == nil {
 		pause := confirmRetryDelay
-		if g.view.routeTable.Load() != nil {
+		switch {
+		case g.view.routeTable.Load() == nil:
+		case g.awaitsChange():
+			pause = changePollInterval
+		default:
 			if pause = g.untilNextConfirm(); pause <= 0 {
 				pause = checks.run(ctx, g)
 			}
@@ -186,8 +191,7 @@
 		err := g.deps.Store.Commit(ctx, expect, nil)
 		switch {
 		case errors.Is(err, port.ErrConflict):
-			g.view.confirmations.Refute(at)
-			g.handleConflict(expect, err)
+			g.handleConflict(ctx, expect, at, err)
 			return confirmRetryDelay
 		case errors.Is(err, port.ErrHistoryGone):
 			// The store was restored from an older copy.
@@ -201,24 +205,88 @@
 	return g.untilNextConfirm()
 }
 
-// handleConflict updates the view after the store found other revisions of the operator
-// keys. The conflict contains current items. Only if these do not account for it is the
-// prefix listed again, since a listing transfers a configuration of some hundred
-// kilobytes.
-func (g *Gateway) handleConflict(expect []port.Precondition, err error) {
-	var c *port.ConflictError
-	known := 0
-	if errors.As(err, &c) && g.view.coversConflict(expect, c.Current) {
-		known = len(c.Current)
-		var e follow.Event
-		for _, it := range c.Current {
-			e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
-		}
-		g.applyOperatorKeys(e)
-	} else {
+// handleConflict updates the view after a check, which began at a time, found other revisions of the
+// operator keys. The conflict contains the current items unless they are long. Only if these do not
+// account for it, and no change is on its way, is the prefix listed again, since a listing
+// transfers a configuration of some hundred kilobytes.
+func (g *Gateway) handleConflict(ctx context.Context, expect []port.Precondition, began time.Duration, err error) {
+	current := g.view.holds(expect)
+	told := g.applyConflict(expect, err)
+	awaited := told == 0 && !current
+	if told == 0 && current {
+		others := g.otherKeysCurrent(ctx, expect, err)
+		g.view.confirmations.Refute(began, g.deps.Clock.SinceBoot())
+		awaited = others && g.awaitsChange()
+	}
+	if told == 0 && !awaited {
 		g.operatorFollower.Relist()
 	}
-	g.deps.Log.StateChange("operators' keys have changed", port.F("known", len(expect)), port.F("told", known))
+	g.deps.Log.StateChange("operators' keys have changed", port.F("known", len(expect)), port.F("told", told), port.F("awaited", awaited))
+}
+
+// applyConflict applies the current items of a conflict if they account for it, and returns their number.
+func (g *Gateway) applyConflict(expect []port.Precondition, err error) int {
+	var c *port.ConflictError
+	if !errors.As(err, &c) || !g.view.coversConflict(expect, c.Current) {
+		return 0
+	}
+	var e follow.Event
+	for _, it := range c.Current {
+		e.Changes = append(e.Changes, port.StoreChange{StoreItem: it})
+	}
+	g.applyOperatorKeys(e)
+	return len(c.Current)
+}
+
+// otherKeysCurrent checks the other keys of a conflict without items, which are short, and applies their
+// changes. It returns false if changes of them are left, or if the conflict had items. A check without a
+// response leaves it open, which the next check decides.
+func (g *Gateway) otherKeysCurrent(ctx context.Context, expect []port.Precondition, conflict error) bool {
+	var c *port.ConflictError
+	if errors.As(conflict, &c) {
+		return false
+	}
+	config := g.deps.Decoder.Prefixes().Config
+	others := slices.DeleteFunc(slices.Clone(expect), func(p port.Precondition) bool { return strings.HasPrefix(p.Key, config) })
+	if len(others) == len(expect) {
+		return false
+	}
+	if len(others) == 0 {
+		return true
+	}
+	err := g.deps.Store.Commit(ctx, others, nil)
+	return !errors.Is(err, port.ErrConflict) || g.applyConflict(others, err) > 0
+}
+
+const (
+	// changePollInterval is the pause between two looks whether a change is still on its way.
+	changePollInterval = 100 * time.Millisecond
+	// receiptTimeout is the time without a part of a response after which a change does not count as on
+	// its way. A full link delays its parts by some hundred milliseconds.
+	receiptTimeout = time.Second
+	// readerReplyTimeout is the time without a reply of the gateway that this one follows after which it checks its view
+	// itself. It asks every feedWaitOperator.
+	readerReplyTimeout = time.Second
+	// maxAwaitChange bounds the time after a check for which a change counts as on its way, so that the view is
+	// checked again.
+	maxAwaitChange = 2 * time.Second
+)
+
+// awaitsChange reports whether a change of the operator keys is on its way: a response of the store is arriving, here or
+// at the gateway that this one follows, or the store has stated that the view is not current. A check would transfer
+// the configuration once more over the same link.
+func (g *Gateway) awaitsChange() bool {
+	f := g.operatorFollower
+	silence := g.deps.Clock.SinceBoot() - f.ReceivedAt()
+	if f.Receiving() && silence < receiptTimeout || g.source.ReaderAwaitsStore(f.Prefix, readerReplyTimeout) {
+		return true
+	}
+	first, last, refuted := g.view.refutedAgo()
+	if !refuted || last > maxAwaitChange {
+		return false
+	}
+	_, fromReader := g.source.FromReader(f.Prefix)
+	return fromReader || f.Listing() || min(first, silence) < receiptTimeout+g.view.takeoverDelay()
 }
 
 // viewAge returns the time since the store last confirmed the operator keys, or false if it
--- a/internal/app/gateway/gateway.go
+++ b/internal/app/gateway/gateway.go
@@ -108,13 +108,14 @@
 	ps := d.Decoder.Prefixes()
 	readers := func() []core.Member { return *g.view.readers.Load() }
 	g.source = feed.NewSource(d.Store, d.Feed, d.Clock, d.Log, readers, map[string]feed.PrefixOptions{
-		ps.Operator:   {Wait: feedWaitOperator, MaxStoreWait: storeWaitOperator},
+		ps.Operator:   {Wait: feedWaitOperator, MaxStoreWait: storeWaitOperator, TakeoverDelay: g.view.takeoverDelay},
 		ps.Targets:    {Wait: feedWaitTargets, MaxStoreWait: storeWaitTargets, Urgent: true},
 		ps.Members:    {Wait: feedWaitMembers, MaxStoreWait: storeWaitMembers},
 		ps.Quarantine: {Wait: feedWaitQuarantine, MaxStoreWait: storeWaitQuarantine},
 	})
 	g.feedServer = feed.NewServer(d.Clock, g.view.confirmations.Coverage)
 	g.operatorFollower = g.newFollower(ps.Operator, operatorBatchDelay)
+	g.feedServer.SetReceipts(func() time.Duration { return g.operatorFollower.ReceivedAt() })
 	publishThenApply := g.publishThenApply(g.operatorFollower, g.view.applyOperatorKeys)
 	g.applyOperatorKeys = func(e follow.Event) { publishThenApply(g.view.dated(e)) }
 	return g
--- a/internal/app/gateway/gauges.go
+++ b/internal/app/gateway/gauges.go
@@ -32,7 +32,7 @@
 		m.Gauge("gateway_picture_age_seconds", age.Seconds())
 	}
 	refuted := 0.0
-	if _, known := g.view.refutedAgo(); known {
+	if _, _, known := g.view.refutedAgo(); known {
 		refuted = 1
 	}
 	m.Gauge("gateway_picture_refuted", refuted)
--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -30,7 +30,7 @@
 type decodedItems map[string]port.DecodedItem
 
 func (m decodedItems) Prefixes() port.Prefixes {
-	return port.Prefixes{Operator: "op/", Targets: "targets/", Members: "members/", Quarantine: "quarantine/", Duties: "duties/"}
+	return port.Prefixes{Operator: "op/", Config: "op/config", Targets: "targets/", Members: "members/", Quarantine: "quarantine/", Duties: "duties/"}
 }
 func (m decodedItems) CordonKey(d fleet.Domain) string { return "op/cordon/" + string(d) }
 func (m decodedItems) Decode(it port.StoreItem) (port.DecodedItem, error) {
--- a/internal/app/gateway/members.go
+++ b/internal/app/gateway/members.go
@@ -16,6 +16,7 @@
 	count := v.members.GatewayCount()
 	readers := v.members.Readers(v.self)
 	v.readers.Store(&readers)
+	v.readerRank.Store(int64(v.members.Rank(v.self)))
 	recipients := v.members.UsageRecipients(v.self)
 	v.usageRecipients.Store(&recipients)
 	candidates := duty.Candidates(v.members.All())
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -383,8 +383,8 @@
 	if c.account != nil {
 		fs = append(fs, port.F("account", string(c.account.Name)))
 	}
-	if ago, refuted := g.view.refutedAgo(); refuted {
-		fs = append(fs, port.Millis("picture_refuted_ms", ago))
+	if first, _, refuted := g.view.refutedAgo(); refuted {
+		fs = append(fs, port.Millis("picture_refuted_ms", first))
 	}
 	fs = append(fs, c.regionFields()...)
 	fs = append(fs, c.targetFields()...)
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -48,6 +48,8 @@
 	noticeTargets atomic.Pointer[noticeTargets]
 	// readers lists the gateways to ask for changes of the store, in order of preference.
 	readers atomic.Pointer[[]feed.Member]
+	// readerRank is the number of gateways of the failure domain that come before this one as readers.
+	readerRank atomic.Int64
 	// usageRecipients holds the gateways to which usage is stated.
 	usageRecipients atomic.Pointer[usage.Recipients]
 	// dutyCandidates lists the gateways that may become the holder of the singleton duties, by rank.
@@ -124,6 +126,9 @@
 	v.noticeTargets.Store(&noticeTargets{to, ownOnly})
 }
 
+// takeoverDelay returns the time for which this gateway asks the readers before it reads the operator keys from the store.
+func (v *view) takeoverDelay() time.Duration { return feed.TakeoverDelay(int(v.readerRank.Load())) }
+
 // processes returns the number of gateways that send requests to the same targets.
 func (v *view) processes() float64 { return float64(max(1, v.gatewayCount.Load())) }
 
@@ -163,6 +168,19 @@
 	return out
 }
 
+// holds reports whether the view still has the revisions of a check: it may have changed since the check began.
+func (v *view) holds(expect []port.Precondition) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	existing := v.operatorKeys.Existing()
+	for _, e := range expect {
+		if existing[e.Key] != e.Revision {
+			return false
+		}
+	}
+	return true
+}
+
 // coversConflict reports whether newer items in current account for all differences from
 // expect, so that no listing is needed. It returns false if an expected key is missing
 // from current, since only a listing shows removals, or if there is no difference.
@@ -378,11 +396,12 @@
 	return v.clock.SinceBoot() - at
 }
 
-// refutedAgo returns the time since the store last stated that this view is not current, or false if the
+// refutedAgo returns the time since the store first and last stated that this view is not current, or false if the
 // view has been confirmed or has changed since.
-func (v *view) refutedAgo() (time.Duration, bool) {
-	at, refuted := v.confirmations.Refuted()
-	return v.clock.SinceBoot() - at, refuted
+func (v *view) refutedAgo() (first, last time.Duration, refuted bool) {
+	r, refuted := v.confirmations.Refuted()
+	now := v.clock.SinceBoot()
+	return now - r.First, now - r.Last, refuted
 }
 
 func (v *view) applyConfig(c routes.Config, from port.StoreChange) {
--- a/internal/app/registration/members.go
+++ b/internal/app/registration/members.go
@@ -44,6 +44,9 @@
 	return feed.Readers(feedMember(self), m.All())
 }
 
+// Rank returns the number of gateways of its failure domain that come before the gateway self as readers.
+func (m Members) Rank(self port.StoredMember) int { return feed.Rank(feedMember(self), m.All()) }
+
 // All returns all registered processes.
 func (m Members) All() []feed.Member {
 	all := make([]feed.Member, 0, len(m))
--- a/internal/core/confirmation/confirmation.go
+++ b/internal/core/confirmation/confirmation.go
@@ -22,9 +22,10 @@
 	mu sync.Mutex // guards the fields below
 	// listedAt and checkedAt are the times of the newest confirmations of each kind.
 	listedAt, checkedAt time.Duration
-	// refutedAt is the time of the newest check that found another revision than that of the view, or zero
-	// if the view has been confirmed or has changed since.
-	refutedAt time.Duration
+	// refutation is that of the view, or zero if the view has been confirmed or has changed since.
+	refutation Refutation
+	// refutedBy is the time at which the newest check of refutation began.
+	refutedBy time.Duration
 	// checked holds the keys that checks cover.
 	checked map[string]checkedKey
 }
@@ -52,7 +53,7 @@
 			c.since = now
 		}
 		if c.revision != revision {
-			r.refutedAt = 0
+			r.refutation = Refutation{}
 		}
 		c.revision = revision
 		next[k] = c
@@ -84,27 +85,36 @@
 func (r *Record) confirmed() {
 	newest := max(r.checkedAt, r.listedAt)
 	r.newest.Store(int64(newest))
-	if r.refutedAt <= newest {
-		r.refutedAt = 0
+	if r.refutedBy <= newest {
+		r.refutation = Refutation{}
 	}
 }
 
-// Refute records that a check, which began at a time, found another revision of a covered key than
+// Refutation says when checks found another revision of a covered key than that of the view.
+type Refutation struct {
+	// First and Last are the times at which the first and the newest of these checks ended.
+	First, Last time.Duration
+}
+
+// Refute records that a check, which began at a time and ended now, found another revision of a covered key than
 // that of the view.
-func (r *Record) Refute(at time.Duration) {
+func (r *Record) Refute(began, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at > max(r.checkedAt, r.listedAt) {
-		r.refutedAt = max(r.refutedAt, at)
+	if began <= max(r.checkedAt, r.listedAt) {
+		return
+	}
+	if r.refutation == (Refutation{}) {
+		r.refutation.First = now
 	}
+	r.refutation.Last, r.refutedBy = now, max(r.refutedBy, began)
 }
 
-// Refuted returns the time of the newest check that found another revision than that of the view, or
-// false if the view has been confirmed or has changed since.
-func (r *Record) Refuted() (time.Duration, bool) {
+// Refuted returns the refutation of the view, or false if the view has been confirmed or has changed since.
+func (r *Record) Refuted() (Refutation, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.refutedAt, r.refutedAt > 0
+	return r.refutation, r.refutation != Refutation{}
 }
 
 // List records that a listing of all keys, which began at a time, is part of the view.
--- a/internal/core/confirmation/confirmation_test.go
+++ b/internal/core/confirmation/confirmation_test.go
@@ -89,21 +89,26 @@
 	var r Record
 	r.SetChecked(map[string]int64{"a": 1}, 10)
 	r.Check(20)
-	r.Refute(15)
-	if at, refuted := r.Refuted(); refuted {
-		t.Errorf("refuted at %v by a check older than the confirmation", at)
+	r.Refute(15, 21)
+	if x, refuted := r.Refuted(); refuted {
+		t.Errorf("refuted %v by a check older than the confirmation", x)
 	}
-	r.Refute(30)
-	r.SetChecked(map[string]int64{"a": 1, "b": 0}, 31)
-	if at, refuted := r.Refuted(); !refuted || at != 30 {
-		t.Errorf("refuted %v at %v, want 30: the view of a has not changed", refuted, at)
+	r.Refute(30, 35)
+	r.Refute(40, 42)
+	r.SetChecked(map[string]int64{"a": 1, "b": 0}, 43)
+	if x, refuted := r.Refuted(); !refuted || x != (Refutation{35, 42}) {
+		t.Errorf("refuted %v, %v, want from 35 to 42: the view of a has not changed", refuted, x)
 	}
-	r.SetChecked(map[string]int64{"a": 2, "b": 0}, 32)
+	r.SetChecked(map[string]int64{"a": 2, "b": 0}, 44)
 	if _, refuted := r.Refuted(); refuted {
 		t.Error("refuted after the view has changed")
 	}
-	r.Refute(40)
-	r.Check(41)
+	r.Refute(50, 52)
+	r.Check(49)
+	if _, refuted := r.Refuted(); !refuted {
+		t.Error("not refuted after an older check")
+	}
+	r.Check(51)
 	if _, refuted := r.Refuted(); refuted {
 		t.Error("refuted after the view was confirmed")
 	}
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -59,6 +59,32 @@
 	return out[:min(maxReaders, len(out))]
 }
 
+// Rank returns the number of gateways of its own failure domain that come before a gateway as readers.
+func Rank(self Member, members []Member) int {
+	n := 0
+	for _, m := range members {
+		if m.Gateway && m.Domain == self.Domain && m.ID < self.ID {
+			n++
+		}
+	}
+	return n
+}
+
+const (
+	// takeoverUnit times the square of its rank is the time for which a gateway asks the others before it reads a large
+	// prefix from the store. In most failures one of the first three reaches the store, after 0.9 s at most.
+	takeoverUnit = 100 * time.Millisecond
+	// maxTakeoverDelay bounds it.
+	maxTakeoverDelay = 6 * time.Second
+)
+
+// TakeoverDelay returns the time for which the gateway of a rank asks the other gateways of its failure domain before
+// it reads a large prefix from the store.
+func TakeoverDelay(rank int) time.Duration {
+	rank = min(max(rank, 0), 100)
+	return min(time.Duration(rank*rank)*takeoverUnit, maxTakeoverDelay)
+}
+
 // maxRemovedKeys bounds the removed keys that a log keeps. It must hold the keys of
 // a few hundred targets that leave at the same time.
 const maxRemovedKeys = 2048
--- a/internal/core/feed/feed_test.go
+++ b/internal/core/feed/feed_test.go
@@ -233,3 +233,28 @@
 		t.Error("an item that was written after the listing is ignored")
 	}
 }
+
+// TestTakeoverDelaysSpread guards against the gateways of a domain that read a large change from the store at the same
+// time, and against a domain in which the first gateways are lost and none of the others reads the store for seconds.
+func TestTakeoverDelaysSpread(t *testing.T) {
+	ms := []Member{{ID: "g2", Domain: "a", Gateway: true}, {ID: "g1", Domain: "a", Gateway: true}, {ID: "g0", Domain: "b", Gateway: true}, {ID: "a", Domain: "a"}}
+	for id, want := range map[string]int{"g1": 0, "g2": 1, "g3": 2} {
+		if got := Rank(Member{ID: id, Domain: "a", Gateway: true}, ms); got != want {
+			t.Errorf("%s has the rank %d, want %d", id, got, want)
+		}
+	}
+	if d := TakeoverDelay(0); d != 0 {
+		t.Errorf("the first gateway waits %v", d)
+	}
+	if d := TakeoverDelay(3); d > time.Second {
+		t.Errorf("the fourth gateway waits %v", d)
+	}
+	for rank := range 7 {
+		if step := TakeoverDelay(rank+1) - TakeoverDelay(rank); step < takeoverUnit {
+			t.Errorf("gateway %d follows the one before it after %v", rank+1, step)
+		}
+	}
+	if d := TakeoverDelay(1 << 40); d != maxTakeoverDelay {
+		t.Errorf("the last gateway waits %v, want %v", d, maxTakeoverDelay)
+	}
+}
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -79,8 +79,8 @@
 	// without a change. at is the revision to pass as after in the next call.
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) (changes []StoreChange, at int64, err error)
 	// Commit applies all writes atomically if all preconditions hold. Otherwise it
-	// applies none and returns ErrConflict, possibly as a ConflictError. Without
-	// writes it only checks the preconditions.
+	// applies none and returns ErrConflict, possibly as a ConflictError; one whose items
+	// are long is not. Without writes it only checks the preconditions.
 	Commit(ctx context.Context, expect []Precondition, writes []StoreWrite) error
 	// Grant creates a lease.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
@@ -91,6 +91,23 @@
 	Revoke(ctx context.Context, id LeaseID) error
 }
 
+// receiptKey is the key of the function of ContextWithReceipt.
+type receiptKey struct{}
+
+// ContextWithReceipt returns a context for a call of a Store that reads. The store calls received for each part of a
+// response that has arrived, so that a response that takes long is told from none.
+func ContextWithReceipt(ctx context.Context, received func()) context.Context {
+	return context.WithValue(ctx, receiptKey{}, received)
+}
+
+// Receipt returns the function of ContextWithReceipt, or one that does nothing.
+func Receipt(ctx context.Context) (received func()) {
+	if f, ok := ctx.Value(receiptKey{}).(func()); ok {
+		return f
+	}
+	return func() {}
+}
+
 // FeedRequest asks another process for changes that it has read from the store.
 type FeedRequest struct {
 	Prefix string
--- a/test/narrowlink/narrow_link_test.go
+++ b/test/narrowlink/narrow_link_test.go
@@ -190,6 +190,9 @@
 		}
 		time.Sleep(3 * time.Second)
 	}
+	if t.Failed() {
+		d.h.DumpOutput()
+	}
 }
 
 func TestMain(m *testing.M) {
