gateway: a view that was not confirmed in time decides nothing for good

A gateway cut off from the store sent requests to the region that their route was bound to before (HOME by the letter of the rule, which has no time bound), and answered 404 or 401 for routes and keys that were added since.

Cause: the age of the view was checked for requests with a key only, against key_bound. Change: after config_bound without a confirmation (new setting, from the platform's ConfigApplyMs) a gateway refuses with 503 configuration_stale, as not run, what its configuration may decide wrongly: requests that are bound to regions, unknown routes and unknown keys. All others are served as before, without a key without end: the store may be down, so that nothing has changed, and a domain that is cut off goes on serving. Weighed and left: refusing all requests without a key, which would end all service of deployments without accounts with each outage of the store; and serving those that are bound to regions, for which the promise of the region goes before.

--- a/internal/app/gateway/harness_test.go
+++ b/internal/app/gateway/harness_test.go
@@ -261,7 +261,7 @@
 	t.Helper()
 	gw := &testGateway{t: t, forwarder: &forwarder{replies: replies}, clock: &clock{sinceBoot: time.Hour}, decodedItems: decodedItems{}, log: &bytes.Buffer{}}
 	s := Settings{
-		Settings: registration.Settings{Domain: "a", Regions: map[fleet.Domain]fleet.Region{"a": "ra", "b": "rb"}}, KeyBound: 5 * time.Second,
+		Settings: registration.Settings{Domain: "a", Regions: map[fleet.Domain]fleet.Region{"a": "ra", "b": "rb"}}, KeyBound: 5 * time.Second, ConfigBound: 2 * time.Second,
 		WeightsBound: 8 * time.Second, DrainBound: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 100, RetryWindow: 10 * time.Second, Memory: 64 * mib, Descriptors: 4096, TargetConnections: 128,
 	}
 	gw.Gateway = New(s, Deps{
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -134,14 +134,29 @@
 	case !g.view.quarantineListed.Load():
 		return verdict.New(verdict.NotRun, verdict.CodeNoConfiguration, "requests that crash targets are not known").WithRetryAfter(localRetryAfter)
 	}
+	// The age is read before the configuration, so that the configuration is at least as new
+	// as the view that was confirmed.
+	stale := c.staleConfiguration()
+	c.routeTable = g.view.routeTable.Load()
 	r, ok := c.routeTable.MatchRoute(c.in.Host, c.in.Path)
+	if !ok && stale != nil {
+		// The route may have been added since.
+		return stale
+	}
 	if !ok {
 		return verdict.New(verdict.NotRun, verdict.CodeUnknownService, "no route for this host and path")
 	}
 	c.route = r
 	if e := c.authenticate(); e != nil {
+		if e.Code == verdict.CodeUnknownCustomer && stale != nil {
+			// The key may have been added since.
+			return stale
+		}
 		return e
 	}
+	if stale != nil && c.boundToRegions() {
+		return stale
+	}
 	name, ok := r.PickService(requestHash(c.in.ID))
 	if ok {
 		c.service, ok = c.routeTable.Service(name)
@@ -153,6 +168,21 @@
 	return nil
 }
 
+// configBoundMargin covers the time between the check of the view's age and the start of the request at a target.
+const configBoundMargin = 100 * time.Millisecond
+
+// staleConfiguration returns the refusal of a request that the configuration in force may serve otherwise than the
+// operators have set since, or nil if the view was confirmed in time. Other requests are served from an older view as
+// well: the store may be down, so that nothing has changed.
+func (c *call) staleConfiguration() *verdict.Error {
+	age, ok := c.g.viewAge()
+	if ok && age <= c.g.settings.ConfigBound-configBoundMargin {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeStaleConfiguration, "configuration was last confirmed %v ago", age.Round(time.Millisecond)).
+		WithRetryAfter(localRetryAfter)
+}
+
 // orDefault returns the timeout that a caller states, or defaultTimeout if it states none.
 func orDefault(callerTimeout time.Duration) time.Duration {
 	if callerTimeout <= 0 {
@@ -207,9 +237,8 @@
 	return h.Sum64()
 }
 
-// regionFilter returns a function that reports whether targets of a region may serve the
-// request, or nil if all regions may.
-func (c *call) regionFilter() func(fleet.Region) bool {
+// regionSets returns the sets of regions to which the request is bound.
+func (c *call) regionSets() [][]fleet.Region {
 	var sets [][]fleet.Region
 	if len(c.route.Regions) > 0 {
 		sets = append(sets, c.route.Regions)
@@ -217,6 +246,16 @@
 	if c.account != nil && len(c.account.Regions) > 0 {
 		sets = append(sets, c.account.Regions)
 	}
+	return sets
+}
+
+// boundToRegions reports whether only some regions may serve the request.
+func (c *call) boundToRegions() bool { return len(c.regionSets()) > 0 }
+
+// regionFilter returns a function that reports whether targets of a region may serve the
+// request, or nil if all regions may.
+func (c *call) regionFilter() func(fleet.Region) bool {
+	sets := c.regionSets()
 	if len(sets) == 0 {
 		return nil
 	}
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -31,6 +31,8 @@
 	// KeyBound is the longest time for which an API key may still be accepted after the
 	// operators removed it.
 	KeyBound time.Duration
+	// ConfigBound is the longest time for which a configuration may still be used after the operators replaced it.
+	ConfigBound time.Duration
 	// DrainBound is the time after which a target that has announced that it leaves must get no further
 	// requests.
 	DrainBound time.Duration
@@ -79,6 +81,8 @@
 	s.Duration("limits", "grace", &c.Grace, 8*time.Second, time.Second, time.Hour, "Time from SIGTERM by which the process must exit.")
 	s.Duration("limits", "key_bound", &c.KeyBound, 5*time.Second, 100*time.Millisecond, time.Hour,
 		"Longest time for which a removed API key may still be accepted.")
+	s.Duration("limits", "config_bound", &c.ConfigBound, 2*time.Second, 100*time.Millisecond, time.Hour,
+		"Longest time for which a configuration may still be used after the operators replaced it.")
 	s.Duration("limits", "drain_bound", &c.DrainBound, 2*time.Second, time.Second, time.Hour,
 		"Time after which a target that has announced that it leaves must get no further requests.")
 	s.Duration("limits", "weights_bound", &c.WeightsBound, 8*time.Second, 100*time.Millisecond, time.Hour,
--- a/test/docs/deploy_test.go
+++ b/test/docs/deploy_test.go
@@ -13,7 +13,7 @@
 // templates of deploy/.
 var templateValues = map[string]string{
 	"NodeName": "vm-1", "Ip": "10.1.0.40", "Zone": "a", "InternalPorts.0": "7700", "Listen.Front": "10.1.0.40:8005",
-	"Listen.Ready": "10.1.0.40:8002", "Platform.Address": "10.200.1.7:8007", "Bounds.GraceS": "8", "Bounds.RevokeMs": "5000", "Bounds.DrainMs": "2000",
+	"Listen.Ready": "10.1.0.40:8002", "Platform.Address": "10.200.1.7:8007", "Bounds.GraceS": "8", "Bounds.RevokeMs": "5000", "Bounds.ConfigApplyMs": "2000", "Bounds.DrainMs": "2000",
 	"Bounds.version_ms": "8000", "Limits.MemoryMb": "284",
 	"Limits.MaxFds": "4100", "Limits.LinkMbps": "7.6", "Bounds.RetryRatio": "0.2",
 	"Bounds.RetrySlack": "104", "Bounds.RetryWindowS": "10", "app": "10.1.0.43:8001", "Service": "pool",
