gateway: a later send follows the regions of the newest configuration

Callers' requests that were sent again seconds after they had arrived went to the regions that their route was bound to then.

Cause: the route is resolved once, and its regions with it, while the account was looked up again for each send. The rest of the route stays as it was at the arrival: time-out, kind and service.

Evidence: TestLaterSendFollowsNewRegions and TestLaterSendIsNotBoundByStaleView failed before.

--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -49,6 +49,12 @@
 				return
 			}
 		}
+		if c.sends > 0 {
+			if err := c.checkRegions(); err != nil {
+				c.fail(ctx, err)
+				return
+			}
+		}
 		if err := c.checkQuarantine(); err != nil {
 			c.fail(ctx, err)
 			return
--- a/internal/app/gateway/regions_test.go
+++ b/internal/app/gateway/regions_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/masticwing/masticwing/internal/core/fleet"
+	"github.com/masticwing/masticwing/internal/core/routes"
 	"github.com/masticwing/masticwing/internal/core/verdict"
 	"github.com/masticwing/masticwing/internal/port"
 )
@@ -43,3 +44,35 @@
 		}
 	}
 }
+
+// TestLaterSendFollowsNewRegions guards against a request that is sent again to the region to which its route was bound
+// when the request arrived, although the operators have bound it to another one since.
+func TestLaterSendFollowsNewRegions(t *testing.T) {
+	bound := func(r fleet.Region) routes.Route {
+		x := route
+		x.Regions = []fleet.Region{r}
+		return x
+	}
+	lost := verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no response")
+	gw := newTestGateway(t, bound("ra"), scriptedReply{err: lost})
+	gw.forwarder.replies[0].connecting = func() { gw.applyConfig(2, bound("rb")) }
+	if c := gw.request(newInbound()); c.status != 200 {
+		t.Errorf("refused: %v", c.refused)
+	}
+	if to := gw.forwarder.to; len(to) != 2 || to[0] != "a" || to[1] != "b" {
+		t.Errorf("sent to %v, want a in the earlier region and b in the new one", to)
+	}
+}
+
+// TestLaterSendIsNotBoundByStaleView guards against a second send to a region that may have changed since the store last
+// confirmed the view.
+func TestLaterSendIsNotBoundByStaleView(t *testing.T) {
+	x := route
+	x.Regions = []fleet.Region{"ra", "rb"}
+	lost := verdict.New(verdict.MayHaveRun, verdict.CodeTargetLost, "no response")
+	gw := newTestGateway(t, x, scriptedReply{err: lost})
+	gw.forwarder.replies[0].connecting = func() { gw.clock.advance(3 * time.Second) }
+	if c := gw.request(newInbound()); c.refused == nil || c.refused.Verdict == verdict.NotRun || len(gw.forwarder.to) != 1 {
+		t.Errorf("sent to %v, refused: %v; want one send, and a refusal that does not deny that it has run", gw.forwarder.to, c.refused)
+	}
+}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -183,6 +183,14 @@
 		WithRetryAfter(localRetryAfter)
 }
 
+// checkRegions refuses a later send of a request that is bound to regions if these may have changed.
+func (c *call) checkRegions() *verdict.Error {
+	if !c.boundToRegions() {
+		return nil
+	}
+	return c.staleConfiguration()
+}
+
 // orDefault returns the timeout that a caller states, or defaultTimeout if it states none.
 func orDefault(callerTimeout time.Duration) time.Duration {
 	if callerTimeout <= 0 {
@@ -237,11 +245,18 @@
 	return h.Sum64()
 }
 
-// regionSets returns the sets of regions to which the request is bound.
+// regionSets returns the sets of regions to which the request is bound: the newest configuration binds requests that
+// arrived under an earlier one as well.
 func (c *call) regionSets() [][]fleet.Region {
+	route := c.route
+	if t := c.g.view.routeTable.Load(); t != c.routeTable {
+		if r, ok := t.MatchRoute(c.in.Host, c.in.Path); ok {
+			route = r
+		}
+	}
 	var sets [][]fleet.Region
-	if len(c.route.Regions) > 0 {
-		sets = append(sets, c.route.Regions)
+	if len(route.Regions) > 0 {
+		sets = append(sets, route.Regions)
 	}
 	if c.account != nil && len(c.account.Regions) > 0 {
 		sets = append(sets, c.account.Regions)
