gateway, feed: bounds on the wait for a change that is on its way

Cause: (1) a gateway that follows another one waited without end for a change that the other does not pass on, and one of a later rank that reads the store never listed the keys, since each reply without changes counted as a sign of the change; (2) a reader whose checks fail kept its followers for the same reason; (3) the delay of later gateways grew to 6 s, although they can't follow each other; (4) a view counted as refuted when only another key had differed.

Change: only a response of 16 KiB or more counts as a change that arrives; the wait is bounded from the first check that found the change; the delay is at most 3 s (rank 8: 1.9 s); a refutation needs a check that shows that the configuration alone differs.

--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -36,7 +36,7 @@
 // within 2 s, in which followers of a stale reader still have to notice it and to
 // read the store themselves.
 //
-// A process that receives a response of the store is in contact with it, although its
+// A process that receives a long response of the store is in contact with it, although its
 // checks find a newer configuration than the one that it holds until that has arrived.
 // Its followers would fetch the same configuration over the same link, and delay it.
 const maxConfirmationAge = 1200 * time.Millisecond
@@ -78,7 +78,7 @@
 }
 
 // SetReceipts sets the function that returns the time since boot at which the process last received a part of a
-// response of the store about the keys that confirmations cover, or zero. It must be called before the server is used.
+// long response of the store about the keys that confirmations cover, or zero. It must be called before the server is used.
 func (s *Server) SetReceipts(receivedAt func() time.Duration) { s.receivedAt = receivedAt }
 
 // AddPrefix adds a prefix that is served while fromStore returns true, unless the store has
--- a/internal/app/follow/follow.go
+++ b/internal/app/follow/follow.go
@@ -65,8 +65,8 @@
 
 	relist    chan struct{}
 	storeLost bool
-	// receivedAt is the time since boot, in nanoseconds, at which the last part of a response of the store arrived, or
-	// zero. receiving is set from the first part of a response to its end, and listing during a listing.
+	// receivedAt is the time since boot, in nanoseconds, at which the last part of a long response of the store arrived, or
+	// zero. receiving is set while one arrives, and listing during a listing.
 	receivedAt         atomic.Int64
 	receiving, listing atomic.Bool
 	// items holds the items that Run has reported.
@@ -97,10 +97,15 @@
 	}
 }
 
-// ReceivedAt returns the time since boot at which the last part of a response of the store arrived, or zero if none has.
+// longResponse is the length in bytes from which on a response counts as long. One without changes has some dozens: it
+// shows that the store responds, not that a change is on its way.
+const longResponse = 16 << 10
+
+// ReceivedAt returns the time since boot at which the last part of a long response of the store arrived, or zero if none
+// has.
 func (f *Follower) ReceivedAt() time.Duration { return time.Duration(f.receivedAt.Load()) }
 
-// Receiving reports whether a part of a response of the store has arrived, but not its end.
+// Receiving reports whether a part of a long response of the store has arrived, but not its end.
 func (f *Follower) Receiving() bool { return f.receiving.Load() }
 
 // Listing reports whether a listing is in progress.
@@ -116,7 +121,11 @@
 
 // withReceipt returns a context for a call whose response sets receivedAt as it arrives.
 func (f *Follower) withReceipt(ctx context.Context) context.Context {
-	return port.ContextWithReceipt(ctx, func() {
+	received := 0
+	return port.ContextWithReceipt(ctx, func(n int) {
+		if received += n; received < longResponse {
+			return
+		}
 		f.receivedAt.Store(int64(f.Clock.SinceBoot()))
 		f.receiving.Store(true)
 	})
--- a/internal/app/gateway/conflict_test.go
+++ b/internal/app/gateway/conflict_test.go
@@ -49,9 +49,22 @@
 	if !follower.view.declarations.Load().cordons["a"] {
 		t.Error("the cordon is not in force")
 	}
+	if _, _, refuted := follower.view.refutedAgo(); refuted {
+		t.Error("the view counts as refuted although only the cordon was known to differ, which is in force")
+	}
+	// The first check found the cordon, this one finds the configuration.
+	follower.confirmView(context.Background())
 	if !follower.awaitsChange() {
 		t.Error("a gateway that follows a reader does not wait for it")
 	}
+	if first, _, refuted := follower.view.refutedAgo(); !refuted || first != 0 {
+		t.Errorf("refuted %v, %v ago", refuted, first)
+	}
+	base.clock.advance(maxFollowedWait)
+	if follower.awaitsChange() {
+		t.Error("a gateway waits without end for a reader that does not pass the change on")
+	}
+	reader.confirmView(context.Background())
 	reader.confirmView(context.Background())
 	base.clock.advance(receiptTimeout)
 	if reader.awaitsChange() {
--- a/internal/app/gateway/follow.go
+++ b/internal/app/gateway/follow.go
@@ -214,9 +214,17 @@
 	told := g.applyConflict(expect, err)
 	awaited := told == 0 && !current
 	if told == 0 && current {
-		others := g.otherKeysCurrent(ctx, expect, err)
-		g.view.confirmations.Refute(began, g.deps.Clock.SinceBoot())
-		awaited = others && g.awaitsChange()
+		switch g.checkOtherKeys(ctx, expect, err) {
+		case othersCurrent:
+			if g.view.holds(expect) {
+				g.view.confirmations.Refute(began, g.deps.Clock.SinceBoot())
+			}
+			awaited = g.awaitsChange()
+		case othersApplied, othersUnknown:
+			// The next check decides.
+			awaited = true
+		case othersLeft:
+		}
 	}
 	if told == 0 && !awaited {
 		g.operatorFollower.Relist()
@@ -238,55 +246,79 @@
 	return len(c.Current)
 }
 
-// otherKeysCurrent checks the other keys of a conflict without items, which are short, and applies their
-// changes. It returns false if changes of them are left, or if the conflict had items. A check without a
-// response leaves it open, which the next check decides.
-func (g *Gateway) otherKeysCurrent(ctx context.Context, expect []port.Precondition, conflict error) bool {
+// otherKeys is the result of a check of the operator keys other than the configuration.
+type otherKeys uint8
+
+const (
+	// othersLeft means that changes of them are left, or that they can't be checked by themselves.
+	othersLeft otherKeys = iota
+	// othersApplied means that changes of them were applied. The configuration may be as in the view.
+	othersApplied
+	// othersCurrent means that they are as in the view, so that the configuration differs.
+	othersCurrent
+	// othersUnknown means that the store did not respond.
+	othersUnknown
+)
+
+// checkOtherKeys checks the keys of a conflict without items that are short, and applies their changes.
+func (g *Gateway) checkOtherKeys(ctx context.Context, expect []port.Precondition, conflict error) otherKeys {
 	var c *port.ConflictError
 	if errors.As(conflict, &c) {
-		return false
+		return othersLeft
 	}
 	config := g.deps.Decoder.Prefixes().Config
 	others := slices.DeleteFunc(slices.Clone(expect), func(p port.Precondition) bool { return strings.HasPrefix(p.Key, config) })
-	if len(others) == len(expect) {
-		return false
-	}
-	if len(others) == 0 {
-		return true
+	switch len(others) {
+	case len(expect):
+		return othersLeft
+	case 0:
+		return othersCurrent
 	}
 	err := g.deps.Store.Commit(ctx, others, nil)
-	return !errors.Is(err, port.ErrConflict) || g.applyConflict(others, err) > 0
+	switch {
+	case err == nil:
+		return othersCurrent
+	case !errors.Is(err, port.ErrConflict):
+		return othersUnknown
+	case g.applyConflict(others, err) > 0:
+		return othersApplied
+	}
+	return othersLeft
 }
 
 const (
 	// changePollInterval is the pause between two looks whether a change is still on its way.
 	changePollInterval = 100 * time.Millisecond
 	// receiptTimeout is the time without a part of a response after which a change does not count as on
-	// its way. A full link delays its parts by some hundred milliseconds.
+	// its way, and that for which one counts as such that the store has just stated. A full link delays parts by some
+	// hundred milliseconds.
 	receiptTimeout = time.Second
 	// readerReplyTimeout is the time without a reply of the gateway that this one follows after which it checks its view
 	// itself. It asks every feedWaitOperator.
 	readerReplyTimeout = time.Second
-	// maxAwaitChange bounds the time after a check for which a change counts as on its way, so that the view is
-	// checked again.
-	maxAwaitChange = 2 * time.Second
+	// maxFollowedWait is the time since the first check that found the change for which a gateway waits for the one
+	// that it follows, and a quarter of its takeover delay more. A reader that has moved past the change does not
+	// pass it on.
+	maxFollowedWait = 2 * time.Second
 )
 
-// awaitsChange reports whether a change of the operator keys is on its way: a response of the store is arriving, here or
-// at the gateway that this one follows, or the store has stated that the view is not current. A check would transfer
-// the configuration once more over the same link.
+// awaitsChange reports whether a change of the operator keys is on its way: a long response of the store is arriving, here
+// or at the gateway that this one follows, or the store has stated only recently that the view is not current. A check
+// would transfer the configuration once more over the same link.
 func (g *Gateway) awaitsChange() bool {
 	f := g.operatorFollower
-	silence := g.deps.Clock.SinceBoot() - f.ReceivedAt()
-	if f.Receiving() && silence < receiptTimeout || g.source.ReaderAwaitsStore(f.Prefix, readerReplyTimeout) {
+	if f.Receiving() && g.deps.Clock.SinceBoot()-f.ReceivedAt() < receiptTimeout || g.source.ReaderAwaitsStore(f.Prefix, readerReplyTimeout) {
 		return true
 	}
-	first, last, refuted := g.view.refutedAgo()
-	if !refuted || last > maxAwaitChange {
+	first, _, refuted := g.view.refutedAgo()
+	if !refuted {
 		return false
 	}
-	_, fromReader := g.source.FromReader(f.Prefix)
-	return fromReader || f.Listing() || min(first, silence) < receiptTimeout+g.view.takeoverDelay()
+	longest := receiptTimeout
+	if _, fromReader := g.source.FromReader(f.Prefix); fromReader {
+		longest = maxFollowedWait
+	}
+	return f.Listing() || first < longest+g.view.takeoverDelay()/4
 }
 
 // viewAge returns the time since the store last confirmed the operator keys, or false if it
--- a/internal/core/feed/feed.go
+++ b/internal/core/feed/feed.go
@@ -71,18 +71,22 @@
 }
 
 const (
-	// takeoverUnit times the square of its rank is the time for which a gateway asks the others before it reads a large
-	// prefix from the store. In most failures one of the first three reaches the store, after 0.9 s at most.
+	// takeoverUnit times the square of its rank is the time for which one of the first gateways asks the others before
+	// it reads a large prefix from the store. In most failures one of them reaches the store, after 0.9 s at most.
 	takeoverUnit = 100 * time.Millisecond
-	// maxTakeoverDelay bounds it.
-	maxTakeoverDelay = 6 * time.Second
+	// laterTakeoverStep is the time by which each of the others waits longer than the one before it. They follow the first
+	// ones only, so that a longer delay would not help them to follow each other.
+	laterTakeoverStep = 200 * time.Millisecond
+	// maxTakeoverDelay bounds the delay.
+	maxTakeoverDelay = 3 * time.Second
 )
 
 // TakeoverDelay returns the time for which the gateway of a rank asks the other gateways of its failure domain before
 // it reads a large prefix from the store.
 func TakeoverDelay(rank int) time.Duration {
 	rank = min(max(rank, 0), 100)
-	return min(time.Duration(rank*rank)*takeoverUnit, maxTakeoverDelay)
+	first := min(rank, maxReaders-1)
+	return min(time.Duration(first*first)*takeoverUnit+time.Duration(rank-first)*laterTakeoverStep, maxTakeoverDelay)
 }
 
 // maxRemovedKeys bounds the removed keys that a log keeps. It must hold the keys of
--- a/internal/port/store.go
+++ b/internal/port/store.go
@@ -94,18 +94,18 @@
 // receiptKey is the key of the function of ContextWithReceipt.
 type receiptKey struct{}
 
-// ContextWithReceipt returns a context for a call of a Store that reads. The store calls received for each part of a
-// response that has arrived, so that a response that takes long is told from none.
-func ContextWithReceipt(ctx context.Context, received func()) context.Context {
+// ContextWithReceipt returns a context for a call of a Store that reads. The store calls received with the length in
+// bytes of each part of a response that has arrived, so that a response that takes long is told from none.
+func ContextWithReceipt(ctx context.Context, received func(n int)) context.Context {
 	return context.WithValue(ctx, receiptKey{}, received)
 }
 
 // Receipt returns the function of ContextWithReceipt, or one that does nothing.
-func Receipt(ctx context.Context) (received func()) {
-	if f, ok := ctx.Value(receiptKey{}).(func()); ok {
+func Receipt(ctx context.Context) (received func(n int)) {
+	if f, ok := ctx.Value(receiptKey{}).(func(int)); ok {
 		return f
 	}
-	return func() {}
+	return func(int) {}
 }
 
 // FeedRequest asks another process for changes that it has read from the store.
