gateway, feed: one check before a later send; shorter lines

No change of behaviour: the API key and the regions are checked in one place before a request is sent again, also to a successor.

--- a/internal/app/feed/server.go
+++ b/internal/app/feed/server.go
@@ -78,7 +78,8 @@
 }
 
 // SetReceipts sets the function that returns the time since boot at which the process last received a part of a
-// long response of the store about the keys that confirmations cover, or zero. It must be called before the server is used.
+// long response of the store about the keys that confirmations cover, or zero. It must be called before the server
+// is used.
 func (s *Server) SetReceipts(receivedAt func() time.Duration) { s.receivedAt = receivedAt }
 
 // AddPrefix adds a prefix that is served while fromStore returns true, unless the store has
--- a/internal/app/feed/source.go
+++ b/internal/app/feed/source.go
@@ -56,8 +56,8 @@
 	// the store, so that not all processes of a domain read it at the same moment. It may be nil.
 	StoreTurn func() time.Duration
 	// TakeoverDelay returns the time for which the readers of a prefix with large changes are asked before a call
-	// to the store, unless the last one succeeded. It is longer for each further process that may follow the readers, so that they don't all
-	// fetch the same change over one link. It may be nil.
+	// to the store, unless the last one succeeded. It is longer for each further process that may follow the
+	// readers, so that they don't all fetch the same change over one link. It may be nil.
 	TakeoverDelay func() time.Duration
 	// Urgent is set for a prefix with small changes that must be known soon, also if
 	// several readers do not respond: only the first of them is waited for.
@@ -107,9 +107,9 @@
 	return st.confirmed, st.fromReader
 }
 
-// ReaderAwaitsStore reports whether the last changes of a prefix came from another process, no longer ago than within, whose
-// view the store had last confirmed longer than maxConfirmationAge before. Such a process replies only while a
-// response of the store arrives.
+// ReaderAwaitsStore reports whether the last changes of a prefix came from another process, no longer ago than
+// within, whose view the store had last confirmed longer than maxConfirmationAge before. Such a process replies
+// only while a long response of the store arrives.
 func (s *Source) ReaderAwaitsStore(prefix string, within time.Duration) bool {
 	st, _ := s.state.Get(prefix)
 	return st.fromReader && s.clock.SinceBoot()-st.repliedAt < within && st.repliedAt-st.confirmed.At >= maxConfirmationAge
--- a/internal/app/gateway/attempt.go
+++ b/internal/app/gateway/attempt.go
@@ -39,18 +39,11 @@
 const pathConnectTimeout = 250 * time.Millisecond
 
 // forward sends the request to one target after another until one serves it or no further
-// retry is allowed. A later send may follow seconds after the first one, so the API key is
-// looked up again before it.
+// retry is allowed.
 func (c *call) forward(ctx context.Context) {
 	for {
-		if c.sends > 0 && c.account != nil {
-			if err := c.findAccount(); err != nil {
-				c.fail(ctx, err)
-				return
-			}
-		}
 		if c.sends > 0 {
-			if err := c.checkRegions(); err != nil {
+			if err := c.checkLaterSend(); err != nil {
 				c.fail(ctx, err)
 				return
 			}
--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -183,12 +183,18 @@
 		WithRetryAfter(localRetryAfter)
 }
 
-// checkRegions refuses a later send of a request that is bound to regions if these may have changed.
-func (c *call) checkRegions() *verdict.Error {
-	if !c.boundToRegions() {
-		return nil
+// checkLaterSend refuses a later send, which may follow seconds after the first one, if the API key was removed, or if
+// the request is bound to regions that may have changed.
+func (c *call) checkLaterSend() *verdict.Error {
+	if c.account != nil {
+		if e := c.findAccount(); e != nil {
+			return e
+		}
 	}
-	return c.staleConfiguration()
+	if c.boundToRegions() {
+		return c.staleConfiguration()
+	}
+	return nil
 }
 
 // orDefault returns the timeout that a caller states, or defaultTimeout if it states none.
--- a/internal/app/gateway/successor.go
+++ b/internal/app/gateway/successor.go
@@ -63,7 +63,7 @@
 	switch {
 	case c.sends >= maxSends, s.runs >= c.route.MaxAttempts, !c.relay.events.Resumable(), c.withdrawn.Load(), s.suspect:
 		return
-	case c.account != nil && c.findAccount() != nil, c.checkRegions() != nil, c.checkQuarantine() != nil:
+	case c.checkLaterSend() != nil, c.checkQuarantine() != nil:
 		return
 	}
 	q := c.placementQuery()
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -126,7 +126,8 @@
 	v.noticeTargets.Store(&noticeTargets{to, ownOnly})
 }
 
-// takeoverDelay returns the time for which this gateway asks the readers before it reads the operator keys from the store.
+// takeoverDelay returns the time for which this gateway asks the readers before it reads the operator keys from the
+// store.
 func (v *view) takeoverDelay() time.Duration { return feed.TakeoverDelay(int(v.readerRank.Load())) }
 
 // processes returns the number of gateways that send requests to the same targets.
@@ -427,8 +428,8 @@
 	if age, known := v.learned(from).Age().Get(); known && current != nil {
 		v.metrics.Seconds("gateway_config_delay_seconds", age)
 	}
-	v.log.StateChange("configuration in force", millisOrNegative("set_ago_ms", v.learned(from).Age()), port.F("routes_with_regions", t.RoutesWithRegions()), port.F("version", c.Version), port.F("revision", from.Revision),
-		port.F("routes", len(c.Routes)), port.F("accounts", len(c.Accounts)), port.F("keyless", c.Keyless), port.Millis("idle_timeout_ms", c.Limits.IdleTimeout))
+	v.log.StateChange("configuration in force", port.F("version", c.Version), port.F("revision", from.Revision),
+		millisOrNegative("set_ago_ms", v.learned(from).Age()), port.F("routes", len(c.Routes)), port.F("routes_with_regions", t.RoutesWithRegions()), port.F("accounts", len(c.Accounts)), port.F("keyless", c.Keyless), port.Millis("idle_timeout_ms", c.Limits.IdleTimeout))
 	for _, f := range c.Faults {
 		v.log.Failure("value of the configuration ignored", nil, port.F("version", c.Version), port.F("value", f))
 	}
