--- a/cmd/masticwing-gateway/streams_test.go
+++ b/cmd/masticwing-gateway/streams_test.go
@@ -123,7 +123,7 @@
 		Settings: registration.Settings{
 			Domain: "zone-a", Regions: map[fleet.Domain]fleet.Region{"zone-a": "r", "zone-b": "r"}, Internal: "127.0.0.1:0",
 		},
-		KeyBound: 5 * time.Second, WeightsBound: 8 * time.Second, DrainBound: 2 * time.Second, RetryRatio: 0.2, RetrySlack: retries, RetryWindow: 10 * time.Second, Memory: 64 << 20, Grace: grace, Descriptors: 4096, TargetConnections: 128,
+		KeyBound: 5 * time.Second, ConfigBound: 2 * time.Second, WeightsBound: 8 * time.Second, DrainBound: 2 * time.Second, RetryRatio: 0.2, RetrySlack: retries, RetryWindow: 10 * time.Second, Memory: 64 << 20, Grace: grace, Descriptors: 4096, TargetConnections: 128,
 	}
 	set.ID = "g"
 	peers := rpc.NewClient()
