--- a/internal/app/gateway/serve.go
+++ b/internal/app/gateway/serve.go
@@ -424,6 +424,26 @@
 	return fs
 }
 
+// failureFields returns the fields of the log line that describe why the request was not served.
+func (c *call) failureFields(e *verdict.Error) []port.Field {
+	var fs []port.Field
+	if c.lostBeforeEvent > 0 {
+		fs = append(fs, port.F("lost_before_event", c.lostBeforeEvent))
+	}
+	if parts := c.in.WorkEstimate.SharedParts; len(parts) > 0 {
+		fs = append(fs, port.F("shared_parts", parts))
+	}
+	if c.subject != "" {
+		fs = append(fs, port.F("subject", string(c.subject)))
+	}
+	fs = append(fs, port.F("code", string(e.Code)), port.F("verdict", e.Verdict.String()),
+		port.F("reason", e.Error()), port.Millis("retry_after_ms", e.RetryAfter))
+	if c.placeInterval > 0 {
+		fs = append(fs, port.Millis("place_interval_ms", c.placeInterval))
+	}
+	return fs
+}
+
 // logRequest writes the log line and the metrics of a request that has ended. status is
 // that of the target's response, or zero if none was passed to the caller.
 func (c *call) logRequest(outcome string, e *verdict.Error, status int) {
@@ -467,20 +487,7 @@
 		fs = append(fs, port.F("status", status))
 	}
 	if e != nil {
-		if c.lostBeforeEvent > 0 {
-			fs = append(fs, port.F("lost_before_event", c.lostBeforeEvent))
-		}
-		if parts := c.in.WorkEstimate.SharedParts; len(parts) > 0 {
-			fs = append(fs, port.F("shared_parts", parts))
-		}
-		if c.subject != "" {
-			fs = append(fs, port.F("subject", string(c.subject)))
-		}
-		fs = append(fs, port.F("code", string(e.Code)), port.F("verdict", e.Verdict.String()),
-			port.F("reason", e.Error()), port.Millis("retry_after_ms", e.RetryAfter))
-		if c.placeInterval > 0 {
-			fs = append(fs, port.Millis("place_interval_ms", c.placeInterval))
-		}
+		fs = append(fs, c.failureFields(e)...)
 		g.deps.Log.FailedRequest("request", fs...)
 	} else {
 		g.deps.Log.ServedRequest("request", fs...)
